--- /dev/null
+++ b/packages/base/log.c
@@ -0,0 +1,191 @@
+#include "base/log.h"
+
+#include <inttypes.h>
+#include <string.h>
+#include <time.h>
+
+#define LOG_MODULE_LEVELS_MAX 32
+#define LOG_MODULE_NAME_SIZE 24
+#define LOG_LINE_SIZE 2048
+#define LOG_INSTANCE_SIZE 64
+
+struct log_module_level {
+    char module[LOG_MODULE_NAME_SIZE];
+    enum log_level level;
+};
+
+struct log_line {
+    char text[LOG_LINE_SIZE];
+    size_t length;
+};
+
+static FILE *log_stream;
+static enum log_level log_default_level = LOG_LEVEL_WARNING;
+static struct log_module_level log_module_levels[LOG_MODULE_LEVELS_MAX];
+static size_t log_module_level_count;
+static char log_instance[LOG_INSTANCE_SIZE];
+
+static const char *const log_level_names[] = {
+    [LOG_LEVEL_DEBUG] = "debug",     [LOG_LEVEL_INFO] = "info",
+    [LOG_LEVEL_WARNING] = "warning", [LOG_LEVEL_ERROR] = "error",
+    [LOG_LEVEL_OFF] = "off",
+};
+
+void
+log_init(FILE *stream, enum log_level level)
+{
+    log_stream = stream;
+    log_default_level = level;
+    log_module_level_count = 0;
+}
+
+bool
+log_set_module_level(const char *module, enum log_level level)
+{
+    if (strlen(module) >= LOG_MODULE_NAME_SIZE ||
+        log_module_level_count == LOG_MODULE_LEVELS_MAX) {
+        return false;
+    }
+    struct log_module_level *entry =
+        &log_module_levels[log_module_level_count++];
+    snprintf(entry->module, sizeof(entry->module), "%s", module);
+    entry->level = level;
+    return true;
+}
+
+void
+log_set_instance(const char *instance)
+{
+    snprintf(log_instance, sizeof(log_instance), "%s", instance);
+}
+
+bool
+log_level_parse(const char *text, enum log_level *level)
+{
+    for (int i = LOG_LEVEL_DEBUG; i <= LOG_LEVEL_OFF; i++) {
+        if (strcmp(text, log_level_names[i]) == 0) {
+            *level = (enum log_level)i;
+            return true;
+        }
+    }
+    return false;
+}
+
+bool
+log_enabled(enum log_level level, const char *module)
+{
+    for (size_t i = 0; i < log_module_level_count; i++) {
+        if (strcmp(log_module_levels[i].module, module) == 0) {
+            return level >= log_module_levels[i].level;
+        }
+    }
+    return level >= log_default_level;
+}
+
+static void
+log_append(struct log_line *line, const char *text)
+{
+    const size_t room = sizeof(line->text) - line->length;
+    size_t length = strlen(text);
+    if (length > room - 1) {
+        length = room - 1;
+    }
+    memcpy(line->text + line->length, text, length);
+    line->length += length;
+    line->text[line->length] = '\0';
+}
+
+static void
+log_append_quoted(struct log_line *line, const char *text)
+{
+    char escaped[8];
+    log_append(line, "\"");
+    for (const char *p = text != NULL ? text : ""; *p != '\0'; p++) {
+        const unsigned char c = (unsigned char)*p;
+        if (c == '"' || c == '\\') {
+            snprintf(escaped, sizeof(escaped), "\\%c", c);
+        }
+        else if (c < 0x20 || c >= 0x7f) {
+            snprintf(escaped, sizeof(escaped), "\\u%04x", c);
+        }
+        else {
+            snprintf(escaped, sizeof(escaped), "%c", c);
+        }
+        /* Keeps room for the closing quotes and brace of the line. */
+        if (line->length + sizeof(escaped) + 4 > sizeof(line->text)) {
+            break;
+        }
+        log_append(line, escaped);
+    }
+    log_append(line, "\"");
+}
+
+static void
+log_append_field(struct log_line *line, const struct log_field *field)
+{
+    char number[32];
+    log_append(line, ",");
+    log_append_quoted(line, field->name);
+    log_append(line, ":");
+    switch (field->type) {
+    case LOG_FIELD_STRING:
+        log_append_quoted(line, field->string);
+        return;
+    case LOG_FIELD_INT:
+        snprintf(number, sizeof(number), "%" PRId64, field->number);
+        break;
+    case LOG_FIELD_UINT:
+        snprintf(number, sizeof(number), "%" PRIu64, (uint64_t)field->number);
+        break;
+    case LOG_FIELD_BOOL:
+        snprintf(number, sizeof(number), "%s",
+                 field->number ? "true" : "false");
+        break;
+    case LOG_FIELD_END:
+        return;
+    }
+    log_append(line, number);
+}
+
+static void
+log_append_time(struct log_line *line)
+{
+    struct timespec now;
+    struct tm utc;
+    char text[48];
+    clock_gettime(CLOCK_REALTIME, &now);
+    gmtime_r(&now.tv_sec, &utc);
+    const size_t length = strftime(text, sizeof(text), "%FT%T", &utc);
+    snprintf(text + length, sizeof(text) - length, ".%06ldZ",
+             now.tv_nsec / 1000);
+    log_append_quoted(line, text);
+}
+
+void
+log_write(enum log_level level, const char *module, const char *event,
+          const struct log_field *fields)
+{
+    struct log_line line = {.length = 0};
+    const struct log_field header[] = {
+        LOG_STR("level", log_level_names[level]),
+        LOG_STR("instance", log_instance),
+        LOG_STR("module", module),
+        LOG_STR("event", event),
+    };
+    log_append(&line, "{\"time\":");
+    log_append_time(&line);
+    for (size_t i = 0; i < sizeof(header) / sizeof(header[0]); i++) {
+        log_append_field(&line, &header[i]);
+    }
+    for (; fields->type != LOG_FIELD_END; fields++) {
+        /* A field that does not fit is left out rather than cut. */
+        if (line.length + strlen(fields->name) + 64 > sizeof(line.text)) {
+            break;
+        }
+        log_append_field(&line, fields);
+    }
+    log_append(&line, "}");
+    FILE *stream = log_stream != NULL ? log_stream : stderr;
+    fprintf(stream, "%s\n", line.text);
+    fflush(stream);
+}
--- /dev/null
+++ b/packages/base/runtime.h
@@ -0,0 +1,85 @@
+/**
+ * @file
+ * The event loop with its clock and timers. All of the program's time comes
+ * from here: a real runtime reads CLOCK_BOOTTIME, which also counts while
+ * the machine is suspended; a manual runtime stands still until a test
+ * advances it.
+ */
+#ifndef CHESTNUTGAP_BASE_RUNTIME_H
+#define CHESTNUTGAP_BASE_RUNTIME_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "base/error.h"
+
+#define US_PER_MS INT64_C(1000)
+#define US_PER_SECOND INT64_C(1000000)
+
+struct event_base;
+struct runtime;
+
+/** Called when a timer expires. */
+typedef void (*timer_cb)(void *ctx);
+
+/** A one-shot timer, embedded in its owner. Its fields are private. */
+struct timer {
+    struct runtime *runtime;
+    timer_cb callback;
+    void *ctx;
+    int64_t due_us;
+    uint64_t order;
+    size_t heap_index; /* 0 while stopped */
+};
+
+/** Creates a runtime on CLOCK_BOOTTIME. NULL with err set on failure. */
+struct runtime *runtime_create(struct error *err);
+
+/**
+ * Creates a runtime whose clock starts at start_us and moves only by
+ * runtime_advance(). Sockets work as in a real runtime.
+ */
+struct runtime *runtime_create_manual(int64_t start_us, struct error *err);
+
+/** Frees the runtime. Tasks and timers must have been stopped before. */
+void runtime_destroy(struct runtime *runtime);
+
+/** The libevent loop, for sockets. Owned by the runtime. */
+struct event_base *runtime_event_base(struct runtime *runtime);
+
+/** Current time in microseconds; it never goes back. */
+int64_t runtime_now_us(const struct runtime *runtime);
+
+/** Runs until runtime_stop(). */
+void runtime_run(struct runtime *runtime);
+
+/** Makes runtime_run() return after the current callback. */
+void runtime_stop(struct runtime *runtime);
+
+/** Handles everything that is ready now, without waiting. */
+void runtime_poll(struct runtime *runtime);
+
+/**
+ * Moves a manual clock forward by duration_us. Timers fire in the order of
+ * their due times, each at exactly its due time, and posted messages are
+ * delivered in between.
+ */
+void runtime_advance(struct runtime *runtime, int64_t duration_us);
+
+/** Prepares a timer. It is stopped. */
+void timer_init(struct timer *timer, struct runtime *runtime,
+                timer_cb callback, void *ctx);
+
+/** (Re)starts the timer to fire once after delay_us (0 or more). */
+void timer_start(struct timer *timer, int64_t delay_us);
+
+/** (Re)starts the timer to fire once at due_us on the runtime's clock. */
+void timer_start_at(struct timer *timer, int64_t due_us);
+
+/** Stops the timer if it is running. */
+void timer_stop(struct timer *timer);
+
+bool timer_running(const struct timer *timer);
+
+#endif
--- /dev/null
+++ b/packages/protocol/procedures.h
@@ -0,0 +1,21 @@
+/**
+ * @file
+ * Procedure numbers of the RPC program between daemons. Numbers are never
+ * reused; a change of a message takes a new number or a new version.
+ */
+#ifndef CHESTNUTGAP_PROTOCOL_PROCEDURES_H
+#define CHESTNUTGAP_PROTOCOL_PROCEDURES_H
+
+enum rpc_procedure_number {
+    PROCEDURE_NULL = 0,
+    PROCEDURE_CANCEL = 1,   /* TCP: stop working on an earlier call */
+    PROCEDURE_FORWARD = 2,  /* TCP: forward.x */
+    PROCEDURE_RENEW = 3,    /* UDP: lease.x */
+    PROCEDURE_CERTIFY = 4,  /* UDP: lease.x */
+    PROCEDURE_SPREAD = 5,   /* UDP: spread.x */
+    PROCEDURE_FETCH = 6,    /* TCP: spread.x, items too big for a datagram */
+    PROCEDURE_ASSIGN = 7,   /* TCP: move.x, a committed assignment */
+    PROCEDURE_HANDOVER = 8, /* TCP: move.x, state of a shard that moves */
+};
+
+#endif
--- /dev/null
+++ b/packages/protocol/rpc.h
@@ -0,0 +1,130 @@
+/**
+ * @file
+ * ONC RPC (RFC 5531) between daemons over libevent: record marking on TCP
+ * for requests and transfers, single datagrams on UDP for heartbeats. No
+ * call blocks the loop.
+ */
+#ifndef CHESTNUTGAP_PROTOCOL_RPC_H
+#define CHESTNUTGAP_PROTOCOL_RPC_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <rpc/rpc.h>
+
+#include "base/address.h"
+#include "base/error.h"
+
+struct counter_registry;
+struct runtime;
+
+#define RPC_PROGRAM 0x20c4e570 /* user-defined range of RFC 5531 */
+#define RPC_VERSION 1
+#define RPC_DATAGRAM_MAX 1400      /* bytes of a UDP message */
+#define RPC_RECORD_MAX (20u << 20) /* bytes of a TCP message */
+
+enum rpc_channel {
+    RPC_TCP,
+    RPC_UDP,
+};
+
+/** How a call ended. */
+enum rpc_status {
+    RPC_OK,
+    RPC_NOT_SENT,        /**< no byte of the call left this process */
+    RPC_REFUSED_BY_HOST, /**< the peer's kernel refused: no such process */
+    RPC_TIMED_OUT,       /**< may have been received */
+    RPC_CLOSED,          /**< the connection closed; may have been received */
+    RPC_GARBAGE,         /**< the answer could not be decoded */
+    RPC_REJECTED, /**< the peer refused it as malformed or unknown; not run */
+};
+
+/** A socket pair (UDP and TCP on one port) with calls in both directions. */
+struct rpc_node;
+
+/** A call that this process made and that is not finished. */
+struct rpc_call;
+
+/** A call that a peer made and that is not answered. */
+struct rpc_request;
+
+/** One procedure that this node serves. Copied at registration. */
+struct rpc_procedure {
+    uint32_t number;
+    enum rpc_channel channel;
+    xdrproc_t decode_args;
+    size_t args_size; /**< size of the decoded struct */
+    xdrproc_t encode_result;
+    /**
+     * Handles a call. args are valid until the request is answered. Answer
+     * with rpc_request_reply() now or later, or rpc_request_drop().
+     */
+    void (*handle)(void *ctx, struct rpc_request *request, const void *args);
+    /** The caller cancelled or its connection closed. May be NULL. The
+     * request must still be answered or dropped. */
+    void (*cancelled)(void *ctx, struct rpc_request *request);
+    void *ctx;
+};
+
+/**
+ * Opens the sockets on address (port 0 picks a port). Counters are added to
+ * the registry. NULL with err set on failure.
+ */
+struct rpc_node *rpc_node_create(struct runtime *runtime,
+                                 const struct address *address,
+                                 struct counter_registry *counters,
+                                 struct error *err);
+
+/** Closes everything. Outstanding calls get no callback. */
+void rpc_node_destroy(struct rpc_node *node);
+
+/** The address in use, with the real port. */
+const struct address *rpc_node_address(const struct rpc_node *node);
+
+void rpc_node_serve(struct rpc_node *node,
+                    const struct rpc_procedure *procedure);
+
+/** Answers and frees the request. result is encoded before the return. */
+void rpc_request_reply(struct rpc_request *request, const void *result);
+
+/** Frees the request without an answer. */
+void rpc_request_drop(struct rpc_request *request);
+
+/** Address that the call came from. */
+const struct address *rpc_request_peer(const struct rpc_request *request);
+
+/** A place for the handler's own context. */
+void rpc_request_set_data(struct rpc_request *request, void *data);
+void *rpc_request_data(const struct rpc_request *request);
+
+/** Called once when a call ends. result is valid during the callback and
+ * NULL unless status is RPC_OK. */
+typedef void (*rpc_done_cb)(void *ctx, enum rpc_status status,
+                            const void *result);
+
+/** What to call. */
+struct rpc_call_spec {
+    const struct address *peer;
+    enum rpc_channel channel;
+    uint32_t procedure;
+    xdrproc_t encode_args;
+    const void *args; /**< encoded before rpc_call() returns */
+    xdrproc_t decode_result;
+    size_t result_size;
+    int64_t timeout_us;
+    rpc_done_cb done; /**< never within rpc_call() */
+    void *ctx;
+};
+
+/**
+ * Starts a call. TCP connections to a peer are kept open and shared; UDP is
+ * sent once, without retransmission.
+ */
+struct rpc_call *rpc_call(struct rpc_node *node,
+                          const struct rpc_call_spec *spec);
+
+/** Ends a call without a callback and tells a TCP peer that it may stop. */
+void rpc_call_cancel(struct rpc_call *call);
+
+#endif
