--- a/packages/protocol/forward.x
+++ b/packages/protocol/forward.x
@@ -47,6 +47,7 @@
     bool keyed;                         /* the gate must own the shard */
     bool idempotent;
     bool hedge;                         /* an extra try of a running request */
+    bool suspect;                       /* a target stopped while it ran */
     string key<FORWARD_NAME_MAX>;
     string request_id<FORWARD_NAME_MAX>; /* idempotency key, or empty */
     unsigned hyper remaining_us;        /* time left until the deadline */
