--- a/packages/store/storecodec.c
+++ b/packages/store/storecodec.c
@@ -195,8 +195,8 @@
     if (expected->row == NULL) {
         return true;
     }
-    return json_array_size(items) == 1 &&
-           strcmp(rows[0].name, expected->row) == 0;
+    return before != NULL && json_array_size(items) == 1 &&
+           strcmp(before, expected->row) == 0;
 }
 
 bool
--- a/packages/store/storehttp.c
+++ b/packages/store/storehttp.c
@@ -647,9 +647,11 @@
     if (http == NULL) {
         return;
     }
-    struct http_connection *connection;
-    while ((connection = TAILQ_FIRST(&http->connections)) != NULL) {
+    struct http_connection *connection = TAILQ_FIRST(&http->connections);
+    while (connection != NULL) {
+        struct http_connection *next = TAILQ_NEXT(connection, link);
         connection_destroy(http, connection);
+        connection = next;
     }
     destroy_calls(&http->queue);
     destroy_calls(&http->active);
--- a/packages/store/storememory.c
+++ b/packages/store/storememory.c
@@ -390,9 +390,11 @@
         TAILQ_REMOVE(&memory->calls, call, link);
         call_destroy(call);
     }
-    struct delayed_write *delayed;
-    while ((delayed = TAILQ_FIRST(&memory->delayed)) != NULL) {
+    struct delayed_write *delayed = TAILQ_FIRST(&memory->delayed);
+    while (delayed != NULL) {
+        struct delayed_write *next = TAILQ_NEXT(delayed, link);
         delayed_write_destroy(delayed);
+        delayed = next;
     }
     store_tables_destroy(memory->tables);
     free(memory);
