protocol: RPC transport over libevent and libtirpc

Implements rpc.h: calls and requests over shared TCP connections with record marking and over UDP, xid matching, timeouts, cancellation, size limits and counters. rpc_call() is renamed rpc_call_start(), since libtirpc declares a function rpc_call. address_parse() accepts port 0 as documented (libevent's parser refuses it), and address_equal() compares without formatting.

--- a/packages/base/address.c
+++ b/packages/base/address.c
@@ -7,13 +7,37 @@
 
 #include <event2/util.h>
 
+/** Like evutil_parse_sockaddr_port(), which refuses port 0. */
+static bool
+parse_with_port_zero(const char *text, size_t text_length,
+                     struct address *address)
+{
+    char ip[ADDRESS_TEXT_SIZE];
+    if (text_length >= sizeof(ip)) {
+        return false;
+    }
+    memcpy(ip, text, text_length);
+    ip[text_length] = '\0';
+    int length = sizeof(address->storage);
+    if (evutil_parse_sockaddr_port(ip, (struct sockaddr *)&address->storage,
+                                   &length) != 0) {
+        return false;
+    }
+    address->length = (socklen_t)length;
+    return true;
+}
+
 bool
 address_parse(const char *text, struct address *address, struct error *err)
 {
     memset(address, 0, sizeof(*address));
     int length = sizeof(address->storage);
-    const bool has_port = strrchr(text, ':') != NULL;
-    if (!has_port ||
+    const char *colon = strrchr(text, ':');
+    if (colon != NULL && strcmp(colon, ":0") == 0 &&
+        parse_with_port_zero(text, (size_t)(colon - text), address)) {
+        return true;
+    }
+    if (colon == NULL ||
         evutil_parse_sockaddr_port(text, (struct sockaddr *)&address->storage,
                                    &length) != 0) {
         return error_set(err, ERROR_ADDRESS, "%s", text);
@@ -53,7 +77,17 @@
 bool
 address_equal(const struct address *a, const struct address *b)
 {
-    char a_text[ADDRESS_TEXT_SIZE];
-    char b_text[ADDRESS_TEXT_SIZE];
-    return strcmp(address_format(a, a_text), address_format(b, b_text)) == 0;
+    if (a->storage.ss_family != b->storage.ss_family ||
+        address_port(a) != address_port(b)) {
+        return false;
+    }
+    if (a->storage.ss_family == AF_INET6) {
+        const struct sockaddr_in6 *a6 = (const void *)&a->storage;
+        const struct sockaddr_in6 *b6 = (const void *)&b->storage;
+        return memcmp(&a6->sin6_addr, &b6->sin6_addr, sizeof(a6->sin6_addr)) ==
+               0;
+    }
+    const struct sockaddr_in *a4 = (const void *)&a->storage;
+    const struct sockaddr_in *b4 = (const void *)&b->storage;
+    return a4->sin_addr.s_addr == b4->sin_addr.s_addr;
 }
--- a/packages/base/test/base_test.cc
+++ b/packages/base/test/base_test.cc
@@ -172,6 +172,10 @@
     EXPECT_STREQ("127.0.0.1:80", address_format(&address, text));
     ASSERT_TRUE(address_parse("[::1]:8080", &address, nullptr));
     EXPECT_STREQ("[::1]:8080", address_format(&address, text));
+    ASSERT_TRUE(address_parse("127.0.0.1:0", &address, nullptr));
+    EXPECT_STREQ("127.0.0.1:0", address_format(&address, text));
+    ASSERT_TRUE(address_parse("[::1]:0", &address, nullptr));
+    EXPECT_STREQ("[::1]:0", address_format(&address, text));
     struct error err;
     EXPECT_FALSE(address_parse("localhost:80", &address, &err));
     EXPECT_EQ(ERROR_ADDRESS, err.code);
--- a/packages/protocol/rpc.h
+++ b/packages/protocol/rpc.h
@@ -109,11 +109,11 @@
     enum rpc_channel channel;
     uint32_t procedure;
     xdrproc_t encode_args;
-    const void *args; /**< encoded before rpc_call() returns */
+    const void *args; /**< encoded before rpc_call_start() returns */
     xdrproc_t decode_result;
     size_t result_size;
     int64_t timeout_us;
-    rpc_done_cb done; /**< never within rpc_call() */
+    rpc_done_cb done; /**< never within rpc_call_start() */
     void *ctx;
 };
 
@@ -121,8 +121,8 @@
  * Starts a call. TCP connections to a peer are kept open and shared; UDP is
  * sent once, without retransmission.
  */
-struct rpc_call *rpc_call(struct rpc_node *node,
-                          const struct rpc_call_spec *spec);
+struct rpc_call *rpc_call_start(struct rpc_node *node,
+                                const struct rpc_call_spec *spec);
 
 /** Ends a call without a callback and tells a TCP peer that it may stop. */
 void rpc_call_cancel(struct rpc_call *call);
--- /dev/null
+++ b/packages/protocol/rpccall.c
@@ -0,0 +1,290 @@
+#include "protocol/rpc_internal.h"
+
+#include <arpa/inet.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "protocol/procedures.h"
+
+static void
+call_count(const struct rpc_counters *counters, enum rpc_status status)
+{
+    struct counter *const by_status[] = {
+        [RPC_OK] = counters->calls_ok,
+        [RPC_NOT_SENT] = counters->calls_not_sent,
+        [RPC_REFUSED_BY_HOST] = counters->calls_refused_by_host,
+        [RPC_TIMED_OUT] = counters->calls_timed_out,
+        [RPC_CLOSED] = counters->calls_closed,
+        [RPC_GARBAGE] = counters->calls_garbage,
+        [RPC_REJECTED] = counters->calls_rejected,
+    };
+    by_status[status]->value++;
+}
+
+static void
+call_detach(struct rpc_call *call)
+{
+    timer_stop(&call->timer);
+    if (call->queue != NULL) {
+        TAILQ_REMOVE(call->queue, call, link);
+        call->queue = NULL;
+    }
+    if (call->unsent != NULL) {
+        evbuffer_free(call->unsent);
+        call->unsent = NULL;
+    }
+    xid_table_remove(&call->node->calls, &call->entry);
+}
+
+void
+rpc_call_free(struct rpc_call *call)
+{
+    call_detach(call);
+    free(call);
+}
+
+void
+rpc_call_end(struct rpc_call *call, enum rpc_status status, const void *result)
+{
+    call_detach(call);
+    call_count(&call->node->counters, status);
+    call->done(call->ctx, status, result);
+    free(call);
+}
+
+static void
+call_enqueue(struct rpc_call *call, struct rpc_call_queue *queue)
+{
+    call->queue = queue;
+    TAILQ_INSERT_TAIL(queue, call, link);
+}
+
+/** Ends the call in the next iteration of the loop. */
+static void
+call_fail_later(struct rpc_call *call, enum rpc_status status)
+{
+    call->end_with = status;
+    call_enqueue(call, &call->node->failed);
+    event_active(call->node->failed_event, EV_TIMEOUT, 1);
+}
+
+void
+rpc_call_on_failed(evutil_socket_t fd, short what, void *ctx)
+{
+    struct rpc_node *node = ctx;
+    (void)fd;
+    (void)what;
+    /* Calls that fail during a callback are ended in the next iteration. */
+    struct rpc_call *last = TAILQ_LAST(&node->failed, rpc_call_queue);
+    struct rpc_call *call;
+    while ((call = TAILQ_FIRST(&node->failed)) != NULL) {
+        const bool is_last = call == last;
+        TAILQ_REMOVE(&node->failed, call, link);
+        call->queue = NULL;
+        rpc_call_end(call, call->end_with, NULL);
+        if (is_last) {
+            break;
+        }
+    }
+    if (!TAILQ_EMPTY(&node->failed)) {
+        event_active(node->failed_event, EV_TIMEOUT, 1);
+    }
+}
+
+/** Tells the peer that the answer is no longer wanted. */
+static void
+call_send_cancel(const struct rpc_call *call)
+{
+    struct rpc_connection *connection = call->connection;
+    if (connection == NULL || call->unsent != NULL) {
+        return;
+    }
+    struct {
+        uint32_t mark;
+        unsigned char message[RPC_CALL_HEADER_SIZE + sizeof(uint32_t)];
+    } record;
+    const uint32_t xid = call->entry.xid;
+    record.mark = htonl(RPC_MARK_LAST | sizeof(record.message));
+    if (!rpc_call_encode(record.message, sizeof(record.message),
+                         call->node->next_xid++, PROCEDURE_CANCEL,
+                         (xdrproc_t)xdr_uint32_t, &xid)) {
+        return;
+    }
+    evbuffer_add(bufferevent_get_output(connection->bev), &record,
+                 sizeof(record));
+    rpc_connection_appended(connection, sizeof(record));
+}
+
+static void
+call_on_timeout(void *ctx)
+{
+    struct rpc_call *call = ctx;
+    if (call->unsent != NULL) {
+        rpc_call_end(call, RPC_NOT_SENT, NULL);
+        return;
+    }
+    call_send_cancel(call);
+    rpc_call_end(call, RPC_TIMED_OUT, NULL);
+}
+
+void
+rpc_call_cancel(struct rpc_call *call)
+{
+    call->node->counters.calls_cancelled->value++;
+    call_send_cancel(call);
+    rpc_call_free(call);
+}
+
+/** Appends the record to buffer, encoding in place. */
+static bool
+call_encode(const struct rpc_call *call, struct evbuffer *buffer, size_t size,
+            const struct rpc_call_spec *spec)
+{
+    struct evbuffer_iovec space;
+    const size_t whole = RPC_MARK_SIZE + size;
+    if (evbuffer_reserve_space(buffer, (ev_ssize_t)whole, &space, 1) < 1) {
+        return false;
+    }
+    const uint32_t mark = htonl(RPC_MARK_LAST | (uint32_t)size);
+    unsigned char *bytes = space.iov_base;
+    memcpy(bytes, &mark, sizeof(mark));
+    if (!rpc_call_encode(bytes + RPC_MARK_SIZE, size, call->entry.xid,
+                         spec->procedure, spec->encode_args, spec->args)) {
+        return false;
+    }
+    space.iov_len = whole;
+    return evbuffer_commit_space(buffer, &space, 1) == 0;
+}
+
+static void
+call_start_datagram(struct rpc_call *call, const struct rpc_call_spec *spec,
+                    size_t size)
+{
+    _Alignas(8) unsigned char message[RPC_DATAGRAM_MAX];
+    if (!rpc_call_encode(message, size, call->entry.xid, spec->procedure,
+                         spec->encode_args, spec->args) ||
+        !rpc_datagram_send(call->node, &call->peer, message, size)) {
+        call_fail_later(call, RPC_NOT_SENT);
+        return;
+    }
+    call_enqueue(call, &call->node->datagram_calls);
+}
+
+static void
+call_start_stream(struct rpc_call *call, const struct rpc_call_spec *spec,
+                  size_t size)
+{
+    struct rpc_connection *connection =
+        rpc_connection_get(call->node, spec->peer, size >= RPC_BULK_MIN);
+    if (connection == NULL) {
+        call_fail_later(call, RPC_NOT_SENT);
+        return;
+    }
+    if (!connection->connected) {
+        call->unsent = evbuffer_new();
+        if (call->unsent == NULL ||
+            !call_encode(call, call->unsent, size, spec)) {
+            call_fail_later(call, RPC_NOT_SENT);
+            return;
+        }
+        call->connection = connection;
+        call_enqueue(call, &connection->waiting);
+        return;
+    }
+    call->start_offset = connection->queued_bytes;
+    if (rpc_connection_backlog(connection) + size > RPC_OUTPUT_MAX ||
+        !call_encode(call, bufferevent_get_output(connection->bev), size,
+                     spec)) {
+        call->node->counters.slow_readers->value++;
+        call_fail_later(call, RPC_NOT_SENT);
+        return;
+    }
+    call->connection = connection;
+    call_enqueue(call, &connection->sent);
+    rpc_connection_appended(connection, RPC_MARK_SIZE + size);
+}
+
+struct rpc_call *
+rpc_call_start(struct rpc_node *node, const struct rpc_call_spec *spec)
+{
+    struct rpc_call *call = calloc(1, sizeof(*call));
+    if (call == NULL) {
+        abort();
+    }
+    call->node = node;
+    call->peer = *spec->peer;
+    call->decode_result = spec->decode_result;
+    call->result_size = spec->result_size;
+    call->done = spec->done;
+    call->ctx = spec->ctx;
+    timer_init(&call->timer, node->runtime, call_on_timeout, call);
+    xid_table_insert(&node->calls, &call->entry, node->next_xid++);
+    node->counters.calls->value++;
+
+    const size_t size = rpc_call_size(spec->encode_args, spec->args);
+    const size_t size_max =
+        spec->channel == RPC_UDP ? RPC_DATAGRAM_MAX : RPC_RECORD_MAX;
+    if (size > size_max) {
+        node->counters.oversize_messages->value++;
+        call_fail_later(call, RPC_NOT_SENT);
+        return call;
+    }
+    if (spec->channel == RPC_UDP) {
+        call_start_datagram(call, spec, size);
+    }
+    else {
+        call_start_stream(call, spec, size);
+    }
+    if (call->queue != &node->failed) {
+        timer_start(&call->timer, spec->timeout_us);
+    }
+    return call;
+}
+
+void
+rpc_call_flush(struct rpc_connection *connection)
+{
+    struct evbuffer *output = bufferevent_get_output(connection->bev);
+    struct rpc_call *call;
+    while ((call = TAILQ_FIRST(&connection->waiting)) != NULL) {
+        TAILQ_REMOVE(&connection->waiting, call, link);
+        call_enqueue(call, &connection->sent);
+        call->start_offset = connection->queued_bytes;
+        const size_t size = evbuffer_get_length(call->unsent);
+        evbuffer_add_buffer(output, call->unsent);
+        evbuffer_free(call->unsent);
+        call->unsent = NULL;
+        rpc_connection_appended(connection, size);
+    }
+}
+
+static enum rpc_status
+status_of_verdict(enum rpc_verdict verdict)
+{
+    return verdict == RPC_VERDICT_SYSTEM ? RPC_GARBAGE : RPC_REJECTED;
+}
+
+void
+rpc_call_receive(struct rpc_node *node,
+                 const struct rpc_connection *connection,
+                 const struct address *peer, const struct rpc_header *header,
+                 XDR *xdr, size_t size)
+{
+    struct rpc_call *call =
+        (struct rpc_call *)xid_table_find(&node->calls, header->xid);
+    /* Only the peer that was called may answer, on the same connection. */
+    if (call == NULL || call->connection != connection ||
+        call->queue == &node->failed ||
+        (connection == NULL && !address_equal(&call->peer, peer))) {
+        node->counters.late_replies->value++;
+        return;
+    }
+    if (header->verdict != RPC_VERDICT_OK) {
+        rpc_call_end(call, status_of_verdict(header->verdict), NULL);
+        return;
+    }
+    const xdrproc_t decode = call->decode_result;
+    void *result = rpc_body_decode(xdr, size, decode, call->result_size);
+    rpc_call_end(call, result != NULL ? RPC_OK : RPC_GARBAGE, result);
+    rpc_body_free(result, decode);
+}
--- /dev/null
+++ b/packages/protocol/rpcconnection.c
@@ -0,0 +1,315 @@
+#include "protocol/rpc_internal.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "base/hash.h"
+
+static size_t
+peer_bucket(const struct address *peer)
+{
+    const uint16_t port = address_port(peer);
+    if (peer->storage.ss_family == AF_INET6) {
+        const struct sockaddr_in6 *in6 = (const void *)&peer->storage;
+        return hash_bytes(&in6->sin6_addr, sizeof(in6->sin6_addr), port) %
+               RPC_PEER_BUCKETS;
+    }
+    const struct sockaddr_in *in = (const void *)&peer->storage;
+    return hash_bytes(&in->sin_addr, sizeof(in->sin_addr), port) %
+           RPC_PEER_BUCKETS;
+}
+
+size_t
+rpc_connection_backlog(const struct rpc_connection *connection)
+{
+    return evbuffer_get_length(bufferevent_get_output(connection->bev));
+}
+
+uint64_t
+rpc_connection_written(const struct rpc_connection *connection)
+{
+    return connection->queued_bytes - rpc_connection_backlog(connection);
+}
+
+static void
+connection_pause_reading(struct rpc_connection *connection)
+{
+    connection->reading_paused = true;
+    connection->node->counters.slow_readers->value++;
+    bufferevent_disable(connection->bev, EV_READ);
+    bufferevent_setwatermark(connection->bev, EV_WRITE, RPC_OUTPUT_LOW, 0);
+}
+
+void
+rpc_connection_appended(struct rpc_connection *connection, size_t size)
+{
+    connection->queued_bytes += size;
+    connection->node->counters.bytes_sent->value += (int64_t)size;
+    connection->last_used_us = runtime_now_us(connection->node->runtime);
+    if (!connection->outgoing && !connection->reading_paused &&
+        rpc_connection_backlog(connection) > RPC_OUTPUT_HIGH) {
+        connection_pause_reading(connection);
+    }
+}
+
+/** Takes the next complete record's fragment out of the input. */
+enum take_result {
+    TAKE_RECORD,
+    TAKE_FRAGMENT,
+    TAKE_INCOMPLETE,
+    TAKE_OVERSIZE,
+};
+
+static enum take_result
+take_fragment(struct rpc_connection *connection, size_t *size)
+{
+    struct evbuffer *input = bufferevent_get_input(connection->bev);
+    uint32_t mark;
+    if (evbuffer_copyout(input, &mark, sizeof(mark)) < RPC_MARK_SIZE) {
+        bufferevent_setwatermark(connection->bev, EV_READ, RPC_MARK_SIZE, 0);
+        return TAKE_INCOMPLETE;
+    }
+    mark = ntohl(mark);
+    *size = mark & ~RPC_MARK_LAST;
+    if (*size + evbuffer_get_length(connection->fragments) > RPC_RECORD_MAX) {
+        return TAKE_OVERSIZE;
+    }
+    const size_t whole = RPC_MARK_SIZE + *size;
+    if (evbuffer_get_length(input) < whole) {
+        bufferevent_setwatermark(connection->bev, EV_READ, whole, 0);
+        return TAKE_INCOMPLETE;
+    }
+    evbuffer_drain(input, RPC_MARK_SIZE);
+    return (mark & RPC_MARK_LAST) != 0 ? TAKE_RECORD : TAKE_FRAGMENT;
+}
+
+/** Handles one record of which the last fragment is in the input. */
+static bool
+connection_receive(struct rpc_connection *connection, size_t size)
+{
+    struct evbuffer *source = bufferevent_get_input(connection->bev);
+    if (evbuffer_get_length(connection->fragments) > 0) {
+        evbuffer_remove_buffer(source, connection->fragments, size);
+        source = connection->fragments;
+        size = evbuffer_get_length(source);
+    }
+    unsigned char *data = evbuffer_pullup(source, (ev_ssize_t)size);
+    if (data == NULL) {
+        return false;
+    }
+    if (!rpc_node_receive(connection->node, connection, &connection->peer,
+                          data, size)) {
+        return false;
+    }
+    evbuffer_drain(source, size);
+    return true;
+}
+
+static void
+connection_on_read(struct bufferevent *bev, void *ctx)
+{
+    struct rpc_connection *connection = ctx;
+    struct rpc_node *node = connection->node;
+    connection->last_used_us = runtime_now_us(node->runtime);
+    while (!connection->reading_paused) {
+        size_t size;
+        switch (take_fragment(connection, &size)) {
+        case TAKE_INCOMPLETE:
+            return;
+        case TAKE_OVERSIZE:
+            node->counters.oversize_messages->value++;
+            rpc_connection_close(connection, RPC_CLOSED);
+            return;
+        case TAKE_FRAGMENT:
+            evbuffer_remove_buffer(bufferevent_get_input(bev),
+                                   connection->fragments, size);
+            break;
+        case TAKE_RECORD:
+            if (!connection_receive(connection, size)) {
+                rpc_connection_close(connection, RPC_CLOSED);
+                return;
+            }
+            break;
+        }
+    }
+}
+
+static void
+connection_on_write(struct bufferevent *bev, void *ctx)
+{
+    struct rpc_connection *connection = ctx;
+    if (!connection->reading_paused) {
+        return;
+    }
+    connection->reading_paused = false;
+    bufferevent_setwatermark(bev, EV_WRITE, 0, 0);
+    bufferevent_enable(bev, EV_READ);
+    connection_on_read(bev, connection);
+}
+
+static void
+connection_set_options(evutil_socket_t fd)
+{
+    const int on = 1;
+    const unsigned unacknowledged_ms = RPC_UNACKNOWLEDGED_MAX_MS;
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledged_ms,
+               sizeof(unacknowledged_ms));
+}
+
+static void
+connection_on_event(struct bufferevent *bev, short what, void *ctx)
+{
+    struct rpc_connection *connection = ctx;
+    const int error = EVUTIL_SOCKET_ERROR();
+    if ((what & BEV_EVENT_CONNECTED) != 0) {
+        connection->connected = true;
+        timer_stop(&connection->connect_timer);
+        connection_set_options(bufferevent_getfd(bev));
+        rpc_call_flush(connection);
+        return;
+    }
+    if (evbuffer_get_length(bufferevent_get_input(bev)) > 0 ||
+        evbuffer_get_length(connection->fragments) > 0) {
+        connection->node->counters.cut_messages->value++;
+    }
+    const bool refused = !connection->connected && error == ECONNREFUSED;
+    rpc_connection_close(connection,
+                         refused ? RPC_REFUSED_BY_HOST : RPC_CLOSED);
+}
+
+static void
+connection_on_connect_timeout(void *ctx)
+{
+    rpc_connection_close(ctx, RPC_CLOSED);
+}
+
+static struct rpc_connection *
+connection_create(struct rpc_node *node, evutil_socket_t fd,
+                  const struct address *peer)
+{
+    struct rpc_connection *connection = calloc(1, sizeof(*connection));
+    if (connection == NULL) {
+        return NULL;
+    }
+    connection->node = node;
+    connection->peer = *peer;
+    connection->last_used_us = runtime_now_us(node->runtime);
+    TAILQ_INIT(&connection->waiting);
+    TAILQ_INIT(&connection->sent);
+    timer_init(&connection->connect_timer, node->runtime,
+               connection_on_connect_timeout, connection);
+    connection->fragments = evbuffer_new();
+    connection->bev = bufferevent_socket_new(runtime_event_base(node->runtime),
+                                             fd, BEV_OPT_CLOSE_ON_FREE);
+    if (connection->fragments == NULL || connection->bev == NULL) {
+        if (connection->fragments != NULL) {
+            evbuffer_free(connection->fragments);
+        }
+        free(connection);
+        return NULL;
+    }
+    bufferevent_setcb(connection->bev, connection_on_read, connection_on_write,
+                      connection_on_event, connection);
+    bufferevent_set_max_single_read(connection->bev, RPC_READ_MAX);
+    bufferevent_set_max_single_write(connection->bev, RPC_READ_MAX);
+    return connection;
+}
+
+void
+rpc_connection_accept(struct rpc_node *node, evutil_socket_t fd,
+                      const struct address *peer)
+{
+    connection_set_options(fd);
+    struct rpc_connection *connection = connection_create(node, fd, peer);
+    if (connection == NULL) {
+        close(fd);
+        return;
+    }
+    node->counters.accepts->value++;
+    connection->connected = true;
+    LIST_INSERT_HEAD(&node->accepted, connection, link);
+    bufferevent_enable(connection->bev, EV_READ | EV_WRITE);
+}
+
+struct rpc_connection *
+rpc_connection_get(struct rpc_node *node, const struct address *peer,
+                   bool bulk)
+{
+    struct rpc_connection_list *bucket = &node->outgoing[peer_bucket(peer)];
+    struct rpc_connection *connection;
+    LIST_FOREACH (connection, bucket, link) {
+        if (connection->bulk == bulk &&
+            address_equal(&connection->peer, peer)) {
+            return connection;
+        }
+    }
+    connection = connection_create(node, -1, peer);
+    if (connection == NULL) {
+        return NULL;
+    }
+    connection->outgoing = true;
+    connection->bulk = bulk;
+    LIST_INSERT_HEAD(bucket, connection, link);
+    node->counters.connects->value++;
+    bufferevent_enable(connection->bev, EV_READ | EV_WRITE);
+    timer_start(&connection->connect_timer, RPC_CONNECT_TIMEOUT_US);
+    if (bufferevent_socket_connect(connection->bev,
+                                   (const struct sockaddr *)&peer->storage,
+                                   (int)peer->length) < 0) {
+        rpc_connection_free(connection);
+        return NULL;
+    }
+    return connection;
+}
+
+void
+rpc_connection_free(struct rpc_connection *connection)
+{
+    timer_stop(&connection->connect_timer);
+    LIST_REMOVE(connection, link);
+    bufferevent_free(connection->bev);
+    evbuffer_free(connection->fragments);
+    xid_table_clear(&connection->requests);
+    free(connection);
+}
+
+static void
+end_calls(struct rpc_call_queue *queue, uint64_t written,
+          enum rpc_status status)
+{
+    struct rpc_call *call;
+    while ((call = TAILQ_FIRST(queue)) != NULL) {
+        const bool unsent =
+            call->unsent != NULL || call->start_offset >= written;
+        call->connection = NULL;
+        rpc_call_end(call,
+                     unsent && status == RPC_CLOSED ? RPC_NOT_SENT : status,
+                     NULL);
+    }
+}
+
+void
+rpc_connection_close(struct rpc_connection *connection, enum rpc_status status)
+{
+    /* The callbacks below may open a new connection to this peer, so this
+     * one leaves the list first. */
+    struct rpc_connection_list closing = LIST_HEAD_INITIALIZER(closing);
+    LIST_REMOVE(connection, link);
+    LIST_INSERT_HEAD(&closing, connection, link);
+    bufferevent_disable(connection->bev, EV_READ | EV_WRITE);
+    const uint64_t written = rpc_connection_written(connection);
+    end_calls(&connection->waiting, 0, status);
+    end_calls(&connection->sent, written, status);
+    struct xid_entry *entry;
+    while ((entry = xid_table_first(&connection->requests)) != NULL) {
+        rpc_request_cancel((struct rpc_request *)entry);
+    }
+    rpc_connection_free(connection);
+}
--- /dev/null
+++ b/packages/protocol/rpcmessage.c
@@ -0,0 +1,216 @@
+#include "protocol/rpcmessage.h"
+
+#include <limits.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "protocol/rpc.h"
+
+/** The verifiers and credentials of a message while it is decoded. */
+struct auth_space {
+    char credential[MAX_AUTH_BYTES];
+    char verifier[MAX_AUTH_BYTES];
+};
+
+/** Stands for a result that is decoded later, or for none. */
+static bool_t
+xdr_no_result(XDR *xdr, ...)
+{
+    (void)xdr;
+    return TRUE;
+}
+
+static bool
+body_encode(XDR *xdr, xdrproc_t encode, const void *body)
+{
+    return encode == NULL || encode(xdr, (void *)body);
+}
+
+static size_t
+body_size(xdrproc_t encode, const void *body, size_t header_size)
+{
+    return encode == NULL ? header_size
+                          : header_size + xdr_sizeof(encode, (void *)body);
+}
+
+size_t
+rpc_call_size(xdrproc_t encode, const void *args)
+{
+    return body_size(encode, args, RPC_CALL_HEADER_SIZE);
+}
+
+bool
+rpc_call_encode(void *buffer, size_t size, uint32_t xid, uint32_t procedure,
+                xdrproc_t encode, const void *args)
+{
+    struct rpc_msg message = {.rm_xid = xid, .rm_direction = CALL};
+    message.rm_call.cb_rpcvers = RPC_MSG_VERSION;
+    message.rm_call.cb_prog = RPC_PROGRAM;
+    message.rm_call.cb_vers = RPC_VERSION;
+    message.rm_call.cb_proc = procedure;
+    XDR xdr;
+    xdrmem_create(&xdr, buffer, (u_int)size, XDR_ENCODE);
+    return xdr_callmsg(&xdr, &message) && body_encode(&xdr, encode, args) &&
+           XDR_GETPOS(&xdr) == size;
+}
+
+size_t
+rpc_reply_size(xdrproc_t encode, const void *result)
+{
+    return body_size(encode, result, RPC_REPLY_HEADER_SIZE);
+}
+
+bool
+rpc_reply_encode(void *buffer, size_t size, uint32_t xid, xdrproc_t encode,
+                 const void *result)
+{
+    struct rpc_msg message = {.rm_xid = xid, .rm_direction = REPLY};
+    message.rm_reply.rp_stat = MSG_ACCEPTED;
+    message.acpted_rply.ar_stat = SUCCESS;
+    message.acpted_rply.ar_results.proc = xdr_no_result;
+    XDR xdr;
+    xdrmem_create(&xdr, buffer, (u_int)size, XDR_ENCODE);
+    return xdr_replymsg(&xdr, &message) && body_encode(&xdr, encode, result) &&
+           XDR_GETPOS(&xdr) == size;
+}
+
+static const enum accept_stat accept_stats[RPC_VERDICT_COUNT] = {
+    [RPC_VERDICT_OK] = SUCCESS,
+    [RPC_VERDICT_PROGRAM] = PROG_UNAVAIL,
+    [RPC_VERDICT_VERSION] = PROG_MISMATCH,
+    [RPC_VERDICT_PROCEDURE] = PROC_UNAVAIL,
+    [RPC_VERDICT_ARGUMENTS] = GARBAGE_ARGS,
+    [RPC_VERDICT_SYSTEM] = SYSTEM_ERR,
+};
+
+size_t
+rpc_refusal_encode(void *buffer, size_t size, uint32_t xid,
+                   enum rpc_verdict verdict)
+{
+    struct rpc_msg message = {.rm_xid = xid, .rm_direction = REPLY};
+    if (verdict == RPC_VERDICT_GARBAGE) {
+        return 0;
+    }
+    if (verdict == RPC_VERDICT_RPC_MISMATCH) {
+        message.rm_reply.rp_stat = MSG_DENIED;
+        message.rjcted_rply.rj_stat = RPC_MISMATCH;
+        message.rjcted_rply.rj_vers.low = RPC_MSG_VERSION;
+        message.rjcted_rply.rj_vers.high = RPC_MSG_VERSION;
+    }
+    else {
+        message.rm_reply.rp_stat = MSG_ACCEPTED;
+        message.acpted_rply.ar_stat = accept_stats[verdict];
+        if (verdict == RPC_VERDICT_VERSION) {
+            message.acpted_rply.ar_vers.low = RPC_VERSION;
+            message.acpted_rply.ar_vers.high = RPC_VERSION;
+        }
+    }
+    XDR xdr;
+    xdrmem_create(&xdr, buffer, (u_int)size, XDR_ENCODE);
+    return xdr_replymsg(&xdr, &message) ? XDR_GETPOS(&xdr) : 0;
+}
+
+static enum rpc_verdict
+call_verdict(const struct call_body *call)
+{
+    if (call->cb_prog != RPC_PROGRAM) {
+        return RPC_VERDICT_PROGRAM;
+    }
+    return call->cb_vers == RPC_VERSION ? RPC_VERDICT_OK : RPC_VERDICT_VERSION;
+}
+
+static enum rpc_verdict
+reply_verdict(const struct reply_body *reply)
+{
+    if (reply->rp_stat == MSG_DENIED) {
+        return RPC_VERDICT_RPC_MISMATCH;
+    }
+    switch (reply->rp_acpt.ar_stat) {
+    case SUCCESS:
+        return RPC_VERDICT_OK;
+    case PROG_UNAVAIL:
+        return RPC_VERDICT_PROGRAM;
+    case PROG_MISMATCH:
+        return RPC_VERDICT_VERSION;
+    case PROC_UNAVAIL:
+        return RPC_VERDICT_PROCEDURE;
+    case GARBAGE_ARGS:
+        return RPC_VERDICT_ARGUMENTS;
+    case SYSTEM_ERR:
+    default:
+        return RPC_VERDICT_SYSTEM;
+    }
+}
+
+/** Reads xid, direction and RPC version without consuming them. */
+static bool
+header_peek(XDR *xdr, struct rpc_header *header, uint32_t *rpc_version)
+{
+    const u_int start = XDR_GETPOS(xdr);
+    uint32_t direction = 0;
+    if (!xdr_uint32_t(xdr, &header->xid) || !xdr_uint32_t(xdr, &direction) ||
+        !xdr_uint32_t(xdr, rpc_version)) {
+        return false;
+    }
+    header->is_call = direction == CALL;
+    return (direction == CALL || direction == REPLY) && XDR_SETPOS(xdr, start);
+}
+
+struct rpc_header
+rpc_header_decode(XDR *xdr)
+{
+    struct rpc_header header = {.verdict = RPC_VERDICT_GARBAGE};
+    uint32_t rpc_version = 0;
+    if (!header_peek(xdr, &header, &rpc_version)) {
+        return header;
+    }
+    struct auth_space space;
+    struct rpc_msg message = {0};
+    if (!header.is_call) {
+        message.acpted_rply.ar_verf.oa_base = space.verifier;
+        message.acpted_rply.ar_results.proc = xdr_no_result;
+        if (xdr_replymsg(xdr, &message)) {
+            header.verdict = reply_verdict(&message.rm_reply);
+        }
+        return header;
+    }
+    if (rpc_version != RPC_MSG_VERSION) {
+        header.verdict = RPC_VERDICT_RPC_MISMATCH;
+        return header;
+    }
+    message.rm_call.cb_cred.oa_base = space.credential;
+    message.rm_call.cb_verf.oa_base = space.verifier;
+    if (xdr_callmsg(xdr, &message)) {
+        header.procedure = message.rm_call.cb_proc;
+        header.verdict = call_verdict(&message.rm_call);
+    }
+    return header;
+}
+
+void *
+rpc_body_decode(XDR *xdr, size_t message_size, xdrproc_t decode,
+                size_t body_size)
+{
+    void *body = calloc(1, body_size > 0 ? body_size : 1);
+    if (body == NULL) {
+        return NULL;
+    }
+    const bool decoded = decode == NULL || decode(xdr, body);
+    if (decoded && XDR_GETPOS(xdr) == message_size) {
+        return body;
+    }
+    rpc_body_free(body, decode);
+    return NULL;
+}
+
+void
+rpc_body_free(void *body, xdrproc_t decode)
+{
+    if (body == NULL) {
+        return;
+    }
+    if (decode != NULL) {
+        xdr_free(decode, body);
+    }
+    free(body);
+}
--- /dev/null
+++ b/packages/protocol/rpcrequest.c
@@ -0,0 +1,241 @@
+#include "protocol/rpc_internal.h"
+
+#include <arpa/inet.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "protocol/procedures.h"
+
+#define REFUSAL_SIZE_MAX 64 /* bytes */
+
+static void
+request_send_small(struct rpc_node *node, struct rpc_connection *connection,
+                   const struct address *peer, void *message, size_t size)
+{
+    if (connection == NULL) {
+        rpc_datagram_send(node, peer, message, size);
+        return;
+    }
+    const uint32_t mark = htonl(RPC_MARK_LAST | (uint32_t)size);
+    struct evbuffer *output = bufferevent_get_output(connection->bev);
+    evbuffer_add(output, &mark, sizeof(mark));
+    evbuffer_add(output, message, size);
+    rpc_connection_appended(connection, RPC_MARK_SIZE + size);
+}
+
+static void
+request_refuse(struct rpc_node *node, struct rpc_connection *connection,
+               const struct address *peer, uint32_t xid,
+               enum rpc_verdict verdict)
+{
+    unsigned char message[REFUSAL_SIZE_MAX];
+    const size_t size =
+        rpc_refusal_encode(message, sizeof(message), xid, verdict);
+    if (size > 0) {
+        request_send_small(node, connection, peer, message, size);
+    }
+}
+
+static void
+request_count_refusal(const struct rpc_counters *counters,
+                      enum rpc_verdict verdict)
+{
+    if (verdict == RPC_VERDICT_PROCEDURE) {
+        counters->unknown_procedures->value++;
+    }
+    else if (verdict == RPC_VERDICT_ARGUMENTS) {
+        counters->garbage_messages->value++;
+    }
+    else {
+        counters->version_mismatches->value++;
+    }
+}
+
+static void
+request_receive_cancel(struct rpc_connection *connection, XDR *xdr)
+{
+    uint32_t xid;
+    if (connection == NULL || !xdr_uint32_t(xdr, &xid)) {
+        return;
+    }
+    struct xid_entry *entry = xid_table_find(&connection->requests, xid);
+    if (entry != NULL) {
+        rpc_request_cancel((struct rpc_request *)entry);
+    }
+}
+
+static enum rpc_verdict
+request_check(const struct rpc_node *node,
+              const struct rpc_connection *connection,
+              const struct rpc_header *header)
+{
+    if (header->verdict != RPC_VERDICT_OK) {
+        return header->verdict;
+    }
+    const enum rpc_channel channel = connection != NULL ? RPC_TCP : RPC_UDP;
+    if (header->procedure >= RPC_PROCEDURES_MAX ||
+        !node->served[header->procedure] ||
+        node->procedures[header->procedure].channel != channel) {
+        return RPC_VERDICT_PROCEDURE;
+    }
+    return RPC_VERDICT_OK;
+}
+
+static struct rpc_request *
+request_create(struct rpc_node *node, struct rpc_connection *connection,
+               const struct address *peer, uint32_t xid)
+{
+    struct rpc_request *request = calloc(1, sizeof(*request));
+    if (request == NULL) {
+        abort();
+    }
+    request->node = node;
+    request->connection = connection;
+    request->peer = *peer;
+    request->entry.xid = xid;
+    if (connection != NULL) {
+        xid_table_insert(&connection->requests, &request->entry, xid);
+    }
+    LIST_INSERT_HEAD(&node->requests, request, link);
+    return request;
+}
+
+void
+rpc_request_receive(struct rpc_node *node, struct rpc_connection *connection,
+                    const struct address *peer,
+                    const struct rpc_header *header, XDR *xdr, size_t size)
+{
+    node->counters.requests->value++;
+    enum rpc_verdict verdict = header->verdict;
+    if (verdict == RPC_VERDICT_OK && header->procedure == PROCEDURE_CANCEL) {
+        request_receive_cancel(connection, xdr);
+        return;
+    }
+    verdict = request_check(node, connection, header);
+    void *args = NULL;
+    if (verdict == RPC_VERDICT_OK) {
+        const struct rpc_procedure *procedure =
+            &node->procedures[header->procedure];
+        args = rpc_body_decode(xdr, size, procedure->decode_args,
+                               procedure->args_size);
+        verdict = args != NULL ? RPC_VERDICT_OK : RPC_VERDICT_ARGUMENTS;
+    }
+    if (verdict != RPC_VERDICT_OK) {
+        request_count_refusal(&node->counters, verdict);
+        request_refuse(node, connection, peer, header->xid, verdict);
+        return;
+    }
+    struct rpc_request *request =
+        request_create(node, connection, peer, header->xid);
+    request->procedure = &node->procedures[header->procedure];
+    request->args = args;
+    request->procedure->handle(request->procedure->ctx, request, args);
+}
+
+/** Ends the way back to the caller. */
+static void
+request_detach(struct rpc_request *request)
+{
+    if (request->connection != NULL) {
+        xid_table_remove(&request->connection->requests, &request->entry);
+        request->connection = NULL;
+    }
+}
+
+void
+rpc_request_free(struct rpc_request *request)
+{
+    request_detach(request);
+    LIST_REMOVE(request, link);
+    rpc_body_free(request->args, request->procedure->decode_args);
+    free(request);
+}
+
+void
+rpc_request_cancel(struct rpc_request *request)
+{
+    request->node->counters.requests_cancelled->value++;
+    request_detach(request);
+    if (request->procedure->cancelled != NULL) {
+        request->procedure->cancelled(request->procedure->ctx, request);
+    }
+}
+
+void
+rpc_request_drop(struct rpc_request *request)
+{
+    rpc_request_free(request);
+}
+
+static bool
+reply_on_stream(struct rpc_request *request, size_t size, const void *result)
+{
+    struct rpc_connection *connection = request->connection;
+    struct evbuffer *output = bufferevent_get_output(connection->bev);
+    struct evbuffer_iovec space;
+    const size_t whole = RPC_MARK_SIZE + size;
+    if (size > RPC_RECORD_MAX ||
+        evbuffer_reserve_space(output, (ev_ssize_t)whole, &space, 1) < 1) {
+        return false;
+    }
+    const uint32_t mark = htonl(RPC_MARK_LAST | (uint32_t)size);
+    unsigned char *bytes = space.iov_base;
+    memcpy(bytes, &mark, sizeof(mark));
+    if (!rpc_reply_encode(bytes + RPC_MARK_SIZE, size, request->entry.xid,
+                          request->procedure->encode_result, result)) {
+        return false;
+    }
+    space.iov_len = whole;
+    evbuffer_commit_space(output, &space, 1);
+    rpc_connection_appended(connection, whole);
+    return true;
+}
+
+static bool
+reply_by_datagram(struct rpc_request *request, size_t size, const void *result)
+{
+    _Alignas(8) unsigned char message[RPC_DATAGRAM_MAX];
+    if (size > sizeof(message) ||
+        !rpc_reply_encode(message, size, request->entry.xid,
+                          request->procedure->encode_result, result)) {
+        return false;
+    }
+    rpc_datagram_send(request->node, &request->peer, message, size);
+    return true;
+}
+
+void
+rpc_request_reply(struct rpc_request *request, const void *result)
+{
+    const bool datagram = request->procedure->channel == RPC_UDP;
+    if (datagram || request->connection != NULL) {
+        const size_t size =
+            rpc_reply_size(request->procedure->encode_result, result);
+        const bool sent = datagram ? reply_by_datagram(request, size, result)
+                                   : reply_on_stream(request, size, result);
+        if (!sent) {
+            request->node->counters.oversize_messages->value++;
+            request_refuse(request->node, request->connection, &request->peer,
+                           request->entry.xid, RPC_VERDICT_SYSTEM);
+        }
+    }
+    rpc_request_free(request);
+}
+
+const struct address *
+rpc_request_peer(const struct rpc_request *request)
+{
+    return &request->peer;
+}
+
+void
+rpc_request_set_data(struct rpc_request *request, void *data)
+{
+    request->data = data;
+}
+
+void *
+rpc_request_data(const struct rpc_request *request)
+{
+    return request->data;
+}
