placement, spread: shard map and revision in force

Cause: the daemon needs to know who owns a key and which revision of the declared state is in force, before the tasks that feed both are ready.

--- /dev/null
+++ b/packages/placement/shardmap.c
@@ -0,0 +1,534 @@
+#include "placement/shardmap.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/queue.h>
+
+#include "base/hash.h"
+#include "base/invariant.h"
+#include "placement/ownertable.h"
+
+#define HINTS 256 /* remembered hints, by hash of their shard */
+
+/* One shard in eight bytes. */
+struct slot {
+    uint32_t epoch;
+    uint16_t owner;
+    uint16_t wait;
+};
+
+/* A single key that was split out of its shard. */
+struct key_slot {
+    uint32_t key;
+    uint32_t base;
+    struct slot slot;
+};
+
+struct map_page {
+    uint64_t version;
+    struct key_slot *keys;
+    size_t key_count;
+};
+
+struct map_service {
+    LIST_ENTRY(map_service) link;
+    char name[STATE_NAME_MAX + 1];
+    uint32_t shards;
+    struct slot *slots;
+    struct map_page *pages;
+};
+
+LIST_HEAD(map_services, map_service);
+
+/* What a gate said about a shard, newer than the page that is known. */
+struct hint {
+    uint64_t place; /* hash of service and shard */
+    uint32_t epoch;
+    char owner[STATE_NAME_MAX + 1];
+};
+
+struct shardmap {
+    struct map_services services;
+    struct ownertable *owners;
+    struct hint hints[HINTS];
+};
+
+struct shardmap *
+shardmap_create(void)
+{
+    struct shardmap *map = calloc(1, sizeof(*map));
+
+    if (map == NULL) {
+        return NULL;
+    }
+    map->owners = ownertable_create();
+    if (map->owners == NULL) {
+        free(map);
+        return NULL;
+    }
+    LIST_INIT(&map->services);
+    return map;
+}
+
+static void
+service_destroy(struct map_service *service)
+{
+    for (uint32_t i = 0; i < shardpage_count(service->shards); i++) {
+        free(service->pages[i].keys);
+    }
+    free(service->pages);
+    free(service->slots);
+    free(service);
+}
+
+void
+shardmap_destroy(struct shardmap *map)
+{
+    if (map == NULL) {
+        return;
+    }
+    while (!LIST_EMPTY(&map->services)) {
+        struct map_service *service = LIST_FIRST(&map->services);
+        LIST_REMOVE(service, link);
+        service_destroy(service);
+    }
+    ownertable_destroy(map->owners);
+    free(map);
+}
+
+static struct map_service *
+find_service(const struct shardmap *map, const char *name)
+{
+    struct map_service *service;
+
+    LIST_FOREACH (service, &map->services, link) {
+        if (strcmp(service->name, name) == 0) {
+            return service;
+        }
+    }
+    return NULL;
+}
+
+bool
+shardmap_add_service(struct shardmap *map, const char *name, uint32_t shards,
+                     struct error *err)
+{
+    struct map_service *service = find_service(map, name);
+
+    if (service != NULL && service->shards == shards) {
+        return true;
+    }
+    if (service != NULL || shards == 0 || shards > STATE_SHARDS_MAX) {
+        return error_set(err, ERROR_FIELD_RANGE, "shards of service %s", name);
+    }
+    service = calloc(1, sizeof(*service));
+    if (service == NULL) {
+        return error_set(err, ERROR_NO_MEMORY, "service %s", name);
+    }
+    (void)snprintf(service->name, sizeof(service->name), "%s", name);
+    service->shards = shards;
+    service->slots = calloc(shards, sizeof(*service->slots));
+    service->pages = calloc(shardpage_count(shards), sizeof(*service->pages));
+    if (service->slots == NULL || service->pages == NULL) {
+        free(service->slots);
+        free(service->pages);
+        free(service);
+        return error_set(err, ERROR_NO_MEMORY, "service %s", name);
+    }
+    LIST_INSERT_HEAD(&map->services, service, link);
+    return true;
+}
+
+uint32_t
+shardmap_shards(const struct shardmap *map, const char *name)
+{
+    const struct map_service *service = find_service(map, name);
+
+    return service == NULL ? 0 : service->shards;
+}
+
+uint32_t
+shardmap_shard_of(uint64_t hash, uint32_t shards)
+{
+    return (uint32_t)(((hash & UINT32_MAX) * shards) >> 32);
+}
+
+uint64_t
+shardmap_hash(const char *service, const void *key, size_t key_size)
+{
+    return hash_bytes(key, key_size, hash_string(service));
+}
+
+uint32_t
+shardmap_key_of(uint64_t hash)
+{
+    return (uint32_t)(hash >> 33) | SHARD_KEY_FLAG;
+}
+
+static struct key_slot *
+find_key(const struct map_page *page, uint32_t key)
+{
+    for (size_t i = 0; i < page->key_count; i++) {
+        if (page->keys[i].key == key) {
+            return &page->keys[i];
+        }
+    }
+    return NULL;
+}
+
+static uint64_t
+place_of(const struct map_service *service, uint32_t shard)
+{
+    return hash_bytes(&shard, sizeof(shard), hash_string(service->name));
+}
+
+static void
+fill_location(const struct shardmap *map, const struct map_service *service,
+              const struct slot *slot, uint32_t shard,
+              struct shardmap_location *location)
+{
+    uint64_t place = place_of(service, shard);
+    const struct hint *hint = &map->hints[place % HINTS];
+
+    *location = (struct shardmap_location){
+        .shard = shard,
+        .epoch = slot->epoch,
+        .owner = slot->owner == 0 ? NULL
+                                  : ownertable_name(map->owners, slot->owner),
+        .wait = slot->wait != 0,
+    };
+    if (hint->place == place && hint->epoch > slot->epoch) {
+        location->epoch = hint->epoch;
+        location->owner = hint->owner;
+    }
+}
+
+bool
+shardmap_lookup(const struct shardmap *map, const char *name, const void *key,
+                size_t key_size, struct shardmap_location *location)
+{
+    const struct map_service *service = find_service(map, name);
+    const struct key_slot *single;
+    uint64_t hash;
+    uint32_t shard;
+
+    if (service == NULL) {
+        return false;
+    }
+    hash = shardmap_hash(name, key, key_size);
+    shard = shardmap_shard_of(hash, service->shards);
+    single = find_key(&service->pages[shard / SHARDPAGE_SHARDS],
+                      shardmap_key_of(hash));
+    if (single != NULL && single->base == shard) {
+        fill_location(map, service, &single->slot, single->key, location);
+        return true;
+    }
+    fill_location(map, service, &service->slots[shard], shard, location);
+    return true;
+}
+
+static struct slot *
+find_slot(const struct map_service *service, uint32_t shard)
+{
+    if ((shard & SHARD_KEY_FLAG) == 0) {
+        return shard < service->shards ? &service->slots[shard] : NULL;
+    }
+    for (uint32_t i = 0; i < shardpage_count(service->shards); i++) {
+        struct key_slot *single = find_key(&service->pages[i], shard);
+        if (single != NULL) {
+            return &single->slot;
+        }
+    }
+    return NULL;
+}
+
+bool
+shardmap_find(const struct shardmap *map, const char *name, uint32_t shard,
+              struct shardmap_location *location)
+{
+    const struct map_service *service = find_service(map, name);
+    const struct slot *slot =
+        service == NULL ? NULL : find_slot(service, shard);
+
+    if (slot == NULL) {
+        return false;
+    }
+    fill_location(map, service, slot, shard, location);
+    return true;
+}
+
+static void
+fill_entry(const struct shardmap *map, const struct slot *slot,
+           struct shardpage_entry *entry)
+{
+    entry->epoch = slot->epoch;
+    entry->wait = slot->wait != 0;
+    (void)snprintf(entry->owner, sizeof(entry->owner), "%s",
+                   ownertable_name(map->owners, slot->owner));
+}
+
+uint64_t
+shardmap_page(const struct shardmap *map, const char *name, uint32_t number,
+              struct shardpage *page)
+{
+    const struct map_service *service = find_service(map, name);
+    const struct map_page *known;
+
+    if (service == NULL || number >= shardpage_count(service->shards)) {
+        memset(page, 0, sizeof(*page));
+        return 0;
+    }
+    known = &service->pages[number];
+    shardpage_init(page, name, number, service->shards);
+    for (size_t i = 0; i < page->shard_count; i++) {
+        fill_entry(map, &service->slots[page->entries[i].shard],
+                   &page->entries[i]);
+    }
+    page->key_count = known->key_count;
+    for (size_t i = 0; i < known->key_count; i++) {
+        struct shardpage_entry *entry = &page->entries[page->shard_count + i];
+        entry->shard = known->keys[i].key;
+        entry->base = known->keys[i].base;
+        fill_entry(map, &known->keys[i].slot, entry);
+    }
+    return known->version;
+}
+
+uint64_t
+shardmap_version(const struct shardmap *map, const char *name, uint32_t number)
+{
+    const struct map_service *service = find_service(map, name);
+
+    if (service == NULL || number >= shardpage_count(service->shards)) {
+        return 0;
+    }
+    return service->pages[number].version;
+}
+
+static void
+set_slot(struct shardmap *map, struct slot *slot,
+         const struct shardpage_entry *entry)
+{
+    uint16_t owner = ownertable_hold(map->owners, entry->owner);
+
+    ownertable_release(map->owners, slot->owner);
+    slot->owner = owner;
+    slot->epoch = entry->epoch;
+    slot->wait = entry->wait ? 1 : 0;
+}
+
+/* An epoch may not fall, and an owner may not change within an epoch. */
+static bool
+entry_is_later(const struct shardpage_entry *before,
+               const struct shardpage_entry *after)
+{
+    if (after->epoch == before->epoch) {
+        return strcmp(after->owner, before->owner) == 0;
+    }
+    return after->epoch > before->epoch;
+}
+
+static bool
+page_is_later(struct shardpage *before, const struct shardpage *after)
+{
+    size_t count = after->shard_count + after->key_count;
+
+    for (size_t i = 0; i < count; i++) {
+        const struct shardpage_entry *entry = &after->entries[i];
+        const struct shardpage_entry *known =
+            shardpage_find(before, entry->shard);
+        char subject[2 * STATE_NAME_MAX];
+        (void)snprintf(subject, sizeof(subject), "%s/%u", after->service,
+                       entry->shard);
+        if (known != NULL &&
+            !invariant_check(INVARIANT_EPOCH_RISES,
+                             entry_is_later(known, entry), subject)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static void
+replace_keys(struct shardmap *map, struct map_page *known,
+             const struct shardpage *page)
+{
+    struct key_slot *keys = NULL;
+
+    if (page->key_count > 0) {
+        keys = calloc(page->key_count, sizeof(*keys));
+        if (keys == NULL) {
+            abort();
+        }
+    }
+    for (size_t i = 0; i < page->key_count; i++) {
+        const struct shardpage_entry *entry =
+            &page->entries[page->shard_count + i];
+        keys[i].key = entry->shard;
+        keys[i].base = entry->base;
+        set_slot(map, &keys[i].slot, entry);
+    }
+    for (size_t i = 0; i < known->key_count; i++) {
+        ownertable_release(map->owners, known->keys[i].slot.owner);
+    }
+    free(known->keys);
+    known->keys = keys;
+    known->key_count = page->key_count;
+}
+
+static void
+report_changes(struct shardpage *before, struct shardpage *after,
+               shardmap_change_cb changed, void *ctx)
+{
+    for (size_t i = 0; i < after->shard_count + after->key_count; i++) {
+        const struct shardpage_entry *entry = &after->entries[i];
+        const struct shardpage_entry *known =
+            shardpage_find(before, entry->shard);
+        if (known == NULL || known->epoch != entry->epoch) {
+            changed(ctx, known, entry);
+        }
+    }
+    for (size_t i = 0; i < before->key_count; i++) {
+        const struct shardpage_entry *known =
+            &before->entries[before->shard_count + i];
+        if (shardpage_find(after, known->shard) == NULL) {
+            changed(ctx, known, NULL);
+        }
+    }
+}
+
+bool
+shardmap_apply(struct shardmap *map, const struct shardpage *page,
+               uint64_t version, shardmap_change_cb changed, void *ctx)
+{
+    struct map_service *service = find_service(map, page->service);
+    struct map_page *known;
+    struct shardpage before;
+    struct shardpage after = *page;
+
+    if (service == NULL || page->page >= shardpage_count(service->shards)) {
+        return false;
+    }
+    known = &service->pages[page->page];
+    if (version <= known->version) {
+        return false;
+    }
+    shardmap_page(map, page->service, page->page, &before);
+    if (before.shard_count != page->shard_count ||
+        !page_is_later(&before, page)) {
+        return false;
+    }
+    known->version = version;
+    for (size_t i = 0; i < page->shard_count; i++) {
+        set_slot(map, &service->slots[page->entries[i].shard],
+                 &page->entries[i]);
+    }
+    replace_keys(map, known, page);
+    if (changed != NULL) {
+        report_changes(&before, &after, changed, ctx);
+    }
+    return true;
+}
+
+bool
+shardmap_hint(struct shardmap *map, const char *name, uint32_t shard,
+              const char *owner, uint32_t epoch)
+{
+    const struct map_service *service = find_service(map, name);
+    const struct slot *slot =
+        service == NULL ? NULL : find_slot(service, shard);
+    struct hint *hint;
+    uint64_t place;
+
+    if (slot == NULL || epoch <= slot->epoch) {
+        return false;
+    }
+    place = place_of(service, shard);
+    hint = &map->hints[place % HINTS];
+    if (hint->place == place && hint->epoch >= epoch) {
+        return false;
+    }
+    hint->place = place;
+    hint->epoch = epoch;
+    (void)snprintf(hint->owner, sizeof(hint->owner), "%s", owner);
+    return true;
+}
+
+uint32_t
+shardmap_owned(const struct shardmap *map, const char *instance)
+{
+    return ownertable_count(map->owners, instance);
+}
+
+void
+shardmap_owners(const struct shardmap *map,
+                void (*visit)(void *ctx, const char *owner, uint32_t shards),
+                void *ctx)
+{
+    ownertable_visit(map->owners, visit, ctx);
+}
+
+size_t
+shardmap_memory(const struct shardmap *map)
+{
+    size_t bytes = sizeof(*map) + ownertable_memory(map->owners);
+    const struct map_service *service;
+
+    LIST_FOREACH (service, &map->services, link) {
+        uint32_t pages = shardpage_count(service->shards);
+        bytes += sizeof(*service);
+        bytes += service->shards * sizeof(struct slot);
+        bytes += pages * sizeof(struct map_page);
+        for (uint32_t i = 0; i < pages; i++) {
+            bytes += service->pages[i].key_count * sizeof(struct key_slot);
+        }
+    }
+    return bytes;
+}
+
+json_t *
+shardmap_snapshot(const struct shardmap *map, uint64_t version)
+{
+    json_t *pages = json_array();
+    const struct map_service *service;
+
+    LIST_FOREACH (service, &map->services, link) {
+        for (uint32_t i = 0; i < shardpage_count(service->shards); i++) {
+            struct shardpage page;
+            uint64_t known = shardmap_page(map, service->name, i, &page);
+            if (known != 0) {
+                json_array_append_new(
+                    pages, json_pack("{s:I,s:o}", "version", (json_int_t)known,
+                                     "page", shardpage_to_json(&page)));
+            }
+        }
+    }
+    return json_pack("{s:I,s:o}", "version", (json_int_t)version, "pages",
+                     pages);
+}
+
+uint64_t
+shardmap_restore(struct shardmap *map, const json_t *snapshot,
+                 shardmap_change_cb changed, void *ctx, struct error *err)
+{
+    json_int_t version =
+        json_integer_value(json_object_get(snapshot, "version"));
+    const json_t *pages = json_object_get(snapshot, "pages");
+
+    if (version <= 0 || !json_is_array(pages)) {
+        (void)error_set(err, ERROR_FIELD_MISSING, "snapshot of the shard map");
+        return 0;
+    }
+    for (size_t i = 0; i < json_array_size(pages); i++) {
+        const json_t *item = json_array_get(pages, i);
+        json_int_t known =
+            json_integer_value(json_object_get(item, "version"));
+        struct shardpage page;
+        if (!shardpage_from_json(&page, json_object_get(item, "page"), err)) {
+            return 0;
+        }
+        shardmap_apply(map, &page, (uint64_t)known, changed, ctx);
+    }
+    return (uint64_t)version;
+}
--- /dev/null
+++ b/packages/spread/test/config_test.cc
@@ -0,0 +1,143 @@
+#include <gtest/gtest.h>
+
+#include <string>
+
+extern "C" {
+#include "base/invariant.h"
+#include "base/random.h"
+#include "spread/config.h"
+}
+
+namespace {
+
+struct Applied {
+    uint64_t revision = 0;
+    bool usable = true;
+
+    static bool Apply(void *ctx, uint64_t revision, const json_t *)
+    {
+        Applied *applied = static_cast<Applied *>(ctx);
+        if (!applied->usable) {
+            return false;
+        }
+        EXPECT_GT(revision, applied->revision);
+        applied->revision = revision;
+        return true;
+    }
+};
+
+json_t *
+Document(const std::string &text)
+{
+    return json_pack("{s:s}", "zone", text.c_str());
+}
+
+class Config : public testing::Test {
+  protected:
+    void SetUp() override
+    {
+        invariant_reset();
+        config = config_create(Applied::Apply, &applied);
+    }
+
+    void TearDown() override
+    {
+        config_destroy(config);
+    }
+
+    enum config_result Offer(uint64_t revision, const std::string &text)
+    {
+        json_t *document = Document(text);
+        enum config_result result = config_offer(config, revision, document);
+        json_decref(document);
+        return result;
+    }
+
+    Applied applied;
+    struct config *config = nullptr;
+};
+
+TEST_F(Config, NeverReverts)
+{
+    EXPECT_EQ(Offer(5, "five"), CONFIG_IN_FORCE);
+    EXPECT_EQ(Offer(5, "five"), CONFIG_KNOWN);
+    EXPECT_EQ(Offer(5, "other"), CONFIG_DIFFERS);
+    EXPECT_EQ(Offer(4, "four"), CONFIG_OLD);
+    EXPECT_EQ(Offer(0, "none"), CONFIG_OLD);
+    EXPECT_EQ(Offer(7, "seven"), CONFIG_IN_FORCE);
+    EXPECT_EQ(config_revision(config), 7u);
+    EXPECT_EQ(applied.revision, 7u);
+}
+
+TEST_F(Config, KeepsTheEarlierIfTheDocumentCannotBeUsed)
+{
+    EXPECT_EQ(Offer(5, "five"), CONFIG_IN_FORCE);
+    applied.usable = false;
+    EXPECT_EQ(Offer(6, "six"), CONFIG_REFUSED);
+    EXPECT_EQ(config_revision(config), 5u);
+    EXPECT_EQ(config_newest(config), 6u);
+    EXPECT_FALSE(config_heard(config, 6, 100));
+    EXPECT_FALSE(config_is_fresh(config, 0));
+    applied.usable = true;
+    EXPECT_TRUE(config_heard(config, 7, 100));
+    EXPECT_EQ(Offer(7, "seven"), CONFIG_IN_FORCE);
+    EXPECT_TRUE(config_is_fresh(config, 0));
+}
+
+TEST_F(Config, OldSnapshotIsNotFreshUntilTheHeadWasHeard)
+{
+    EXPECT_EQ(Offer(5, "from an old snapshot"), CONFIG_IN_FORCE);
+    EXPECT_FALSE(config_is_fresh(config, 0));
+    EXPECT_TRUE(config_heard(config, 9, 1000));
+    EXPECT_FALSE(config_is_fresh(config, 0));
+    EXPECT_EQ(Offer(9, "nine"), CONFIG_IN_FORCE);
+    EXPECT_TRUE(config_is_fresh(config, 1000));
+    /* The process stood still for hours and regained its lease. */
+    EXPECT_FALSE(config_is_fresh(config, 5000));
+    EXPECT_FALSE(config_heard(config, 9, 5000));
+    EXPECT_TRUE(config_is_fresh(config, 5000));
+}
+
+TEST_F(Config, KnowsWhoHasNotAcknowledged)
+{
+    const char *names[2];
+
+    config_member_added(config, "a");
+    config_member_added(config, "b");
+    config_acknowledged(config, "a", 5);
+    config_acknowledged(config, "a", 4);
+    config_acknowledged(config, "stranger", 5);
+    EXPECT_EQ(config_acknowledged_by(config, "a"), 5u);
+    ASSERT_EQ(config_missing(config, 5, names, 2), 1u);
+    EXPECT_STREQ(names[0], "b");
+    config_member_added(config, "a");
+    EXPECT_EQ(config_missing(config, 5, names, 2), 1u);
+    config_member_removed(config, "b");
+    EXPECT_EQ(config_missing(config, 5, names, 2), 0u);
+    json_t *text = config_to_json(config);
+    EXPECT_EQ(json_integer_value(json_object_get(text, "members")), 1);
+    json_decref(text);
+}
+
+/* Offers in any order, again and again, with restarts from old snapshots. */
+TEST_F(Config, RandomOffersOnlyGoForward)
+{
+    struct random_state random;
+
+    random_seed(&random, 7);
+    for (int run = 0; run < 200; run++) {
+        uint64_t highest = 0;
+        config_destroy(config);
+        applied = Applied();
+        config = config_create(Applied::Apply, &applied);
+        for (int step = 0; step < 100; step++) {
+            uint64_t revision = 1 + random_below(&random, 50);
+            Offer(revision, std::to_string(revision));
+            highest = revision > highest ? revision : highest;
+            ASSERT_EQ(config_revision(config), highest);
+        }
+    }
+    EXPECT_EQ(invariant_violations(INVARIANT_REVISION_RISES), 0);
+}
+
+} // namespace
