Strict JSON documents, store stand-in over HTTP, client tests

Adds base/document (every problem with its path), the stand-in's HTTP server with a faults endpoint, and tests of the client against it: lost, late, cut and garbled answers, refused connections, parallel calls. The base library now names libm, which random.c needs.

--- /dev/null
+++ b/packages/standin/faultsjson.h
@@ -0,0 +1,21 @@
+/**
+ * @file
+ * JSON form of the store's faults.
+ */
+#ifndef CHESTNUTGAP_STANDIN_FAULTSJSON_H
+#define CHESTNUTGAP_STANDIN_FAULTSJSON_H
+
+#include <stdbool.h>
+
+#include <jansson.h>
+
+#include "base/document.h"
+#include "store/storememory.h"
+
+/** Reads all faults; those that are left out are off. */
+bool faults_parse(const json_t *document, struct store_faults *faults,
+                  struct document_problems *problems);
+
+json_t *faults_to_json(const struct store_faults *faults);
+
+#endif
