--- /dev/null
+++ b/packages/membership/fence.c
@@ -0,0 +1,392 @@
+#include "membership/fence.h"
+
+#include <stdlib.h>
+
+#define GUARDIANS_MAX (2 * MEMBER_GUARDIANS_MAX)
+#define ASK_INTERVAL_US INT64_C(100000)
+#define RETRY_INTERVAL_US INT64_C(100000) /* of store operations */
+
+/**
+ * Longest life of an attempt. Certificates are used only while guardians
+ * are certain to remember them (GUARDIAN_RETENTION_US).
+ */
+#define ATTEMPT_MAX_US INT64_C(10000000)
+
+enum fence_step {
+    STEP_READ,   /* the row is to be read */
+    STEP_GATHER, /* the row is known, proof is missing */
+    STEP_WAIT,   /* a store operation is not answered */
+};
+
+/** What one guardian said about the version of the row. */
+struct fence_witness {
+    struct member_ref ref;
+    bool certified;    /* or its process is gone */
+    bool alive;        /* it still hears of the holder */
+    int64_t counts_us; /* when the certificate counts */
+    int64_t ask_us;    /* when to ask next */
+};
+
+struct fence {
+    struct fence_config config;
+    const struct fence_ops *ops;
+    void *ctx;
+    struct member_ref holder;
+    enum fence_status status;
+    enum fence_step step;
+    enum fence_proof proof;
+    struct member row;
+    uint64_t txn_id; /* of the write, 0 before */
+    struct fence_witness witnesses[GUARDIANS_MAX];
+    size_t witness_count;
+    bool refused;
+    bool declared_lost;
+    int64_t declared_us;
+    int64_t first_seen_us;
+    int64_t started_us;
+    int64_t retry_us;
+};
+
+struct fence *
+fence_create(const struct fence_config *config,
+             const struct member_ref *holder, const struct fence_ops *ops,
+             void *ctx, int64_t now_us)
+{
+    struct fence *fence = calloc(1, sizeof(*fence));
+    if (fence == NULL) {
+        return NULL;
+    }
+    fence->config = *config;
+    fence->ops = ops;
+    fence->ctx = ctx;
+    fence->holder = *holder;
+    fence->started_us = now_us;
+    fence->retry_us = now_us;
+    return fence;
+}
+
+void
+fence_destroy(struct fence *fence)
+{
+    free(fence);
+}
+
+static struct fence_witness *
+find_witness(struct fence *fence, const struct member_ref *ref)
+{
+    for (size_t i = 0; i < fence->witness_count; i++) {
+        if (member_ref_equal(&fence->witnesses[i].ref, ref)) {
+            return &fence->witnesses[i];
+        }
+    }
+    return NULL;
+}
+
+static void
+add_witnesses(struct fence *fence, const struct guardian_set *set,
+              int64_t now_us)
+{
+    for (size_t i = 0; i < set->count; i++) {
+        if (find_witness(fence, &set->refs[i]) == NULL) {
+            fence->witnesses[fence->witness_count++] =
+                (struct fence_witness){.ref = set->refs[i], .ask_us = now_us};
+        }
+    }
+}
+
+static bool
+is_overdue(const struct fence *fence, int64_t now_us)
+{
+    return now_us - fence->first_seen_us >=
+           lease_rules_wait_us(&fence->config.rules,
+                               fence->row.renewal_max_us);
+}
+
+/** True if enough certificates of the set count. */
+static bool
+set_has_ended(struct fence *fence, const struct guardian_set *set,
+              int64_t now_us)
+{
+    size_t counted = 0;
+    if (set->count == 0) {
+        return is_overdue(fence, now_us);
+    }
+    for (size_t i = 0; i < set->count; i++) {
+        const struct fence_witness *witness =
+            find_witness(fence, &set->refs[i]);
+        counted += witness->certified && now_us >= witness->counts_us;
+    }
+    return counted >= guardian_quorum_fence(set->count);
+}
+
+/** True if so many guardians hear of the holder that no proof can come. */
+static bool
+set_is_alive(struct fence *fence, const struct guardian_set *set)
+{
+    size_t alive = 0;
+    for (size_t i = 0; i < set->count; i++) {
+        alive += find_witness(fence, &set->refs[i])->alive;
+    }
+    return alive > 0 && set->count - alive < guardian_quorum_fence(set->count);
+}
+
+static bool
+any_witness_alive(const struct fence *fence)
+{
+    for (size_t i = 0; i < fence->witness_count; i++) {
+        if (fence->witnesses[i].alive) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static enum fence_proof
+find_proof(struct fence *fence, int64_t now_us)
+{
+    if (fence->refused) {
+        return FENCE_REFUSED;
+    }
+    if (is_overdue(fence, now_us)) {
+        return FENCE_OVERDUE;
+    }
+    if (set_has_ended(fence, &fence->row.guardians, now_us) &&
+        (fence->row.outgoing.count == 0 ||
+         set_has_ended(fence, &fence->row.outgoing, now_us))) {
+        return FENCE_CERTIFICATES;
+    }
+    if (fence->declared_lost && !any_witness_alive(fence) &&
+        now_us - fence->declared_us >=
+            lease_rules_wait_us(&fence->config.rules, fence->row.lease_us)) {
+        return FENCE_DECLARED_LOST;
+    }
+    return FENCE_NO_PROOF;
+}
+
+static void
+write_fenced(struct fence *fence)
+{
+    struct member fenced = fence->row;
+    fenced.state = MEMBER_FENCED;
+    fenced.serve_after_us =
+        fenced.checks_grants ? 0 : fenced.longest_request_us;
+    fence->txn_id = random_u64(fence->config.random) >> 1;
+    fence->step = STEP_WAIT;
+    fence->ops->write(fence->ctx, fence, &fenced, fence->txn_id);
+}
+
+static int64_t
+ask_witnesses(struct fence *fence, int64_t now_us)
+{
+    int64_t next_us = now_us + ASK_INTERVAL_US;
+    for (size_t i = 0; i < fence->witness_count; i++) {
+        struct fence_witness *witness = &fence->witnesses[i];
+        if (!witness->certified && now_us >= witness->ask_us) {
+            witness->ask_us = now_us + ASK_INTERVAL_US;
+            fence->ops->ask(fence->ctx, fence, &witness->ref);
+        }
+        if (witness->certified && witness->counts_us > now_us &&
+            witness->counts_us < next_us) {
+            next_us = witness->counts_us;
+        }
+    }
+    return next_us;
+}
+
+static int64_t
+gather(struct fence *fence, int64_t now_us)
+{
+    int64_t next_us = ask_witnesses(fence, now_us);
+    fence->proof = find_proof(fence, now_us);
+    if (fence->proof != FENCE_NO_PROOF) {
+        write_fenced(fence);
+        return fence->started_us + ATTEMPT_MAX_US;
+    }
+    if (set_is_alive(fence, &fence->row.guardians) ||
+        set_is_alive(fence, &fence->row.outgoing)) {
+        fence->status = FENCE_ALIVE;
+        return INT64_MAX;
+    }
+    return next_us;
+}
+
+int64_t
+fence_tick(struct fence *fence, int64_t now_us)
+{
+    if (fence->status != FENCE_RUNNING) {
+        return INT64_MAX;
+    }
+    if (now_us - fence->started_us >= ATTEMPT_MAX_US) {
+        fence->status = FENCE_TIMED_OUT;
+        return INT64_MAX;
+    }
+    if (fence->step == STEP_WAIT) {
+        return fence->started_us + ATTEMPT_MAX_US;
+    }
+    if (now_us < fence->retry_us) {
+        return fence->retry_us;
+    }
+    if (fence->step == STEP_READ) {
+        fence->step = STEP_WAIT;
+        fence->ops->read(fence->ctx, fence);
+        return fence->started_us + ATTEMPT_MAX_US;
+    }
+    return gather(fence, now_us);
+}
+
+static void
+take_row(struct fence *fence, const struct member *row, int64_t first_seen_us,
+         int64_t now_us)
+{
+    if (fence->row.version == row->version) {
+        return;
+    }
+    fence->row = *row;
+    fence->first_seen_us = first_seen_us;
+    fence->witness_count = 0;
+    add_witnesses(fence, &row->guardians, now_us);
+    add_witnesses(fence, &row->outgoing, now_us);
+}
+
+void
+fence_on_read(struct fence *fence, enum store_outcome outcome,
+              const struct member *row, uint64_t txn_id, int64_t first_seen_us,
+              int64_t now_us)
+{
+    if (fence->status != FENCE_RUNNING) {
+        return;
+    }
+    if (outcome != STORE_COMMITTED) {
+        fence->step = STEP_READ;
+        fence->retry_us = now_us + RETRY_INTERVAL_US;
+        return;
+    }
+    if (row == NULL || row->self.incarnation != fence->holder.incarnation ||
+        !member_is_live(row)) {
+        bool ours =
+            row != NULL && fence->txn_id != 0 && txn_id == fence->txn_id;
+        if (ours) {
+            fence->row = *row;
+        }
+        fence->status = ours ? FENCE_COMMITTED : FENCE_OVER;
+        return;
+    }
+    take_row(fence, row, first_seen_us, now_us);
+    fence->step = STEP_GATHER;
+}
+
+void
+fence_on_certificate(struct fence *fence, const struct member_ref *guardian,
+                     const struct lease_certify_result *result, int64_t now_us)
+{
+    struct fence_witness *witness = find_witness(fence, guardian);
+    if (witness == NULL || witness->certified ||
+        fence->status != FENCE_RUNNING) {
+        return;
+    }
+    if (result->status == LEASE_CERTIFY_NOT_GUARDIAN) {
+        fence_on_guardian_gone(fence, guardian, now_us);
+        return;
+    }
+    if (result->status == LEASE_CERTIFY_STALE && fence->step == STEP_GATHER &&
+        result->row_version > fence->row.version) {
+        fence->step = STEP_READ;
+        fence->retry_us = now_us;
+    }
+    witness->alive = result->status == LEASE_CERTIFY_ALIVE;
+    if (result->status == LEASE_CERTIFY_DONE &&
+        result->row_version == fence->row.version) {
+        witness->certified = true;
+        witness->counts_us =
+            now_us +
+            lease_rules_wait_us(&fence->config.rules, result->counts_in_us);
+    }
+}
+
+void
+fence_on_guardian_gone(struct fence *fence, const struct member_ref *guardian,
+                       int64_t now_us)
+{
+    struct fence_witness *witness = find_witness(fence, guardian);
+    if (witness == NULL || witness->certified) {
+        return;
+    }
+    witness->certified = true;
+    witness->alive = false;
+    witness->counts_us = now_us + lease_rules_wait_us(&fence->config.rules,
+                                                      fence->row.lease_us);
+}
+
+void
+fence_on_holder_refused(struct fence *fence)
+{
+    fence->refused = true;
+}
+
+void
+fence_on_declared_lost(struct fence *fence, int64_t now_us)
+{
+    if (!fence->declared_lost) {
+        fence->declared_lost = true;
+        fence->declared_us = now_us;
+    }
+}
+
+void
+fence_on_written(struct fence *fence, enum store_outcome outcome,
+                 uint64_t version, int64_t now_us)
+{
+    if (fence->status != FENCE_RUNNING) {
+        return;
+    }
+    if (outcome == STORE_COMMITTED) {
+        fence->row.state = MEMBER_FENCED;
+        fence->row.version = version;
+        fence->row.serve_after_us =
+            fence->row.checks_grants ? 0 : fence->row.longest_request_us;
+        fence->status = FENCE_COMMITTED;
+    }
+    else if (outcome == STORE_UNAVAILABLE) {
+        fence->step = STEP_GATHER;
+        fence->retry_us = now_us + RETRY_INTERVAL_US;
+    }
+    else {
+        fence->step = STEP_READ;
+        fence->retry_us = now_us;
+    }
+}
+
+enum fence_status
+fence_status(const struct fence *fence)
+{
+    return fence->status;
+}
+
+enum fence_proof
+fence_proof(const struct fence *fence)
+{
+    return fence->proof;
+}
+
+const char *
+fence_proof_name(enum fence_proof proof)
+{
+    static const char *const names[] = {
+        [FENCE_NO_PROOF] = "none",   [FENCE_CERTIFICATES] = "certificates",
+        [FENCE_REFUSED] = "refused", [FENCE_DECLARED_LOST] = "declared_lost",
+        [FENCE_OVERDUE] = "overdue",
+    };
+    return names[proof];
+}
+
+const struct member_ref *
+fence_holder(const struct fence *fence)
+{
+    return &fence->holder;
+}
+
+const struct member *
+fence_row(const struct fence *fence)
+{
+    return fence->row.version == 0 ? NULL : &fence->row;
+}
