--- a/packages/base/errorcodes.h
+++ b/packages/base/errorcodes.h
@@ -54,7 +54,8 @@
 #define ERROR_CODES_REQUEST(X)                                                \
     X(ERROR_OVERLOADED, "no capacity for the request")                        \
     X(ERROR_DEADLINE, "the request's deadline has passed")                    \
-    X(ERROR_DRAINING, "the instance is leaving")
+    X(ERROR_DRAINING, "the instance is leaving")                              \
+    X(ERROR_HANDOVER, "the state of a moved shard could not be read")
 
 #define ERROR_CODES_CTL(X)                                                    \
     X(ERROR_USAGE, "the command line is not valid")
--- /dev/null
+++ b/packages/gate/admission.c
@@ -0,0 +1,466 @@
+#include "gate/admission.h"
+
+#include <stdlib.h>
+
+#include "base/invariant.h"
+
+#define US_PER_MS INT64_C(1000)
+
+#define SUSPECTS_WAITING_MAX 32
+/* Time for other requests between two that run alone, in service times. */
+#define ALONE_GAP_SERVICES 4
+#define NO_LEASE_RETRY_MS 200
+#define MOVING_RETRY_MS 50
+#define NOT_SINCE (-1)
+
+TAILQ_HEAD(admission_list, admission_request);
+
+struct admission {
+    struct limit *limit;
+    struct queue queue;
+    struct suspects *suspects;
+    admission_owner_cb owner;
+    void *owner_ctx;
+    int64_t lease_until_us;
+    int64_t leaving_since_us;
+    int64_t zone_out_since_us;
+    struct admission_list in_flight;
+    struct admission_list suspects_waiting;
+    size_t suspects_waiting_count;
+    struct admission_request *alone; /* runs alone now, or NULL */
+    int64_t alone_ended_us;
+};
+
+struct admission *
+admission_create(const struct limit_config *config, struct suspects *suspects,
+                 admission_owner_cb owner, void *owner_ctx, int64_t now_us)
+{
+    struct admission *admission = calloc(1, sizeof(*admission));
+    if (admission == NULL) {
+        return NULL;
+    }
+    admission->limit = limit_create(config, now_us);
+    if (admission->limit == NULL) {
+        free(admission);
+        return NULL;
+    }
+    queue_init(&admission->queue);
+    TAILQ_INIT(&admission->in_flight);
+    TAILQ_INIT(&admission->suspects_waiting);
+    admission->suspects = suspects;
+    admission->owner = owner;
+    admission->owner_ctx = owner_ctx;
+    admission->lease_until_us = now_us;
+    admission->leaving_since_us = NOT_SINCE;
+    admission->zone_out_since_us = NOT_SINCE;
+    return admission;
+}
+
+void
+admission_destroy(struct admission *admission)
+{
+    if (admission != NULL) {
+        limit_destroy(admission->limit);
+        free(admission);
+    }
+}
+
+struct limit *
+admission_limit(struct admission *admission)
+{
+    return admission->limit;
+}
+
+void
+admission_set_lease(struct admission *admission, int64_t until_us)
+{
+    admission->lease_until_us = until_us;
+}
+
+static void
+admission_set_since(int64_t *since_us, bool on, int64_t now_us)
+{
+    if (!on) {
+        *since_us = NOT_SINCE;
+    }
+    else if (*since_us == NOT_SINCE) {
+        *since_us = now_us;
+    }
+}
+
+void
+admission_set_leaving(struct admission *admission, bool leaving,
+                      int64_t now_us)
+{
+    admission_set_since(&admission->leaving_since_us, leaving, now_us);
+}
+
+void
+admission_set_zone_out(struct admission *admission, bool out, int64_t now_us)
+{
+    admission_set_since(&admission->zone_out_since_us, out, now_us);
+}
+
+static struct admission_decision
+admission_refuse(enum forward_reason reason, uint32_t retry_after_ms)
+{
+    return (struct admission_decision){
+        .verdict = ADMISSION_REFUSE,
+        .reason = reason,
+        .retry_after_ms = retry_after_ms,
+    };
+}
+
+static struct admission_decision
+admission_dispatch(void)
+{
+    return (struct admission_decision){.verdict = ADMISSION_DISPATCH};
+}
+
+static bool
+admission_stopped(int64_t since_us, bool keyed, int64_t now_us)
+{
+    if (since_us == NOT_SINCE) {
+        return false;
+    }
+    return !keyed || now_us - since_us >= ADMISSION_GRACE_US;
+}
+
+static struct admission_decision
+admission_check_owner(const struct admission *admission,
+                      const struct admission_request *request)
+{
+    uint64_t epoch = 0;
+    switch (admission->owner(admission->owner_ctx, request->shard, &epoch)) {
+    case ADMISSION_OWNED:
+        break;
+    case ADMISSION_MOVING:
+        return admission_refuse(FORWARD_REASON_NOT_OWNER, MOVING_RETRY_MS);
+    case ADMISSION_NOT_OWNED:
+        return admission_refuse(FORWARD_REASON_NOT_OWNER, 0);
+    }
+    /* The entry has seen a later owner than this one. */
+    if (request->epoch > epoch) {
+        return admission_refuse(FORWARD_REASON_NOT_OWNER, 0);
+    }
+    return admission_dispatch();
+}
+
+struct admission_decision
+admission_check(const struct admission *admission,
+                const struct admission_request *request, int64_t now_us)
+{
+    if (now_us >= request->entry.deadline_us) {
+        return admission_refuse(FORWARD_REASON_DEADLINE, 0);
+    }
+    if (now_us >= admission->lease_until_us) {
+        return admission_refuse(FORWARD_REASON_NO_LEASE, NO_LEASE_RETRY_MS);
+    }
+    if (admission_stopped(admission->leaving_since_us, request->keyed,
+                          now_us)) {
+        return admission_refuse(FORWARD_REASON_DRAINING, 0);
+    }
+    if (admission_stopped(admission->zone_out_since_us, request->keyed,
+                          now_us)) {
+        return admission_refuse(FORWARD_REASON_ZONE_OUT, 0);
+    }
+    if (suspects_find(admission->suspects, now_us, request->fingerprint) ==
+        SUSPECTS_CONDEMNED) {
+        return admission_refuse(FORWARD_REASON_SUSPECT,
+                                SUSPECTS_CONDEMNED_US / US_PER_MS);
+    }
+    if (request->keyed) {
+        return admission_check_owner(admission, request);
+    }
+    return admission_dispatch();
+}
+
+static struct queue_rate
+admission_rate(const struct admission *admission, int64_t now_us)
+{
+    const int64_t latency_us = limit_latency_us(admission->limit);
+    const int64_t baseline_us = limit_baseline_us(admission->limit);
+    return (struct queue_rate){
+        .limit = limit_current(admission->limit, now_us),
+        .service_us = latency_us > 0 ? latency_us : baseline_us,
+    };
+}
+
+/* Whether a request that is no suspect may be sent to the target now. */
+static bool
+admission_has_room(const struct admission *admission, int64_t now_us)
+{
+    return admission->alone == NULL &&
+           limit_in_flight(admission->limit) <
+               limit_current(admission->limit, now_us);
+}
+
+static void
+admission_take(struct admission *admission, struct admission_request *request,
+               bool alone, int64_t now_us)
+{
+    limit_start(admission->limit, now_us);
+    request->state = ADMISSION_STATE_IN_FLIGHT;
+    request->dispatched_us = now_us;
+    request->alone = alone;
+    if (alone) {
+        admission->alone = request;
+    }
+    TAILQ_INSERT_TAIL(&admission->in_flight, request, link);
+}
+
+static struct admission_decision
+admission_wait_alone(struct admission *admission,
+                     struct admission_request *request)
+{
+    if (admission->suspects_waiting_count >= SUSPECTS_WAITING_MAX) {
+        return admission_refuse(FORWARD_REASON_SUSPECT, 1000);
+    }
+    request->state = ADMISSION_STATE_WAITING;
+    request->alone = true;
+    TAILQ_INSERT_TAIL(&admission->suspects_waiting, request, link);
+    admission->suspects_waiting_count++;
+    return (struct admission_decision){.verdict = ADMISSION_QUEUED};
+}
+
+static struct admission_decision
+admission_refuse_full(const struct admission *admission,
+                      const struct queue_rate *rate)
+{
+    const bool cold = limit_phase(admission->limit) != LIMIT_WARM;
+    return admission_refuse(cold ? FORWARD_REASON_COLD
+                                 : FORWARD_REASON_OVERLOADED,
+                            queue_retry_after_ms(&admission->queue, rate));
+}
+
+struct admission_decision
+admission_arrive(struct admission *admission,
+                 struct admission_request *request, int64_t now_us)
+{
+    struct admission_decision decision =
+        admission_check(admission, request, now_us);
+    if (decision.verdict != ADMISSION_DISPATCH) {
+        return decision;
+    }
+    if (request->suspect ||
+        suspects_find(admission->suspects, now_us, request->fingerprint) ==
+            SUSPECTS_SUSPECT) {
+        return admission_wait_alone(admission, request);
+    }
+    if (queue_count(&admission->queue) == 0 &&
+        TAILQ_EMPTY(&admission->suspects_waiting) &&
+        admission_has_room(admission, now_us)) {
+        admission_take(admission, request, false, now_us);
+        return decision;
+    }
+    const struct queue_rate rate = admission_rate(admission, now_us);
+    if (!queue_push(&admission->queue, &rate, &request->entry, now_us)) {
+        return admission_refuse_full(admission, &rate);
+    }
+    request->state = ADMISSION_STATE_WAITING;
+    decision.verdict = ADMISSION_QUEUED;
+    return decision;
+}
+
+bool
+admission_still_held(const struct admission *admission, int64_t now_us)
+{
+    return now_us < admission->lease_until_us;
+}
+
+static bool
+admission_grace_over(int64_t since_us, int64_t now_us)
+{
+    return since_us != NOT_SINCE &&
+           now_us - since_us >= ADMISSION_GRACE_MAX_US;
+}
+
+struct admission_decision
+admission_start(struct admission *admission, struct admission_request *request,
+                int64_t now_us)
+{
+    const struct admission_decision decision =
+        admission_check(admission, request, now_us);
+    if (decision.verdict == ADMISSION_REFUSE) {
+        admission_finish(admission, request, now_us, LIMIT_SAMPLE_ABANDONED);
+        return decision;
+    }
+    invariant_check(INVARIANT_LEASE_HELD,
+                    admission_still_held(admission, now_us),
+                    "admission_start");
+    invariant_check(INVARIANT_LEAVING,
+                    !admission_grace_over(admission->leaving_since_us, now_us),
+                    "admission_start");
+    invariant_check(
+        INVARIANT_ZONE_OUT,
+        !admission_grace_over(admission->zone_out_since_us, now_us),
+        "admission_start");
+    return decision;
+}
+
+void
+admission_finish(struct admission *admission,
+                 struct admission_request *request, int64_t now_us,
+                 enum limit_sample sample)
+{
+    if (request->state != ADMISSION_STATE_IN_FLIGHT) {
+        return;
+    }
+    request->state = ADMISSION_STATE_NONE;
+    TAILQ_REMOVE(&admission->in_flight, request, link);
+    limit_finish(admission->limit, now_us, now_us - request->dispatched_us,
+                 sample);
+    if (request->alone) {
+        admission->alone = NULL;
+        admission->alone_ended_us = now_us;
+        if (sample == LIMIT_SAMPLE_ANSWERED) {
+            suspects_forgive(admission->suspects, request->fingerprint);
+        }
+    }
+}
+
+static void
+admission_leave_alone_list(struct admission *admission,
+                           struct admission_request *request)
+{
+    TAILQ_REMOVE(&admission->suspects_waiting, request, link);
+    admission->suspects_waiting_count--;
+    request->state = ADMISSION_STATE_NONE;
+}
+
+void
+admission_cancel(struct admission *admission,
+                 struct admission_request *request, int64_t now_us)
+{
+    if (request->state == ADMISSION_STATE_IN_FLIGHT) {
+        admission_finish(admission, request, now_us, LIMIT_SAMPLE_ABANDONED);
+        return;
+    }
+    if (request->state != ADMISSION_STATE_WAITING) {
+        return;
+    }
+    if (request->alone) {
+        admission_leave_alone_list(admission, request);
+        return;
+    }
+    queue_remove(&admission->queue, &request->entry);
+    request->state = ADMISSION_STATE_NONE;
+}
+
+void
+admission_tick(struct admission *admission, int64_t now_us)
+{
+    limit_tick(admission->limit, now_us);
+}
+
+static struct admission_request *
+admission_of(struct queue_entry *entry)
+{
+    /* The entry is the first member. */
+    return (struct admission_request *)entry;
+}
+
+static struct admission_request *
+admission_next_alone(struct admission *admission, int64_t now_us,
+                     struct admission_decision *decision)
+{
+    struct admission_request *request =
+        TAILQ_FIRST(&admission->suspects_waiting);
+    if (request == NULL) {
+        return NULL;
+    }
+    *decision = admission_check(admission, request, now_us);
+    if (decision->verdict == ADMISSION_REFUSE) {
+        admission_leave_alone_list(admission, request);
+        return request;
+    }
+    const int64_t gap_us =
+        ALONE_GAP_SERVICES * limit_baseline_us(admission->limit);
+    if (limit_in_flight(admission->limit) > 0 ||
+        now_us - admission->alone_ended_us < gap_us) {
+        return NULL;
+    }
+    admission_leave_alone_list(admission, request);
+    admission_take(admission, request, true, now_us);
+    return request;
+}
+
+/* Whether others are held back so that a suspect can run alone. */
+static bool
+admission_holds_back(const struct admission *admission, int64_t now_us)
+{
+    const int64_t gap_us =
+        ALONE_GAP_SERVICES * limit_baseline_us(admission->limit);
+    return !TAILQ_EMPTY(&admission->suspects_waiting) &&
+           now_us - admission->alone_ended_us >= gap_us;
+}
+
+struct admission_request *
+admission_next(struct admission *admission, int64_t now_us,
+               struct admission_decision *decision)
+{
+    struct admission_request *request =
+        admission_next_alone(admission, now_us, decision);
+    if (request != NULL) {
+        return request;
+    }
+    if (queue_count(&admission->queue) == 0) {
+        return NULL;
+    }
+    const struct queue_rate rate = admission_rate(admission, now_us);
+    struct queue_entry *late = queue_expire(&admission->queue, &rate, now_us);
+    if (late != NULL) {
+        request = admission_of(late);
+        request->state = ADMISSION_STATE_NONE;
+        *decision = admission_refuse_full(admission, &rate);
+        return request;
+    }
+    if (!admission_has_room(admission, now_us) ||
+        admission_holds_back(admission, now_us)) {
+        return NULL;
+    }
+    request = admission_of(queue_pop(&admission->queue));
+    request->state = ADMISSION_STATE_NONE;
+    *decision = admission_check(admission, request, now_us);
+    if (decision->verdict == ADMISSION_DISPATCH) {
+        admission_take(admission, request, false, now_us);
+    }
+    return request;
+}
+
+void
+admission_visit(struct admission *admission,
+                void (*visit)(void *ctx, struct admission_request *request),
+                void *ctx)
+{
+    struct admission_request *request = TAILQ_FIRST(&admission->in_flight);
+    while (request != NULL) {
+        struct admission_request *next = TAILQ_NEXT(request, link);
+        visit(ctx, request);
+        request = next;
+    }
+}
+
+void
+admission_load(const struct admission *admission, int64_t now_us,
+               struct forward_load *load)
+{
+    *load = (struct forward_load){
+        .in_flight = limit_in_flight(admission->limit),
+        .queued = (uint32_t)(queue_count(&admission->queue) +
+                             admission->suspects_waiting_count),
+        .limit = limit_current(admission->limit, now_us),
+        .latency_us = (uint32_t)limit_latency_us(admission->limit),
+        .cold = limit_phase(admission->limit) != LIMIT_WARM,
+        .draining = admission->leaving_since_us != NOT_SINCE ||
+                    admission->zone_out_since_us != NOT_SINCE,
+    };
+}
+
+bool
+admission_idle(const struct admission *admission)
+{
+    return TAILQ_EMPTY(&admission->in_flight) &&
+           queue_count(&admission->queue) == 0 &&
+           TAILQ_EMPTY(&admission->suspects_waiting);
+}
--- /dev/null
+++ b/packages/gate/dedup_internal.h
@@ -0,0 +1,78 @@
+/**
+ * @file
+ * Parts of the duplicate table that its files share.
+ */
+#ifndef CHESTNUTGAP_GATE_DEDUP_INTERNAL_H
+#define CHESTNUTGAP_GATE_DEDUP_INTERNAL_H
+
+#include "gate/dedup.h"
+
+#define DEDUP_BUCKETS_MIN 1024 /* a power of two */
+#define DEDUP_SHARD_BUCKETS 256
+
+enum dedup_state {
+    DEDUP_STATE_RUNNING = 1,
+    DEDUP_STATE_FINISHED = 2,
+    DEDUP_STATE_LOST = 3, /* may have run, or its answer is not kept */
+};
+
+struct dedup_entry {
+    LIST_ENTRY(dedup_entry) bucket_link;
+    TAILQ_ENTRY(dedup_entry) shard_link;
+    TAILQ_ENTRY(dedup_entry) expiry_link; /* unless running */
+    struct dedup_shard *shard;
+    uint64_t id_hash;
+    uint64_t body_hash;
+    int64_t ended_us;
+    enum dedup_state state;
+    bool dispatched;
+    struct dedup_waiters waiters;
+    void *answer;
+    size_t answer_size;
+    char id[];
+};
+
+TAILQ_HEAD(dedup_entries, dedup_entry);
+LIST_HEAD(dedup_bucket, dedup_entry);
+
+struct dedup_shard {
+    LIST_ENTRY(dedup_shard) link;
+    uint32_t number;
+    int64_t horizon_ms;       /* ids made before may have run; 0: none */
+    int64_t horizon_until_us; /* older ids are all forgotten by then */
+    size_t running;
+    struct dedup_entries entries;
+};
+
+LIST_HEAD(dedup_shards, dedup_shard);
+
+struct dedup {
+    struct dedup_config config;
+    struct dedup_bucket *buckets;
+    size_t bucket_count;
+    struct dedup_shards shards[DEDUP_SHARD_BUCKETS];
+    struct dedup_entries by_end; /* first to expire at the head */
+    size_t count;
+    size_t bytes;
+};
+
+struct dedup_shard *dedup_find_shard(const struct dedup *dedup,
+                                     uint32_t number);
+
+/** Finds or adds the record of a shard. NULL without memory. */
+struct dedup_shard *dedup_get_shard(struct dedup *dedup, uint32_t number);
+
+struct dedup_entry *dedup_find(const struct dedup *dedup,
+                               const struct dedup_shard *shard,
+                               const char *id);
+
+/** Adds an entry in state RUNNING. NULL without memory. */
+struct dedup_entry *dedup_add(struct dedup *dedup, struct dedup_shard *shard,
+                              const char *id, uint64_t body_hash);
+
+/** Ends a running entry; answer is owned by the entry from now on. */
+void dedup_end(struct dedup *dedup, struct dedup_entry *entry,
+               enum dedup_state state, void *answer, size_t answer_size,
+               int64_t ended_us);
+
+#endif
--- /dev/null
+++ b/packages/gate/gate.h
@@ -0,0 +1,140 @@
+/**
+ * @file
+ * The way of one request through the gate: admission, duplicates, the
+ * durable runs table and suspects, in the order that keeps "not run" true.
+ * It has no sockets: the owner sends to the target and answers the entry.
+ */
+#ifndef CHESTNUTGAP_GATE_GATE_H
+#define CHESTNUTGAP_GATE_GATE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "gate/admission.h"
+#include "gate/crash.h"
+#include "gate/dedup.h"
+#include "gate/runs.h"
+
+/** How a request that was dispatched to the target ended. */
+enum gate_end {
+    GATE_END_ANSWERED, /**< the whole answer is there */
+    GATE_END_SHED,     /**< the target refused it unrun (503 with its mark) */
+    GATE_END_CONNECT,  /**< no connection; no byte was sent */
+    GATE_END_CUT,      /**< the connection closed before the whole answer */
+};
+
+enum gate_state {
+    GATE_STATE_NEW,
+    GATE_STATE_WAITING,    /**< for the running execution of the same id */
+    GATE_STATE_RECORDING,  /**< for the runs table */
+    GATE_STATE_QUEUED,     /**< for the target's capacity */
+    GATE_STATE_DISPATCHED, /**< no byte sent yet */
+    GATE_STATE_SENT,
+    GATE_STATE_DONE,
+};
+
+/**
+ * A request at the gate, embedded in its owner. Set the fields above state;
+ * id may be empty and must stay valid.
+ */
+struct gate_request {
+    struct admission_request admission;
+    const char *id;
+    uint64_t body_hash;
+    enum gate_state state;
+    bool answered; /**< the entry has its answer */
+    struct dedup_waiter waiter;
+    struct dedup_entry *entry; /* the id's entry, while it runs */
+    struct runs_insert insert;
+    bool recorded; /* its row is in the runs table */
+};
+
+/** What the entry is told. */
+struct gate_answer {
+    enum forward_outcome outcome;
+    enum forward_reason reason;
+    bool replayed; /**< the answer of another try with the same id */
+    uint32_t retry_after_ms;
+    const void *data; /**< with ANSWERED: as handed to gate_finish() */
+    size_t size;
+};
+
+/** What the owner does. All are called within functions of this module. */
+struct gate_ops {
+    /** Connect and send; call gate_send() just before the first byte. */
+    void (*dispatch)(void *ctx, struct gate_request *request);
+    /** Cancel at the target and close the connection; no gate_finish(). */
+    void (*stop)(void *ctx, struct gate_request *request);
+    /** Answer the entry. Called exactly once for each request unless it was
+     * cancelled. */
+    void (*answer)(void *ctx, struct gate_request *request,
+                   const struct gate_answer *answer);
+    /** The request has ended and was answered or cancelled: free it. */
+    void (*done)(void *ctx, struct gate_request *request);
+};
+
+/** The gate of one target. */
+struct gate;
+
+/**
+ * The parts are owned by the caller and outlive the gate. runs is NULL for
+ * services that do not ask for the runs table; set its callback to
+ * gate_on_recorded with the gate as context.
+ */
+struct gate *gate_create(struct admission *admission, struct dedup *dedup,
+                         struct runs *runs, struct suspects *suspects,
+                         const struct gate_ops *ops, void *ctx);
+void gate_destroy(struct gate *gate);
+
+/** Sets the runs table, which needs the gate for its own creation. */
+void gate_set_runs(struct gate *gate, struct runs *runs);
+
+/** A request has arrived from an entry. */
+void gate_arrive(struct gate *gate, struct gate_request *request,
+                 const struct dedup_time *time);
+
+/**
+ * The first byte is about to be written.
+ *
+ * @return false if it must not be: the request has ended as not run.
+ */
+bool gate_send(struct gate *gate, struct gate_request *request,
+               int64_t now_us);
+
+/** The dispatched request has ended. data is the whole encoded answer. */
+void gate_finish(struct gate *gate, struct gate_request *request,
+                 enum gate_end end, unsigned status, const void *data,
+                 size_t size, int64_t now_us);
+
+/**
+ * The entry no longer waits. A non-idempotent request with an id that was
+ * sent runs on, so that its answer is there when it is asked for again.
+ */
+void gate_cancel(struct gate *gate, struct gate_request *request,
+                 int64_t now_us);
+
+/** The deadline of the request has passed: the entry is told. */
+void gate_expire(struct gate *gate, struct gate_request *request,
+                 int64_t now_us);
+
+/**
+ * The target is known to have stopped or started anew: a connection was
+ * refused, or it announces another incarnation.
+ */
+void gate_crashed(struct gate *gate, uint64_t crash_id, int64_t now_us);
+
+/** Identifies the target's present run in crashes. */
+void gate_set_incarnation(struct gate *gate, uint64_t crash_id);
+
+/** Call every LIMIT_TICK_US. */
+void gate_tick(struct gate *gate, int64_t now_us);
+
+/** Serves the queue; for after a change of lease, zone or limit. */
+void gate_pump(struct gate *gate, int64_t now_us);
+
+/** Verdict of the runs table; for runs_create(). */
+void gate_on_recorded(void *ctx, struct runs_insert *insert,
+                      enum runs_verdict verdict);
+
+#endif
--- /dev/null
+++ b/packages/gate/limit.c
@@ -0,0 +1,377 @@
+#include "gate/limit.h"
+
+#include <math.h>
+#include <stdlib.h>
+
+#include "base/invariant.h"
+
+#define US_PER_MS INT64_C(1000)
+
+#define BASELINE_DEFAULT_US (10 * US_PER_MS)
+#define BASELINE_FIRST_SAMPLES 32
+#define SHORT_WEIGHT (1.0 / 8)
+#define BASELINE_WEIGHT (1.0 / 512)
+#define BASELINE_FALL_WEIGHT (1.0 / 32)
+#define BASELINE_FALL_RATIO 0.6
+#define SAMPLE_CLIP_RATIO 16.0
+#define SLOW_RATIO 1.8   /* of the baseline: the limit shrinks */
+#define SUDDEN_RATIO 3.0 /* of the baseline: the target counts as cold */
+#define GOOD_RATIO 1.5   /* of the baseline: the target is well again */
+#define SUDDEN_SAMPLES 8
+#define GOOD_SAMPLES 16
+#define STALL_EXPECTED 16.0 /* answers that should have come, and did not */
+#define STALL_STEP_MAX_US (50 * US_PER_MS)
+#define SHRINK_FACTOR 0.9
+#define SHED_FACTOR 0.5
+#define SHED_WINDOW_US (1000 * US_PER_MS)
+#define GUARD_MIN_US (250 * US_PER_MS)
+#define GUARD_FORGET_US (30000 * US_PER_MS)
+#define REPORT_LIFE_US (2000 * US_PER_MS)
+#define PROBE_IDLE_US (1000 * US_PER_MS)
+#define PROBE_INTERVAL_US (1000 * US_PER_MS)
+
+struct limit {
+    struct limit_config config;
+    enum limit_phase phase;
+    int64_t phase_since_us;
+    int64_t bad_us;   /* last sign of trouble */
+    int64_t guard_us; /* time without trouble before the guard ends */
+    double value;
+    double successes; /* answers since the limit last changed */
+    unsigned in_flight;
+    double short_us;
+    double baseline_us;
+    unsigned baseline_samples;
+    unsigned phase_samples;
+    unsigned good_samples;
+    double stall_expected;
+    unsigned starts_since_finish;
+    int64_t stall_at_us;
+    int64_t shed_us;
+    int64_t failed_us;
+    unsigned report_cap;
+    int64_t report_until_us;
+    int64_t traffic_us;
+    int64_t probe_us;
+};
+
+static unsigned
+limit_ceiling(const struct limit *limit)
+{
+    const struct limit_config *config = &limit->config;
+    unsigned ceiling = config->slots < config->connections
+                           ? config->slots
+                           : config->connections;
+    if (limit->phase != LIMIT_WARM && config->cold_limit < ceiling) {
+        ceiling = config->cold_limit;
+    }
+    return ceiling > 0 ? ceiling : 1;
+}
+
+static void
+limit_set(struct limit *limit, double value)
+{
+    const double ceiling = limit_ceiling(limit);
+    limit->value = fmin(fmax(value, 1.0), ceiling);
+    limit->successes = 0;
+}
+
+static void
+limit_enter(struct limit *limit, enum limit_phase phase, int64_t now_us)
+{
+    limit->phase = phase;
+    limit->phase_since_us = now_us;
+    limit->phase_samples = 0;
+    limit->good_samples = 0;
+    limit->stall_expected = 0;
+}
+
+struct limit *
+limit_create(const struct limit_config *config, int64_t now_us)
+{
+    struct limit *limit = calloc(1, sizeof(*limit));
+    if (limit == NULL) {
+        return NULL;
+    }
+    limit->config = *config;
+    limit->guard_us = GUARD_MIN_US;
+    limit->shed_us = now_us - SHED_WINDOW_US;
+    limit->failed_us = now_us - SHED_WINDOW_US;
+    limit->stall_at_us = now_us;
+    limit->traffic_us = now_us;
+    limit->probe_us = now_us - PROBE_INTERVAL_US;
+    limit_restarted(limit, now_us);
+    return limit;
+}
+
+void
+limit_destroy(struct limit *limit)
+{
+    free(limit);
+}
+
+void
+limit_configure(struct limit *limit, const struct limit_config *config)
+{
+    limit->config = *config;
+    limit_set(limit, limit->value);
+}
+
+unsigned
+limit_current(const struct limit *limit, int64_t now_us)
+{
+    unsigned current = (unsigned)limit->value;
+    if (now_us < limit->report_until_us && limit->report_cap < current) {
+        current = limit->report_cap;
+    }
+    return current > 0 ? current : 1;
+}
+
+unsigned
+limit_in_flight(const struct limit *limit)
+{
+    return limit->in_flight;
+}
+
+enum limit_phase
+limit_phase(const struct limit *limit)
+{
+    return limit->phase;
+}
+
+int64_t
+limit_latency_us(const struct limit *limit)
+{
+    return (int64_t)limit->short_us;
+}
+
+int64_t
+limit_baseline_us(const struct limit *limit)
+{
+    if (limit->baseline_samples == 0) {
+        return BASELINE_DEFAULT_US;
+    }
+    return limit->baseline_us < 1 ? 1 : (int64_t)limit->baseline_us;
+}
+
+void
+limit_restarted(struct limit *limit, int64_t now_us)
+{
+    limit_enter(limit, LIMIT_COLD, now_us);
+    limit->bad_us = now_us;
+    limit_set(limit, 1);
+}
+
+/* The target slowed or stalled suddenly, which may be a cold start that
+ * nobody announced or a neighbour's load. */
+static void
+limit_guard(struct limit *limit, int64_t now_us)
+{
+    if (limit->phase == LIMIT_WARM) {
+        if (now_us - limit->bad_us > GUARD_FORGET_US) {
+            limit->guard_us = GUARD_MIN_US;
+        }
+        else if (limit->guard_us < limit->config.cold_start_us) {
+            limit->guard_us *= 2;
+        }
+        limit_enter(limit, LIMIT_GUARDED, now_us);
+        limit_set(limit, limit->config.cold_limit / 2.0);
+    }
+    limit->bad_us = now_us;
+    limit->good_samples = 0;
+}
+
+static void
+limit_shed(struct limit *limit, int64_t now_us)
+{
+    const bool again = now_us - limit->shed_us < SHED_WINDOW_US;
+    limit->shed_us = now_us;
+    limit->bad_us = now_us;
+    if (again || limit->phase != LIMIT_WARM) {
+        limit_enter(limit, LIMIT_COLD, now_us);
+    }
+    limit_set(limit, limit->value * SHED_FACTOR);
+}
+
+/* One cut connection says little; several in a short time are trouble. */
+static void
+limit_failed(struct limit *limit, int64_t now_us)
+{
+    const bool again = now_us - limit->failed_us < SHED_WINDOW_US;
+    limit->failed_us = now_us;
+    if (again) {
+        limit_guard(limit, now_us);
+    }
+    else {
+        limit_set(limit, limit->value * SHED_FACTOR);
+    }
+}
+
+static void
+limit_check_stall(struct limit *limit, int64_t now_us)
+{
+    int64_t step_us = now_us - limit->stall_at_us;
+    limit->stall_at_us = now_us;
+    if (step_us > STALL_STEP_MAX_US) {
+        step_us = STALL_STEP_MAX_US; /* this process itself was paused */
+    }
+    limit->stall_expected += (double)limit->in_flight * (double)step_us /
+                             (double)limit_baseline_us(limit);
+    const bool loaded = limit->starts_since_finish >= 2 ||
+                        limit->in_flight * 2 >= limit->value;
+    if (limit->stall_expected >= STALL_EXPECTED && limit->in_flight >= 2 &&
+        loaded) {
+        limit->stall_expected = 0;
+        limit_guard(limit, now_us);
+    }
+}
+
+bool
+limit_start(struct limit *limit, int64_t now_us)
+{
+    limit_check_stall(limit, now_us);
+    const bool held = limit->in_flight < limit_current(limit, now_us);
+    if (!invariant_check(INVARIANT_LIMIT, held, "limit_start")) {
+        return false;
+    }
+    limit->in_flight++;
+    limit->starts_since_finish++;
+    limit->traffic_us = now_us;
+    return true;
+}
+
+static void
+limit_learn(struct limit *limit, double latency_us)
+{
+    if (limit->baseline_samples < BASELINE_FIRST_SAMPLES) {
+        limit->baseline_samples++;
+        limit->baseline_us += (latency_us - limit->baseline_us) /
+                              (double)limit->baseline_samples;
+        limit->short_us = limit->baseline_us;
+        return;
+    }
+    const double clip_us = SAMPLE_CLIP_RATIO * limit->baseline_us;
+    const double clipped_us = fmin(latency_us, clip_us);
+    limit->short_us += SHORT_WEIGHT * (clipped_us - limit->short_us);
+    if (limit->short_us < BASELINE_FALL_RATIO * limit->baseline_us) {
+        limit->baseline_us +=
+            BASELINE_FALL_WEIGHT * (limit->short_us - limit->baseline_us);
+        return;
+    }
+    if (limit->phase == LIMIT_WARM) {
+        const double bounded_us =
+            fmin(latency_us, SUDDEN_RATIO * limit->baseline_us);
+        limit->baseline_us +=
+            BASELINE_WEIGHT * (bounded_us - limit->baseline_us);
+    }
+}
+
+/* A target that stays slow for its whole cold start has a new normal. */
+static void
+limit_warm(struct limit *limit, int64_t now_us)
+{
+    if (limit->short_us > GOOD_RATIO * limit->baseline_us) {
+        limit->baseline_us = limit->short_us;
+    }
+    limit_enter(limit, LIMIT_WARM, now_us);
+    limit_set(limit, limit->config.cold_limit);
+}
+
+static void
+limit_check_warm(struct limit *limit, int64_t now_us)
+{
+    const int64_t age_us = now_us - limit->phase_since_us;
+    const int64_t cold_start_us = limit->config.cold_start_us;
+    const bool good = limit->good_samples >= GOOD_SAMPLES;
+    if (limit->phase == LIMIT_COLD) {
+        if (age_us >= cold_start_us && (good || age_us >= 2 * cold_start_us)) {
+            limit_warm(limit, now_us);
+        }
+        return;
+    }
+    const bool calm = now_us - limit->bad_us >= limit->guard_us;
+    if ((good && calm) || age_us >= 2 * cold_start_us) {
+        limit_warm(limit, now_us);
+    }
+}
+
+static void
+limit_adapt(struct limit *limit, int64_t now_us)
+{
+    const double ratio = limit->short_us / (double)limit_baseline_us(limit);
+    const bool sudden =
+        ratio > SUDDEN_RATIO && limit->phase_samples >= SUDDEN_SAMPLES;
+    limit->good_samples = ratio <= GOOD_RATIO ? limit->good_samples + 1 : 0;
+    if (sudden) {
+        limit_guard(limit, now_us);
+        return;
+    }
+    if (limit->phase != LIMIT_WARM) {
+        limit_check_warm(limit, now_us);
+    }
+    /* The limit rises only while it is in use. */
+    const double used = (double)limit->in_flight + 1;
+    if (used * 2 >= limit->value) {
+        limit->successes++;
+    }
+    if (ratio > SLOW_RATIO) {
+        if (limit->successes >= limit->value) {
+            limit_set(limit, limit->value * SHRINK_FACTOR);
+        }
+    }
+    else if (limit->successes * 2 >= limit->value) {
+        limit_set(limit, limit->value + 1);
+    }
+}
+
+void
+limit_finish(struct limit *limit, int64_t now_us, int64_t latency_us,
+             enum limit_sample sample)
+{
+    limit->in_flight--;
+    limit->traffic_us = now_us;
+    if (sample == LIMIT_SAMPLE_ABANDONED) {
+        return;
+    }
+    limit->stall_expected = 0;
+    limit->stall_at_us = now_us;
+    limit->starts_since_finish = 0;
+    if (sample == LIMIT_SAMPLE_SHED) {
+        limit_shed(limit, now_us);
+        return;
+    }
+    if (sample == LIMIT_SAMPLE_FAILED) {
+        limit_failed(limit, now_us);
+        return;
+    }
+    limit->phase_samples++;
+    limit_learn(limit, (double)latency_us);
+    limit_adapt(limit, now_us);
+}
+
+void
+limit_report(struct limit *limit, int64_t now_us, unsigned bearable)
+{
+    limit->report_cap = bearable;
+    limit->report_until_us = now_us + REPORT_LIFE_US;
+}
+
+void
+limit_tick(struct limit *limit, int64_t now_us)
+{
+    limit_check_stall(limit, now_us);
+    if (limit->phase != LIMIT_WARM) {
+        limit_check_warm(limit, now_us);
+    }
+}
+
+bool
+limit_probe_due(struct limit *limit, int64_t now_us)
+{
+    if (limit->in_flight > 0 || now_us - limit->traffic_us < PROBE_IDLE_US ||
+        now_us - limit->probe_us < PROBE_INTERVAL_US) {
+        return false;
+    }
+    limit->probe_us = now_us;
+    return true;
+}
