State package: strict parser, normal form, digest and difference

Every problem of a declared state is listed with its path. The problem list of state.h moves to base/document.h (struct document_problems), where the settings use it too.

--- a/packages/state/state.h
+++ b/packages/state/state.h
@@ -12,13 +12,12 @@
 
 #include <jansson.h>
 
-#include "base/error.h"
+#include "base/document.h"
 
 #define STATE_NAME_MAX 63       /* bytes in the name of anything declared */
 #define STATE_METHOD_MAX 15     /* bytes in an HTTP method */
 #define STATE_METHODS_MAX 16    /* idempotent methods of a service */
 #define STATE_SHARDS_MAX 262144 /* shards of a service */
-#define STATE_PROBLEMS_MAX 64   /* problems listed for one document */
 
 enum state_key_source {
     STATE_KEY_NONE,   /**< any target of the service may run a request */
@@ -77,19 +76,13 @@
     struct state_limits limits;
 };
 
-/** All problems of a document, each with the path of its place. */
-struct state_problems {
-    struct error problems[STATE_PROBLEMS_MAX];
-    size_t count; /**< may exceed STATE_PROBLEMS_MAX; the rest is lost */
-};
-
 /**
  * Parses and checks a whole document.
  *
  * @return NULL with at least one problem listed if anything is wrong.
  */
 struct state *state_parse(const json_t *document,
-                          struct state_problems *problems);
+                          struct document_problems *problems);
 
 void state_destroy(struct state *state);
 
--- /dev/null
+++ b/packages/state/statediff.c
@@ -0,0 +1,198 @@
+#include "state/statediff.h"
+
+#include <stdbool.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "state/statejson.h"
+
+/** Turns arrays of named objects, and of names, into objects by name. */
+static json_t *
+index_by_name(const json_t *value)
+{
+    json_t *indexed = json_object();
+    for (size_t i = 0; i < json_array_size(value); i++) {
+        json_t *item = json_array_get(value, i);
+        if (json_is_string(item)) {
+            json_object_set_new(indexed, json_string_value(item), json_true());
+            continue;
+        }
+        json_t *fields = json_copy(item);
+        const char *name = json_string_value(json_object_get(item, "name"));
+        json_object_del(fields, "name");
+        json_object_set_new(indexed, name, fields);
+    }
+    return indexed;
+}
+
+/** The state as a tree of objects whose leaves are compared. */
+static json_t *
+state_tree(const struct state *state)
+{
+    if (state == NULL) {
+        return json_object();
+    }
+    json_t *tree = state_to_json(state);
+    static const char *const lists[] = {"zones", "services", "lost_instances"};
+    for (size_t i = 0; i < sizeof(lists) / sizeof(lists[0]); i++) {
+        json_object_set_new(tree, lists[i],
+                            index_by_name(json_object_get(tree, lists[i])));
+    }
+    return tree;
+}
+
+static void
+add_change(struct state_diff *diff, const char *path, json_t *before,
+           json_t *after)
+{
+    struct state_change *changes =
+        realloc(diff->changes, (diff->count + 1) * sizeof(diff->changes[0]));
+    if (changes == NULL) {
+        abort();
+    }
+    diff->changes = changes;
+    struct state_change *change = &changes[diff->count++];
+    snprintf(change->path, sizeof(change->path), "%s", path);
+    change->before = json_incref(before);
+    change->after = json_incref(after);
+}
+
+/** Pair of trees that are still to be compared. */
+struct pair {
+    json_t *before;
+    json_t *after;
+    char path[STATE_PATH_SIZE];
+};
+
+/** Depth of the tree: list, name, field, and field of "key". */
+#define TREE_DEPTH_MAX 8
+
+static int
+compare_names(const void *a, const void *b)
+{
+    return strcmp(*(const char *const *)a, *(const char *const *)b);
+}
+
+/** Names of the fields of both objects, sorted, each once. */
+static size_t
+collect_names(const struct pair *pair, const char ***names)
+{
+    json_t *all = json_object();
+    json_object_update(all, pair->before);
+    json_object_update(all, pair->after);
+    *names = calloc(json_object_size(all) + 1, sizeof((*names)[0]));
+    if (*names == NULL) {
+        abort();
+    }
+    size_t count = 0;
+    const char *name;
+    json_t *value;
+    json_object_foreach (all, name, value) {
+        /* The string lives in one of the two objects as well. */
+        void *owner = json_object_iter_at(pair->before, name);
+        if (owner == NULL) {
+            owner = json_object_iter_at(pair->after, name);
+        }
+        (*names)[count++] = json_object_iter_key(owner);
+    }
+    json_decref(all);
+    qsort(*names, count, sizeof((*names)[0]), compare_names);
+    return count;
+}
+
+/* The recursion ends at TREE_DEPTH_MAX. NOLINTNEXTLINE(misc-no-recursion) */
+static void
+compare(struct state_diff *diff, const struct pair *pair, size_t depth)
+{
+    if (json_equal(pair->before, pair->after)) {
+        return;
+    }
+    const bool objects =
+        json_is_object(pair->before) && json_is_object(pair->after);
+    if (!objects || depth == TREE_DEPTH_MAX) {
+        add_change(diff, pair->path, pair->before, pair->after);
+        return;
+    }
+    const char **names;
+    const size_t count = collect_names(pair, &names);
+    for (size_t i = 0; i < count; i++) {
+        struct pair field = {
+            .before = json_object_get(pair->before, names[i]),
+            .after = json_object_get(pair->after, names[i]),
+        };
+        snprintf(field.path, sizeof(field.path), "%.127s/%.127s", pair->path,
+                 names[i]);
+        compare(diff, &field, depth + 1);
+    }
+    free(names);
+}
+
+struct state_diff *
+state_diff_create(const struct state *before, const struct state *after)
+{
+    struct state_diff *diff = calloc(1, sizeof(*diff));
+    if (diff == NULL) {
+        abort();
+    }
+    const struct pair top = {
+        .before = state_tree(before),
+        .after = state_tree(after),
+    };
+    compare(diff, &top, 0);
+    json_decref(top.before);
+    json_decref(top.after);
+    return diff;
+}
+
+void
+state_diff_destroy(struct state_diff *diff)
+{
+    if (diff == NULL) {
+        return;
+    }
+    for (size_t i = 0; i < diff->count; i++) {
+        json_decref(diff->changes[i].before);
+        json_decref(diff->changes[i].after);
+    }
+    free(diff->changes);
+    free(diff);
+}
+
+json_t *
+state_diff_to_json(const struct state_diff *diff)
+{
+    json_t *array = json_array();
+    for (size_t i = 0; i < diff->count; i++) {
+        const struct state_change *change = &diff->changes[i];
+        json_array_append_new(array,
+                              json_pack("{s:s, s:O?, s:O?}", "path",
+                                        change->path, "before", change->before,
+                                        "after", change->after));
+    }
+    return array;
+}
+
+static void
+print_value(const json_t *value, FILE *stream)
+{
+    char *text = value != NULL
+                     ? json_dumps(value, JSON_ENCODE_ANY | JSON_SORT_KEYS)
+                     : strdup("(none)");
+    if (text == NULL) {
+        abort();
+    }
+    fputs(text, stream);
+    free(text);
+}
+
+void
+state_diff_print(const struct state_diff *diff, FILE *stream)
+{
+    for (size_t i = 0; i < diff->count; i++) {
+        fprintf(stream, "%s: ", diff->changes[i].path);
+        print_value(diff->changes[i].before, stream);
+        fputs(" -> ", stream);
+        print_value(diff->changes[i].after, stream);
+        fputc('\n', stream);
+    }
+}
--- /dev/null
+++ b/packages/state/statediff.h
@@ -0,0 +1,43 @@
+/**
+ * @file
+ * The difference between two declared states. Services and zones are
+ * matched by name, so their order does not count, and defaults compare
+ * equal to the same value written out.
+ */
+#ifndef CHESTNUTGAP_STATE_STATEDIFF_H
+#define CHESTNUTGAP_STATE_STATEDIFF_H
+
+#include <stddef.h>
+#include <stdio.h>
+
+#include <jansson.h>
+
+#include "state/state.h"
+
+#define STATE_PATH_SIZE 256 /* bytes with the terminator */
+
+/** One value that differs. */
+struct state_change {
+    char path[STATE_PATH_SIZE]; /**< for example "/services/NAME/slots" */
+    json_t *before;             /**< NULL if it is new */
+    json_t *after;              /**< NULL if it was removed */
+};
+
+/** All changes, in the order of their paths. */
+struct state_diff {
+    struct state_change *changes;
+    size_t count;
+};
+
+/** NULL stands for a state without content. Aborts without memory. */
+struct state_diff *state_diff_create(const struct state *before,
+                                     const struct state *after);
+void state_diff_destroy(struct state_diff *diff);
+
+/** Array of {"path", "before", "after"}. */
+json_t *state_diff_to_json(const struct state_diff *diff);
+
+/** One line for each change. */
+void state_diff_print(const struct state_diff *diff, FILE *stream);
+
+#endif
