http: server, client pool, proxy headers and problem documents

The client tells apart answered whole, not sent, refused, timed out, cut and malformed, and never reuses a connection whose request was abandoned.

--- /dev/null
+++ b/packages/http/httpclient.h
@@ -0,0 +1,93 @@
+/**
+ * @file
+ * HTTP/1.1 client with a pool of kept-alive connections to one address.
+ * Each call tells exactly how it ended. A connection carries one request at
+ * a time and is closed, never reused, when its request was abandoned or its
+ * answer was not whole.
+ */
+#ifndef CHESTNUTGAP_HTTP_HTTPCLIENT_H
+#define CHESTNUTGAP_HTTP_HTTPCLIENT_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "base/address.h"
+#include "base/error.h"
+#include "http/httpheaders.h"
+
+struct counter_registry;
+struct runtime;
+
+struct http_client;
+
+/** A request that is not finished. */
+struct http_call;
+
+/** How a call ended. */
+enum http_outcome {
+    HTTP_ANSWERED,  /**< whole */
+    HTTP_NOT_SENT,  /**< no byte left this process: not run */
+    HTTP_REFUSED,   /**< the connection was refused: not run */
+    HTTP_TIMED_OUT, /**< the deadline passed; may have run */
+    HTTP_CUT,       /**< the connection ended amid it; may have run */
+    HTTP_MALFORMED, /**< the answer was not understood or too large */
+};
+
+struct http_client_config {
+    struct address address;
+    unsigned connections_max;   /**< never more than these. Default 64 */
+    size_t body_max;            /**< bytes of an answer. Default 16 MiB */
+    int64_t connect_timeout_us; /**< Default 1 s */
+    int64_t idle_timeout_us;    /**< then closed. Default 30 s */
+};
+
+/** Result of a call, valid during the callback. */
+struct http_result {
+    enum http_outcome outcome;
+    unsigned status; /**< if answered; so the rest */
+    const struct http_headers *headers;
+    const void *body;
+    size_t body_size;
+};
+
+typedef void (*http_done_cb)(void *ctx, const struct http_result *result);
+
+/** What to send; everything is copied. */
+struct http_call_spec {
+    const char *method;
+    const char *target; /**< path and query */
+    const struct http_header *headers;
+    size_t header_count;
+    const void *body;
+    size_t body_size;
+    int64_t deadline_us; /**< on the runtime's clock */
+    http_done_cb done;   /**< exactly once, never within http_call_start() */
+    void *ctx;
+};
+
+/** Counters are added to the registry. Aborts when memory is short. */
+struct http_client *http_client_create(struct runtime *runtime,
+                                       const struct http_client_config *config,
+                                       struct counter_registry *counters);
+
+/** Closes everything. Outstanding calls get no callback. */
+void http_client_destroy(struct http_client *client);
+
+/** Changes the limit; connections above it close when their call ends. */
+void http_client_set_connections(struct http_client *client, unsigned max);
+
+/** Connections that are open or being opened. */
+unsigned http_client_connections(const struct http_client *client);
+
+/** Starts a call. It waits in order if all connections are busy. */
+struct http_call *http_call_start(struct http_client *client,
+                                  const struct http_call_spec *spec);
+
+/** Ends a call without a callback and closes its connection. */
+void http_call_cancel(struct http_call *call);
+
+/** True if a byte of the request has been handed to the kernel. */
+bool http_call_is_sent(const struct http_call *call);
+
+#endif
--- /dev/null
+++ b/packages/http/httpconnection.c
@@ -0,0 +1,359 @@
+#include "http/httpserver_internal.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+
+#include "http/httpproblem.h"
+#include "http/httpwriter.h"
+
+#define READ_MAX (256u << 10) /* bytes taken from a socket at once */
+#define STOP_GRACE_US (1 * US_PER_SECOND) /* for requests on their way */
+#define LINGER_US (2 * US_PER_SECOND)     /* for a caller that still sends */
+#define CONTINUE_TEXT "HTTP/1.1 100 Continue\r\n\r\n"
+
+static int64_t
+connection_now_us(const struct http_connection *connection)
+{
+    return runtime_now_us(connection->server->runtime);
+}
+
+static size_t
+connection_backlog(const struct http_connection *connection)
+{
+    return evbuffer_get_length(bufferevent_get_output(connection->bev));
+}
+
+/** Counts the memory that the request's body takes. */
+static void
+connection_count_body(struct http_connection *connection, size_t body_bytes)
+{
+    struct http_server *server = connection->server;
+    server->body_bytes += body_bytes - connection->body_bytes;
+    server->counters.body_bytes->value = (int64_t)server->body_bytes;
+    connection->body_bytes = body_bytes;
+}
+
+void
+http_connection_free(struct http_connection *connection)
+{
+    struct http_server *server = connection->server;
+    connection_count_body(connection, 0);
+    LIST_REMOVE(connection, link);
+    bufferevent_free(connection->bev);
+    http_reader_destroy(connection->reader);
+    free(connection);
+    http_server_connection_closed(server);
+}
+
+/** The caller went away or is sent away; a request in work is cancelled. */
+static void
+connection_drop(struct http_connection *connection)
+{
+    struct http_server *server = connection->server;
+    struct http_request *request = connection->request;
+    if (request != NULL) {
+        /* The message lives on until the request is answered. */
+        request->reader = connection->reader;
+        request->connection = NULL;
+        connection->reader = NULL;
+        connection->request = NULL;
+    }
+    http_connection_free(connection);
+    if (request != NULL) {
+        server->counters.cancelled->value++;
+        if (server->config.cancelled != NULL) {
+            server->config.cancelled(server->config.ctx, request);
+        }
+    }
+}
+
+/** Lets the caller read the last answer before the socket closes. */
+static void
+connection_linger(struct http_connection *connection)
+{
+    connection->state = HTTP_CONNECTION_LINGERING;
+    connection->deadline_us = connection_now_us(connection) + LINGER_US;
+    shutdown(bufferevent_getfd(connection->bev), SHUT_WR);
+    bufferevent_setwatermark(connection->bev, EV_READ, 0, READ_MAX);
+    bufferevent_enable(connection->bev, EV_READ);
+}
+
+static void
+connection_finish(struct http_connection *connection)
+{
+    connection->state = HTTP_CONNECTION_CLOSING;
+    connection->deadline_us = 0;
+    if (connection_backlog(connection) == 0) {
+        connection_linger(connection);
+    }
+}
+
+static void
+connection_refuse(struct http_connection *connection, unsigned status)
+{
+    connection->server->counters.refused->value++;
+    const struct http_problem problem = {
+        .status = status,
+        .detail = "the request could not be read",
+        .outcome = "not run",
+    };
+    size_t size;
+    char *body = http_problem_body(&problem, &size);
+    const struct http_header headers[] = {
+        {"Content-Type", HTTP_PROBLEM_TYPE},
+        {HTTP_PRIVATE_PREFIX "Outcome", "not-run"},
+    };
+    http_write_answer(bufferevent_get_output(connection->bev),
+                      &(struct http_answer){
+                          .status = status,
+                          .headers = headers,
+                          .header_count = 2,
+                          .body = body,
+                          .body_size = size,
+                          .close = true,
+                      });
+    free(body);
+    connection_finish(connection);
+}
+
+static void
+connection_handle(struct http_connection *connection)
+{
+    struct http_server *server = connection->server;
+    struct http_request *request = calloc(1, sizeof(*request));
+    if (request == NULL) {
+        connection_refuse(connection, 503);
+        return;
+    }
+    request->server = server;
+    request->connection = connection;
+    request->message = http_reader_message(connection->reader);
+    request->peer = connection->peer;
+    LIST_INSERT_HEAD(&server->requests, request, link);
+    connection->request = request;
+    connection->state = HTTP_CONNECTION_HANDLING;
+    connection->deadline_us = 0;
+    server->counters.requests->value++;
+    server->config.handle(server->config.ctx, request);
+}
+
+static void
+connection_start_reading(struct http_connection *connection,
+                         int64_t timeout_us)
+{
+    connection->state = HTTP_CONNECTION_READING;
+    connection->deadline_us = connection_now_us(connection) + timeout_us;
+}
+
+/** Waits for the rest of a request that has begun. */
+static void
+connection_await_rest(struct http_connection *connection)
+{
+    struct http_reader *reader = connection->reader;
+    const struct http_message *message = http_reader_message(reader);
+    if (!connection->receiving) {
+        connection->receiving = true;
+        connection_start_reading(
+            connection, connection->server->config.receive_timeout_us);
+    }
+    if (http_reader_progress(reader) == HTTP_PROGRESS_BODY &&
+        message->expects_100 && !connection->continue_sent) {
+        connection->continue_sent = true;
+        bufferevent_write(connection->bev, CONTINUE_TEXT,
+                          strlen(CONTINUE_TEXT));
+    }
+}
+
+/** Reads and handles requests until one needs time or input is short. */
+static void
+connection_feed(struct http_connection *connection)
+{
+    struct evbuffer *input = bufferevent_get_input(connection->bev);
+    if (connection->in_feed) {
+        return;
+    }
+    connection->in_feed = true;
+    while (connection->state == HTTP_CONNECTION_READING &&
+           evbuffer_get_length(input) > 0) {
+        struct http_reader *reader = connection->reader;
+        http_reader_feed(reader, input);
+        connection_count_body(connection,
+                              http_reader_message(reader)->body_capacity);
+        const enum http_progress progress = http_reader_progress(reader);
+        if (connection->server->body_bytes >
+            connection->server->config.bodies_max) {
+            connection_refuse(connection, 503);
+        }
+        else if (progress == HTTP_PROGRESS_FAILED) {
+            connection_refuse(connection, http_reader_failure(reader));
+        }
+        else if (progress == HTTP_PROGRESS_WHOLE) {
+            connection_handle(connection);
+        }
+        else {
+            connection_await_rest(connection);
+            break;
+        }
+    }
+    connection->in_feed = false;
+}
+
+void
+http_connection_reply(struct http_connection *connection,
+                      const struct http_reply *reply)
+{
+    const struct http_message *message =
+        http_reader_message(connection->reader);
+    const bool close = !message->keep_alive || connection->server->stopping;
+    http_write_answer(bufferevent_get_output(connection->bev),
+                      &(struct http_answer){
+                          .status = reply->status,
+                          .headers = reply->headers,
+                          .header_count = reply->header_count,
+                          .body = reply->body,
+                          .body_size = reply->body_size,
+                          .to_head = strcmp(message->method, "HEAD") == 0,
+                          .close = close,
+                          .keep_alive = message->http_1_0,
+                      });
+    http_reader_reset(connection->reader);
+    connection_count_body(connection, 0);
+    connection->receiving = false;
+    connection->continue_sent = false;
+    if (close) {
+        connection_finish(connection);
+        return;
+    }
+    connection_start_reading(connection,
+                             connection->server->config.idle_timeout_us);
+    connection_feed(connection);
+}
+
+static void
+connection_on_read(struct bufferevent *bev, void *ctx)
+{
+    struct http_connection *connection = ctx;
+    if (connection->state >= HTTP_CONNECTION_CLOSING) {
+        struct evbuffer *input = bufferevent_get_input(bev);
+        evbuffer_drain(input, evbuffer_get_length(input));
+        return;
+    }
+    connection_feed(connection);
+}
+
+static void
+connection_on_write(struct bufferevent *bev, void *ctx)
+{
+    struct http_connection *connection = ctx;
+    (void)bev;
+    if (connection->state == HTTP_CONNECTION_CLOSING) {
+        connection_linger(connection);
+    }
+}
+
+static void
+connection_on_event(struct bufferevent *bev, short what, void *ctx)
+{
+    struct http_connection *connection = ctx;
+    (void)bev;
+    /* A caller that only closed its sending side still gets the answers
+     * that are on the way. */
+    if ((what & BEV_EVENT_EOF) != 0 &&
+        connection->state == HTTP_CONNECTION_CLOSING) {
+        return;
+    }
+    connection_drop(connection);
+}
+
+void
+http_connection_accept(struct http_server *server, evutil_socket_t fd,
+                       const struct address *peer)
+{
+    const int on = 1;
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    struct http_connection *connection = calloc(1, sizeof(*connection));
+    struct http_reader *reader =
+        http_reader_create(HTTP_MESSAGE_REQUEST, server->config.body_max);
+    struct bufferevent *bev = bufferevent_socket_new(
+        runtime_event_base(server->runtime), fd, BEV_OPT_CLOSE_ON_FREE);
+    if (connection == NULL || reader == NULL || bev == NULL) {
+        free(connection);
+        http_reader_destroy(reader);
+        if (bev != NULL) {
+            bufferevent_free(bev);
+        }
+        else {
+            close(fd);
+        }
+        return;
+    }
+    connection->server = server;
+    connection->bev = bev;
+    connection->peer = *peer;
+    connection->reader = reader;
+    connection_start_reading(connection, server->config.idle_timeout_us);
+    LIST_INSERT_HEAD(&server->connections, connection, link);
+    server->connection_count++;
+    server->counters.connections->value++;
+    server->counters.connections_open->value++;
+    bufferevent_setcb(bev, connection_on_read, connection_on_write,
+                      connection_on_event, connection);
+    bufferevent_set_max_single_read(bev, READ_MAX);
+    bufferevent_set_max_single_write(bev, READ_MAX);
+    bufferevent_setwatermark(bev, EV_READ, 0, READ_MAX);
+    bufferevent_enable(bev, EV_READ | EV_WRITE);
+}
+
+void
+http_connection_stop(struct http_connection *connection)
+{
+    if (connection->state == HTTP_CONNECTION_READING &&
+        !connection->receiving) {
+        connection->deadline_us =
+            connection_now_us(connection) + STOP_GRACE_US;
+    }
+}
+
+void
+http_connection_check(struct http_connection *connection, int64_t now_us)
+{
+    struct http_server *server = connection->server;
+    const size_t backlog = connection_backlog(connection);
+    if (backlog > 0) {
+        /* The deadline moves on as long as the caller reads. */
+        const bool progress = backlog != connection->backlog;
+        connection->backlog = backlog;
+        if (progress || connection->deadline_us == 0) {
+            connection->deadline_us = now_us + server->config.send_timeout_us;
+        }
+        else if (now_us >= connection->deadline_us) {
+            server->counters.send_timeouts->value++;
+            connection_drop(connection);
+        }
+        return;
+    }
+    connection->backlog = 0;
+    if (connection->state == HTTP_CONNECTION_HANDLING) {
+        connection->deadline_us = 0;
+        return;
+    }
+    if (connection->deadline_us == 0 || now_us < connection->deadline_us) {
+        return;
+    }
+    if (connection->receiving) {
+        server->counters.receive_timeouts->value++;
+        connection_drop(connection);
+    }
+    else if (connection->state == HTTP_CONNECTION_READING) {
+        connection_finish(connection);
+    }
+    else {
+        connection_drop(connection);
+    }
+}
--- /dev/null
+++ b/packages/http/httpheaders.c
@@ -0,0 +1,193 @@
+#include "http/httpheaders.h"
+
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#define CAPACITY_MIN 16
+
+/* Fields of one connection, and fields that the next hop gets afresh. */
+static const char *const connection_fields[] = {
+    "Connection",
+    "Keep-Alive",
+    "Proxy-Connection",
+    "TE",
+    "Trailer",
+    "Transfer-Encoding",
+    "Upgrade",
+    "Proxy-Authenticate",
+    "Proxy-Authorization",
+    "Proxy-Authentication-Info",
+    "Expect",
+};
+
+void
+http_headers_clear(struct http_headers *headers)
+{
+    for (size_t i = 0; i < headers->count; i++) {
+        /* The value is in the same block as the name. */
+        free((char *)headers->items[i].name);
+    }
+    free(headers->items);
+    *headers = (struct http_headers){0};
+}
+
+static bool
+is_token_char(unsigned char c)
+{
+    return (c >= '0' && c <= '9') || (c >= 'A' && c <= 'Z') ||
+           (c >= 'a' && c <= 'z') ||
+           (c != '\0' && strchr("!#$%&'*+-.^_`|~", c) != NULL);
+}
+
+static bool
+is_name(const char *name, size_t size)
+{
+    for (size_t i = 0; i < size; i++) {
+        if (!is_token_char((unsigned char)name[i])) {
+            return false;
+        }
+    }
+    return size > 0;
+}
+
+static bool
+is_value(const char *value, size_t size)
+{
+    for (size_t i = 0; i < size; i++) {
+        const unsigned char c = (unsigned char)value[i];
+        if ((c < 0x20 && c != '\t') || c == 0x7f) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static bool
+headers_reserve(struct http_headers *headers)
+{
+    if (headers->count < headers->capacity) {
+        return true;
+    }
+    const size_t capacity =
+        headers->capacity > 0 ? headers->capacity * 2 : CAPACITY_MIN;
+    struct http_header *items =
+        realloc(headers->items, capacity * sizeof(*items));
+    if (items == NULL) {
+        return false;
+    }
+    headers->items = items;
+    headers->capacity = capacity;
+    return true;
+}
+
+bool
+http_headers_add_sized(struct http_headers *headers, const char *name,
+                       size_t name_size, const char *value, size_t value_size)
+{
+    if (headers->count >= HTTP_HEADERS_MAX || !is_name(name, name_size) ||
+        !is_value(value, value_size) || !headers_reserve(headers)) {
+        return false;
+    }
+    char *block = malloc(name_size + value_size + 2);
+    if (block == NULL) {
+        return false;
+    }
+    char *value_copy = block + name_size + 1;
+    memcpy(block, name, name_size);
+    block[name_size] = '\0';
+    memcpy(value_copy, value, value_size);
+    value_copy[value_size] = '\0';
+    headers->items[headers->count++] =
+        (struct http_header){.name = block, .value = value_copy};
+    return true;
+}
+
+bool
+http_headers_add(struct http_headers *headers, const char *name,
+                 const char *value)
+{
+    return http_headers_add_sized(headers, name, strlen(name), value,
+                                  strlen(value));
+}
+
+const char *
+http_headers_find(const struct http_headers *headers, const char *name)
+{
+    for (size_t i = 0; i < headers->count; i++) {
+        if (strcasecmp(headers->items[i].name, name) == 0) {
+            return headers->items[i].value;
+        }
+    }
+    return NULL;
+}
+
+bool
+http_value_has_token(const char *value, const char *token)
+{
+    const size_t token_size = strlen(token);
+    while (*value != '\0') {
+        value += strspn(value, " \t,");
+        const size_t size = strcspn(value, " \t,");
+        if (size == token_size && strncasecmp(value, token, size) == 0) {
+            return true;
+        }
+        value += size;
+    }
+    return false;
+}
+
+bool
+http_headers_have_token(const struct http_headers *headers, const char *name,
+                        const char *token)
+{
+    for (size_t i = 0; i < headers->count; i++) {
+        if (strcasecmp(headers->items[i].name, name) == 0 &&
+            http_value_has_token(headers->items[i].value, token)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool
+is_connection_field(const char *name)
+{
+    const size_t count =
+        sizeof(connection_fields) / sizeof(connection_fields[0]);
+    for (size_t i = 0; i < count; i++) {
+        if (strcasecmp(connection_fields[i], name) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool
+is_passed(const struct http_headers *received, const char *name,
+          enum http_direction direction)
+{
+    if (strcasecmp(name, "Content-Length") == 0) {
+        return direction == HTTP_ANSWER_FORWARD_NO_BODY;
+    }
+    return !is_connection_field(name) &&
+           strncasecmp(name, HTTP_PRIVATE_PREFIX,
+                       strlen(HTTP_PRIVATE_PREFIX)) != 0 &&
+           !http_headers_have_token(received, "Connection", name);
+}
+
+bool
+http_headers_forward(struct http_headers *passed,
+                     const struct http_headers *received,
+                     enum http_direction direction)
+{
+    for (size_t i = 0; i < received->count; i++) {
+        const struct http_header *header = &received->items[i];
+        if (is_passed(received, header->name, direction) &&
+            !http_headers_add(passed, header->name, header->value)) {
+            return false;
+        }
+    }
+    return http_headers_add(passed, "Via", HTTP_VIA);
+}
--- /dev/null
+++ b/packages/http/httpserver.c
@@ -0,0 +1,316 @@
+#include "http/httpserver.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <event2/listener.h>
+
+#include "http/httpproblem.h"
+#include "http/httpserver_internal.h"
+
+#define BODY_MAX_DEFAULT (16u << 20)    /* bytes */
+#define BODIES_MAX_DEFAULT (256u << 20) /* bytes */
+#define CONNECTIONS_MAX_DEFAULT 4096
+#define RECEIVE_TIMEOUT_DEFAULT_US (60 * US_PER_SECOND)
+#define SEND_TIMEOUT_DEFAULT_US (30 * US_PER_SECOND)
+#define IDLE_TIMEOUT_DEFAULT_US (120 * US_PER_SECOND)
+#define SWEEP_US (1 * US_PER_SECOND)
+#define LISTEN_BACKLOG 1024
+
+static void
+server_on_accept(struct evconnlistener *listener, evutil_socket_t fd,
+                 struct sockaddr *peer, int peer_size, void *ctx)
+{
+    struct http_server *server = ctx;
+    struct address address = {.length = (socklen_t)peer_size};
+    memcpy(&address.storage, peer, (size_t)peer_size);
+    http_connection_accept(server, fd, &address);
+    if (server->connection_count >= server->config.connections_max) {
+        server->counters.accept_pauses->value++;
+        evconnlistener_disable(listener);
+    }
+}
+
+static void
+server_on_sweep(void *ctx)
+{
+    struct http_server *server = ctx;
+    const int64_t now_us = runtime_now_us(server->runtime);
+    struct http_connection *connection = LIST_FIRST(&server->connections);
+    while (connection != NULL) {
+        struct http_connection *next = LIST_NEXT(connection, link);
+        http_connection_check(connection, now_us);
+        connection = next;
+    }
+    timer_start(&server->sweep_timer, SWEEP_US);
+}
+
+static void
+server_on_stopped(evutil_socket_t fd, short what, void *ctx)
+{
+    struct http_server *server = ctx;
+    (void)fd;
+    (void)what;
+    if (server->stopped != NULL) {
+        server->stopped(server->stopped_ctx);
+    }
+}
+
+void
+http_server_connection_closed(struct http_server *server)
+{
+    server->connection_count--;
+    server->counters.connections_open->value--;
+    if (!server->stopping) {
+        evconnlistener_enable(server->listener);
+    }
+    else if (server->connection_count == 0) {
+        event_active(server->stopped_event, EV_TIMEOUT, 1);
+    }
+}
+
+static bool
+server_listen(struct http_server *server, struct error *err)
+{
+    server->address = server->config.address;
+    struct sockaddr *bound = (struct sockaddr *)&server->address.storage;
+    server->listener = evconnlistener_new_bind(
+        runtime_event_base(server->runtime), server_on_accept, server,
+        LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, LISTEN_BACKLOG, bound,
+        (int)server->address.length);
+    char text[ADDRESS_TEXT_SIZE];
+    if (server->listener == NULL) {
+        return error_set_system(err, "listen on %s",
+                                address_format(&server->address, text));
+    }
+    socklen_t size = sizeof(server->address.storage);
+    if (getsockname(evconnlistener_get_fd(server->listener), bound, &size) <
+        0) {
+        return error_set_system(err, "getsockname");
+    }
+    server->address.length = size;
+    return true;
+}
+
+static void
+set_defaults(struct http_server_config *config)
+{
+    if (config->body_max == 0) {
+        config->body_max = BODY_MAX_DEFAULT;
+    }
+    if (config->bodies_max == 0) {
+        config->bodies_max = BODIES_MAX_DEFAULT;
+    }
+    if (config->connections_max == 0) {
+        config->connections_max = CONNECTIONS_MAX_DEFAULT;
+    }
+    if (config->receive_timeout_us == 0) {
+        config->receive_timeout_us = RECEIVE_TIMEOUT_DEFAULT_US;
+    }
+    if (config->send_timeout_us == 0) {
+        config->send_timeout_us = SEND_TIMEOUT_DEFAULT_US;
+    }
+    if (config->idle_timeout_us == 0) {
+        config->idle_timeout_us = IDLE_TIMEOUT_DEFAULT_US;
+    }
+}
+
+static void
+server_add_counters(struct http_server *server,
+                    struct counter_registry *registry)
+{
+#define HTTP_COUNTER_ADD(field, help)                                         \
+    server->counters.field =                                                  \
+        counter_add(registry, "http_server_" #field, help);
+    HTTP_SERVER_COUNTERS(HTTP_COUNTER_ADD)
+#undef HTTP_COUNTER_ADD
+}
+
+struct http_server *
+http_server_create(struct runtime *runtime,
+                   const struct http_server_config *config,
+                   struct counter_registry *counters, struct error *err)
+{
+    struct http_server *server = calloc(1, sizeof(*server));
+    if (server == NULL) {
+        error_set(err, ERROR_NO_MEMORY, "http server");
+        return NULL;
+    }
+    server->runtime = runtime;
+    server->config = *config;
+    set_defaults(&server->config);
+    server_add_counters(server, counters);
+    timer_init(&server->sweep_timer, runtime, server_on_sweep, server);
+    server->stopped_event =
+        evtimer_new(runtime_event_base(runtime), server_on_stopped, server);
+    if (server->stopped_event == NULL) {
+        error_set(err, ERROR_EVENT_LOOP, "http server");
+        http_server_destroy(server);
+        return NULL;
+    }
+    if (!server_listen(server, err)) {
+        http_server_destroy(server);
+        return NULL;
+    }
+    timer_start(&server->sweep_timer, SWEEP_US);
+    return server;
+}
+
+const struct address *
+http_server_address(const struct http_server *server)
+{
+    return &server->address;
+}
+
+void
+http_server_stop(struct http_server *server, void (*done)(void *ctx),
+                 void *ctx)
+{
+    server->stopping = true;
+    server->stopped = done;
+    server->stopped_ctx = ctx;
+    evconnlistener_free(server->listener);
+    server->listener = NULL;
+    if (server->connection_count == 0) {
+        event_active(server->stopped_event, EV_TIMEOUT, 1);
+    }
+    struct http_connection *connection = LIST_FIRST(&server->connections);
+    while (connection != NULL) {
+        struct http_connection *next = LIST_NEXT(connection, link);
+        http_connection_stop(connection);
+        connection = next;
+    }
+}
+
+static void
+request_free(struct http_request *request)
+{
+    LIST_REMOVE(request, link);
+    if (request->connection == NULL) {
+        http_reader_destroy(request->reader);
+    }
+    free(request);
+}
+
+void
+http_server_destroy(struct http_server *server)
+{
+    if (server == NULL) {
+        return;
+    }
+    timer_stop(&server->sweep_timer);
+    struct http_request *request = LIST_FIRST(&server->requests);
+    while (request != NULL) {
+        struct http_request *next = LIST_NEXT(request, link);
+        if (request->connection != NULL) {
+            request->connection->request = NULL;
+        }
+        request_free(request);
+        request = next;
+    }
+    server->stopping = true;
+    struct http_connection *connection;
+    while ((connection = LIST_FIRST(&server->connections)) != NULL) {
+        http_connection_free(connection);
+    }
+    if (server->listener != NULL) {
+        evconnlistener_free(server->listener);
+    }
+    if (server->stopped_event != NULL) {
+        event_free(server->stopped_event);
+    }
+    free(server);
+}
+
+const char *
+http_request_method(const struct http_request *request)
+{
+    return request->message->method;
+}
+
+const char *
+http_request_path(const struct http_request *request)
+{
+    return request->message->path;
+}
+
+const char *
+http_request_query(const struct http_request *request)
+{
+    return request->message->query;
+}
+
+const struct http_headers *
+http_request_headers(const struct http_request *request)
+{
+    return &request->message->headers;
+}
+
+const char *
+http_request_header(const struct http_request *request, const char *name)
+{
+    return http_headers_find(&request->message->headers, name);
+}
+
+const void *
+http_request_body(const struct http_request *request, size_t *size)
+{
+    *size = request->message->body_size;
+    return request->message->body;
+}
+
+const struct address *
+http_request_peer(const struct http_request *request)
+{
+    return &request->peer;
+}
+
+void
+http_request_set_data(struct http_request *request, void *data)
+{
+    request->data = data;
+}
+
+void *
+http_request_data(const struct http_request *request)
+{
+    return request->data;
+}
+
+void
+http_request_reply(struct http_request *request,
+                   const struct http_reply *reply)
+{
+    struct http_connection *connection = request->connection;
+    if (connection == NULL) {
+        request_free(request);
+        return;
+    }
+    request->server->counters.answers->value++;
+    request_free(request);
+    connection->request = NULL;
+    http_connection_reply(connection, reply);
+}
+
+void
+http_request_refuse(struct http_request *request,
+                    const struct http_problem *problem, unsigned retry_after_s)
+{
+    char retry_after[16];
+    snprintf(retry_after, sizeof(retry_after), "%u", retry_after_s);
+    const struct http_header headers[] = {
+        {"Content-Type", HTTP_PROBLEM_TYPE},
+        {"Retry-After", retry_after},
+    };
+    size_t size;
+    char *body = http_problem_body(problem, &size);
+    http_request_reply(request, &(struct http_reply){
+                                    .status = problem->status,
+                                    .headers = headers,
+                                    .header_count = retry_after_s > 0 ? 2 : 1,
+                                    .body = body,
+                                    .body_size = size,
+                                });
+    free(body);
+}
--- /dev/null
+++ b/packages/http/httpserver_internal.h
@@ -0,0 +1,110 @@
+/**
+ * @file
+ * What the server (httpserver.c) and its connections (httpconnection.c)
+ * share.
+ */
+#ifndef CHESTNUTGAP_HTTP_HTTPSERVER_INTERNAL_H
+#define CHESTNUTGAP_HTTP_HTTPSERVER_INTERNAL_H
+
+#include <sys/queue.h>
+
+#include <event2/event.h>
+#include <event2/util.h>
+
+#include "base/counter.h"
+#include "base/runtime.h"
+#include "http/httpmessage.h"
+#include "http/httpserver.h"
+
+/* clang-format off */
+#define HTTP_SERVER_COUNTERS(X)                                               \
+    X(requests, "requests received whole")                                    \
+    X(answers, "answers given")                                               \
+    X(cancelled, "requests whose caller went away before the answer")         \
+    X(refused, "requests refused before they were handled")                   \
+    X(body_bytes, "bytes of request bodies held now")                         \
+    X(connections, "connections accepted")                                    \
+    X(connections_open, "connections open now")                               \
+    X(accept_pauses, "times that accepting stopped at the limit")             \
+    X(receive_timeouts, "connections closed amid a slow request")             \
+    X(send_timeouts, "connections closed since the caller did not read")
+/* clang-format on */
+
+struct http_server_counters {
+#define HTTP_COUNTER_FIELD(field, help) struct counter *field;
+    HTTP_SERVER_COUNTERS(HTTP_COUNTER_FIELD)
+#undef HTTP_COUNTER_FIELD
+};
+
+LIST_HEAD(http_connection_list, http_connection);
+LIST_HEAD(http_request_list, http_request);
+
+struct http_server {
+    struct runtime *runtime;
+    struct http_server_config config;
+    struct address address;
+    struct evconnlistener *listener;
+    struct http_connection_list connections;
+    struct http_request_list requests; /* handled, not answered */
+    unsigned connection_count;
+    size_t body_bytes; /* held by requests */
+    bool stopping;
+    void (*stopped)(void *ctx);
+    void *stopped_ctx;
+    struct event *stopped_event;
+    struct timer sweep_timer;
+    struct http_server_counters counters;
+};
+
+/** What a connection waits for. */
+enum http_connection_state {
+    HTTP_CONNECTION_READING,  /**< for a request */
+    HTTP_CONNECTION_HANDLING, /**< for the handler's answer */
+    HTTP_CONNECTION_CLOSING,  /**< for the last answer to be sent */
+    HTTP_CONNECTION_LINGERING /**< for the caller to close */
+};
+
+struct http_connection {
+    LIST_ENTRY(http_connection) link;
+    struct http_server *server;
+    struct bufferevent *bev;
+    struct address peer;
+    struct http_reader *reader;
+    enum http_connection_state state;
+    bool in_feed;   /* requests are being read: no nested reading */
+    bool receiving; /* a request has begun */
+    bool continue_sent;
+    size_t body_bytes;            /* of the server's body_bytes */
+    struct http_request *request; /* being handled */
+    int64_t deadline_us;          /* of the state, 0: none */
+    size_t backlog;               /* output at the last sweep */
+};
+
+struct http_request {
+    LIST_ENTRY(http_request) link;
+    struct http_server *server;
+    struct http_connection *connection; /* NULL: the caller is gone */
+    struct http_reader *reader;         /* owned once the connection is gone */
+    const struct http_message *message;
+    struct address peer;
+    void *data;
+};
+
+void http_connection_accept(struct http_server *server, evutil_socket_t fd,
+                            const struct address *peer);
+void http_connection_free(struct http_connection *connection);
+
+/** Closes the connection if its time is over or it makes no progress. */
+void http_connection_check(struct http_connection *connection, int64_t now_us);
+
+/** Closes an idle connection, or one after its answer. */
+void http_connection_stop(struct http_connection *connection);
+
+/** Writes the answer to the request in work and goes on reading. */
+void http_connection_reply(struct http_connection *connection,
+                           const struct http_reply *reply);
+
+/** Called after a connection has been freed. */
+void http_server_connection_closed(struct http_server *server);
+
+#endif
--- /dev/null
+++ b/packages/http/test/httpmessage_test.cc
@@ -0,0 +1,205 @@
+#include <gtest/gtest.h>
+
+#include <string>
+
+extern "C" {
+#include <event2/buffer.h>
+
+#include "http/httpheaders.h"
+#include "http/httpmessage.h"
+}
+
+namespace {
+
+constexpr size_t kBodyMax = 1000;
+
+class Reader {
+  public:
+    explicit Reader(enum http_message_kind kind)
+        : reader(http_reader_create(kind, kBodyMax))
+    {
+    }
+    ~Reader()
+    {
+        http_reader_destroy(reader);
+        evbuffer_free(input);
+    }
+    /** Feeds in pieces of step bytes; returns the bytes that are left. */
+    size_t Feed(const std::string &text, size_t step)
+    {
+        for (size_t i = 0; i < text.size(); i += step) {
+            const std::string piece = text.substr(i, step);
+            evbuffer_add(input, piece.data(), piece.size());
+            http_reader_feed(reader, input);
+        }
+        return evbuffer_get_length(input);
+    }
+    enum http_progress Progress()
+    {
+        return http_reader_progress(reader);
+    }
+    std::string Body()
+    {
+        const struct http_message *message = http_reader_message(reader);
+        return std::string(message->body != nullptr ? message->body : "",
+                           message->body_size);
+    }
+    struct http_reader *reader;
+    struct evbuffer *input = evbuffer_new();
+};
+
+TEST(HttpReader, ReadsRequestsInPiecesAndStopsAtTheEnd)
+{
+    const std::string first = "POST /a%20b/c?x=1&y=2 HTTP/1.1\r\nHost: h\r\n"
+                              "X-Long:  spaced value \r\n"
+                              "Content-Length: 5\r\n\r\nhello";
+    const std::string second = "GET /next HTTP/1.0\r\n\r\n";
+    for (const size_t step : {1, 3, 7, 1000}) {
+        Reader r(HTTP_MESSAGE_REQUEST);
+        EXPECT_EQ(second.size(), r.Feed(first + second, step));
+        ASSERT_EQ(HTTP_PROGRESS_WHOLE, r.Progress()) << step;
+        const struct http_message *message = http_reader_message(r.reader);
+        EXPECT_STREQ("POST", message->method);
+        EXPECT_STREQ("/a%20b/c", message->path);
+        EXPECT_STREQ("x=1&y=2", message->query);
+        EXPECT_STREQ("spaced value",
+                     http_headers_find(&message->headers, "x-long"));
+        EXPECT_EQ("hello", r.Body());
+        EXPECT_TRUE(message->keep_alive);
+        http_reader_reset(r.reader);
+        http_reader_feed(r.reader, r.input);
+        EXPECT_EQ(0U, evbuffer_get_length(r.input));
+        ASSERT_EQ(HTTP_PROGRESS_WHOLE, r.Progress());
+        EXPECT_STREQ("/next", message->path);
+        EXPECT_EQ(nullptr, message->query);
+        EXPECT_FALSE(message->keep_alive);
+        EXPECT_TRUE(message->http_1_0);
+    }
+}
+
+TEST(HttpReader, ReadsChunkedBodiesWithTrailers)
+{
+    const std::string text = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked"
+                             "\r\n\r\n5\r\nhello\r\n6\r\n world\r\n0"
+                             "\r\nX-Sum: 1\r\n\r\n";
+    for (const size_t step : {1, 5, 1000}) {
+        Reader r(HTTP_MESSAGE_REQUEST);
+        EXPECT_GE(4U, r.Feed(text, step)) << step;
+        ASSERT_EQ(HTTP_PROGRESS_WHOLE, r.Progress());
+        EXPECT_EQ("hello world", r.Body());
+        EXPECT_FALSE(http_reader_message(r.reader)->keep_alive);
+    }
+}
+
+TEST(HttpReader, RefusesWhatCouldBeReadTwoWays)
+{
+    const struct {
+        const char *text;
+        unsigned status;
+    } cases[] = {
+        {"POST / HTTP/1.1\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\n",
+         400},
+        {"POST / HTTP/1.1\r\nContent-Length: +5\r\n\r\n", 400},
+        {"POST / HTTP/1.1\r\nContent-Length: 5\r\nTransfer-Encoding: "
+         "chunked\r\n\r\n",
+         400},
+        {"POST / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n", 501},
+        {"POST / HTTP/1.1\r\nContent-Length: 1001\r\n\r\n", 413},
+        {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3e9\r\n", 0},
+        {"\x16\x03\x01 nonsense\r\n\r\n", 400},
+        {"GET / HTTP/1.1\r\nBad Name: x\r\n\r\n", 400},
+    };
+    for (const auto &c : cases) {
+        Reader r(HTTP_MESSAGE_REQUEST);
+        r.Feed(c.text, 1000);
+        if (c.status == 0) {
+            r.Feed(std::string(1001, 'x'), 100);
+        }
+        ASSERT_EQ(HTTP_PROGRESS_FAILED, r.Progress()) << c.text;
+        EXPECT_EQ(c.status == 0 ? 413 : c.status,
+                  http_reader_failure(r.reader))
+            << c.text;
+    }
+}
+
+TEST(HttpReader, AnswersWithoutBodyEndAtTheHeaders)
+{
+    const std::string text = "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n";
+    for (const size_t step : {1, 1000}) {
+        Reader r(HTTP_MESSAGE_ANSWER);
+        http_reader_expect_no_body(r.reader);
+        EXPECT_EQ(4U, r.Feed(text + "next", step));
+        EXPECT_EQ(HTTP_PROGRESS_WHOLE, r.Progress());
+        Reader no_content(HTTP_MESSAGE_ANSWER);
+        no_content.Feed("HTTP/1.1 204 No Content\r\n\r\n", step);
+        EXPECT_EQ(HTTP_PROGRESS_WHOLE, no_content.Progress());
+    }
+}
+
+TEST(HttpReader, InterimAnswersAreSkipped)
+{
+    const std::string text = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 201 "
+                             "Created\r\nContent-Length: 2\r\n\r\nok";
+    for (const size_t step : {1, 4, 1000}) {
+        Reader r(HTTP_MESSAGE_ANSWER);
+        EXPECT_EQ(0U, r.Feed(text, step)) << step;
+        ASSERT_EQ(HTTP_PROGRESS_WHOLE, r.Progress());
+        EXPECT_EQ(201U, http_reader_message(r.reader)->status);
+        EXPECT_EQ("ok", r.Body());
+    }
+}
+
+TEST(HttpReader, AnswerDelimitedByTheConnectionsEndIsRefused)
+{
+    Reader r(HTTP_MESSAGE_ANSWER);
+    r.Feed("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nabc", 1000);
+    EXPECT_EQ(HTTP_PROGRESS_FAILED, r.Progress());
+}
+
+TEST(HttpHeaders, ProxyDropsFieldsOfTheConnection)
+{
+    struct http_headers received = {};
+    const char *const fields[][2] = {
+        {"Host", "shop"},
+        {"Connection", "close, X-Hop"},
+        {"X-Hop", "1"},
+        {"Keep-Alive", "3"},
+        {"TE", "trailers"},
+        {"Content-Length", "5"},
+        {"Transfer-Encoding", "chunked"},
+        {"chestnutgap-epoch", "9"},
+        {"Date", "Thu, 01 Jan 1970 00:00:00 GMT"},
+        {"Via", "1.0 a"},
+        {"X-End", "2"},
+    };
+    for (const auto &field : fields) {
+        ASSERT_TRUE(http_headers_add(&received, field[0], field[1]));
+    }
+    struct http_headers passed = {};
+    ASSERT_TRUE(
+        http_headers_forward(&passed, &received, HTTP_REQUEST_FORWARD));
+    std::string names;
+    for (size_t i = 0; i < passed.count; i++) {
+        names += std::string(passed.items[i].name) + " ";
+    }
+    EXPECT_EQ("Host Date Via X-End Via ", names);
+    EXPECT_STREQ(HTTP_VIA, passed.items[4].value);
+    http_headers_clear(&passed);
+    ASSERT_TRUE(
+        http_headers_forward(&passed, &received, HTTP_ANSWER_FORWARD_NO_BODY));
+    EXPECT_STREQ("5", http_headers_find(&passed, "content-length"));
+    http_headers_clear(&passed);
+    http_headers_clear(&received);
+}
+
+TEST(HttpHeaders, RefusesFieldsThatCouldForgeOthers)
+{
+    struct http_headers headers = {};
+    EXPECT_FALSE(http_headers_add(&headers, "X", "a\r\nY: b"));
+    EXPECT_FALSE(http_headers_add(&headers, "X:", "a"));
+    EXPECT_FALSE(http_headers_add(&headers, "", "a"));
+    EXPECT_TRUE(http_headers_add(&headers, "X", ""));
+    http_headers_clear(&headers);
+}
+
+} // namespace
