--- a/packages/store/storehttp.c
+++ b/packages/store/storehttp.c
@@ -1,460 +1,11 @@
 #include "store/storehttp.h"
 
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/queue.h>
 
-#include <event2/buffer.h>
-#include <event2/bufferevent.h>
-#include <event2/event.h>
-#include <event2/http.h>
-#include <event2/keyvalq_struct.h>
-
-#define LOG_MODULE "store"
-#include "base/log.h"
-#include "base/task.h"
+#include "store/storecall.h"
 #include "store/storecodec.h"
 
-/* evhttp's own timeout is a backstop behind the timer of each call. */
-#define CONNECTION_TIMEOUT_FACTOR 4
-
-enum {
-    HTTP_STATUS_OK = 200,
-    HTTP_STATUS_ABSENT = 404,
-};
-
-enum message_type {
-    MESSAGE_START, /* a call waits for a connection */
-    MESSAGE_DONE,  /* a call has its outcome */
-};
-
-enum call_kind {
-    CALL_COMMIT,
-    CALL_READ,
-    CALL_SCAN,
-    CALL_PUT_OBJECT,
-    CALL_GET_OBJECT,
-};
-
-struct http_connection {
-    TAILQ_ENTRY(http_connection) link;
-    struct evhttp_connection *evcon;
-    struct http_call *call; /* NULL while idle */
-};
-
-struct http_call {
-    TAILQ_ENTRY(http_call) link;
-    struct store_http *http;
-    enum call_kind kind;
-    bool waiting; /* in the queue for a connection */
-    bool done;
-    struct http_connection *connection;
-    struct timer timer;
-    union {
-        store_commit_cb commit;
-        store_read_cb read;
-        store_object_cb object;
-    } callback;
-    void *ctx;
-    /* Request */
-    char *path;
-    char *body;
-    size_t body_size;
-    char *table;
-    char *row;
-    char *after;
-    /* Answer */
-    enum store_outcome outcome;
-    json_t *document;
-    char *data;
-    size_t data_size;
-};
-
-struct call_message {
-    struct message message;
-    struct http_call *call; /* of MESSAGE_DONE */
-};
-
-TAILQ_HEAD(http_call_list, http_call);
-TAILQ_HEAD(http_connection_list, http_connection);
-
-struct store_http {
-    struct runtime *runtime;
-    struct task *task;
-    struct store_http_options options;
-    struct http_call_list queue;
-    struct http_call_list active; /* sent, or done and not yet answered */
-    size_t queued;
-    struct http_connection_list connections;
-    unsigned connection_count;
-    struct counter *calls;
-    struct counter *unavailable;
-    struct counter *unknown;
-    struct counter *bytes_sent;
-    struct counter *bytes_received;
-};
-
-static bool
-is_write(const struct http_call *call)
-{
-    return call->kind == CALL_COMMIT || call->kind == CALL_PUT_OBJECT;
-}
-
-static void
-count(struct counter *counter, int64_t increment)
-{
-    if (counter != NULL) {
-        counter->value += increment;
-    }
-}
-
-static void
-post(struct store_http *http, enum message_type type, struct http_call *call)
-{
-    struct call_message *message = calloc(1, sizeof(*message));
-    if (message == NULL) {
-        abort();
-    }
-    message->message.type = type;
-    message->call = call;
-    task_post(http->task, &message->message);
-}
-
-static void
-call_destroy(struct http_call *call)
-{
-    timer_stop(&call->timer);
-    json_decref(call->document);
-    free(call->path);
-    free(call->body);
-    free(call->table);
-    free(call->row);
-    free(call->after);
-    free(call->data);
-    free(call);
-}
-
-/** Records the outcome; the callback runs from the mailbox. */
-static void
-call_finish(struct http_call *call, enum store_outcome outcome)
-{
-    struct store_http *http = call->http;
-    if (call->done) {
-        return;
-    }
-    timer_stop(&call->timer);
-    if (call->waiting) {
-        TAILQ_REMOVE(&http->queue, call, link);
-        http->queued--;
-        call->waiting = false;
-        TAILQ_INSERT_TAIL(&http->active, call, link);
-    }
-    if (call->connection != NULL) {
-        call->connection->call = NULL;
-        call->connection = NULL;
-    }
-    call->done = true;
-    call->outcome = outcome;
-    count(http->unavailable, outcome == STORE_UNAVAILABLE);
-    count(http->unknown, outcome == STORE_UNKNOWN);
-    post(http, MESSAGE_DONE, call);
-}
-
-/** Outcome of a call of which the request may have been sent. */
-static enum store_outcome
-lost_outcome(const struct http_call *call)
-{
-    return is_write(call) ? STORE_UNKNOWN : STORE_UNAVAILABLE;
-}
-
-static void
-connection_destroy(struct store_http *http, struct http_connection *connection)
-{
-    TAILQ_REMOVE(&http->connections, connection, link);
-    http->connection_count--;
-    evhttp_connection_free(connection->evcon);
-    free(connection);
-}
-
-/** True if the kernel has not established the connection yet. */
-static bool
-still_connecting(const struct http_connection *connection)
-{
-    struct bufferevent *bev =
-        evhttp_connection_get_bufferevent(connection->evcon);
-    struct tcp_info info;
-    socklen_t size = sizeof(info);
-    const evutil_socket_t fd = bufferevent_getfd(bev);
-    return fd >= 0 &&
-           getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size) == 0 &&
-           info.tcpi_state == TCP_SYN_SENT;
-}
-
-static void
-on_call_timeout(void *ctx)
-{
-    struct http_call *call = ctx;
-    struct http_connection *connection = call->connection;
-    enum store_outcome outcome = STORE_UNAVAILABLE;
-    if (connection != NULL && !still_connecting(connection)) {
-        outcome = lost_outcome(call);
-    }
-    LOG_DBG("call_timeout", LOG_STR("path", call->path));
-    struct store_http *http = call->http;
-    call_finish(call, outcome);
-    if (connection != NULL) {
-        connection_destroy(http, connection);
-    }
-}
-
-/** Takes the answer's body out of the request. False without memory. */
-static bool
-take_body(struct http_call *call, struct evhttp_request *request)
-{
-    struct evbuffer *body = evhttp_request_get_input_buffer(request);
-    call->data_size = evbuffer_get_length(body);
-    call->data = malloc(call->data_size + 1);
-    if (call->data == NULL) {
-        return false;
-    }
-    evbuffer_remove(body, call->data, call->data_size);
-    count(call->http->bytes_received, (int64_t)call->data_size);
-    return true;
-}
-
-/** True if the length of the body was told, so that a cut one is noticed. */
-static bool
-body_is_delimited(struct evhttp_request *request)
-{
-    struct evkeyvalq *headers = evhttp_request_get_input_headers(request);
-    return evhttp_find_header(headers, "Content-Length") != NULL ||
-           evhttp_find_header(headers, "Transfer-Encoding") != NULL;
-}
-
-static enum store_outcome
-object_outcome(struct http_call *call, struct evhttp_request *request)
-{
-    const int status = evhttp_request_get_response_code(request);
-    if (!body_is_delimited(request)) {
-        return STORE_UNAVAILABLE;
-    }
-    if (status == HTTP_STATUS_OK) {
-        return STORE_COMMITTED;
-    }
-    free(call->data);
-    call->data = NULL;
-    call->data_size = 0;
-    return status == HTTP_STATUS_ABSENT ? STORE_COMMITTED : STORE_UNAVAILABLE;
-}
-
-static enum store_outcome
-answer_outcome(struct http_call *call, struct evhttp_request *request)
-{
-    if (!take_body(call, request)) {
-        return lost_outcome(call);
-    }
-    if (call->kind == CALL_GET_OBJECT) {
-        return object_outcome(call, request);
-    }
-    call->document =
-        json_loadb(call->data, call->data_size, JSON_REJECT_DUPLICATES, NULL);
-    if (is_write(call)) {
-        struct store_commit_result result;
-        store_codec_commit_parse(call->document, &result);
-        return result.outcome;
-    }
-    return evhttp_request_get_response_code(request) == HTTP_STATUS_OK
-               ? STORE_COMMITTED
-               : STORE_UNAVAILABLE;
-}
-
-/**
- * evhttp calls this with NULL if a connection failed after it was made, and
- * with a request without a status if it could not be made.
- */
-static void
-on_request_done(struct evhttp_request *request, void *ctx)
-{
-    struct http_call *call = ctx;
-    if (request == NULL) {
-        call_finish(call, lost_outcome(call));
-        return;
-    }
-    if (evhttp_request_get_response_code(request) == 0) {
-        call_finish(call, STORE_UNAVAILABLE);
-        return;
-    }
-    call_finish(call, answer_outcome(call, request));
-}
-
-static struct http_connection *
-connection_open(struct store_http *http)
-{
-    struct http_connection *connection = calloc(1, sizeof(*connection));
-    if (connection == NULL) {
-        return NULL;
-    }
-    char text[ADDRESS_TEXT_SIZE];
-    address_format(&http->options.address, text);
-    *strrchr(text, ':') = '\0';
-    connection->evcon =
-        evhttp_connection_base_new(runtime_event_base(http->runtime), NULL,
-                                   text, address_port(&http->options.address));
-    if (connection->evcon == NULL) {
-        free(connection);
-        return NULL;
-    }
-    const int64_t timeout_us =
-        http->options.timeout_us * CONNECTION_TIMEOUT_FACTOR;
-    const struct timeval timeout = {
-        .tv_sec = timeout_us / US_PER_SECOND,
-        .tv_usec = timeout_us % US_PER_SECOND,
-    };
-    evhttp_connection_set_timeout_tv(connection->evcon, &timeout);
-    evhttp_connection_set_max_body_size(connection->evcon,
-                                        STORE_ANSWER_SIZE_MAX);
-    TAILQ_INSERT_TAIL(&http->connections, connection, link);
-    http->connection_count++;
-    return connection;
-}
-
-static struct http_connection *
-find_idle_connection(struct store_http *http)
-{
-    struct http_connection *connection;
-    TAILQ_FOREACH (connection, &http->connections, link) {
-        if (connection->call == NULL) {
-            return connection;
-        }
-    }
-    if (http->connection_count < http->options.connections) {
-        return connection_open(http);
-    }
-    return NULL;
-}
-
-static enum evhttp_cmd_type
-call_method(const struct http_call *call)
-{
-    switch (call->kind) {
-    case CALL_COMMIT:
-        return EVHTTP_REQ_POST;
-    case CALL_PUT_OBJECT:
-        return EVHTTP_REQ_PUT;
-    default:
-        return EVHTTP_REQ_GET;
-    }
-}
-
-static void
-call_send(struct http_call *call, struct http_connection *connection)
-{
-    struct evhttp_request *request = evhttp_request_new(on_request_done, call);
-    if (request == NULL) {
-        call_finish(call, STORE_UNAVAILABLE);
-        return;
-    }
-    struct evkeyvalq *headers = evhttp_request_get_output_headers(request);
-    char host[ADDRESS_TEXT_SIZE];
-    address_format(&call->http->options.address, host);
-    evhttp_add_header(headers, "Host", host);
-    if (is_write(call)) {
-        evhttp_add_header(headers, "Content-Type",
-                          call->kind == CALL_COMMIT
-                              ? "application/json"
-                              : "application/octet-stream");
-    }
-    evbuffer_add(evhttp_request_get_output_buffer(request), call->body,
-                 call->body_size);
-    count(call->http->bytes_sent, (int64_t)call->body_size);
-    connection->call = call;
-    call->connection = connection;
-    /* It may finish the call within, or fail without a callback. */
-    if (evhttp_make_request(connection->evcon, request, call_method(call),
-                            call->path) != 0) {
-        call_finish(call, STORE_UNAVAILABLE);
-    }
-}
-
-/** Sends waiting calls while there are connections. */
-static void
-send_waiting(struct store_http *http)
-{
-    struct http_call *call;
-    while ((call = TAILQ_FIRST(&http->queue)) != NULL) {
-        struct http_connection *connection = find_idle_connection(http);
-        if (connection == NULL) {
-            return;
-        }
-        TAILQ_REMOVE(&http->queue, call, link);
-        http->queued--;
-        call->waiting = false;
-        TAILQ_INSERT_TAIL(&http->active, call, link);
-        call_send(call, connection);
-    }
-}
-
-static void
-answer_write(struct http_call *call)
-{
-    struct store_commit_result result = {.outcome = call->outcome};
-    if (call->document != NULL) {
-        store_codec_commit_parse(call->document, &result);
-    }
-    call->callback.commit(call->ctx, &result);
-}
-
-static void
-answer_rows(struct http_call *call)
-{
-    const struct store_codec_expected expected = {
-        .table = call->table,
-        .row = call->kind == CALL_READ ? call->row : NULL,
-        .after = call->after,
-    };
-    struct store_row *rows = NULL;
-    struct store_read_result result = {.outcome = STORE_UNAVAILABLE};
-    if (call->outcome == STORE_COMMITTED) {
-        store_codec_rows_parse(call->document, &expected, &rows, &result);
-    }
-    call->callback.read(call->ctx, &result);
-    free(rows);
-}
-
-/** Runs the callback, which may destroy the client, and frees the call. */
-static void
-call_answer(struct http_call *call)
-{
-    TAILQ_REMOVE(&call->http->active, call, link);
-    if (is_write(call)) {
-        answer_write(call);
-    }
-    else if (call->kind == CALL_GET_OBJECT) {
-        const bool found =
-            call->outcome == STORE_COMMITTED && call->data != NULL;
-        call->callback.object(call->ctx, call->outcome,
-                              found ? call->data : NULL,
-                              found ? call->data_size : 0);
-    }
-    else {
-        answer_rows(call);
-    }
-    call_destroy(call);
-}
-
-static void
-handle_message(void *ctx, struct message *message)
-{
-    struct store_http *http = ctx;
-    struct http_call *call = ((struct call_message *)message)->call;
-    send_waiting(http);
-    if (message->type == MESSAGE_DONE) {
-        call_answer(call);
-    }
-}
-
 static char *
 copy_or_null(const char *text)
 {
@@ -468,53 +19,12 @@
     return copy;
 }
 
-static struct http_call *
-call_create(struct store_http *http, enum call_kind kind, char *path,
-            void *ctx)
-{
-    struct http_call *call = calloc(1, sizeof(*call));
-    if (call == NULL) {
-        abort();
-    }
-    call->http = http;
-    call->kind = kind;
-    call->path = path;
-    call->ctx = ctx;
-    timer_init(&call->timer, http->runtime, on_call_timeout, call);
-    return call;
-}
-
-/** Queues the call, or fails it if it cannot be sent. */
-static void
-call_start(struct http_call *call)
-{
-    struct store_http *http = call->http;
-    count(http->calls, 1);
-    const bool has_body = !is_write(call) || call->body != NULL;
-    if (call->path == NULL || !has_body ||
-        call->body_size > STORE_REQUEST_SIZE_MAX ||
-        http->queued >= http->options.queue_max) {
-        LOG_ERR("call_not_sent",
-                LOG_STR("path", call->path != NULL ? call->path : ""),
-                LOG_UINT("body_bytes", call->body_size),
-                LOG_UINT("queued", http->queued));
-        TAILQ_INSERT_TAIL(&http->active, call, link);
-        call_finish(call, STORE_UNAVAILABLE);
-        return;
-    }
-    TAILQ_INSERT_TAIL(&http->queue, call, link);
-    http->queued++;
-    call->waiting = true;
-    timer_start(&call->timer, http->options.timeout_us);
-    post(http, MESSAGE_START, call);
-}
-
 static void
 http_commit(void *impl, const struct store_txn *txn, store_commit_cb callback,
             void *ctx)
 {
-    struct http_call *call =
-        call_create(impl, CALL_COMMIT, copy_or_null(STORE_PATH_COMMIT), ctx);
+    struct http_call *call = store_call_create(
+        impl, CALL_COMMIT, copy_or_null(STORE_PATH_COMMIT), ctx);
     call->callback.commit = callback;
     json_t *document = store_txn_to_json(txn);
     if (document != NULL) {
@@ -522,19 +32,19 @@
         json_decref(document);
     }
     call->body_size = call->body != NULL ? strlen(call->body) : 0;
-    call_start(call);
+    store_call_start(call);
 }
 
 static void
 http_read(void *impl, const char *table, const char *row,
           store_read_cb callback, void *ctx)
 {
-    struct http_call *call =
-        call_create(impl, CALL_READ, store_codec_row_path(table, row), ctx);
+    struct http_call *call = store_call_create(
+        impl, CALL_READ, store_codec_row_path(table, row), ctx);
     call->callback.read = callback;
     call->table = copy_or_null(table);
     call->row = copy_or_null(row);
-    call_start(call);
+    store_call_start(call);
 }
 
 static void
@@ -542,36 +52,36 @@
           void *ctx)
 {
     struct http_call *call =
-        call_create(impl, CALL_SCAN, store_codec_rows_path(scan), ctx);
+        store_call_create(impl, CALL_SCAN, store_codec_rows_path(scan), ctx);
     call->callback.read = callback;
     call->table = copy_or_null(scan->table);
     call->after = copy_or_null(scan->after);
-    call_start(call);
+    store_call_start(call);
 }
 
 static void
 http_put_object(void *impl, const char *name, const void *data, size_t size,
                 store_commit_cb callback, void *ctx)
 {
-    struct http_call *call =
-        call_create(impl, CALL_PUT_OBJECT, store_codec_object_path(name), ctx);
+    struct http_call *call = store_call_create(
+        impl, CALL_PUT_OBJECT, store_codec_object_path(name), ctx);
     call->callback.commit = callback;
     call->body = malloc(size + 1);
     if (call->body != NULL && size > 0) {
         memcpy(call->body, data, size);
     }
     call->body_size = size;
-    call_start(call);
+    store_call_start(call);
 }
 
 static void
 http_get_object(void *impl, const char *name, store_object_cb callback,
                 void *ctx)
 {
-    struct http_call *call =
-        call_create(impl, CALL_GET_OBJECT, store_codec_object_path(name), ctx);
+    struct http_call *call = store_call_create(
+        impl, CALL_GET_OBJECT, store_codec_object_path(name), ctx);
     call->callback.object = callback;
-    call_start(call);
+    store_call_start(call);
 }
 
 static const struct store_ops http_ops = {
@@ -619,7 +129,7 @@
     TAILQ_INIT(&http->queue);
     TAILQ_INIT(&http->active);
     TAILQ_INIT(&http->connections);
-    http->task = task_create(runtime, "store", handle_message, http);
+    http->task = task_create(runtime, "store", store_call_handle, http);
     if (http->task == NULL) {
         error_set(err, ERROR_NO_MEMORY, "store client");
         free(http);
@@ -637,7 +147,7 @@
     struct http_call *call;
     while ((call = TAILQ_FIRST(calls)) != NULL) {
         TAILQ_REMOVE(calls, call, link);
-        call_destroy(call);
+        store_call_destroy(call);
     }
 }
 
@@ -647,12 +157,7 @@
     if (http == NULL) {
         return;
     }
-    struct http_connection *connection = TAILQ_FIRST(&http->connections);
-    while (connection != NULL) {
-        struct http_connection *next = TAILQ_NEXT(connection, link);
-        connection_destroy(http, connection);
-        connection = next;
-    }
+    store_call_close_connections(http);
     destroy_calls(&http->queue);
     destroy_calls(&http->active);
     task_destroy(http->task);
