--- a/packages/base/errorcodes.h
+++ b/packages/base/errorcodes.h
@@ -55,7 +55,12 @@
     X(ERROR_OVERLOADED, "no capacity for the request")                        \
     X(ERROR_DEADLINE, "the request's deadline has passed")                    \
     X(ERROR_DRAINING, "the instance is leaving")                              \
-    X(ERROR_HANDOVER, "the state of a moved shard could not be read")
+    X(ERROR_HANDOVER, "the state of a moved shard could not be read")         \
+    X(ERROR_KEY_MISSING, "the request has no key")                            \
+    X(ERROR_KEY_INVALID, "the request's key is empty, too long or malformed") \
+    X(ERROR_ID_MISSING, "the request needs an Idempotency-Key")               \
+    X(ERROR_ID_INVALID, "the Idempotency-Key is empty, too long or malformed")\
+    X(ERROR_DEADLINE_INVALID, "Chestnutgap-Deadline-Ms is not a number")
 
 #define ERROR_CODES_CTL(X)                                                    \
     X(ERROR_USAGE, "the command line is not valid")
--- /dev/null
+++ b/packages/entry/retry.h
@@ -0,0 +1,37 @@
+/**
+ * @file
+ * The budget of retries of one entry and service. Tokens are earned by
+ * requests, so that retries stay a fixed share of traffic however many
+ * requests fail.
+ */
+#ifndef CHESTNUTGAP_ENTRY_RETRY_H
+#define CHESTNUTGAP_ENTRY_RETRY_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/random.h"
+
+/** A bucket of tokens. Fields are private. */
+struct retry {
+    double per_request;
+    double tokens;
+    int64_t filled_us;
+};
+
+/** percent: extra tries, of requests. */
+void retry_init(struct retry *retry, unsigned percent, int64_t now_us);
+
+/** Takes over a changed declaration. */
+void retry_configure(struct retry *retry, unsigned percent);
+
+/** A request has arrived, which earns its share of a token. */
+void retry_earn(struct retry *retry, int64_t now_us);
+
+/** Takes a token for one extra try. */
+bool retry_take(struct retry *retry, int64_t now_us);
+
+/** Delay before try number attempt (1: the first retry), with jitter. */
+int64_t retry_backoff_us(struct random_state *random, unsigned attempt);
+
+#endif
--- a/packages/gate/dedup.c
+++ b/packages/gate/dedup.c
@@ -113,20 +113,19 @@
 }
 
 static uint64_t
-dedup_hash(const struct dedup_shard *shard, const char *id)
+dedup_hash(uint32_t key, const char *id)
 {
-    return hash_bytes(id, strlen(id), shard->number);
+    return hash_bytes(id, strlen(id), key);
 }
 
 struct dedup_entry *
-dedup_find(const struct dedup *dedup, const struct dedup_shard *shard,
-           const char *id)
+dedup_find(const struct dedup *dedup, uint32_t key, const char *id)
 {
-    const uint64_t hash = dedup_hash(shard, id);
+    const uint64_t hash = dedup_hash(key, id);
     struct dedup_entry *entry;
     LIST_FOREACH (entry, &dedup->buckets[hash & (dedup->bucket_count - 1)],
                   bucket_link) {
-        if (entry->id_hash == hash && entry->shard == shard &&
+        if (entry->id_hash == hash && entry->key == key &&
             strcmp(entry->id, id) == 0) {
             return entry;
         }
@@ -156,10 +155,10 @@
 }
 
 struct dedup_entry *
-dedup_add(struct dedup *dedup, struct dedup_shard *shard, const char *id,
-          uint64_t body_hash)
+dedup_add(struct dedup *dedup, struct dedup_shard *shard,
+          const struct dedup_request *request)
 {
-    const size_t id_size = strlen(id) + 1;
+    const size_t id_size = strlen(request->id) + 1;
     struct dedup_entry *entry = calloc(1, sizeof(*entry) + id_size);
     if (entry == NULL) {
         return NULL;
@@ -167,10 +166,11 @@
     if (dedup->count >= dedup->bucket_count) {
         dedup_grow(dedup);
     }
-    memcpy(entry->id, id, id_size);
+    memcpy(entry->id, request->id, id_size);
     entry->shard = shard;
-    entry->id_hash = dedup_hash(shard, id);
-    entry->body_hash = body_hash;
+    entry->key = request->key;
+    entry->id_hash = dedup_hash(request->key, request->id);
+    entry->body_hash = request->body_hash;
     entry->state = DEDUP_STATE_RUNNING;
     TAILQ_INIT(&entry->waiters);
     LIST_INSERT_HEAD(
@@ -250,6 +250,68 @@
     shard->horizon_until_us = INT64_MAX;
 }
 
+void
+dedup_move_entry(struct dedup_entry *entry, struct dedup_shard *to)
+{
+    struct dedup_shard *from = entry->shard;
+    TAILQ_REMOVE(&from->entries, entry, shard_link);
+    TAILQ_INSERT_TAIL(&to->entries, entry, shard_link);
+    if (entry->state == DEDUP_STATE_RUNNING) {
+        from->running--;
+        to->running++;
+    }
+    entry->shard = to;
+}
+
+static void
+dedup_take_horizon(struct dedup_shard *to, const struct dedup_shard *from)
+{
+    if (from->horizon_ms > to->horizon_ms) {
+        to->horizon_ms = from->horizon_ms;
+    }
+    if (from->horizon_until_us > to->horizon_until_us) {
+        to->horizon_until_us = from->horizon_until_us;
+    }
+}
+
+void
+dedup_split(struct dedup *dedup, uint32_t base, uint32_t key)
+{
+    struct dedup_shard *from = dedup_find_shard(dedup, base);
+    struct dedup_shard *to = dedup_get_shard(dedup, key);
+    if (from == NULL || to == NULL) {
+        return;
+    }
+    dedup_take_horizon(to, from);
+    struct dedup_entry *entry = TAILQ_FIRST(&from->entries);
+    while (entry != NULL) {
+        struct dedup_entry *next = TAILQ_NEXT(entry, shard_link);
+        if (entry->key == key) {
+            dedup_move_entry(entry, to);
+        }
+        entry = next;
+    }
+}
+
+void
+dedup_merge(struct dedup *dedup, uint32_t base, uint32_t key)
+{
+    struct dedup_shard *from = dedup_find_shard(dedup, key);
+    struct dedup_shard *to = dedup_get_shard(dedup, base);
+    if (from == NULL || to == NULL) {
+        return;
+    }
+    dedup_take_horizon(to, from);
+    struct dedup_entry *entry = TAILQ_FIRST(&from->entries);
+    while (entry != NULL) {
+        struct dedup_entry *next = TAILQ_NEXT(entry, shard_link);
+        dedup_move_entry(entry, to);
+        entry = next;
+    }
+    LIST_REMOVE(from, link);
+    free(from);
+}
+
 bool
 dedup_mint_ms(const char *id, int64_t *mint_ms)
 {
@@ -322,26 +384,25 @@
 }
 
 struct dedup_result
-dedup_begin(struct dedup *dedup, uint32_t number, const char *id,
-            uint64_t body_hash, struct dedup_waiter *waiter,
-            const struct dedup_time *time)
+dedup_begin(struct dedup *dedup, const struct dedup_request *request,
+            struct dedup_waiter *waiter, const struct dedup_time *time)
 {
     struct dedup_result result = {.verdict = DEDUP_UNKNOWN};
-    struct dedup_shard *shard = dedup_find_shard(dedup, number);
+    struct dedup_shard *shard = dedup_find_shard(dedup, request->shard);
     if (shard == NULL) {
         return result;
     }
-    struct dedup_entry *entry = dedup_find(dedup, shard, id);
+    struct dedup_entry *entry = dedup_find(dedup, request->key, request->id);
     if (entry != NULL) {
-        return dedup_known(entry, body_hash, waiter);
+        return dedup_known(entry, request->body_hash, waiter);
     }
-    if (!dedup_is_new(dedup, shard, id, time)) {
+    if (!dedup_is_new(dedup, shard, request->id, time)) {
         return result;
     }
     const size_t needed =
-        sizeof(*entry) + strlen(id) + 1 + DEDUP_ANSWER_RESERVE;
+        sizeof(*entry) + strlen(request->id) + 1 + DEDUP_ANSWER_RESERVE;
     if (dedup->bytes + needed <= dedup->config.bytes_max) {
-        result.entry = dedup_add(dedup, shard, id, body_hash);
+        result.entry = dedup_add(dedup, shard, request);
     }
     if (result.entry == NULL) {
         result.verdict = DEDUP_FULL;
@@ -419,11 +480,9 @@
 }
 
 struct dedup_entry *
-dedup_running(const struct dedup *dedup, uint32_t number, const char *id)
+dedup_running(const struct dedup *dedup, uint32_t key, const char *id)
 {
-    const struct dedup_shard *shard = dedup_find_shard(dedup, number);
-    struct dedup_entry *entry =
-        shard == NULL ? NULL : dedup_find(dedup, shard, id);
+    struct dedup_entry *entry = dedup_find(dedup, key, id);
     return entry != NULL && entry->state == DEDUP_STATE_RUNNING ? entry : NULL;
 }
 
--- a/packages/gate/dedup.h
+++ b/packages/gate/dedup.h
@@ -49,6 +49,14 @@
     DEDUP_FULL,    /**< no memory to remember it; not run */
 };
 
+/** A request with an id. */
+struct dedup_request {
+    uint32_t shard; /**< that it belongs to now */
+    uint32_t key;   /**< shardmap_key_of() its key: the same after a split */
+    const char *id;
+    uint64_t body_hash;
+};
+
 /** A second request with a running id, embedded in its owner. */
 struct dedup_waiter {
     TAILQ_ENTRY(dedup_waiter) link;
@@ -84,9 +92,15 @@
 /** Forgets a shard that was handed over. Running ids stay until they end. */
 void dedup_lose(struct dedup *dedup, uint32_t shard);
 
+/** The key, which is a shard number too, was split out of shard base. */
+void dedup_split(struct dedup *dedup, uint32_t base, uint32_t key);
+
+/** The single-key shard was merged back into shard base. */
+void dedup_merge(struct dedup *dedup, uint32_t base, uint32_t key);
+
 /** A request with an id has arrived. */
-struct dedup_result dedup_begin(struct dedup *dedup, uint32_t shard,
-                                const char *id, uint64_t body_hash,
+struct dedup_result dedup_begin(struct dedup *dedup,
+                                const struct dedup_request *request,
                                 struct dedup_waiter *waiter,
                                 const struct dedup_time *time);
 
@@ -116,7 +130,7 @@
                  struct dedup_waiter *waiter);
 
 /** The entry that a waiter waits for; NULL if the id is not running. */
-struct dedup_entry *dedup_running(const struct dedup *dedup, uint32_t shard,
+struct dedup_entry *dedup_running(const struct dedup *dedup, uint32_t key,
                                   const char *id);
 
 /** Whether other requests wait for the running id. */
--- a/packages/gate/dedup_internal.h
+++ b/packages/gate/dedup_internal.h
@@ -22,6 +22,7 @@
     TAILQ_ENTRY(dedup_entry) expiry_link; /* unless running */
     struct dedup_shard *shard;
     uint64_t id_hash;
+    uint32_t key;
     uint64_t body_hash;
     int64_t ended_us;
     enum dedup_state state;
@@ -62,13 +63,15 @@
 /** Finds or adds the record of a shard. NULL without memory. */
 struct dedup_shard *dedup_get_shard(struct dedup *dedup, uint32_t number);
 
-struct dedup_entry *dedup_find(const struct dedup *dedup,
-                               const struct dedup_shard *shard,
+struct dedup_entry *dedup_find(const struct dedup *dedup, uint32_t key,
                                const char *id);
 
 /** Adds an entry in state RUNNING. NULL without memory. */
 struct dedup_entry *dedup_add(struct dedup *dedup, struct dedup_shard *shard,
-                              const char *id, uint64_t body_hash);
+                              const struct dedup_request *request);
+
+/** Makes the entry one of another shard. */
+void dedup_move_entry(struct dedup_entry *entry, struct dedup_shard *to);
 
 /** Ends a running entry; answer is owned by the entry from now on. */
 void dedup_end(struct dedup *dedup, struct dedup_entry *entry,
--- a/packages/gate/dedupblob.c
+++ b/packages/gate/dedupblob.c
@@ -9,13 +9,13 @@
 /*
  * Layout, all numbers little-endian: header {magic u32, version u32, shard
  * u32, count u32, horizon_ms u64, horizon_left_us u64}, entries {id size
- * u16, state u8, 0 u8, answer size u32, body hash u64, age_us u64, id,
- * answer}, and the XXH3 of all that as u64.
+ * u16, state u8, 0 u8, answer size u32, key u32, body hash u64, age_us u64,
+ * id, answer}, and the XXH3 of all that as u64.
  */
 #define BLOB_MAGIC 0x44454447u
 #define BLOB_VERSION 1
 #define BLOB_HEADER_SIZE 32
-#define BLOB_ENTRY_SIZE 24
+#define BLOB_ENTRY_SIZE 28
 #define BLOB_CHECK_SIZE 8
 #define BLOB_ID_MAX 255
 
@@ -63,6 +63,7 @@
     blob_put(at, finished ? DEDUP_STATE_FINISHED : DEDUP_STATE_LOST, 1);
     blob_put(at, 0, 1);
     blob_put(at, answer_size, 4);
+    blob_put(at, entry->key, 4);
     blob_put(at, entry->body_hash, 8);
     blob_put(at, running ? 0 : (uint64_t)(now_us - entry->ended_us), 8);
     memcpy(*at, entry->id, id_size);
@@ -114,6 +115,7 @@
 struct blob_entry {
     char id[BLOB_ID_MAX + 1];
     enum dedup_state state;
+    uint32_t key;
     uint64_t body_hash;
     int64_t age_us;
     const uint8_t *answer;
@@ -131,6 +133,7 @@
     entry->state = (enum dedup_state)blob_get(at, 1);
     const uint64_t zero = blob_get(at, 1);
     entry->answer_size = blob_get(at, 4);
+    entry->key = (uint32_t)blob_get(at, 4);
     entry->body_hash = blob_get(at, 8);
     entry->age_us = (int64_t)blob_get(at, 8);
     if (id_size == 0 || id_size > BLOB_ID_MAX || zero != 0 ||
@@ -181,11 +184,17 @@
 blob_import_entry(struct dedup *dedup, struct dedup_shard *shard,
                   const struct blob_entry *source, int64_t now_us)
 {
-    if (dedup_find(dedup, shard, source->id) != NULL) {
-        return true; /* known from an earlier time as owner */
+    struct dedup_entry *known = dedup_find(dedup, source->key, source->id);
+    if (known != NULL) {
+        dedup_move_entry(known, shard); /* from an earlier time as owner */
+        return true;
     }
-    struct dedup_entry *entry =
-        dedup_add(dedup, shard, source->id, source->body_hash);
+    const struct dedup_request request = {
+        .key = source->key,
+        .id = source->id,
+        .body_hash = source->body_hash,
+    };
+    struct dedup_entry *entry = dedup_add(dedup, shard, &request);
     if (entry == NULL) {
         return false;
     }
--- a/packages/gate/gate.c
+++ b/packages/gate/gate.c
@@ -121,7 +121,7 @@
                     request->id);
     struct dedup_waiters waiters = TAILQ_HEAD_INITIALIZER(waiters);
     if (request->recorded) {
-        runs_release(gate->runs, request->admission.shard, request->id);
+        runs_release(gate->runs, request->key, request->id);
     }
     if (request->entry != NULL) {
         dedup_not_run(gate->dedup, request->entry, &waiters);
@@ -184,9 +184,14 @@
 gate_begin_id(struct gate *gate, struct gate_request *request,
               const struct dedup_time *time)
 {
+    const struct dedup_request wanted = {
+        .shard = request->admission.shard,
+        .key = request->key,
+        .id = request->id,
+        .body_hash = request->body_hash,
+    };
     const struct dedup_result result =
-        dedup_begin(gate->dedup, request->admission.shard, request->id,
-                    request->body_hash, &request->waiter, time);
+        dedup_begin(gate->dedup, &wanted, &request->waiter, time);
     struct gate_answer answer = {
         .outcome = FORWARD_NOT_RUN,
         .reason = FORWARD_REASON_ID_REUSED,
@@ -196,7 +201,7 @@
         request->entry = result.entry;
         if (gate->runs != NULL) {
             request->state = GATE_STATE_RECORDING;
-            runs_insert(gate->runs, &request->insert, request->admission.shard,
+            runs_insert(gate->runs, &request->insert, request->key,
                         request->id, request->admission.entry.deadline_us);
             return;
         }
@@ -318,8 +323,8 @@
                      &waiters);
         request->entry = NULL;
         if (gate->runs != NULL) {
-            runs_finished(gate->runs, request->admission.shard, request->id,
-                          status, gate->now_us);
+            runs_finished(gate->runs, request->key, request->id, status,
+                          gate->now_us);
         }
     }
     gate_end_waiters(gate, &waiters, &answer);
@@ -369,8 +374,7 @@
     struct dedup_entry *running;
     switch (request->state) {
     case GATE_STATE_WAITING:
-        running =
-            dedup_running(gate->dedup, request->admission.shard, request->id);
+        running = dedup_running(gate->dedup, request->key, request->id);
         if (running != NULL) {
             dedup_leave(gate->dedup, running, &request->waiter);
         }
--- a/packages/gate/gate.h
+++ b/packages/gate/gate.h
@@ -41,6 +41,7 @@
 struct gate_request {
     struct admission_request admission;
     const char *id;
+    uint32_t key; /**< shardmap_key_of() its key, or its id if un-keyed */
     uint64_t body_hash;
     enum gate_state state;
     bool answered; /**< the entry has its answer */
--- a/packages/gate/runs.c
+++ b/packages/gate/runs.c
@@ -94,23 +94,23 @@
 
 /* Ids of any length and content become a name of fixed length. */
 static void
-runs_row(const struct runs *runs, uint32_t shard, const char *id,
+runs_row(const struct runs *runs, uint32_t key, const char *id,
          char row[ROW_SIZE])
 {
     const uint64_t high = hash_bytes(id, strlen(id), 1);
     const uint64_t low = hash_bytes(id, strlen(id), 2);
-    snprintf(row, ROW_SIZE, "%s/%u/%016llx%016llx", runs->config.service,
-             shard, (unsigned long long)high, (unsigned long long)low);
+    snprintf(row, ROW_SIZE, "%s/%u/%016llx%016llx", runs->config.service, key,
+             (unsigned long long)high, (unsigned long long)low);
 }
 
 static struct runs_item *
-runs_item_create(const struct runs *runs, enum runs_kind kind, uint32_t shard,
+runs_item_create(const struct runs *runs, enum runs_kind kind, uint32_t key,
                  const char *id)
 {
     struct runs_item *item = calloc(1, sizeof(*item));
     if (item != NULL) {
         item->kind = kind;
-        runs_row(runs, shard, id, item->row);
+        runs_row(runs, key, id, item->row);
     }
     return item;
 }
@@ -136,11 +136,10 @@
 }
 
 void
-runs_insert(struct runs *runs, struct runs_insert *insert, uint32_t shard,
+runs_insert(struct runs *runs, struct runs_insert *insert, uint32_t key,
             const char *id, int64_t deadline_us)
 {
-    struct runs_item *item =
-        runs_item_create(runs, RUNS_KIND_INSERT, shard, id);
+    struct runs_item *item = runs_item_create(runs, RUNS_KIND_INSERT, key, id);
     if (item == NULL) {
         abort();
     }
@@ -162,19 +161,19 @@
 }
 
 void
-runs_release(struct runs *runs, uint32_t shard, const char *id)
+runs_release(struct runs *runs, uint32_t key, const char *id)
 {
     char row[ROW_SIZE];
-    runs_row(runs, shard, id, row);
+    runs_row(runs, key, id, row);
     runs_doubt(runs, row);
 }
 
 void
-runs_finished(struct runs *runs, uint32_t shard, const char *id,
-              unsigned status, int64_t now_us)
+runs_finished(struct runs *runs, uint32_t key, const char *id, unsigned status,
+              int64_t now_us)
 {
     struct runs_item *remove =
-        runs_item_create(runs, RUNS_KIND_DELETE, shard, id);
+        runs_item_create(runs, RUNS_KIND_DELETE, key, id);
     if (remove != NULL) {
         remove->due_us = now_us + runs->config.retention_us;
         TAILQ_INSERT_TAIL(&runs->deletes, remove, link);
@@ -182,7 +181,7 @@
     if (runs->mark_count >= RUNS_MARKS_MAX) {
         return; /* the row stays "started", which is safe */
     }
-    struct runs_item *mark = runs_item_create(runs, RUNS_KIND_MARK, shard, id);
+    struct runs_item *mark = runs_item_create(runs, RUNS_KIND_MARK, key, id);
     if (mark != NULL) {
         mark->status = status;
         runs->mark_count++;
--- a/packages/gate/runs.h
+++ b/packages/gate/runs.h
@@ -57,17 +57,17 @@
 void runs_destroy(struct runs *runs);
 
 /** Asks for the id to be recorded as started. */
-void runs_insert(struct runs *runs, struct runs_insert *insert, uint32_t shard,
+void runs_insert(struct runs *runs, struct runs_insert *insert, uint32_t key,
                  const char *id, int64_t deadline_us);
 
 /** The insert is no longer wanted. It may take effect all the same. */
 void runs_cancel(struct runs *runs, struct runs_insert *insert);
 
 /** A recorded id was not dispatched after all, and may be asked for again. */
-void runs_release(struct runs *runs, uint32_t shard, const char *id);
+void runs_release(struct runs *runs, uint32_t key, const char *id);
 
 /** A recorded id has finished with this HTTP status. */
-void runs_finished(struct runs *runs, uint32_t shard, const char *id,
+void runs_finished(struct runs *runs, uint32_t key, const char *id,
                    unsigned status, int64_t now_us);
 
 /** Sends the next batch if it is time. Call every few milliseconds. */
