--- a/packages/state/test/state_test.cc
+++ b/packages/state/test/state_test.cc
@@ -7,6 +7,7 @@
 extern "C" {
 #include "base/random.h"
 #include "base/runtime.h"
+#include "state/revision.h"
 #include "state/state.h"
 #include "state/statediff.h"
 #include "state/statejson.h"
@@ -179,6 +180,48 @@
     json_decref(document);
 }
 
+TEST(State, RevisionRowsRoundTripAndTellDamage)
+{
+    json_t *document = load("lagos/state.json");
+    struct revision_head head = {};
+    head.revision = 4;
+    head.base = 3;
+    strcpy(head.author, "bisi");
+    state_digest_format(state_digest(document), head.digest);
+    json_t *row = revision_to_json(&head, document);
+    struct revision_head read;
+    struct error err = {};
+    EXPECT_EQ(document, revision_document(row, &read, &err));
+    EXPECT_EQ(4U, read.revision);
+    EXPECT_STREQ("bisi", read.author);
+    json_object_set_new(document, "limits", json_object());
+    EXPECT_EQ(nullptr, revision_document(row, &read, &err));
+    EXPECT_EQ(ERROR_STORE_ANSWER, err.code);
+    char name[REVISION_ROW_SIZE];
+    revision_row(4, name);
+    EXPECT_STREQ("revision/00000000000000000004", name);
+    json_decref(row);
+    json_decref(document);
+}
+
+TEST(State, ShardsOfAServiceAreFixed)
+{
+    json_t *document = load("lagos/state.json");
+    struct state *before = parse(document);
+    json_t *service = json_array_get(json_object_get(document, "services"), 1);
+    json_object_set_new(service, "shards", json_integer(128));
+    struct state *after = parse(document);
+    struct document_problems problems = {};
+    EXPECT_TRUE(revision_check_change(before, before, &problems));
+    EXPECT_FALSE(revision_check_change(before, after, &problems));
+    EXPECT_STREQ("/services/1/shards (expected 64, fixed while "
+                 "reservation-desk exists)",
+                 problems.problems[0].subject);
+    state_destroy(before);
+    state_destroy(after);
+    json_decref(document);
+}
+
 TEST(State, RandomBytesAreRefusedOrWhole)
 {
     json_t *document = load("powys/state.json");
