target: adapter to the one target beside the daemon

Announcements over HTTP, requests with shard, epoch, grant expiry, deadline and id, orders (grants, drain, cancel, probe), and detection of a lost process: a cut or refused connection leads to a probe, and a refused probe or another incarnation proves that the process is gone.

--- /dev/null
+++ b/packages/target/target.h
@@ -0,0 +1,171 @@
+/**
+ * @file
+ * The one target beside this process: its announcement, requests to it, and
+ * orders about grants, cancellation and draining. docs/TARGETS.md is the
+ * same for authors of targets.
+ */
+#ifndef CHESTNUTGAP_TARGET_TARGET_H
+#define CHESTNUTGAP_TARGET_TARGET_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "base/address.h"
+#include "base/error.h"
+#include "http/httpheaders.h"
+#include "target/announcement.h"
+
+struct counter_registry;
+struct runtime;
+
+#define TARGET_SHARD_HEADER HTTP_PRIVATE_PREFIX "Shard"
+#define TARGET_EPOCH_HEADER HTTP_PRIVATE_PREFIX "Epoch"
+#define TARGET_EXPIRES_HEADER HTTP_PRIVATE_PREFIX "Grant-Expires-Us"
+#define TARGET_DEADLINE_HEADER HTTP_PRIVATE_PREFIX "Deadline-Us"
+#define TARGET_ID_HEADER HTTP_PRIVATE_PREFIX "Request-Id"
+#define TARGET_NOT_RUN_HEADER HTTP_PRIVATE_PREFIX "Not-Run"
+
+struct target;
+
+/** A request to the target that is not finished. */
+struct target_call;
+
+/** What happened to the target. */
+enum target_change {
+    TARGET_ANNOUNCED, /**< first announcement, or after it was lost */
+    TARGET_RESTARTED, /**< another incarnation took its place */
+    TARGET_UPDATED,   /**< same incarnation, other figures (cold, slots) */
+    TARGET_WITHDRAWN, /**< it wants to leave; drain it */
+    TARGET_LOST,      /**< its process is gone: connections are refused */
+};
+
+struct target_config {
+    struct address announce_address; /**< port 0 picks a port */
+    size_t body_max;                 /**< bytes of an answer; 0: default */
+    /** Called at each change, after the announcement was taken over. Calls
+     * that were cut by a crash have ended before. */
+    void (*changed)(void *ctx, enum target_change change);
+    void *ctx;
+};
+
+/** Opens the announce address. NULL with err set on failure. */
+struct target *target_create(struct runtime *runtime,
+                             const struct target_config *config,
+                             struct counter_registry *counters,
+                             struct error *err);
+
+/** Outstanding calls get no callback. */
+void target_destroy(struct target *target);
+
+const struct address *target_announce_address(const struct target *target);
+
+/** The announcement in force, or NULL if there is no target. */
+const struct announcement *target_current(const struct target *target);
+
+/** Open connections to the target, never more than it declared. */
+unsigned target_connections(const struct target *target);
+
+/* Requests. */
+
+enum target_outcome {
+    TARGET_ANSWERED,
+    TARGET_NOT_RUN, /**< proved: no byte sent, or the target says so */
+    TARGET_UNKNOWN, /**< may have run */
+};
+
+/** Why there is no answer. */
+enum target_reason {
+    TARGET_REASON_NONE,
+    TARGET_REASON_NO_TARGET, /**< none has announced itself */
+    TARGET_REASON_CONNECT,   /**< the connection was refused or failed */
+    TARGET_REASON_DEADLINE,
+    TARGET_REASON_SHED,      /**< the target sheds load */
+    TARGET_REASON_GRANT,     /**< the target knows a newer owner, or expiry */
+    TARGET_REASON_DRAINING,  /**< the target is leaving */
+    TARGET_REASON_CUT,       /**< the connection ended amid the request */
+    TARGET_REASON_MALFORMED, /**< the answer was not understood */
+};
+
+struct target_result {
+    enum target_outcome outcome;
+    enum target_reason reason;
+    unsigned retry_after_ms; /**< 0: the target gave none */
+    int64_t latency_us;      /**< since target_forward() */
+    unsigned status;         /**< if answered; so the rest */
+    const struct http_headers *headers;
+    const void *body;
+    size_t body_size;
+};
+
+typedef void (*target_done_cb)(void *ctx, const struct target_result *result);
+
+/** What to send; everything is copied. */
+struct target_request {
+    const char *method;
+    const char *path; /**< with the query */
+    const struct http_header *headers;
+    size_t header_count;
+    const void *body;
+    size_t body_size;
+    bool keyed; /**< shard, epoch and grant_expires_us are sent */
+    uint32_t shard;
+    uint64_t epoch;
+    int64_t grant_expires_us; /**< on CLOCK_BOOTTIME */
+    int64_t deadline_us;      /**< on CLOCK_BOOTTIME; the call ends then */
+    const char *request_id;   /**< unique per execution, or NULL */
+    target_done_cb done;      /**< once, never within target_forward() */
+    void *ctx;
+};
+
+struct target_call *target_forward(struct target *target,
+                                   const struct target_request *request);
+
+/** True once a byte may have reached the target. */
+bool target_call_is_sent(const struct target_call *call);
+
+/** Ends a call without a callback: closes its connection, and tells the
+ * target which request is no longer wanted. */
+void target_call_cancel(struct target_call *call);
+
+/* Orders. */
+
+/** Ownership of a shard. */
+struct target_grant {
+    uint32_t shard;
+    uint64_t epoch;
+};
+
+/** ok: the target confirmed the order. */
+typedef void (*target_ordered_cb)(void *ctx, bool ok);
+
+/** Grants shards until expires_us (CLOCK_BOOTTIME). With count 0, all that
+ * were granted before are extended. done may be NULL. */
+void target_put_grants(struct target *target,
+                       const struct target_grant *grants, size_t count,
+                       int64_t expires_us, target_ordered_cb done, void *ctx);
+
+/** Withdraws grants; ok means that no request of them starts any more. */
+void target_delete_grants(struct target *target,
+                          const struct target_grant *grants, size_t count,
+                          target_ordered_cb done, void *ctx);
+
+/** Asks the target to finish what runs and to refuse the rest. */
+void target_drain(struct target *target, target_ordered_cb done, void *ctx);
+
+/** What the target says of itself; it may lag or mislead. */
+struct target_report {
+    bool ok; /**< it answered */
+    unsigned in_flight;
+    unsigned queued;
+    bool cold;
+    bool draining;
+};
+
+typedef void (*target_report_cb)(void *ctx,
+                                 const struct target_report *report);
+
+/** Asks for health and load in one probe. Detects a lost target. */
+void target_probe(struct target *target, target_report_cb done, void *ctx);
+
+#endif
--- /dev/null
+++ b/packages/target/target_internal.h
@@ -0,0 +1,86 @@
+/**
+ * @file
+ * What the modules of the target adapter share: announcements (target.c),
+ * requests (targetcall.c) and orders (targetorder.c).
+ */
+#ifndef CHESTNUTGAP_TARGET_TARGET_INTERNAL_H
+#define CHESTNUTGAP_TARGET_TARGET_INTERNAL_H
+
+#include <sys/queue.h>
+
+#include "base/counter.h"
+#include "base/runtime.h"
+#include "http/httpclient.h"
+#include "target/target.h"
+
+#define TARGET_ORDER_TIMEOUT_US (1 * US_PER_SECOND)
+
+/* clang-format off */
+#define TARGET_COUNTERS(X)                                                    \
+    X(announcements, "announcements accepted")                                \
+    X(announcements_refused, "announcements that were not valid")             \
+    X(restarts, "announcements of another incarnation")                       \
+    X(lost, "times that the target's process was gone")                       \
+    X(withdrawals, "times that the target asked to leave")                    \
+    X(requests, "requests forwarded")                                         \
+    X(answered, "requests answered whole")                                    \
+    X(not_run, "requests proved not to have run")                             \
+    X(unknown, "requests that may have run, without an answer")               \
+    X(shed, "requests that the target shed")                                  \
+    X(cancels, "cancellations sent to the target")                            \
+    X(orders_failed, "orders about grants, drain or probes that failed")
+/* clang-format on */
+
+struct target_counters {
+#define TARGET_COUNTER_FIELD(field, help) struct counter *field;
+    TARGET_COUNTERS(TARGET_COUNTER_FIELD)
+#undef TARGET_COUNTER_FIELD
+};
+
+TAILQ_HEAD(target_call_list, target_call);
+TAILQ_HEAD(target_order_list, target_order);
+
+struct target {
+    struct runtime *runtime;
+    struct target_config config;
+    struct counter_registry *registry;
+    struct http_server *server; /* for announcements */
+    bool present;
+    struct announcement announcement;
+    struct http_client *requests; /* NULL without a target */
+    struct http_client *orders;   /* the same if only one connection is
+                                     allowed */
+    struct target_call_list calls;
+    size_t call_count;
+    struct target_order_list order_list;
+    size_t order_count;
+    bool probing; /* a probe after a cut is on the way */
+    struct target_counters counters;
+};
+
+/** The target's process is gone: ends calls and reports it. */
+void target_lost(struct target *target);
+
+/** A connection was cut: finds out whether the process is gone. */
+void target_check_after_cut(struct target *target);
+
+/* targetcall.c */
+
+/** Ends a call: not run if not sent, otherwise unknown. */
+void target_call_lose(struct target_call *call);
+
+/** Ends a call without a callback. */
+void target_call_free(struct target_call *call);
+
+/* targetorder.c */
+
+/** Ends an order as failed. */
+void target_order_lose(struct target_order *order);
+
+/** Ends an order without a callback. */
+void target_order_free(struct target_order *order);
+
+/** Tells the target that a request is no longer wanted. */
+void target_send_cancel(struct target *target, const char *request_id);
+
+#endif
