http: the owner of a call may hold it back until the first byte

Cause: the gate's last check of lease and ownership has to come when a connection is there, not when the request is queued for one, or a refusal as not run could be false. Change: http_call_spec.may_send is asked just before the first byte; refusals carry the outcome header. A call on a connection that is still being opened no longer counts as sent.

--- a/packages/base/errorcodes.h
+++ b/packages/base/errorcodes.h
@@ -52,6 +52,7 @@
     X(ERROR_NOT_OWNER, "this instance does not own the key")
 
 #define ERROR_CODES_REQUEST(X)                                                \
+    X(ERROR_SERVICE_UNKNOWN, "no service answers this path")                  \
     X(ERROR_OVERLOADED, "no capacity for the request")                        \
     X(ERROR_DEADLINE, "the request's deadline has passed")                    \
     X(ERROR_DRAINING, "the instance is leaving")                              \
--- a/packages/http/httpclient.c
+++ b/packages/http/httpclient.c
@@ -82,11 +82,13 @@
     bool to_head;
     enum http_outcome end_with; /* while in the queue of failed calls */
     struct timer deadline;
+    http_may_send_cb may_send;
     http_done_cb done;
     void *ctx;
 };
 
 static void client_assign(struct http_client *client);
+static void connection_write(struct client_connection *connection);
 static void call_fail_later(struct http_call *call, enum http_outcome outcome);
 
 static void
@@ -148,7 +150,7 @@
 http_call_is_sent(const struct http_call *call)
 {
     const struct client_connection *connection = call->connection;
-    if (connection == NULL || !connection->connected) {
+    if (connection == NULL || call->message != NULL) {
         return false;
     }
     const struct evbuffer *output = bufferevent_get_output(connection->bev);
@@ -261,6 +263,10 @@
         setsockopt(bufferevent_getfd(bev), IPPROTO_TCP, TCP_NODELAY, &on,
                    sizeof(on));
         connection->connected = true;
+        if (connection->call != NULL) {
+            connection_write(connection);
+            client_assign(connection->client);
+        }
         return;
     }
     const bool refused = !connection->connected && error == ECONNREFUSED;
@@ -317,6 +323,23 @@
     return connection;
 }
 
+/** Writes the call that has this connection, unless its owner stops it. */
+static void
+connection_write(struct client_connection *connection)
+{
+    struct http_call *call = connection->call;
+    if (call->may_send != NULL && !call->may_send(call->ctx)) {
+        call->connection = NULL;
+        connection_release(connection, true);
+        call_fail_later(call, HTTP_NOT_SENT);
+        return;
+    }
+    evbuffer_add_buffer(bufferevent_get_output(connection->bev),
+                        call->message);
+    evbuffer_free(call->message);
+    call->message = NULL;
+}
+
 static void
 connection_send(struct client_connection *connection, struct http_call *call)
 {
@@ -325,10 +348,9 @@
     if (call->to_head) {
         http_reader_expect_no_body(connection->reader);
     }
-    evbuffer_add_buffer(bufferevent_get_output(connection->bev),
-                        call->message);
-    evbuffer_free(call->message);
-    call->message = NULL;
+    if (connection->connected) {
+        connection_write(connection);
+    }
 }
 
 /** Gives connections to the calls that wait. */
@@ -521,6 +543,7 @@
         abort();
     }
     call->client = client;
+    call->may_send = spec->may_send;
     call->done = spec->done;
     call->ctx = spec->ctx;
     call->to_head = strcmp(spec->method, "HEAD") == 0;
--- a/packages/http/httpclient.h
+++ b/packages/http/httpclient.h
@@ -53,6 +53,13 @@
 
 typedef void (*http_done_cb)(void *ctx, const struct http_result *result);
 
+/**
+ * Called just before the first byte is written, once there is a connection;
+ * possibly within http_call_start(). If it returns false, nothing is sent
+ * and the call ends later as HTTP_NOT_SENT. It must not cancel the call.
+ */
+typedef bool (*http_may_send_cb)(void *ctx);
+
 /** What to send; everything is copied. */
 struct http_call_spec {
     const char *method;
@@ -61,8 +68,9 @@
     size_t header_count;
     const void *body;
     size_t body_size;
-    int64_t deadline_us; /**< on the runtime's clock */
-    http_done_cb done;   /**< exactly once, never within http_call_start() */
+    int64_t deadline_us;       /**< on the runtime's clock */
+    http_may_send_cb may_send; /**< may be NULL */
+    http_done_cb done; /**< exactly once, never within http_call_start() */
     void *ctx;
 };
 
--- a/packages/http/httpconnection.c
+++ b/packages/http/httpconnection.c
@@ -101,7 +101,7 @@
     const struct http_problem problem = {
         .status = status,
         .detail = "the request could not be read",
-        .outcome = "not run",
+        .outcome = "not-run",
     };
     size_t size;
     char *body = http_problem_body(&problem, &size);
--- a/packages/http/httpproblem.h
+++ b/packages/http/httpproblem.h
@@ -9,6 +9,9 @@
 
 #define HTTP_PROBLEM_TYPE "application/problem+json"
 
+/** Field that says "answered", "not-run" or "unknown" in every answer. */
+#define HTTP_OUTCOME_HEADER "Chestnutgap-Outcome"
+
 /** A refusal. Members that are NULL are left out. */
 struct http_problem {
     unsigned status;
@@ -16,7 +19,7 @@
     const char *title;    /**< NULL: the reason phrase of the status */
     const char *detail;   /**< of this occurrence */
     const char *instance; /**< identifies this occurrence */
-    const char *outcome;  /**< "not run" or "unknown" */
+    const char *outcome;  /**< "not-run" or "unknown" */
     const char *reason;   /**< why, as one word for programs */
 };
 
--- a/packages/http/httpserver.c
+++ b/packages/http/httpserver.c
@@ -299,16 +299,21 @@
 {
     char retry_after[16];
     snprintf(retry_after, sizeof(retry_after), "%u", retry_after_s);
-    const struct http_header headers[] = {
-        {"Content-Type", HTTP_PROBLEM_TYPE},
-        {"Retry-After", retry_after},
-    };
+    struct http_header headers[3] = {{"Content-Type", HTTP_PROBLEM_TYPE}};
+    size_t count = 1;
+    if (problem->outcome != NULL) {
+        headers[count++] =
+            (struct http_header){HTTP_OUTCOME_HEADER, problem->outcome};
+    }
+    if (retry_after_s > 0) {
+        headers[count++] = (struct http_header){"Retry-After", retry_after};
+    }
     size_t size;
     char *body = http_problem_body(problem, &size);
     http_request_reply(request, &(struct http_reply){
                                     .status = problem->status,
                                     .headers = headers,
-                                    .header_count = retry_after_s > 0 ? 2 : 1,
+                                    .header_count = count,
                                     .body = body,
                                     .body_size = size,
                                 });
--- a/packages/http/httpserver.h
+++ b/packages/http/httpserver.h
@@ -94,7 +94,8 @@
 
 struct http_problem;
 
-/** Answers with a problem document. retry_after_s: 0 for none. */
+/** Answers with a problem document, and its outcome as a header.
+ * retry_after_s: 0 for none. */
 void http_request_refuse(struct http_request *request,
                          const struct http_problem *problem,
                          unsigned retry_after_s);
--- a/packages/http/test/http_test.cc
+++ b/packages/http/test/http_test.cc
@@ -196,11 +196,19 @@
         spec.body = body.data();
         spec.body_size = body.size();
         spec.deadline_us = runtime_now_us(runtime) + timeout_us;
+        spec.may_send = MaySend;
         spec.done = OnDone;
         spec.ctx = this;
         return http_call_start(client, &spec);
     }
 
+    static bool MaySend(void *ctx)
+    {
+        auto *test = static_cast<HttpTest *>(ctx);
+        test->asked++;
+        return !test->hold_back;
+    }
+
     /** Runs the loop until the condition holds or the time is over. */
     bool Until(const std::function<bool()> &condition, int64_t ms = 10000)
     {
@@ -238,6 +246,8 @@
     std::vector<Result> results;
     std::vector<int> sockets;
     int cancelled = 0;
+    int asked = 0;
+    bool hold_back = false;
 };
 
 TEST_F(HttpTest, AnswersManyCallsOverFewConnections)
@@ -253,6 +263,26 @@
     EXPECT_EQ(4, Count("http_client_connects"));
 }
 
+TEST_F(HttpTest, NothingIsSentThatItsOwnerHoldsBack)
+{
+    hold_back = true;
+    Call("POST", "/over-a-new-connection", "x");
+    ASSERT_TRUE(Results(1));
+    hold_back = false;
+    Call("POST", "/sent", "x");
+    ASSERT_TRUE(Results(2));
+    hold_back = true;
+    Call("POST", "/over-an-idle-connection", "x");
+    EXPECT_EQ(2U, results.size());
+    ASSERT_TRUE(Results(3));
+    EXPECT_EQ(HTTP_NOT_SENT, results[0].outcome);
+    EXPECT_EQ(HTTP_ANSWERED, results[1].outcome);
+    EXPECT_EQ(HTTP_NOT_SENT, results[2].outcome);
+    EXPECT_EQ(3, asked);
+    EXPECT_EQ(1, Count("http_server_requests"));
+    EXPECT_EQ(1, Count("http_client_connects"));
+}
+
 TEST_F(HttpTest, BigBodiesPassWholeInBothDirections)
 {
     for (const size_t size : {8U << 20, 16U << 20}) {
