membership: the membership task with its transport

Cause: the daemon needs one object that registers, holds its lease, guards others, learns all members and fences those that are gone. Change: membertask.h and its parts (joining, the own lease, polls, the watch over wards, fences), calls behind a narrow transport with an implementation over RPC. Sessions of six members on a manual clock, with a fake network and the store in memory, are golden files: join, crash, lost machine, pause and return, store outage, lost answers, graceful leave.

--- a/packages/membership/guardian.c
+++ b/packages/membership/guardian.c
@@ -114,11 +114,9 @@
 }
 
 static bool
-is_quiet(const struct guardian *guardian, const struct guardian_ward *ward,
-         int64_t now_us)
+is_quiet(const struct guardian_ward *ward, unsigned percent, int64_t now_us)
 {
-    return now_us - ward->quiet_since_us >=
-           ward->lease_us * guardian->quiet_percent / PERCENT;
+    return now_us - ward->quiet_since_us >= ward->lease_us * percent / PERCENT;
 }
 
 /** Time until a certificate of the version counts. */
@@ -152,7 +150,7 @@
         result.status = LEASE_CERTIFY_STALE;
     }
     else if (ward->certified < args->row_version &&
-             !is_quiet(guardian, ward, now_us)) {
+             !is_quiet(ward, guardian->quiet_percent, now_us)) {
         result.status = LEASE_CERTIFY_ALIVE;
     }
     else {
@@ -178,13 +176,20 @@
 }
 
 void
-guardian_visit_quiet(const struct guardian *guardian, int64_t now_us,
-                     void (*visit)(void *ctx,
-                                   const struct guardian_ward *ward),
-                     void *ctx)
+guardian_forgive(struct guardian *guardian, int64_t now_us)
 {
     for (size_t i = 0; i < guardian->count; i++) {
-        if (is_quiet(guardian, &guardian->wards[i], now_us)) {
+        guardian->wards[i].quiet_since_us = now_us;
+    }
+}
+
+void
+guardian_visit_quiet(
+    const struct guardian *guardian, unsigned percent, int64_t now_us,
+    void (*visit)(void *ctx, const struct guardian_ward *ward), void *ctx)
+{
+    for (size_t i = 0; i < guardian->count; i++) {
+        if (is_quiet(&guardian->wards[i], percent, now_us)) {
             visit(ctx, &guardian->wards[i]);
         }
     }
--- a/packages/membership/guardian.h
+++ b/packages/membership/guardian.h
@@ -65,11 +65,14 @@
 const struct guardian_ward *guardian_find(const struct guardian *guardian,
                                           uint64_t holder);
 
-/** Calls visit for each ward that was quiet for its share of the lease. */
-void guardian_visit_quiet(const struct guardian *guardian, int64_t now_us,
-                          void (*visit)(void *ctx,
-                                        const struct guardian_ward *ward),
-                          void *ctx);
+/** Counts the time without renewals anew, after this process stood still
+ * and may not have handled what it received. */
+void guardian_forgive(struct guardian *guardian, int64_t now_us);
+
+/** Calls visit for each ward that was quiet for that share of its lease. */
+void guardian_visit_quiet(
+    const struct guardian *guardian, unsigned percent, int64_t now_us,
+    void (*visit)(void *ctx, const struct guardian_ward *ward), void *ctx);
 
 /** Drops records without contact for GUARDIAN_RETENTION_US. */
 void guardian_expire(struct guardian *guardian, int64_t now_us);
--- a/packages/membership/lease.h
+++ b/packages/membership/lease.h
@@ -100,6 +100,14 @@
 void lease_on_read(struct lease *lease, enum store_outcome outcome,
                    const struct member *row, uint64_t txn_id, int64_t now_us);
 
+/** Notes a row of the instance that was learnt in another way. It ends the
+ * lease if it is later and not this incarnation's, or fenced. */
+void lease_on_row(struct lease *lease, const struct member *row,
+                  int64_t now_us);
+
+/** Ends the lease for good, before its time. */
+void lease_end(struct lease *lease);
+
 /** Changes the state in the row. Once MEMBER_LEFT is asked for, the lease is
  * not held any more. */
 void lease_set_state(struct lease *lease, enum member_state state);
--- /dev/null
+++ b/packages/membership/leasewrite.c
@@ -0,0 +1,293 @@
+#include "membership/lease_internal.h"
+
+#include <string.h>
+
+#define AVOID_US INT64_C(30000000)    /* a bad guardian is not chosen again */
+#define PEER_LOST_US INT64_C(2000000) /* silence before replacement */
+#define CHANGE_PAUSE_US INT64_C(1000000) /* between changes of guardians */
+#define BACKOFF_MIN_US INT64_C(100000)   /* after a failed write */
+#define BACKOFF_MAX_US INT64_C(2000000)
+
+/** Delays the next store operation after one that failed. */
+void
+lease_back_off(struct lease *lease, int64_t now_us)
+{
+    lease->backoff_us =
+        lease->backoff_us == 0
+            ? BACKOFF_MIN_US
+            : lease_min_us(lease->backoff_us * 2, BACKOFF_MAX_US);
+    lease->retry_us =
+        now_us + lease->backoff_us +
+        random_range(lease->config.random, 0, lease->backoff_us / 2);
+}
+
+static void
+send_write(struct lease *lease, struct member *candidate,
+           enum lease_reason reason, int64_t now_us)
+{
+    uint64_t txn_id = random_u64(lease->config.random) >> 1;
+    if (lease->attempt_count == LEASE_ATTEMPTS_MAX) {
+        memmove(lease->attempts, lease->attempts + 1,
+                (LEASE_ATTEMPTS_MAX - 1) * sizeof(lease->attempts[0]));
+        lease->attempt_count--;
+    }
+    lease->attempts[lease->attempt_count++] = (struct lease_attempt){
+        .txn_id = txn_id,
+        .sent_us = now_us,
+        .generation = lease->generation,
+        .row = *candidate,
+    };
+    lease_count_sets(lease, candidate);
+    lease_update_until(lease);
+    lease->busy = true;
+    lease->ops->write(lease->ctx, candidate, txn_id, reason);
+}
+
+/** The known row with the state and abilities that are wanted. */
+static struct member
+wanted_row(const struct lease *lease)
+{
+    struct member candidate = lease->wanted;
+    candidate.guardians = lease->row.guardians;
+    candidate.outgoing = lease->row.outgoing;
+    candidate.version = lease->row.version;
+    return candidate;
+}
+
+static bool
+peer_is_good(const struct lease_peer *peer, int64_t silence_us, int64_t now_us)
+{
+    return !peer->gone &&
+           (!peer->waiting || now_us - peer->silent_us <= silence_us);
+}
+
+static void
+avoid(struct lease *lease, const struct member_ref *ref, int64_t now_us)
+{
+    size_t kept = 0;
+    for (size_t i = 0; i < lease->avoided_count; i++) {
+        const struct lease_avoided *old = &lease->avoided[i];
+        if (!member_ref_equal(&old->ref, ref) &&
+            now_us - old->since_us < AVOID_US) {
+            lease->avoided[kept++] = *old;
+        }
+    }
+    if (kept == LEASE_AVOIDED_MAX) {
+        memmove(lease->avoided, lease->avoided + 1,
+                (LEASE_AVOIDED_MAX - 1) * sizeof(lease->avoided[0]));
+        kept--;
+    }
+    lease->avoided[kept] = (struct lease_avoided){*ref, now_us};
+    lease->avoided_count = kept + 1;
+}
+
+static void
+ask_for_choice(struct lease *lease, struct guardian_set *chosen,
+               int64_t now_us)
+{
+    struct member_ref refs[LEASE_AVOIDED_MAX];
+    size_t count = 0;
+    for (size_t i = 0; i < lease->avoided_count; i++) {
+        if (now_us - lease->avoided[i].since_us < AVOID_US) {
+            refs[count++] = lease->avoided[i].ref;
+        }
+    }
+    lease->ops->choose(lease->ctx, refs, count, chosen);
+}
+
+/** The guardians to have, keeping those that answered lately. */
+static struct guardian_set
+choose_guardians(struct lease *lease, int64_t silence_us, int64_t now_us)
+{
+    struct guardian_set chosen = {0};
+    for (size_t i = 0; i < lease->row.guardians.count; i++) {
+        const struct member_ref *ref = &lease->row.guardians.refs[i];
+        const struct lease_peer *peer = lease_find_peer(lease, ref);
+        bool keep = peer != NULL && peer_is_good(peer, silence_us, now_us);
+        if (keep) {
+            guardian_set_add(&chosen, ref);
+        }
+        else {
+            avoid(lease, ref, now_us);
+        }
+    }
+    ask_for_choice(lease, &chosen, now_us);
+    return chosen;
+}
+
+/** Puts the chosen set in the row, with the one that holds the lease now as
+ * the outgoing set. */
+static void
+replace_guardians(struct lease *lease, struct member *candidate,
+                  const struct guardian_set *chosen)
+{
+    if (guardian_set_equal(chosen, &lease->row.guardians)) {
+        return;
+    }
+    const struct guardian_set *outgoing = &lease->row.guardians;
+    if (lease->row.outgoing.count > 0 &&
+        lease_set_until_us(lease, &lease->row.outgoing) >
+            lease_set_until_us(lease, outgoing)) {
+        outgoing = &lease->row.outgoing;
+    }
+    candidate->outgoing = *outgoing;
+    if (!lease->config.rules.joint_guardians) {
+        candidate->outgoing.count = 0;
+    }
+    candidate->guardians = *chosen;
+}
+
+static bool
+write_join(struct lease *lease, int64_t now_us)
+{
+    struct member candidate = wanted_row(lease);
+    candidate.guardians.count = 0;
+    candidate.outgoing.count = 0;
+    ask_for_choice(lease, &candidate.guardians, now_us);
+    send_write(lease, &candidate, LEASE_REASON_JOIN, now_us);
+    return true;
+}
+
+/** True if a guardian refuses this version, which a write ends. */
+static bool
+is_certified(const struct lease *lease)
+{
+    for (size_t i = 0; i < lease->peer_count; i++) {
+        if (lease->peers[i].certified) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool
+write_with(struct lease *lease, int64_t silence_us, enum lease_reason reason,
+           int64_t now_us)
+{
+    struct member candidate = wanted_row(lease);
+    struct guardian_set chosen = choose_guardians(lease, silence_us, now_us);
+    bool had_none = lease->row.guardians.count == 0;
+    bool credit = lease_after_us(lease->store_renewed_us,
+                                 lease->row.lease_us / 2) > now_us;
+    if (reason == LEASE_REASON_GUARDIANS && !is_certified(lease) &&
+        guardian_set_equal(&chosen, &lease->row.guardians)) {
+        lease->changed_us = now_us;
+        return false;
+    }
+    /* Without guardians only a recent write bridges the change. */
+    if (had_none && !credit) {
+        reason = LEASE_REASON_RENEW;
+    }
+    else {
+        replace_guardians(lease, &candidate, &chosen);
+        lease->changed_us = now_us;
+    }
+    send_write(lease, &candidate, reason, now_us);
+    return true;
+}
+
+static bool
+write_confirm(struct lease *lease, int64_t now_us)
+{
+    struct member candidate = wanted_row(lease);
+    candidate.outgoing.count = 0;
+    send_write(lease, &candidate, LEASE_REASON_CONFIRM, now_us);
+    return true;
+}
+
+/** True if the lease will lapse unless the row is written. */
+static bool
+is_urgent(const struct lease *lease, int64_t now_us)
+{
+    return lease->wanted.state != MEMBER_LEFT &&
+           lease_after_us(lease->until_us, -lease->row.lease_us / 2) <= now_us;
+}
+
+static bool
+has_bad_guardian(struct lease *lease, int64_t now_us)
+{
+    for (size_t i = 0; i < lease->row.guardians.count; i++) {
+        const struct lease_peer *peer =
+            lease_find_peer(lease, &lease->row.guardians.refs[i]);
+        if (peer == NULL || peer->certified ||
+            !peer_is_good(peer, PEER_LOST_US, now_us)) {
+            return true;
+        }
+    }
+    return lease->row.guardians.count < MEMBER_GUARDIANS_MAX;
+}
+
+static bool
+confirm_is_due(struct lease *lease, int64_t now_us)
+{
+    return lease->row.outgoing.count > 0 &&
+           lease_after_us(lease_set_until_us(lease, &lease->row.guardians),
+                          -lease->row.lease_us / 2) > now_us;
+}
+
+static int64_t
+renewal_due_us(const struct lease *lease)
+{
+    return lease_after_us(lease->store_renewed_us,
+                          lease->row.renewal_max_us / 2);
+}
+
+/** Starts the store operation that is due, if any. */
+bool
+lease_use_store(struct lease *lease, int64_t now_us)
+{
+    if (lease->busy || now_us < lease->retry_us ||
+        lease->status == LEASE_ENDED) {
+        return false;
+    }
+    if (lease->must_read) {
+        lease->busy = true;
+        lease->ops->read(lease->ctx);
+        return true;
+    }
+    if (lease->status == LEASE_UNREGISTERED) {
+        return write_join(lease, now_us);
+    }
+    if (is_urgent(lease, now_us)) {
+        return write_with(lease, lease->row.lease_us / 2,
+                          LEASE_REASON_REESTABLISH, now_us);
+    }
+    if (lease->generation != lease->written_generation) {
+        struct member candidate = wanted_row(lease);
+        send_write(lease, &candidate, LEASE_REASON_STATE, now_us);
+        return true;
+    }
+    if (confirm_is_due(lease, now_us)) {
+        return write_confirm(lease, now_us);
+    }
+    if (lease->row.outgoing.count == 0 && has_bad_guardian(lease, now_us) &&
+        now_us >= lease_after_us(lease->changed_us, CHANGE_PAUSE_US)) {
+        return write_with(lease, PEER_LOST_US, LEASE_REASON_GUARDIANS, now_us);
+    }
+    if (now_us >= renewal_due_us(lease)) {
+        struct member candidate = wanted_row(lease);
+        send_write(lease, &candidate, LEASE_REASON_RENEW, now_us);
+        return true;
+    }
+    return false;
+}
+
+/** When a store operation may be due without any message before. */
+int64_t
+lease_store_due_us(struct lease *lease, int64_t now_us)
+{
+    if (lease->busy) {
+        return INT64_MAX;
+    }
+    int64_t due_us = renewal_due_us(lease);
+    due_us = lease_min_us(
+        due_us, lease_after_us(lease->until_us, -lease->row.lease_us / 2));
+    if (lease->row.outgoing.count == 0 && has_bad_guardian(lease, now_us)) {
+        due_us = lease_min_us(
+            due_us, lease_after_us(lease->changed_us, CHANGE_PAUSE_US));
+    }
+    if (lease->must_read || lease->generation != lease->written_generation) {
+        due_us = now_us;
+    }
+    return lease_max_us(due_us, lease_max_us(lease->retry_us, now_us + 1));
+}
--- /dev/null
+++ b/packages/membership/memberpoll.c
@@ -0,0 +1,127 @@
+#include "membership/membertask_internal.h"
+
+#include <string.h>
+
+#include "base/hash.h"
+
+#define POLL_INTERVAL_US INT64_C(1000000)       /* of a member that polls */
+#define POLL_IDLE_INTERVAL_US INT64_C(30000000) /* of the others */
+#define POLL_RETRY_US INT64_C(500000)           /* after a failure */
+#define POLL_SOON_US INT64_C(20000)             /* when a row is missing */
+#define POLLERS_PER_ZONE 3
+
+/** Counts members of the zone that poll before this one. */
+struct poller_rank {
+    const char *instance;
+    uint64_t hash;
+    unsigned before;
+};
+
+static void
+count_before(void *ctx, const struct directory_view *view)
+{
+    struct poller_rank *rank = ctx;
+    if (strcmp(view->instance, rank->instance) != 0 &&
+        hash_string(view->instance) < rank->hash) {
+        rank->before++;
+    }
+}
+
+/** True if this member is one of the few of its zone that poll often. */
+static bool
+is_poller(const struct membertask *task)
+{
+    struct poller_rank rank = {
+        .instance = task->self.self.instance,
+        .hash = hash_string(task->self.self.instance),
+    };
+    const struct directory_filter filter = {
+        .zone = task->self.zone,
+        .live_only = true,
+    };
+    directory_visit(task->directory, &filter, count_before, &rank);
+    return rank.before < POLLERS_PER_ZONE;
+}
+
+static void
+finish_scan(struct membertask *task, int64_t now_us)
+{
+    struct member_poll *poll = &task->poll;
+    int64_t interval_us =
+        is_poller(task) ? POLL_INTERVAL_US : POLL_IDLE_INTERVAL_US;
+    poll->since = poll->next_since;
+    poll->after[0] = '\0';
+    poll->complete = true;
+    poll->next_us = now_us + interval_us -
+                    random_range(&task->random, 0, interval_us / 10);
+}
+
+static void
+on_scanned(void *ctx, const struct store_read_result *result)
+{
+    struct member_operation *operation = ctx;
+    struct membertask *task = operation->task;
+    struct member_poll *poll = &task->poll;
+    int64_t now_us = member_now_us(task);
+    member_operation_end(operation);
+    poll->busy = false;
+    if (result->outcome != STORE_COMMITTED) {
+        poll->next_us = now_us + POLL_RETRY_US;
+        member_update(task);
+        return;
+    }
+    if (poll->after[0] == '\0') {
+        poll->next_since = result->version;
+    }
+    for (size_t i = 0; i < result->row_count; i++) {
+        struct member row;
+        member_take_store_row(task, &result->rows[i], &row);
+    }
+    if (result->more && result->row_count > 0) {
+        const char *last = result->rows[result->row_count - 1].name;
+        size_t length = strnlen(last, STORE_NAME_MAX);
+        memcpy(poll->after, last, length);
+        poll->after[length] = '\0';
+        poll->next_us = now_us;
+    }
+    else {
+        finish_scan(task, now_us);
+    }
+    member_update(task);
+}
+
+int64_t
+member_poll_tick(struct membertask *task, int64_t now_us)
+{
+    struct member_poll *poll = &task->poll;
+    if (poll->busy) {
+        return INT64_MAX;
+    }
+    if (now_us < poll->next_us) {
+        return poll->next_us;
+    }
+    const struct store_scan scan = {
+        .table = MEMBER_TABLE,
+        .prefix = "",
+        .after = poll->after[0] == '\0' ? NULL : poll->after,
+        .since = poll->since,
+    };
+    poll->busy = true;
+    poll->started_us = now_us;
+    task->counters.store_reads->value++;
+    store_scan(task->config.store, &scan, on_scanned,
+               member_operation_start(task, 0, 0));
+    return INT64_MAX;
+}
+
+void
+member_poll_soon(struct membertask *task)
+{
+    int64_t now_us = member_now_us(task);
+    int64_t earliest_us = task->poll.started_us + POLL_INTERVAL_US;
+    int64_t soon_us = now_us + POLL_SOON_US;
+    int64_t next_us = earliest_us > soon_us ? earliest_us : soon_us;
+    if (next_us < task->poll.next_us) {
+        task->poll.next_us = next_us;
+    }
+}
--- /dev/null
+++ b/packages/membership/membertask.c
@@ -0,0 +1,413 @@
+#include "membership/membertask_internal.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#define LOG_MODULE "membership"
+#include "base/log.h"
+
+int64_t
+member_now_us(const struct membertask *task)
+{
+    return runtime_now_us(task->runtime);
+}
+
+int64_t
+member_wall_us(const struct membertask *task)
+{
+    struct timespec now;
+    if (task->config.wall_clock_us != NULL) {
+        return task->config.wall_clock_us(task->config.wall_clock_ctx);
+    }
+    clock_gettime(CLOCK_REALTIME, &now);
+    return now.tv_sec * US_PER_SECOND + now.tv_nsec / 1000;
+}
+
+static void
+add_counters(struct membertask *task, struct counter_registry *registry)
+{
+    struct member_counters *counters = &task->counters;
+    counters->renewals_sent = counter_add(registry, "member_renewals_sent",
+                                          "Renewals sent to guardians");
+    counters->renewals_answered =
+        counter_add(registry, "member_renewals_answered",
+                    "Renewals that guardians answered");
+    counters->renewals_served = counter_add(registry, "member_renewals_served",
+                                            "Renewals of others answered");
+    counters->lapses = counter_add(registry, "member_lease_lapses",
+                                   "Times that the own lease lapsed");
+    counters->losses = counter_add(registry, "member_lease_losses",
+                                   "Times that this instance was fenced");
+    counters->fences = counter_add(registry, "member_fences",
+                                   "Members fenced by this instance");
+    counters->fence_attempts =
+        counter_add(registry, "member_fence_attempts",
+                    "Attempts to fence, successful or not");
+    counters->certificates = counter_add(registry, "member_certificates",
+                                         "Certificates given as a guardian");
+    counters->store_writes = counter_add(registry, "member_store_writes",
+                                         "Transactions sent to the store");
+    counters->store_reads = counter_add(registry, "member_store_reads",
+                                        "Reads and scans sent to the store");
+    counters->members =
+        counter_add(registry, "member_members", "Live members known");
+}
+
+static void
+on_timer(void *ctx)
+{
+    member_update(ctx);
+}
+
+struct membertask *
+membertask_create(const struct membertask_config *config, struct error *err)
+{
+    struct membertask *task = calloc(1, sizeof(*task));
+    if (task == NULL) {
+        error_set(err, ERROR_NO_MEMORY, "membership");
+        return NULL;
+    }
+    task->config = *config;
+    task->runtime = config->runtime;
+    task->self = config->self;
+    task->rules = lease_rules_all();
+    task->next_serial = 1;
+    task->reported_until_us = LEASE_NEVER_US;
+    task->lapsed = true;
+    random_seed(&task->random, config->seed);
+    LIST_INIT(&task->calls);
+    LIST_INIT(&task->operations);
+    LIST_INIT(&task->fences);
+    timer_init(&task->timer, task->runtime, on_timer, task);
+    task->directory = directory_create();
+    if (task->directory == NULL || !member_new_incarnation(task)) {
+        error_set(err, ERROR_NO_MEMORY, "membership");
+        membertask_destroy(task);
+        return NULL;
+    }
+    task->overdue_us = member_now_us(task);
+    add_counters(task, config->counters);
+    timer_start(&task->timer, 0);
+    return task;
+}
+
+void
+membertask_destroy(struct membertask *task)
+{
+    if (task == NULL) {
+        return;
+    }
+    timer_stop(&task->timer);
+    member_call_cancel_all(task);
+    member_fence_stop_all(task);
+    while (!LIST_EMPTY(&task->operations)) {
+        member_operation_end(LIST_FIRST(&task->operations));
+    }
+    member_lease_stop(task);
+    guardian_destroy(task->guardian);
+    directory_destroy(task->directory);
+    free(task->contacts);
+    free(task->lost);
+    free(task);
+}
+
+/** Tells the lease that one of its guardians is gone or leaves. */
+static void
+note_guardian(struct membertask *task, const struct member *row)
+{
+    const struct guardian_set *set = &lease_row(task->lease)->guardians;
+    bool stays = row->state == MEMBER_JOINING || row->state == MEMBER_ACTIVE;
+    for (size_t i = 0; i < set->count; i++) {
+        if (strcmp(set->refs[i].instance, row->self.instance) == 0 &&
+            (!stays || set->refs[i].incarnation != row->self.incarnation)) {
+            lease_on_guardian_gone(task->lease, &set->refs[i]);
+        }
+    }
+}
+
+bool
+member_take_row(struct membertask *task, const struct member *row)
+{
+    const struct membertask_callbacks *callbacks = &task->config.callbacks;
+    int64_t now_us = member_now_us(task);
+    if (!directory_apply(task->directory, row, now_us)) {
+        return false;
+    }
+    task->counters.members->value =
+        (int64_t)directory_live_count(task->directory);
+    if (guardian_find(task->guardian, row->self.incarnation) != NULL ||
+        guardian_set_contains(&row->guardians, &task->self.self)) {
+        guardian_saw(task->guardian, row->self.incarnation, row->version,
+                     row->lease_us, now_us);
+    }
+    if (task->lease != NULL) {
+        note_guardian(task, row);
+        if (strcmp(row->self.instance, task->self.self.instance) == 0) {
+            lease_on_row(task->lease, row, now_us);
+        }
+    }
+    if (callbacks->member_changed != NULL) {
+        callbacks->member_changed(callbacks->ctx, row);
+    }
+    if (row->state == MEMBER_FENCED && callbacks->member_fenced != NULL) {
+        callbacks->member_fenced(callbacks->ctx, row);
+    }
+    return true;
+}
+
+bool
+member_take_store_row(struct membertask *task, const struct store_row *row,
+                      struct member *out)
+{
+    struct error err = {0};
+    if (row->value == NULL) {
+        return false;
+    }
+    if (!member_from_json(row->value, row->version, out, &err) ||
+        strcmp(out->self.instance, row->name) != 0) {
+        LOG_ERR("members_row_broken", LOG_STR("row", row->name),
+                LOG_STR("field", err.subject));
+        return false;
+    }
+    member_take_row(task, out);
+    return true;
+}
+
+static void
+report_lease(struct membertask *task, int64_t now_us)
+{
+    int64_t until_us = membertask_lease_until_us(task);
+    bool lapsed = until_us <= now_us;
+    if (lapsed && !task->lapsed) {
+        task->counters.lapses->value++;
+        LOG_WARN("lease_lapsed");
+    }
+    task->lapsed = lapsed;
+    if (until_us != task->reported_until_us &&
+        task->config.callbacks.lease_changed != NULL) {
+        task->reported_until_us = until_us;
+        task->config.callbacks.lease_changed(task->config.callbacks.ctx,
+                                             until_us);
+    }
+}
+
+void
+member_update(struct membertask *task)
+{
+    if (task->updating) {
+        return;
+    }
+    task->updating = true;
+    int64_t now_us = member_now_us(task);
+    int64_t next_us = member_poll_tick(task, now_us);
+    int64_t due_us = member_join_tick(task, now_us);
+    next_us = due_us < next_us ? due_us : next_us;
+    if (task->step != MEMBER_STEP_LEFT && task->step != MEMBER_STEP_HALTED) {
+        due_us = member_watch_tick(task, now_us);
+        next_us = due_us < next_us ? due_us : next_us;
+        due_us = member_fence_tick(task, now_us);
+        next_us = due_us < next_us ? due_us : next_us;
+    }
+    report_lease(task, now_us);
+    int64_t latest_us = now_us + US_PER_SECOND;
+    timer_start_at(&task->timer, next_us < latest_us ? next_us : latest_us);
+    task->updating = false;
+}
+
+int64_t
+membertask_lease_until_us(const struct membertask *task)
+{
+    return task->lease == NULL ? LEASE_NEVER_US : lease_until_us(task->lease);
+}
+
+bool
+membertask_is_active(const struct membertask *task)
+{
+    return task->lease != NULL && lease_in_state(task->lease, MEMBER_ACTIVE) &&
+           lease_is_held(task->lease, member_now_us(task));
+}
+
+uint64_t
+membertask_incarnation(const struct membertask *task)
+{
+    return task->lease != NULL && lease_status(task->lease) == LEASE_REGISTERED
+               ? task->self.self.incarnation
+               : 0;
+}
+
+const struct member *
+membertask_self(const struct membertask *task)
+{
+    return task->lease == NULL ? &task->self : lease_row(task->lease);
+}
+
+const struct directory *
+membertask_directory(const struct membertask *task)
+{
+    return task->directory;
+}
+
+bool
+membertask_apply_row(struct membertask *task, const struct member *row)
+{
+    bool taken = member_take_row(task, row);
+    if (taken) {
+        member_update(task);
+    }
+    return taken;
+}
+
+void
+membertask_set_abilities(struct membertask *task, const struct member *self)
+{
+    task->self.slots = self->slots;
+    task->self.checks_grants = self->checks_grants;
+    task->self.longest_request_us = self->longest_request_us;
+    task->self.lease_us = self->lease_us;
+    task->self.renewal_max_us = self->renewal_max_us;
+    if (task->lease != NULL) {
+        lease_set_abilities(task->lease, &task->self);
+    }
+    member_update(task);
+}
+
+void
+membertask_set_revision(struct membertask *task, uint64_t revision)
+{
+    task->revision = revision;
+}
+
+void
+membertask_leave(struct membertask *task)
+{
+    task->leaving = true;
+    if (task->lease != NULL) {
+        lease_set_state(task->lease, MEMBER_LEAVING);
+    }
+    member_update(task);
+}
+
+void
+membertask_finish(struct membertask *task, void (*done)(void *ctx), void *ctx)
+{
+    task->leaving = true;
+    task->finishing = true;
+    task->left = done;
+    task->left_ctx = ctx;
+    if (task->lease != NULL) {
+        lease_set_state(task->lease, MEMBER_LEFT);
+    }
+    member_update(task);
+}
+
+/** Asks the guardians of the member; they look for themselves. */
+static void
+alert_guardians(struct membertask *task, const struct member *row)
+{
+    for (size_t i = 0; i < row->guardians.count; i++) {
+        const struct member_ref *guardian = &row->guardians.refs[i];
+        struct address address;
+        const struct lease_certify_args args = {
+            .holder = row->self.incarnation,
+            .guardian = guardian->incarnation,
+            .row_version = row->version,
+            .lease_us = (u_int)row->lease_us,
+        };
+        if (member_ref_equal(guardian, &task->self.self)) {
+            member_watch_suspect(task, row->self.incarnation);
+        }
+        else if (directory_rpc_address(task->directory, guardian, &address)) {
+            member_call_start(task, MEMBER_CALL_CERTIFY, 0, guardian, &address,
+                              &args);
+        }
+    }
+}
+
+void
+membertask_on_refused_connection(struct membertask *task,
+                                 const struct address *address)
+{
+    struct member row;
+    if (directory_row_by_address(task->directory, address, &row) &&
+        row.self.incarnation != task->self.self.incarnation) {
+        alert_guardians(task, &row);
+    }
+}
+
+void
+membertask_apply_declared_lost(struct membertask *task,
+                               const char (*names)[STATE_NAME_MAX + 1],
+                               size_t count)
+{
+    bool self_lost = false;
+    bool changed = count != task->lost_count;
+    task->lost =
+        realloc(task->lost, (count == 0 ? 1 : count) * sizeof(*task->lost));
+    if (task->lost == NULL) {
+        abort();
+    }
+    for (size_t i = 0; i < count; i++) {
+        changed = changed || strcmp(task->lost[i], names[i]) != 0;
+        member_copy_name(task->lost[i], names[i]);
+        self_lost |= strcmp(names[i], task->self.self.instance) == 0;
+    }
+    task->lost_count = count;
+    task->lost_us = member_now_us(task);
+    if (changed) {
+        task->lost_since_us = task->lost_us;
+    }
+    if (self_lost && task->step != MEMBER_STEP_LEFT &&
+        task->step != MEMBER_STEP_HALTED) {
+        LOG_ERR("declared_lost");
+        member_lose_lease(task);
+        task->step = MEMBER_STEP_HALTED;
+    }
+    else if (!self_lost && task->step == MEMBER_STEP_HALTED) {
+        task->step = MEMBER_STEP_SCAN;
+    }
+    member_update(task);
+}
+
+struct lease_renew_result
+membertask_on_renew(struct membertask *task, const struct address *peer,
+                    const struct lease_renew_args *args)
+{
+    struct lease_renew_result result = {.status = LEASE_NOT_GUARDIAN};
+    struct member row;
+    int64_t now_us = member_now_us(task);
+    if (task->step == MEMBER_STEP_LEFT || task->finishing ||
+        args->guardian != task->self.self.incarnation) {
+        return result;
+    }
+    bool is_new = guardian_find(task->guardian, args->holder) == NULL;
+    result = guardian_renew(task->guardian, args, now_us);
+    result.revision = task->revision;
+    task->counters.renewals_served->value++;
+    member_watch_heard(task, args->holder, peer);
+    if (is_new &&
+        !directory_row_by_incarnation(task->directory, args->holder, &row)) {
+        member_poll_soon(task);
+        member_update(task);
+    }
+    if (args->revision > task->revision &&
+        task->config.callbacks.revision_seen != NULL) {
+        task->config.callbacks.revision_seen(task->config.callbacks.ctx,
+                                             args->revision);
+    }
+    return result;
+}
+
+struct lease_certify_result
+membertask_on_certify(struct membertask *task,
+                      const struct lease_certify_args *args)
+{
+    member_watch_check_pause(task, member_now_us(task));
+    struct lease_certify_result result =
+        guardian_certify(task->guardian, args, member_now_us(task));
+    task->counters.certificates->value += result.status == LEASE_CERTIFY_DONE;
+    if (result.status == LEASE_CERTIFY_ALIVE) {
+        member_watch_suspect(task, args->holder);
+    }
+    return result;
+}
--- /dev/null
+++ b/packages/membership/membertask_internal.h
@@ -0,0 +1,214 @@
+/**
+ * @file
+ * Parts of the membership task: its state, and what its modules call of each
+ * other.
+ */
+#ifndef CHESTNUTGAP_MEMBERSHIP_MEMBERTASK_INTERNAL_H
+#define CHESTNUTGAP_MEMBERSHIP_MEMBERTASK_INTERNAL_H
+
+#include <sys/queue.h>
+
+#include "base/counter.h"
+#include "base/random.h"
+#include "membership/endpoint.h"
+#include "membership/guardian.h"
+#include "membership/lease.h"
+#include "membership/membertask.h"
+
+/** What a call to another member is for. */
+enum member_call_kind {
+    MEMBER_CALL_RENEW,
+    MEMBER_CALL_CERTIFY,
+    MEMBER_CALL_PROBE_HOLDER,
+    MEMBER_CALL_PROBE_GUARDIAN,
+};
+
+/** A call to another member that has not ended. */
+struct member_call {
+    LIST_ENTRY(member_call) link;
+    struct membertask *task;
+    void *handle;
+    enum member_call_kind kind;
+    uint64_t owner; /**< serial of the lease or fence attempt */
+    struct member_ref peer;
+    int64_t sent_us;
+};
+
+LIST_HEAD(member_call_list, member_call);
+
+/** A store operation that is not answered. */
+struct member_operation {
+    LIST_ENTRY(member_operation) link;
+    struct membertask *task;
+    uint64_t owner; /**< serial of the lease or fence attempt */
+    uint64_t txn_id;
+};
+
+LIST_HEAD(member_operation_list, member_operation);
+
+/** A running attempt to fence a member. */
+struct member_fence {
+    LIST_ENTRY(member_fence) link;
+    uint64_t serial;
+    struct fence *fence;
+    int64_t next_us;
+};
+
+LIST_HEAD(member_fence_list, member_fence);
+
+/** What is known of a holder besides its ward record. */
+struct member_contact {
+    uint64_t holder;
+    char instance[STATE_NAME_MAX + 1]; /**< "" until its row is known */
+    struct endpoint heard_from;        /**< of the latest renewal */
+    int64_t heard_us;
+    int64_t probed_us;
+    int64_t fence_after_us; /**< no attempt before */
+};
+
+/** Progress of reading the members table. */
+struct member_poll {
+    bool busy;
+    bool complete;       /**< all rows were read once */
+    uint64_t since;      /**< rows up to this version are known */
+    uint64_t next_since; /**< the store's version at the first page */
+    char after[STORE_NAME_MAX + 1];
+    int64_t started_us;
+    int64_t next_us;
+};
+
+struct member_counters {
+    struct counter *renewals_sent;
+    struct counter *renewals_answered;
+    struct counter *renewals_served;
+    struct counter *lapses;
+    struct counter *losses;
+    struct counter *fences;
+    struct counter *fence_attempts;
+    struct counter *certificates;
+    struct counter *store_writes;
+    struct counter *store_reads;
+    struct counter *members;
+};
+
+enum member_step {
+    MEMBER_STEP_SCAN,        /**< reading the members table */
+    MEMBER_STEP_PREDECESSOR, /**< fencing an earlier run of this instance */
+    MEMBER_STEP_MEMBER,      /**< registering, or registered */
+    MEMBER_STEP_HALTED,      /**< declared lost by operators */
+    MEMBER_STEP_LEFT,
+};
+
+struct membertask {
+    struct membertask_config config;
+    struct runtime *runtime;
+    struct random_state random;
+    struct timer timer;
+    struct lease_rules rules;
+    struct directory *directory;
+    struct guardian *guardian;
+    struct lease *lease; /**< NULL before registration */
+    uint64_t lease_serial;
+    uint64_t next_serial;
+    enum member_step step;
+    bool leaving;
+    bool finishing; /**< the row becomes left, nothing is acknowledged */
+    bool lapsed;    /**< the lease was not held at the latest update */
+    bool updating;
+    struct member self;    /**< with the incarnation; no guardians */
+    int64_t retry_us;      /**< of fencing the predecessor */
+    int64_t registered_us; /**< start of the registration */
+    int64_t reported_until_us;
+    uint64_t revision;
+    struct member_poll poll;
+    struct member_call_list calls;
+    struct member_operation_list operations;
+    struct member_fence_list fences;
+    struct member_contact *contacts;
+    size_t contact_count;
+    int64_t watched_us; /**< latest look at the wards */
+    int64_t overdue_us; /**< next look for overdue rows */
+    char (*lost)[STATE_NAME_MAX + 1];
+    size_t lost_count;
+    int64_t lost_us;       /**< when to look at the declared list again */
+    int64_t lost_since_us; /**< when it last changed */
+    void (*left)(void *ctx);
+    void *left_ctx;
+    struct member_counters counters;
+};
+
+/* membertask.c */
+int64_t member_now_us(const struct membertask *task);
+int64_t member_wall_us(const struct membertask *task);
+
+/** Does what is due and sets the timer. To be called after every event. */
+void member_update(struct membertask *task);
+
+/** Takes over a row, whatever its source, and tells the callbacks. */
+bool member_take_row(struct membertask *task, const struct member *row);
+
+/** Takes over a row of the store. @return false if it is not a valid one. */
+bool member_take_store_row(struct membertask *task,
+                           const struct store_row *row, struct member *out);
+
+/* memberjoin.c */
+
+/** Starts a new incarnation, which guards nobody and holds nothing. */
+bool member_new_incarnation(struct membertask *task);
+
+/** Ends the lease and this incarnation, and tells the owner. */
+void member_lose_lease(struct membertask *task);
+
+/** One step of the own membership. @return when to call again. */
+int64_t member_join_tick(struct membertask *task, int64_t now_us);
+
+/* membercall.c */
+void member_call_start(struct membertask *task, enum member_call_kind kind,
+                       uint64_t owner, const struct member_ref *peer,
+                       const struct address *address, const void *args);
+void member_call_cancel_all(struct membertask *task);
+
+struct member_operation *member_operation_start(struct membertask *task,
+                                                uint64_t owner,
+                                                uint64_t txn_id);
+void member_operation_end(struct member_operation *operation);
+
+/* memberlease.c */
+bool member_lease_start(struct membertask *task, uint64_t version);
+void member_lease_stop(struct membertask *task);
+void member_lease_answered(struct membertask *task,
+                           const struct member_call *call,
+                           enum rpc_status status,
+                           const struct lease_renew_result *result);
+
+/* memberpoll.c */
+int64_t member_poll_tick(struct membertask *task, int64_t now_us);
+
+/** Reads changes soon, since a member has a row that is not known here. */
+void member_poll_soon(struct membertask *task);
+
+/* memberfence.c */
+struct member_fence *member_fence_start(struct membertask *task,
+                                        const struct member_ref *holder);
+struct member_fence *member_fence_find(struct membertask *task,
+                                       uint64_t holder);
+int64_t member_fence_tick(struct membertask *task, int64_t now_us);
+void member_fence_answered(struct membertask *task,
+                           const struct member_call *call,
+                           enum rpc_status status,
+                           const struct lease_certify_result *result);
+void member_fence_stop_all(struct membertask *task);
+
+/* memberwatch.c */
+int64_t member_watch_tick(struct membertask *task, int64_t now_us);
+void member_watch_heard(struct membertask *task, uint64_t holder,
+                        const struct address *peer);
+void member_watch_suspect(struct membertask *task, uint64_t holder);
+void member_watch_probed(struct membertask *task,
+                         const struct member_call *call,
+                         enum rpc_status status);
+
+/** Forgets pauses of this process, which are no silence of the wards. */
+void member_watch_check_pause(struct membertask *task, int64_t now_us);
+
+#endif
--- /dev/null
+++ b/packages/membership/test/membertask_test.cc
@@ -0,0 +1,277 @@
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+#include <fstream>
+#include <sstream>
+
+#include "cluster.h"
+
+namespace {
+
+/** Compares with the golden file of the session, or writes it. */
+void
+expect_golden(const std::string &name, const std::string &text)
+{
+    std::string path = std::string(SOURCE_DIR) +
+                       "/packages/membership/test/golden/" + name + ".txt";
+    if (getenv("CHESTNUTGAP_UPDATE_GOLDEN") != nullptr) {
+        std::ofstream(path) << text;
+    }
+    std::ifstream file(path);
+    std::stringstream golden;
+    golden << file.rdbuf();
+    EXPECT_EQ(golden.str(), text) << path;
+}
+
+/** Three zones with two members each, which have all joined. */
+class Session : public ::testing::Test {
+  protected:
+    void SetUp() override
+    {
+        invariant_reset();
+        for (const char *name : {"llanidloes", "rhayader", "machynlleth"}) {
+            cluster.add(std::string(name) + "-1", name);
+            cluster.add(std::string(name) + "-2", name);
+        }
+    }
+
+    void TearDown() override
+    {
+        EXPECT_EQ(0, invariant_violations(INVARIANT_ONE_OWNER));
+    }
+
+    void join()
+    {
+        cluster.run_ms(8000);
+        for (auto &node : cluster.nodes) {
+            ASSERT_TRUE(membertask_is_active(node->task)) << node->name;
+            EXPECT_EQ(3u, membertask_self(node->task)->guardians.count);
+            EXPECT_EQ(0u, membertask_self(node->task)->outgoing.count);
+        }
+    }
+
+    void golden(const char *name)
+    {
+        expect_golden(name, cluster.text + "audit trail:\n" + cluster.audit());
+    }
+
+    int64_t total(const char *counter)
+    {
+        int64_t sum = 0;
+        for (auto &node : cluster.nodes) {
+            sum += node->task == nullptr
+                       ? 0
+                       : cluster.counter(node->number, counter);
+        }
+        return sum;
+    }
+
+    Cluster cluster;
+};
+
+TEST_F(Session, Join)
+{
+    join();
+    int64_t writes = total("member_store_writes");
+    cluster.run_ms(20000);
+    EXPECT_EQ(writes, total("member_store_writes"));
+    EXPECT_EQ(0, total("member_lease_lapses"));
+    EXPECT_EQ(0, total("member_fence_attempts"));
+    golden("join");
+}
+
+TEST_F(Session, CrashedProcessIsFencedByItsRefusedConnection)
+{
+    join();
+    cluster.log(0, "process killed");
+    cluster.stop(0);
+    int64_t start_us = runtime_now_us(cluster.runtime);
+    while (cluster.state(0) != "fenced") {
+        cluster.run_ms(1);
+        ASSERT_LT(runtime_now_us(cluster.runtime), start_us + 1000000);
+    }
+    EXPECT_LT(runtime_now_us(cluster.runtime), start_us + 500000);
+    cluster.log(0, "process started again");
+    cluster.start(0);
+    cluster.run_ms(6000);
+    EXPECT_EQ("active", cluster.state(0));
+    golden("crash");
+}
+
+TEST_F(Session, LostMachineIsFencedByCertificates)
+{
+    join();
+    cluster.log(0, "machine lost");
+    cluster.nodes[0]->machine_up = false;
+    cluster.stop(0);
+    cluster.run_ms(900);
+    EXPECT_EQ("fenced", cluster.state(0));
+    golden("machine_lost");
+}
+
+TEST_F(Session, PausedHolderIsFencedAndJoinsAgain)
+{
+    join();
+    uint64_t incarnation = membertask_incarnation(cluster.nodes[2]->task);
+    cluster.pause(2);
+    cluster.run_ms(5000);
+    EXPECT_EQ("fenced", cluster.state(2));
+    cluster.resume(2);
+    EXPECT_FALSE(membertask_is_active(cluster.nodes[2]->task));
+    cluster.run_ms(5000);
+    EXPECT_TRUE(membertask_is_active(cluster.nodes[2]->task));
+    EXPECT_NE(incarnation, membertask_incarnation(cluster.nodes[2]->task));
+    golden("pause");
+}
+
+TEST_F(Session, ShortPauseKeepsTheRow)
+{
+    join();
+    uint64_t incarnation = membertask_incarnation(cluster.nodes[2]->task);
+    cluster.pause(2);
+    cluster.run_ms(400);
+    cluster.resume(2);
+    cluster.run_ms(3000);
+    EXPECT_TRUE(membertask_is_active(cluster.nodes[2]->task));
+    EXPECT_EQ(incarnation, membertask_incarnation(cluster.nodes[2]->task));
+}
+
+TEST_F(Session, StoreOutageStopsNobody)
+{
+    join();
+    cluster.log(-1, "store down");
+    cluster.set_store(8000, true, 0);
+    cluster.run_ms(60000);
+    EXPECT_EQ(0, total("member_lease_lapses"));
+    cluster.pause(1);
+    cluster.run_ms(3000);
+    cluster.resume(1);
+    cluster.run_ms(2000);
+    EXPECT_TRUE(membertask_is_active(cluster.nodes[1]->task));
+    cluster.log(-1, "store up");
+    cluster.set_store(8000, false, 0);
+    cluster.run_ms(10000);
+    EXPECT_EQ(0, total("member_fences"));
+    EXPECT_EQ(0, total("member_lease_losses"));
+    golden("store_outage");
+}
+
+TEST_F(Session, LostAnswersOfTheStore)
+{
+    join();
+    cluster.log(-1, "the store's answers are lost");
+    cluster.set_store(8000, false, 70);
+    cluster.log(0, "machine lost");
+    cluster.nodes[0]->machine_up = false;
+    cluster.stop(0);
+    cluster.run_ms(6000);
+    cluster.set_store(8000, false, 0);
+    cluster.run_ms(6000);
+    EXPECT_EQ("fenced", cluster.state(0));
+    EXPECT_EQ(0, total("member_lease_losses"));
+    for (int i = 1; i < 6; i++) {
+        EXPECT_TRUE(membertask_is_active(cluster.nodes[i]->task));
+    }
+    golden("lost_answer");
+}
+
+TEST_F(Session, GracefulLeave)
+{
+    join();
+    bool left = false;
+    cluster.log(4, "told to leave");
+    membertask_leave(cluster.nodes[4]->task);
+    cluster.run_ms(2000);
+    EXPECT_EQ("leaving", cluster.state(4));
+    EXPECT_GT(membertask_lease_until_us(cluster.nodes[4]->task),
+              runtime_now_us(cluster.runtime));
+    membertask_finish(
+        cluster.nodes[4]->task,
+        [](void *ctx) { *static_cast<bool *>(ctx) = true; }, &left);
+    EXPECT_LT(membertask_lease_until_us(cluster.nodes[4]->task),
+              runtime_now_us(cluster.runtime));
+    cluster.run_ms(100);
+    EXPECT_TRUE(left);
+    EXPECT_EQ("left", cluster.state(4));
+    cluster.stop(4);
+    cluster.run_ms(3000);
+    EXPECT_EQ(0, total("member_fences"));
+    golden("leave");
+}
+
+TEST_F(Session, RefusedConnectionAlertsGuardians)
+{
+    join();
+    cluster.stop(0);
+    const struct directory *directory =
+        membertask_directory(cluster.nodes[5]->task);
+    struct member row;
+    ASSERT_TRUE(directory_row(directory, "llanidloes-1", &row));
+    int64_t start_us = runtime_now_us(cluster.runtime);
+    membertask_on_refused_connection(cluster.nodes[5]->task, &row.http);
+    while (cluster.state(0) != "fenced") {
+        cluster.run_ms(1);
+        ASSERT_LT(runtime_now_us(cluster.runtime), start_us + 1000000);
+    }
+    EXPECT_LT(runtime_now_us(cluster.runtime), start_us + 50000);
+    EXPECT_EQ(5000000, row.longest_request_us);
+    cluster.run_ms(1000);
+    ASSERT_TRUE(directory_row(directory, "llanidloes-1", &row));
+    EXPECT_EQ(5000000, row.serve_after_us);
+}
+
+TEST_F(Session, DeclaredLostNeedsThatNoGuardianContradicts)
+{
+    join();
+    char names[1][STATE_NAME_MAX + 1] = {"rhayader-1"};
+    auto declare = [&](int except) {
+        for (auto &node : cluster.nodes) {
+            if (node->task != nullptr && node->number != except) {
+                membertask_apply_declared_lost(node->task, names, 1);
+            }
+        }
+    };
+    declare(2);
+    cluster.run_ms(3000);
+    EXPECT_EQ("active", cluster.state(2));
+    /* All guardians and the instance vanish: only operators know. */
+    struct guardian_set guardians =
+        membertask_self(cluster.nodes[2]->task)->guardians;
+    for (auto &node : cluster.nodes) {
+        struct member_ref ref = {};
+        member_copy_name(ref.instance, node->name.c_str());
+        ref.incarnation = membertask_incarnation(node->task);
+        if (node->number == 2 || guardian_set_contains(&guardians, &ref)) {
+            node->machine_up = false;
+            cluster.stop(node->number);
+        }
+    }
+    cluster.run_ms(15000);
+    EXPECT_EQ("fenced", cluster.state(2));
+}
+
+TEST_F(Session, CutOffHolderReestablishesThroughTheStore)
+{
+    join();
+    const struct guardian_set guardians =
+        membertask_self(cluster.nodes[0]->task)->guardians;
+    for (auto &node : cluster.nodes) {
+        for (size_t i = 0; i < 2; i++) {
+            if (node->name == guardians.refs[i].instance) {
+                cluster.cut.insert({0, node->number});
+                cluster.cut.insert({node->number, 0});
+            }
+        }
+    }
+    cluster.run_ms(10000);
+    EXPECT_EQ(0, total("member_lease_lapses"));
+    EXPECT_EQ(0, total("member_lease_losses"));
+    EXPECT_TRUE(membertask_is_active(cluster.nodes[0]->task));
+    const struct member *row = membertask_self(cluster.nodes[0]->task);
+    EXPECT_FALSE(guardian_set_contains(&row->guardians, &guardians.refs[0]));
+    EXPECT_FALSE(guardian_set_contains(&row->guardians, &guardians.refs[1]));
+    EXPECT_EQ(0u, row->outgoing.count);
+    EXPECT_LT(cluster.counter(0, "member_store_writes"), 20);
+}
+
+} // namespace
