--- a/packages/http/httpconnection.c
+++ b/packages/http/httpconnection.c
@@ -51,20 +51,28 @@
     http_server_connection_closed(server);
 }
 
-/** The caller went away or is sent away; a request in work is cancelled. */
-static void
-connection_drop(struct http_connection *connection)
+/** Frees the connection; the message of a request in work lives on until it
+ * is answered. */
+void
+http_connection_abort(struct http_connection *connection)
 {
-    struct http_server *server = connection->server;
     struct http_request *request = connection->request;
     if (request != NULL) {
-        /* The message lives on until the request is answered. */
         request->reader = connection->reader;
         request->connection = NULL;
         connection->reader = NULL;
         connection->request = NULL;
     }
     http_connection_free(connection);
+}
+
+/** The caller went away or is sent away; a request in work is cancelled. */
+static void
+connection_drop(struct http_connection *connection)
+{
+    struct http_server *server = connection->server;
+    struct http_request *request = connection->request;
+    http_connection_abort(connection);
     if (request != NULL) {
         server->counters.cancelled->value++;
         if (server->config.cancelled != NULL) {
--- /dev/null
+++ b/packages/http/httpfault.c
@@ -0,0 +1,50 @@
+#include "http/httpfault.h"
+
+#include <sys/socket.h>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+
+#include "http/httpserver_internal.h"
+#include "http/httpwriter.h"
+
+#define CUT_MAX 65536 /* bytes of an answer that is cut */
+
+/** Sends the beginning of the answer past the connection's own output. */
+static void
+send_beginning(const struct http_connection *connection,
+               const struct http_reply *reply, size_t size)
+{
+    struct evbuffer *whole = evbuffer_new();
+    if (whole == NULL) {
+        return;
+    }
+    http_write_answer(whole, &(struct http_answer){
+                                 .status = reply->status,
+                                 .headers = reply->headers,
+                                 .header_count = reply->header_count,
+                                 .body = reply->body,
+                                 .body_size = reply->body_size,
+                             });
+    const size_t most = size < CUT_MAX ? size : CUT_MAX;
+    const size_t available = evbuffer_get_length(whole);
+    const size_t sent = most < available ? most : available;
+    const unsigned char *data = evbuffer_pullup(whole, (ev_ssize_t)sent);
+    if (data != NULL) {
+        (void)!send(bufferevent_getfd(connection->bev), data, sent,
+                    MSG_DONTWAIT | MSG_NOSIGNAL);
+    }
+    evbuffer_free(whole);
+}
+
+void
+http_request_cut(struct http_request *request, const struct http_reply *reply,
+                 size_t size)
+{
+    struct http_connection *connection = request->connection;
+    if (connection != NULL) {
+        send_beginning(connection, reply, size);
+        http_connection_abort(connection);
+    }
+    http_request_reply(request, reply);
+}
--- a/packages/http/httpserver_internal.h
+++ b/packages/http/httpserver_internal.h
@@ -97,6 +97,10 @@
 /** Closes the connection if its time is over or it makes no progress. */
 void http_connection_check(struct http_connection *connection, int64_t now_us);
 
+/** Closes the connection at once; a request in work loses its caller, but
+ * is not reported as cancelled. */
+void http_connection_abort(struct http_connection *connection);
+
 /** Closes an idle connection, or one after its answer. */
 void http_connection_stop(struct http_connection *connection);
 
