--- /dev/null
+++ b/packages/ctl/programs/chestnutgapctl.c
@@ -0,0 +1,14 @@
+/**
+ * @file
+ * Operators' client of chestnutgap.
+ */
+#include <signal.h>
+
+#include "ctl/ctlmain.h"
+
+int
+main(int argc, char **argv)
+{
+    signal(SIGPIPE, SIG_IGN);
+    return ctl_main(argc, argv);
+}
--- a/packages/state/statediff.c
+++ b/packages/state/statediff.c
@@ -30,7 +30,8 @@
 state_tree(const struct state *state)
 {
     if (state == NULL) {
-        return json_object();
+        return json_pack("{s:{}, s:{}, s:{}, s:{}}", "zones", "services",
+                         "lost_instances", "limits");
     }
     json_t *tree = state_to_json(state);
     static const char *const lists[] = {"zones", "services", "lost_instances"};
@@ -177,7 +178,7 @@
 {
     char *text = value != NULL
                      ? json_dumps(value, JSON_ENCODE_ANY | JSON_SORT_KEYS)
-                     : strdup("(none)");
+                     : strdup("none");
     if (text == NULL) {
         abort();
     }
@@ -189,10 +190,19 @@
 state_diff_print(const struct state_diff *diff, FILE *stream)
 {
     for (size_t i = 0; i < diff->count; i++) {
-        fprintf(stream, "%s: ", diff->changes[i].path);
-        print_value(diff->changes[i].before, stream);
+        const struct state_change *change = &diff->changes[i];
+        if (change->before == NULL && json_is_object(change->after)) {
+            fprintf(stream, "%s: added\n", change->path);
+            continue;
+        }
+        if (change->after == NULL && json_is_object(change->before)) {
+            fprintf(stream, "%s: removed\n", change->path);
+            continue;
+        }
+        fprintf(stream, "%s: ", change->path);
+        print_value(change->before, stream);
         fputs(" -> ", stream);
-        print_value(diff->changes[i].after, stream);
+        print_value(change->after, stream);
         fputc('\n', stream);
     }
 }
--- a/packages/state/statediff.h
+++ b/packages/state/statediff.h
@@ -37,7 +37,7 @@
 /** Array of {"path", "before", "after"}. */
 json_t *state_diff_to_json(const struct state_diff *diff);
 
-/** One line for each change. */
+/** One line for each change, without the contents of whole objects. */
 void state_diff_print(const struct state_diff *diff, FILE *stream);
 
 #endif
