daemon: the whole path from a caller to the target that owns the key

Cause: the units existed side by side; nothing served a request. Change: chestnutgapd wires settings, membership, configuration, entry, gate and target over HTTP and ONC RPC; status pages; graceful shutdown by SIGTERM.

--- a/packages/base/runtime.c
+++ b/packages/base/runtime.c
@@ -9,6 +9,7 @@
 #include "base/runtime_internal.h"
 
 #define TIMER_HEAP_MIN_CAPACITY 64
+#define MANUAL_WALL_START_MS INT64_C(1700000000000) /* 2023-11-14 */
 
 struct runtime {
     struct event_base *event_base;
@@ -241,6 +242,17 @@
     return now.tv_sec * US_PER_SECOND + now.tv_nsec / 1000;
 }
 
+int64_t
+runtime_wall_ms(const struct runtime *runtime)
+{
+    if (runtime->manual) {
+        return MANUAL_WALL_START_MS + runtime->manual_now_us / US_PER_MS;
+    }
+    struct timespec now;
+    clock_gettime(CLOCK_REALTIME, &now);
+    return now.tv_sec * (US_PER_SECOND / US_PER_MS) + now.tv_nsec / 1000000;
+}
+
 void
 runtime_run(struct runtime *runtime)
 {
--- a/packages/base/runtime.h
+++ b/packages/base/runtime.h
@@ -51,6 +51,10 @@
 /** Current time in microseconds; it never goes back. */
 int64_t runtime_now_us(const struct runtime *runtime);
 
+/** Milliseconds since 1970. It may jump; use it only to compare with clocks
+ * of others. A manual runtime's wall clock moves with its clock. */
+int64_t runtime_wall_ms(const struct runtime *runtime);
+
 /** Runs until runtime_stop(). */
 void runtime_run(struct runtime *runtime);
 
--- /dev/null
+++ b/packages/daemon/configtask.c
@@ -0,0 +1,180 @@
+#include "daemon/configtask.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#define LOG_MODULE "config"
+#include "base/counter.h"
+#include "base/document.h"
+#include "base/log.h"
+#include "base/runtime.h"
+
+#define CONFIG_TABLE "config"
+#define CONFIG_HEAD "head"
+#define CONFIG_ROW_SIZE 40
+
+struct configtask {
+    struct configtask_options options;
+    struct config *config;
+    struct state *state;
+    struct timer poll_timer;
+    bool reading_head;
+    uint64_t fetching; /* revision whose document is being read, or 0 */
+    struct counter *polls;
+    struct counter *poll_failures;
+    struct counter *revision_gauge;
+};
+
+static bool
+configtask_apply(void *ctx, uint64_t revision, const json_t *document)
+{
+    struct configtask *task = ctx;
+    struct document_problems problems = {.count = 0};
+    struct state *state = state_parse(document, &problems);
+    if (state == NULL) {
+        LOG_ERR("document_refused", LOG_UINT("revision", revision),
+                LOG_STR("problem", error_name(problems.problems[0].code)),
+                LOG_STR("subject", problems.problems[0].subject));
+        return false;
+    }
+    struct state *former = task->state;
+    task->state = state;
+    task->revision_gauge->value = (int64_t)revision;
+    task->options.in_force(task->options.ctx, revision, state);
+    state_destroy(former);
+    return true;
+}
+
+static void
+configtask_on_document(void *ctx, const struct store_read_result *result)
+{
+    struct configtask *task = ctx;
+    const uint64_t revision = task->fetching;
+    task->fetching = 0;
+    if (result->outcome != STORE_COMMITTED || result->row_count == 0 ||
+        result->rows[0].value == NULL) {
+        task->poll_failures->value++;
+        return;
+    }
+    const json_t *document =
+        json_object_get(result->rows[0].value, "document");
+    if (document == NULL) {
+        LOG_ERR("revision_row_malformed", LOG_UINT("revision", revision));
+        return;
+    }
+    config_offer(task->config, revision, document);
+}
+
+static void
+configtask_fetch(struct configtask *task, uint64_t revision)
+{
+    char row[CONFIG_ROW_SIZE];
+    if (task->fetching != 0) {
+        return;
+    }
+    task->fetching = revision;
+    snprintf(row, sizeof(row), "revision/%020" PRIu64, revision);
+    store_read(task->options.store, CONFIG_TABLE, row, configtask_on_document,
+               task);
+}
+
+static void
+configtask_on_head(void *ctx, const struct store_read_result *result)
+{
+    struct configtask *task = ctx;
+    task->reading_head = false;
+    if (result->outcome != STORE_COMMITTED || result->row_count == 0) {
+        task->poll_failures->value++;
+        return;
+    }
+    const json_t *value = result->rows[0].value;
+    if (value == NULL) {
+        config_heard(task->config, 0, runtime_now_us(task->options.runtime));
+        return;
+    }
+    const json_t *revision = json_object_get(value, "revision");
+    if (!json_is_integer(revision)) {
+        LOG_ERR("config_head_malformed");
+        return;
+    }
+    configtask_heard(task, (uint64_t)json_integer_value(revision));
+}
+
+static void
+configtask_poll(void *ctx)
+{
+    struct configtask *task = ctx;
+    timer_start(&task->poll_timer, task->options.poll_us);
+    if (task->reading_head) {
+        return;
+    }
+    task->reading_head = true;
+    task->polls->value++;
+    store_read(task->options.store, CONFIG_TABLE, CONFIG_HEAD,
+               configtask_on_head, task);
+}
+
+struct configtask *
+configtask_create(const struct configtask_options *options)
+{
+    struct configtask *task = calloc(1, sizeof(*task));
+    if (task == NULL) {
+        abort();
+    }
+    task->options = *options;
+    task->config = config_create(configtask_apply, task);
+    if (task->config == NULL) {
+        abort();
+    }
+    task->polls = counter_add(options->counters, "config_polls",
+                              "reads of the configuration's head");
+    task->poll_failures =
+        counter_add(options->counters, "config_poll_failures",
+                    "reads of the configuration that the store failed");
+    task->revision_gauge = counter_add(options->counters, "config_revision",
+                                       "revision in force here");
+    timer_init(&task->poll_timer, options->runtime, configtask_poll, task);
+    timer_start(&task->poll_timer, 0);
+    return task;
+}
+
+void
+configtask_destroy(struct configtask *task)
+{
+    if (task == NULL) {
+        return;
+    }
+    timer_stop(&task->poll_timer);
+    config_destroy(task->config);
+    state_destroy(task->state);
+    free(task);
+}
+
+void
+configtask_heard(struct configtask *task, uint64_t revision)
+{
+    const int64_t now_us = runtime_now_us(task->options.runtime);
+    if (config_heard(task->config, revision, now_us)) {
+        configtask_fetch(task, revision);
+    }
+}
+
+void
+configtask_offer(struct configtask *task, uint64_t revision,
+                 const json_t *document)
+{
+    config_offer(task->config, revision, document);
+}
+
+struct config *
+configtask_config(struct configtask *task)
+{
+    return task->config;
+}
+
+const struct state *
+configtask_state(const struct configtask *task)
+{
+    return task->state;
+}
--- /dev/null
+++ b/packages/daemon/daemon_internal.h
@@ -0,0 +1,77 @@
+/**
+ * @file
+ * What the modules of the daemon share.
+ */
+#ifndef CHESTNUTGAP_DAEMON_DAEMON_INTERNAL_H
+#define CHESTNUTGAP_DAEMON_DAEMON_INTERNAL_H
+
+#include "base/counter.h"
+#include "base/random.h"
+#include "base/runtime.h"
+#include "daemon/configtask.h"
+#include "daemon/daemon.h"
+#include "daemon/entrytask.h"
+#include "daemon/forwarder.h"
+#include "daemon/gatetask.h"
+#include "daemon/ownership.h"
+#include "http/httpserver.h"
+#include "membership/membertask.h"
+#include "protocol/rpc.h"
+#include "store/storehttp.h"
+#include "target/target.h"
+
+/** How far a graceful shutdown has come. */
+enum daemon_phase {
+    DAEMON_SERVING,
+    DAEMON_DRAINING,  /**< shards move away, requests are finished */
+    DAEMON_FINISHING, /**< the members row is written as left */
+};
+
+struct daemon {
+    struct settings settings;
+    struct runtime *runtime;
+    struct counter_registry *counters;
+    struct random_state random;
+    struct rpc_node *node;
+    struct store_http *store_http;
+    struct store store;
+    struct http_server *http;
+    struct target *target;
+    struct suspects *suspects;
+    struct membertask *members;
+    struct configtask *config;
+    struct gatetask *gate;
+    struct forwarder *forwarder;
+    struct entrytask *entry;
+    struct ownership *ownership;
+    struct member self; /* as announced to the members */
+    enum daemon_phase phase;
+    int64_t started_us;
+    struct timer drain_timer;
+    int64_t drain_deadline_us;
+    struct timer probe_timer;
+};
+
+/** Answers requests below DAEMON_PAGES_PREFIX. */
+#define DAEMON_PAGES_PREFIX "/chestnutgap/"
+void statuspages_handle(struct daemon *daemon, struct http_request *request);
+
+/** Callbacks of the tasks; ctx is the daemon. */
+extern const struct membertask_callbacks daemonevents_membership;
+void daemonevents_config(void *ctx, uint64_t revision,
+                         const struct state *state);
+void daemonevents_target(void *ctx, enum target_change change);
+enum admission_ownership daemonevents_owned(void *ctx, uint32_t shard,
+                                            uint64_t *epoch);
+const char *daemonevents_owner_of_own_service(void *ctx, uint32_t shard,
+                                              uint64_t *epoch);
+const char *daemonevents_owner(void *ctx, const char *service, uint32_t shard,
+                               uint64_t *epoch);
+bool daemonevents_shard(void *ctx, const char *service, const void *key,
+                        size_t key_size, uint32_t *shard);
+void daemonevents_shard_idle(void *ctx, uint32_t shard);
+
+/** Starts the graceful shutdown's steps. */
+void shutdown_begin(struct daemon *daemon);
+
+#endif
--- /dev/null
+++ b/packages/daemon/entryservice.h
@@ -0,0 +1,59 @@
+/**
+ * @file
+ * What one entry knows of one service: its declaration, its members, and the
+ * budgets that its requests share.
+ */
+#ifndef CHESTNUTGAP_DAEMON_ENTRYSERVICE_H
+#define CHESTNUTGAP_DAEMON_ENTRYSERVICE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <sys/queue.h>
+
+#include "entry/request.h"
+#include "membership/member.h"
+#include "state/state.h"
+
+/** Names the owner of a shard as the map shows it, or NULL. */
+typedef const char *(*entryservice_owner_cb)(void *ctx, const char *service,
+                                             uint32_t shard, uint64_t *epoch);
+
+/** One service. Services that are no longer declared stay, since requests
+ * may refer to them. */
+struct entryservice {
+    LIST_ENTRY(entryservice) link;
+    struct state_service declared;
+    struct choice *choice;
+    struct retry retry;
+    struct hedge hedge;
+    struct request_env env;
+    entryservice_owner_cb owner;
+    void *owner_ctx;
+};
+
+struct entryservice_options {
+    const char *zone; /**< the entry's own */
+    struct suspects *suspects;
+    struct random_state *random;
+    entryservice_owner_cb owner;
+    void *owner_ctx;
+    struct request_ops ops;
+    void *ops_ctx;
+};
+
+/** Aborts when memory is short. */
+struct entryservice *
+entryservice_create(const struct entryservice_options *options,
+                    const struct state_service *declared, int64_t now_us);
+void entryservice_destroy(struct entryservice *service);
+
+/** Takes over the declaration and the budgets. */
+void entryservice_configure(struct entryservice *service,
+                            const struct state_service *declared,
+                            const struct state_limits *limits);
+
+/** Takes over a member's row. zone_out: its availability zone is out. */
+void entryservice_member(struct entryservice *service,
+                         const struct member *row, bool zone_out);
+
+#endif
--- /dev/null
+++ b/packages/daemon/gatetask.c
@@ -0,0 +1,416 @@
+#include "daemon/gatetask_internal.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define LOG_MODULE "gate"
+#include "base/counter.h"
+#include "base/log.h"
+
+#define CALLERS_CLOCK_MARGIN_US (1 * US_PER_SECOND)
+#define RUNS_INTERVAL_US (5 * US_PER_MS)
+
+static void
+gatetask_on_message(void *ctx, struct message *message)
+{
+    gatecall_deliver(ctx, (struct gate_arrival *)message);
+}
+
+static void
+gatetask_update_gauges(struct gatetask *gate)
+{
+    struct forward_load load;
+    gatetask_load(gate, &load);
+    gate->in_flight->value = load.in_flight;
+    gate->queued->value = load.queued;
+    gate->limit->value = load.limit;
+    gate->dedup_ids->value = (int64_t)dedup_count(gate->dedup);
+    gate->dedup_bytes->value = (int64_t)dedup_bytes(gate->dedup);
+}
+
+static void
+gatetask_on_tick(void *ctx)
+{
+    struct gatetask *gate = ctx;
+    timer_start(&gate->tick, LIMIT_TICK_US);
+    if (gate->unit == NULL) {
+        return;
+    }
+    gate_tick(gate->unit, runtime_now_us(gate->options.runtime));
+    gatetask_check_drains(gate);
+    gatetask_update_gauges(gate);
+}
+
+static void
+gatetask_after_write(void *ctx)
+{
+    gatecall_check_written(ctx);
+}
+
+static void
+gatetask_add_counters(struct gatetask *gate)
+{
+    struct counter_registry *counters = gate->options.counters;
+    gate->requests =
+        counter_add(counters, "gate_requests", "requests from entries");
+    gate->answered =
+        counter_add(counters, "gate_answered", "requests answered");
+    gate->not_run =
+        counter_add(counters, "gate_not_run", "requests refused as not run");
+    gate->unknown = counter_add(counters, "gate_unknown",
+                                "requests whose outcome is unknown");
+    gate->replayed = counter_add(counters, "gate_replayed",
+                                 "answers given again for the same id");
+    gate->cancelled_after_write =
+        counter_add(counters, "gate_cancelled_after_write",
+                    "requests cancelled as the lease lapsed while they were "
+                    "written");
+    gate->in_flight =
+        counter_add(counters, "gate_in_flight", "requests at the target");
+    gate->queued = counter_add(counters, "gate_queued", "requests that wait");
+    gate->limit = counter_add(counters, "gate_limit",
+                              "most requests that may be at the target");
+    gate->dedup_ids = counter_add(counters, "gate_dedup_ids",
+                                  "idempotency keys that are remembered");
+    gate->dedup_bytes = counter_add(counters, "gate_dedup_bytes",
+                                    "memory of remembered ids and answers");
+}
+
+struct gatetask *
+gatetask_create(const struct gatetask_options *options)
+{
+    struct gatetask *gate = calloc(1, sizeof(*gate));
+    if (gate == NULL) {
+        abort();
+    }
+    gate->options = *options;
+    random_seed(&gate->random, options->seed);
+    snprintf(gate->holder, sizeof(gate->holder), "%s-%016" PRIx64,
+             options->instance, options->seed);
+    LIST_INIT(&gate->calls);
+    LIST_INIT(&gate->drains);
+    gatetask_add_counters(gate);
+    gate->task =
+        task_create(options->runtime, "gate", gatetask_on_message, gate);
+    if (gate->task == NULL) {
+        abort();
+    }
+    timer_init(&gate->tick, options->runtime, gatetask_on_tick, gate);
+    timer_init(&gate->after_write, options->runtime, gatetask_after_write,
+               gate);
+    timer_start(&gate->tick, LIMIT_TICK_US);
+    return gate;
+}
+
+void
+gatetask_destroy(struct gatetask *gate)
+{
+    if (gate == NULL) {
+        return;
+    }
+    timer_stop(&gate->tick);
+    timer_stop(&gate->after_write);
+    task_destroy(gate->task);
+    struct gatetask_call *call = LIST_FIRST(&gate->calls);
+    while (call != NULL) {
+        struct gatetask_call *next = LIST_NEXT(call, link);
+        call->arrival = NULL;
+        gatecall_free(call);
+        call = next;
+    }
+    struct gate_drain *drain = LIST_FIRST(&gate->drains);
+    while (drain != NULL) {
+        struct gate_drain *next = LIST_NEXT(drain, link);
+        free(drain);
+        drain = next;
+    }
+    runs_destroy(gate->runs);
+    gate_destroy(gate->unit);
+    dedup_destroy(gate->dedup);
+    admission_destroy(gate->admission);
+    free(gate);
+}
+
+static struct limit_config
+gatetask_limits(const struct gatetask *gate,
+                const struct state_service *service)
+{
+    const struct announcement *target = target_current(gate->options.target);
+    struct limit_config limits = {
+        .slots = service->slots,
+        .connections = service->connections,
+        .cold_limit = service->cold_limit,
+        .cold_start_us = service->cold_start_us,
+    };
+    /* The target may bear less than what was declared, never more. */
+    if (target != NULL && target->slots < limits.slots) {
+        limits.slots = target->slots;
+    }
+    if (target != NULL && target->connections < limits.connections) {
+        limits.connections = target->connections;
+    }
+    return limits;
+}
+
+static void
+gatetask_create_unit(struct gatetask *gate, const struct limit_config *limits,
+                     const struct dedup_config *ids)
+{
+    const int64_t now_us = runtime_now_us(gate->options.runtime);
+    gate->admission =
+        admission_create(limits, gate->options.suspects, gate->options.owned,
+                         gate->options.ctx, now_us);
+    gate->dedup = dedup_create(ids);
+    gate->unit = gate_create(gate->admission, gate->dedup, NULL,
+                             gate->options.suspects, &gatecall_ops, gate);
+    if (gate->admission == NULL || gate->dedup == NULL || gate->unit == NULL) {
+        abort();
+    }
+    admission_set_lease(gate->admission, gate->lease_until_us);
+    gate_set_incarnation(gate->unit, random_u64(&gate->random));
+}
+
+static void
+gatetask_create_runs(struct gatetask *gate,
+                     const struct state_service *service)
+{
+    const struct runs_config config = {
+        .service = gate->service_name,
+        .holder = gate->holder,
+        .interval_us = RUNS_INTERVAL_US,
+        .retention_us = service->id_retention_us,
+    };
+    gate->runs = runs_create(&config, gate->options.store, &gate->random,
+                             gate_on_recorded, gate->unit);
+    if (gate->runs == NULL) {
+        abort();
+    }
+    gate_set_runs(gate->unit, gate->runs);
+}
+
+void
+gatetask_set_service(struct gatetask *gate,
+                     const struct state_service *service)
+{
+    if (service == NULL) {
+        gate->service.name[0] = '\0';
+        return;
+    }
+    const struct limit_config limits = gatetask_limits(gate, service);
+    const struct dedup_config ids = {
+        .retention_us = service->id_retention_us,
+        .clock_margin_us = CALLERS_CLOCK_MARGIN_US,
+        .bytes_max = gate->options.memory_bytes,
+        .durable = service->durable_at_most_once,
+    };
+    gate->service = *service;
+    snprintf(gate->service_name, sizeof(gate->service_name), "%s",
+             service->name);
+    if (gate->unit == NULL) {
+        gatetask_create_unit(gate, &limits, &ids);
+    }
+    limit_configure(admission_limit(gate->admission), &limits);
+    dedup_configure(gate->dedup, &ids);
+    if (service->durable_at_most_once && gate->runs == NULL) {
+        gatetask_create_runs(gate, service);
+    }
+    gatetask_pump(gate);
+}
+
+void
+gatetask_set_lease(struct gatetask *gate, int64_t until_us)
+{
+    gate->lease_until_us = until_us;
+    if (gate->unit != NULL) {
+        admission_set_lease(gate->admission, until_us);
+    }
+}
+
+void
+gatetask_set_leaving(struct gatetask *gate, bool leaving)
+{
+    if (gate->unit != NULL) {
+        admission_set_leaving(gate->admission, leaving,
+                              runtime_now_us(gate->options.runtime));
+        gatetask_pump(gate);
+    }
+}
+
+void
+gatetask_set_zone_out(struct gatetask *gate, bool out)
+{
+    if (gate->unit != NULL) {
+        admission_set_zone_out(gate->admission, out,
+                               runtime_now_us(gate->options.runtime));
+        gatetask_pump(gate);
+    }
+}
+
+void
+gatetask_target_restarted(struct gatetask *gate, uint64_t incarnation)
+{
+    if (gate->unit == NULL) {
+        return;
+    }
+    gate_crashed(gate->unit, incarnation,
+                 runtime_now_us(gate->options.runtime));
+    gate_set_incarnation(gate->unit, incarnation);
+    gatetask_pump(gate);
+}
+
+void
+gatetask_gained(struct gatetask *gate, uint32_t shard, bool first,
+                const void *blob, size_t blob_size)
+{
+    if (gate->unit == NULL) {
+        return;
+    }
+    const struct dedup_time time = {
+        .now_us = runtime_now_us(gate->options.runtime),
+        .wall_ms = runtime_wall_ms(gate->options.runtime),
+    };
+    struct error err = {.code = ERROR_NONE};
+    if (blob != NULL &&
+        dedup_import(gate->dedup, shard, blob, blob_size, time.now_us, &err)) {
+        return;
+    }
+    if (blob != NULL) {
+        LOG_WARN("handover_refused", LOG_UINT("shard", shard),
+                 LOG_STR("error", error_name(err.code)));
+    }
+    dedup_gain(gate->dedup, shard,
+               first ? DEDUP_GAIN_FIRST : DEDUP_GAIN_UNPLANNED, &time);
+}
+
+void
+gatetask_lost(struct gatetask *gate, uint32_t shard)
+{
+    if (gate->unit != NULL) {
+        dedup_lose(gate->dedup, shard);
+    }
+    gatetask_pump(gate);
+}
+
+void
+gatetask_split(struct gatetask *gate, uint32_t base, uint32_t key)
+{
+    if (gate->unit != NULL) {
+        dedup_split(gate->dedup, base, key);
+    }
+}
+
+void
+gatetask_merge(struct gatetask *gate, uint32_t base, uint32_t key)
+{
+    if (gate->unit != NULL) {
+        dedup_merge(gate->dedup, base, key);
+    }
+}
+
+static void
+drain_end(struct gate_drain *drain)
+{
+    struct gatetask *gate = drain->gate;
+    const uint32_t shard = drain->shard;
+    LIST_REMOVE(drain, link);
+    free(drain);
+    gate->options.shard_idle(gate->options.ctx, shard);
+}
+
+static void
+drain_on_withdrawn(void *ctx, bool ok)
+{
+    struct gate_drain *drain = ctx;
+    drain->withdrawing = false;
+    if (!ok) {
+        /* Nothing of the shard runs, and this gate sends nothing more. */
+        LOG_WARN("grant_not_withdrawn", LOG_UINT("shard", drain->shard));
+    }
+    drain_end(drain);
+}
+
+static void
+drain_check(struct gate_drain *drain)
+{
+    struct gatetask *gate = drain->gate;
+    if (drain->withdrawing || gatecall_count(gate, drain->shard) > 0) {
+        return;
+    }
+    const struct announcement *target = target_current(gate->options.target);
+    if (target == NULL || !target->checks_grants) {
+        drain_end(drain);
+        return;
+    }
+    const struct target_grant grant = {
+        .shard = drain->shard,
+        .epoch = drain->epoch,
+    };
+    drain->withdrawing = true;
+    target_delete_grants(gate->options.target, &grant, 1, drain_on_withdrawn,
+                         drain);
+}
+
+void
+gatetask_check_drains(struct gatetask *gate)
+{
+    struct gate_drain *drain = LIST_FIRST(&gate->drains);
+    while (drain != NULL) {
+        struct gate_drain *next = LIST_NEXT(drain, link);
+        drain_check(drain);
+        drain = next;
+    }
+}
+
+void
+gatetask_drain(struct gatetask *gate, uint32_t shard)
+{
+    struct gate_drain *drain = calloc(1, sizeof(*drain));
+    if (drain == NULL) {
+        abort();
+    }
+    drain->gate = gate;
+    drain->shard = shard;
+    gate->options.owned(gate->options.ctx, shard, &drain->epoch);
+    LIST_INSERT_HEAD(&gate->drains, drain, link);
+    gatetask_pump(gate);
+    if (!timer_running(&gate->tick)) {
+        timer_start(&gate->tick, 0);
+    }
+}
+
+void *
+gatetask_export(struct gatetask *gate, uint32_t shard, size_t size_max,
+                size_t *size)
+{
+    if (gate->unit == NULL) {
+        return NULL;
+    }
+    return dedup_export(gate->dedup, shard, size_max,
+                        runtime_now_us(gate->options.runtime), size);
+}
+
+void
+gatetask_load(const struct gatetask *gate, struct forward_load *load)
+{
+    memset(load, 0, sizeof(*load));
+    if (gate->unit != NULL) {
+        admission_load(gate->admission, runtime_now_us(gate->options.runtime),
+                       load);
+    }
+}
+
+bool
+gatetask_idle(const struct gatetask *gate)
+{
+    return LIST_EMPTY(&gate->calls);
+}
+
+void
+gatetask_pump(struct gatetask *gate)
+{
+    if (gate->unit != NULL) {
+        gate_pump(gate->unit, runtime_now_us(gate->options.runtime));
+    }
+}
--- /dev/null
+++ b/packages/daemon/gatetask_internal.h
@@ -0,0 +1,107 @@
+/**
+ * @file
+ * What the modules of the gate's task share.
+ */
+#ifndef CHESTNUTGAP_DAEMON_GATETASK_INTERNAL_H
+#define CHESTNUTGAP_DAEMON_GATETASK_INTERNAL_H
+
+#include <sys/queue.h>
+
+#include "base/random.h"
+#include "base/runtime.h"
+#include "base/task.h"
+#include "daemon/gatetask.h"
+#include "gate/gate.h"
+#include "target/target.h"
+
+#define GATE_NAME_SIZE 256 /* bytes of an id, with the terminator */
+
+/* What delivers a call to the gate's task. */
+struct gate_arrival {
+    struct message message;
+    struct gatetask_call *call; /* NULL: cancelled before it was delivered */
+};
+
+struct gatetask_call {
+    LIST_ENTRY(gatetask_call) link;
+    struct gatetask *gate;
+    struct gate_arrival *arrival; /* NULL once delivered */
+    struct gate_request unit;
+    const struct forward_request *request; /* the entry's, or copy */
+    struct forward_request *copy;          /* outlives the entry's interest */
+    char id[GATE_NAME_SIZE];
+    uint64_t epoch; /* of the shard at arrival */
+    gatetask_reply_cb reply;
+    void *ctx;
+    bool detached;    /* replied to, or cancelled */
+    bool ended;       /* the unit is done with it */
+    bool dispatching; /* within target_forward() */
+    bool unchecked;   /* written since the last check of the lease */
+    struct target_call *target_call;
+    const struct target_result *result; /* during its callback */
+    struct timer deadline;
+};
+
+LIST_HEAD(gate_calls, gatetask_call);
+
+/* A shard whose requests are being finished. */
+struct gate_drain {
+    LIST_ENTRY(gate_drain) link;
+    uint32_t shard;
+    uint64_t epoch;
+    bool withdrawing;
+    struct gatetask *gate;
+};
+
+LIST_HEAD(gate_drains, gate_drain);
+
+struct gatetask {
+    struct gatetask_options options;
+    struct random_state random;
+    struct task *task;
+    struct admission *admission;
+    struct dedup *dedup;
+    struct runs *runs;
+    struct gate *unit;
+    struct state_service service; /* name is "" before it is known */
+    char service_name[STATE_NAME_MAX + 1];
+    char holder[STATE_NAME_MAX + 32];
+    int64_t lease_until_us;
+    uint64_t sequence;
+    struct gate_calls calls;
+    struct gate_drains drains;
+    struct timer tick;
+    struct timer after_write; /* checks the lease again */
+    struct counter *requests;
+    struct counter *answered;
+    struct counter *not_run;
+    struct counter *unknown;
+    struct counter *replayed;
+    struct counter *cancelled_after_write;
+    struct counter *in_flight;
+    struct counter *queued;
+    struct counter *limit;
+    struct counter *dedup_ids;
+    struct counter *dedup_bytes;
+};
+
+/** Operations for the gate unit; their context is the task. */
+extern const struct gate_ops gatecall_ops;
+
+/** Handles an arrival. */
+void gatecall_deliver(struct gatetask *gate, struct gate_arrival *arrival);
+
+/** Frees a call without a reply. */
+void gatecall_free(struct gatetask_call *call);
+
+/** Cancels requests that were written after the lease had lapsed, because
+ * the process stood still between the check and the write. */
+void gatecall_check_written(struct gatetask *gate);
+
+/** Requests of the shard that have not ended. */
+size_t gatecall_count(const struct gatetask *gate, uint32_t shard);
+
+/** Ends drains of shards that have no request any more. */
+void gatetask_check_drains(struct gatetask *gate);
+
+#endif
--- /dev/null
+++ b/packages/daemon/shutdown.c
@@ -0,0 +1,76 @@
+#include "daemon/daemon_internal.h"
+
+#define LOG_MODULE "shutdown"
+#include "base/invariant.h"
+#include "base/log.h"
+
+#define DRAIN_CHECK_US (20 * US_PER_MS)
+
+static void
+on_left(void *ctx)
+{
+    struct daemon *daemon = ctx;
+    LOG_INFO("left");
+    runtime_stop(daemon->runtime);
+}
+
+static void
+on_http_stopped(void *ctx)
+{
+    (void)ctx;
+    LOG_INFO("callers_finished");
+}
+
+static bool
+is_drained(const struct daemon *daemon)
+{
+    return entrytask_count(daemon->entry) == 0 && gatetask_idle(daemon->gate);
+}
+
+static void
+finish(struct daemon *daemon)
+{
+    daemon->phase = DAEMON_FINISHING;
+    membertask_finish(daemon->members, on_left, daemon);
+}
+
+static void
+on_drain_check(void *ctx)
+{
+    struct daemon *daemon = ctx;
+    const int64_t now_us = runtime_now_us(daemon->runtime);
+    const bool late = now_us >= daemon->drain_deadline_us;
+    if (daemon->phase == DAEMON_DRAINING && is_drained(daemon)) {
+        invariant_check(INVARIANT_GRACEFUL_STOP, true, "drained");
+        finish(daemon);
+    }
+    else if (daemon->phase == DAEMON_DRAINING && late) {
+        invariant_check(INVARIANT_GRACEFUL_STOP, false,
+                        "requests still run at the end of drain_max_ms");
+        finish(daemon);
+    }
+    else if (daemon->phase == DAEMON_FINISHING && late) {
+        /* The store does not answer; the row is fenced later instead. */
+        LOG_WARN("left_without_row");
+        runtime_stop(daemon->runtime);
+        return;
+    }
+    timer_start(&daemon->drain_timer, DRAIN_CHECK_US);
+}
+
+void
+shutdown_begin(struct daemon *daemon)
+{
+    if (daemon->phase != DAEMON_SERVING) {
+        return;
+    }
+    LOG_INFO("draining");
+    daemon->phase = DAEMON_DRAINING;
+    daemon->drain_deadline_us =
+        runtime_now_us(daemon->runtime) + daemon->settings.drain_max_us;
+    membertask_leave(daemon->members);
+    gatetask_set_leaving(daemon->gate, true);
+    http_server_stop(daemon->http, on_http_stopped, daemon);
+    timer_init(&daemon->drain_timer, daemon->runtime, on_drain_check, daemon);
+    timer_start(&daemon->drain_timer, DRAIN_CHECK_US);
+}
--- a/packages/membership/lease.c
+++ b/packages/membership/lease.c
@@ -297,11 +297,22 @@
 void
 lease_set_abilities(struct lease *lease, const struct member *row)
 {
-    lease->wanted.slots = row->slots;
-    lease->wanted.checks_grants = row->checks_grants;
-    lease->wanted.longest_request_us = row->longest_request_us;
-    lease->wanted.lease_us = row->lease_us;
-    lease->wanted.renewal_max_us = row->renewal_max_us;
+    struct member *wanted = &lease->wanted;
+    const bool same = strcmp(wanted->service, row->service) == 0 &&
+                      wanted->slots == row->slots &&
+                      wanted->checks_grants == row->checks_grants &&
+                      wanted->longest_request_us == row->longest_request_us &&
+                      wanted->lease_us == row->lease_us &&
+                      wanted->renewal_max_us == row->renewal_max_us;
+    if (same) {
+        return;
+    }
+    member_copy_name(wanted->service, row->service);
+    wanted->slots = row->slots;
+    wanted->checks_grants = row->checks_grants;
+    wanted->longest_request_us = row->longest_request_us;
+    wanted->lease_us = row->lease_us;
+    wanted->renewal_max_us = row->renewal_max_us;
     lease->generation++;
 }
 
--- a/packages/membership/membertask.c
+++ b/packages/membership/membertask.c
@@ -261,6 +261,7 @@
 void
 membertask_set_abilities(struct membertask *task, const struct member *self)
 {
+    member_copy_name(task->self.service, self->service);
     task->self.slots = self->slots;
     task->self.checks_grants = self->checks_grants;
     task->self.longest_request_us = self->longest_request_us;
--- a/packages/standin/targetserver.c
+++ b/packages/standin/targetserver.c
@@ -153,7 +153,8 @@
                       reply.status);
     if (happens(server, server->faults.cut_percent)) {
         server->stats.cut++;
-        http_request_cut(execution->request, &reply, reply.body_size / 2 + 1);
+        const size_t some = reply.body_size / 2 + 1;
+        http_request_cut(execution->request, &reply, some);
     }
     else {
         http_request_reply(execution->request, &reply);
--- a/packages/target/target.h
+++ b/packages/target/target.h
@@ -13,6 +13,7 @@
 
 #include "base/address.h"
 #include "base/error.h"
+#include "http/httpclient.h"
 #include "http/httpheaders.h"
 #include "target/announcement.h"
 
@@ -114,7 +115,11 @@
     int64_t grant_expires_us; /**< on CLOCK_BOOTTIME */
     int64_t deadline_us;      /**< on CLOCK_BOOTTIME; the call ends then */
     const char *request_id;   /**< unique per execution, or NULL */
-    target_done_cb done;      /**< once, never within target_forward() */
+    /** Asked just before the first byte is written, possibly within
+     * target_forward(); may be NULL. If it returns false, nothing is sent
+     * and the call ends later as TARGET_NOT_RUN. */
+    http_may_send_cb may_send;
+    target_done_cb done; /**< once, never within target_forward() */
     void *ctx;
 };
 
--- a/packages/target/targetcall.c
+++ b/packages/target/targetcall.c
@@ -18,6 +18,7 @@
     int64_t started_us;
     int64_t deadline_us;
     char *request_id;
+    http_may_send_cb may_send;
     target_done_cb done;
     void *ctx;
 };
@@ -190,23 +191,32 @@
     }
 }
 
+static bool
+on_may_send(void *ctx)
+{
+    const struct target_call *call = ctx;
+    return call->may_send(call->ctx);
+}
+
 static void
 call_send(struct target_call *call, const struct target_request *request)
 {
     struct request_fields fields = {0};
     fill_fields(&fields, request);
-    call->http = http_call_start(call->target->requests,
-                                 &(struct http_call_spec){
-                                     .method = request->method,
-                                     .target = request->path,
-                                     .headers = fields.headers.items,
-                                     .header_count = fields.headers.count,
-                                     .body = request->body,
-                                     .body_size = request->body_size,
-                                     .deadline_us = request->deadline_us,
-                                     .done = on_http_done,
-                                     .ctx = call,
-                                 });
+    call->http = http_call_start(
+        call->target->requests,
+        &(struct http_call_spec){
+            .method = request->method,
+            .target = request->path,
+            .headers = fields.headers.items,
+            .header_count = fields.headers.count,
+            .body = request->body,
+            .body_size = request->body_size,
+            .deadline_us = request->deadline_us,
+            .may_send = call->may_send != NULL ? on_may_send : NULL,
+            .done = on_http_done,
+            .ctx = call,
+        });
     http_headers_clear(&fields.headers);
 }
 
@@ -222,6 +232,7 @@
     call->deadline_us = request->deadline_us;
     call->request_id =
         request->request_id != NULL ? strdup(request->request_id) : NULL;
+    call->may_send = request->may_send;
     call->done = request->done;
     call->ctx = request->ctx;
     timer_init(&call->failure, target->runtime, on_failure, call);
