--- a/packages/http/httpfault.c
+++ b/packages/http/httpfault.c
@@ -13,7 +13,7 @@
 /** Sends the beginning of the answer past the connection's own output. */
 static void
 send_beginning(const struct http_connection *connection,
-               const struct http_reply *reply, size_t size)
+               const struct http_reply *reply, size_t lost)
 {
     struct evbuffer *whole = evbuffer_new();
     if (whole == NULL) {
@@ -26,9 +26,9 @@
                                  .body = reply->body,
                                  .body_size = reply->body_size,
                              });
-    const size_t most = size < CUT_MAX ? size : CUT_MAX;
     const size_t available = evbuffer_get_length(whole);
-    const size_t sent = most < available ? most : available;
+    const size_t kept = lost < available ? available - lost : 0;
+    const size_t sent = kept < CUT_MAX ? kept : CUT_MAX;
     const unsigned char *data = evbuffer_pullup(whole, (ev_ssize_t)sent);
     if (data != NULL) {
         (void)!send(bufferevent_getfd(connection->bev), data, sent,
@@ -39,11 +39,11 @@
 
 void
 http_request_cut(struct http_request *request, const struct http_reply *reply,
-                 size_t size)
+                 size_t lost)
 {
     struct http_connection *connection = request->connection;
     if (connection != NULL) {
-        send_beginning(connection, reply, size);
+        send_beginning(connection, reply, lost);
         http_connection_abort(connection);
     }
     http_request_reply(request, reply);
--- a/packages/http/httpfault.h
+++ b/packages/http/httpfault.h
@@ -11,10 +11,10 @@
 struct http_request;
 
 /**
- * Sends at most the first size bytes of the answer, closes the connection
- * and frees the request. The rest is lost.
+ * Sends the answer without its last lost bytes, closes the connection and
+ * frees the request. Of a long answer only the beginning is sent.
  */
 void http_request_cut(struct http_request *request,
-                      const struct http_reply *reply, size_t size);
+                      const struct http_reply *reply, size_t lost);
 
 #endif
--- /dev/null
+++ b/packages/standin/loadrun.c
@@ -0,0 +1,409 @@
+#include "standin/loadrun.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/queue.h>
+
+#include <event2/buffer.h>
+#include <event2/http.h>
+
+#include "base/random.h"
+#include "base/runtime.h"
+#include "http/httpproblem.h"
+#include "standin/loadkeys.h"
+#include "standin/loadresult.h"
+
+#define ID_SIZE 40
+#define PATH_SIZE 256
+#define WAITING_MAX 100000 /* requests without a connection; then dropped */
+#define RESEND_DELAY_US (100 * US_PER_MS)
+#define ARRIVALS_PER_TICK_US (1 * US_PER_MS)
+
+/** One request, through all its sendings. */
+struct load_item {
+    STAILQ_ENTRY(load_item) link;
+    struct load_run *run;
+    struct timer resend_timer;
+    bool is_order;
+    unsigned sendings;
+    int64_t due_us; /* when it should have been sent first */
+    char id[ID_SIZE];
+    char path[PATH_SIZE];
+    char key[ID_SIZE];
+};
+
+STAILQ_HEAD(load_item_queue, load_item);
+
+/** A connection to one entry, with at most one request. */
+struct load_connection {
+    LIST_ENTRY(load_connection) link;
+    struct load_run *run;
+    const struct address *entry;
+    struct evhttp_connection *http;
+    struct load_item *item;
+};
+
+LIST_HEAD(load_connection_list, load_connection);
+
+struct load_run {
+    struct runtime *runtime;
+    struct load_config config;
+    struct load_result *result;
+    struct load_keys *keys;
+    struct random_state random;
+    struct load_connection *connections;
+    struct load_connection_list free;
+    struct load_item_queue waiting;
+    size_t waiting_count;
+    size_t open; /* requests that have not ended */
+    uint64_t arrivals;
+    uint64_t next_id;
+    uint64_t run_id;
+    int64_t start_us;
+    bool arrivals_over;
+    struct timer tick;
+    void (*done)(void *ctx);
+    void *ctx;
+};
+
+static void run_assign(struct load_run *run);
+
+static void
+write_told(const struct load_item *item, const char *told, int status)
+{
+    FILE *file = item->run->config.told;
+    if (file != NULL && item->is_order) {
+        fprintf(file,
+                "{\"id\":\"%s\",\"path\":\"%s\",\"sending\":%u,"
+                "\"told\":\"%s\",\"status\":%d}\n",
+                item->id, item->path, item->sendings, told, status);
+    }
+}
+
+static void
+run_check_done(struct load_run *run)
+{
+    if (run->arrivals_over && run->open == 0) {
+        run->done(run->ctx);
+    }
+}
+
+static void
+run_enqueue(struct load_run *run, struct load_item *item)
+{
+    STAILQ_INSERT_TAIL(&run->waiting, item, link);
+    run->waiting_count++;
+    run_assign(run);
+}
+
+static void
+item_on_resend(void *ctx)
+{
+    struct load_item *item = ctx;
+    run_enqueue(item->run, item);
+}
+
+static void
+item_end(struct load_item *item)
+{
+    struct load_run *run = item->run;
+    const int64_t now_us = runtime_now_us(run->runtime);
+    load_result_add_latency(run->result, now_us - item->due_us);
+    free(item);
+    run->open--;
+    run_check_done(run);
+}
+
+/** Ends the item, or sends it again if it is an order without an answer. */
+static void
+item_told(struct load_item *item, const char *told, int status)
+{
+    struct load_run *run = item->run;
+    char text[16];
+    snprintf(text, sizeof(text), "%d", status);
+    load_result_count(run->result, "status", text);
+    load_result_count(run->result, "outcome", told);
+    write_told(item, told, status);
+    const bool again = item->is_order && strcmp(told, "answered") != 0 &&
+                       item->sendings <= run->config.resends;
+    if (!again) {
+        load_result_count(run->result,
+                          item->is_order ? "orders_end" : "gets_end", told);
+        item_end(item);
+        return;
+    }
+    load_result_count(run->result, "resent", told);
+    timer_start(&item->resend_timer, RESEND_DELAY_US);
+}
+
+/** True if the answer's body names this request's path and id. */
+static bool
+answer_is_own(const struct load_item *item, struct evbuffer *body)
+{
+    char expected[PATH_SIZE + ID_SIZE + 32];
+    snprintf(expected, sizeof(expected), "{\"path\":\"%s\",\"id\":\"%s%s",
+             item->path, item->id, item->is_order ? "\"" : "");
+    const size_t size = strlen(expected);
+    const unsigned char *start = evbuffer_pullup(body, (ev_ssize_t)size);
+    return start != NULL && memcmp(start, expected, size) == 0;
+}
+
+static const char *
+answer_outcome(struct evhttp_request *request, int status)
+{
+    const char *outcome = evhttp_find_header(
+        evhttp_request_get_input_headers(request), HTTP_OUTCOME_HEADER);
+    if (outcome != NULL) {
+        return outcome;
+    }
+    return status < 500 ? "answered" : "unknown";
+}
+
+static void
+check_answer(const struct load_item *item, struct evhttp_request *request,
+             int status)
+{
+    struct load_run *run = item->run;
+    if (status != 200) {
+        return;
+    }
+    struct evbuffer *body = evhttp_request_get_input_buffer(request);
+    if (!answer_is_own(item, body)) {
+        load_result_count(run->result, "faults", "wrong_answer");
+    }
+    else if (run->config.answer_size > evbuffer_get_length(body)) {
+        load_result_count(run->result, "faults", "short_answer");
+    }
+    const char *target = evhttp_find_header(
+        evhttp_request_get_input_headers(request), "Standin-Incarnation");
+    if (target != NULL) {
+        load_result_count(run->result, "targets", target);
+    }
+}
+
+static void
+connection_release(struct load_connection *connection, bool broken)
+{
+    if (broken) {
+        evhttp_connection_free(connection->http);
+        connection->http = NULL;
+    }
+    LIST_INSERT_HEAD(&connection->run->free, connection, link);
+}
+
+static void
+on_answer(struct evhttp_request *request, void *ctx)
+{
+    struct load_connection *connection = ctx;
+    struct load_run *run = connection->run;
+    struct load_item *item = connection->item;
+    if (item == NULL) {
+        return;
+    }
+    connection->item = NULL;
+    const int status =
+        request != NULL ? evhttp_request_get_response_code(request) : 0;
+    if (status == 0) {
+        /* evhttp still uses the connection; a new one replaces it later. */
+        connection_release(connection, false);
+        item_told(item, "lost", 0);
+    }
+    else {
+        check_answer(item, request, status);
+        connection_release(connection, false);
+        item_told(item, answer_outcome(request, status), status);
+    }
+    run_assign(run);
+}
+
+static bool
+connection_open(struct load_connection *connection)
+{
+    struct load_run *run = connection->run;
+    char text[ADDRESS_TEXT_SIZE];
+    address_format(connection->entry, text);
+    *strrchr(text, ':') = '\0';
+    connection->http =
+        evhttp_connection_base_new(runtime_event_base(run->runtime), NULL,
+                                   text, address_port(connection->entry));
+    if (connection->http == NULL) {
+        return false;
+    }
+    const struct timeval timeout = {
+        .tv_sec = run->config.timeout_us / US_PER_SECOND,
+        .tv_usec = run->config.timeout_us % US_PER_SECOND,
+    };
+    evhttp_connection_set_timeout_tv(connection->http, &timeout);
+    return true;
+}
+
+static void
+add_body(struct evhttp_request *request, size_t size)
+{
+    static const char block[4096];
+    struct evbuffer *output = evhttp_request_get_output_buffer(request);
+    while (size > 0) {
+        const size_t part = size < sizeof(block) ? size : sizeof(block);
+        evbuffer_add(output, block, part);
+        size -= part;
+    }
+}
+
+static bool
+connection_send(struct load_connection *connection, struct load_item *item)
+{
+    const struct load_config *config = &connection->run->config;
+    struct evhttp_request *request = evhttp_request_new(on_answer, connection);
+    if (request == NULL) {
+        return false;
+    }
+    struct evkeyvalq *headers = evhttp_request_get_output_headers(request);
+    char host[ADDRESS_TEXT_SIZE];
+    evhttp_add_header(headers, "Host",
+                      address_format(connection->entry, host));
+    if (config->key_header != NULL) {
+        evhttp_add_header(headers, config->key_header, item->key);
+    }
+    if (item->is_order) {
+        evhttp_add_header(headers, "Idempotency-Key", item->id);
+        add_body(request, config->body_size);
+    }
+    char target[PATH_SIZE + 32];
+    if (config->answer_size > 0) {
+        snprintf(target, sizeof(target), "%s?size=%zu", item->path,
+                 config->answer_size);
+    }
+    else {
+        snprintf(target, sizeof(target), "%s", item->path);
+    }
+    connection->item = item;
+    item->sendings++;
+    return evhttp_make_request(
+               connection->http, request,
+               item->is_order ? EVHTTP_REQ_POST : EVHTTP_REQ_GET, target) == 0;
+}
+
+static void
+run_assign(struct load_run *run)
+{
+    while (!STAILQ_EMPTY(&run->waiting) && !LIST_EMPTY(&run->free)) {
+        struct load_connection *connection = LIST_FIRST(&run->free);
+        struct load_item *item = STAILQ_FIRST(&run->waiting);
+        LIST_REMOVE(connection, link);
+        STAILQ_REMOVE_HEAD(&run->waiting, link);
+        run->waiting_count--;
+        if ((connection->http == NULL && !connection_open(connection)) ||
+            !connection_send(connection, item)) {
+            connection->item = NULL;
+            connection_release(connection, connection->http != NULL);
+            item_told(item, "lost", 0);
+            return;
+        }
+    }
+}
+
+static struct load_item *
+item_create(struct load_run *run)
+{
+    struct load_item *item = calloc(1, sizeof(*item));
+    if (item == NULL) {
+        abort();
+    }
+    item->run = run;
+    timer_init(&item->resend_timer, run->runtime, item_on_resend, item);
+    item->is_order =
+        random_chance(&run->random, run->config.order_percent / 100);
+    snprintf(item->key, sizeof(item->key), "key-%zu",
+             load_keys_next(run->keys, &run->random));
+    snprintf(item->path, sizeof(item->path), "%s/%s", run->config.prefix,
+             item->key);
+    if (item->is_order) {
+        snprintf(item->id, sizeof(item->id), "%016" PRIx64 "-%" PRIu64,
+                 run->run_id, run->next_id++);
+    }
+    return item;
+}
+
+/** Adds the requests that are due, and waits for the next ones. */
+static void
+run_on_tick(void *ctx)
+{
+    struct load_run *run = ctx;
+    const int64_t now_us = runtime_now_us(run->runtime);
+    const double rate = run->config.rate;
+    const uint64_t total = (uint64_t)(rate * run->config.seconds);
+    while (run->arrivals < total) {
+        const int64_t due_us =
+            run->start_us +
+            (int64_t)((double)run->arrivals * (double)US_PER_SECOND / rate);
+        if (due_us > now_us) {
+            break;
+        }
+        run->arrivals++;
+        if (run->waiting_count >= WAITING_MAX) {
+            load_result_count(run->result, "faults", "not_offered");
+            continue;
+        }
+        struct load_item *item = item_create(run);
+        item->due_us = due_us;
+        run->open++;
+        run_enqueue(run, item);
+    }
+    if (run->arrivals < total) {
+        timer_start(&run->tick, ARRIVALS_PER_TICK_US);
+        return;
+    }
+    run->arrivals_over = true;
+    run_check_done(run);
+}
+
+struct load_run *
+load_run_create(struct runtime *runtime, const struct load_config *config,
+                struct load_result *result, void (*done)(void *ctx), void *ctx)
+{
+    struct load_run *run = calloc(1, sizeof(*run));
+    if (run == NULL) {
+        abort();
+    }
+    run->runtime = runtime;
+    run->config = *config;
+    run->result = result;
+    run->done = done;
+    run->ctx = ctx;
+    run->keys = load_keys_create(config->keys, config->zipf);
+    random_seed(&run->random, config->seed);
+    run->run_id = random_entropy();
+    run->start_us = runtime_now_us(runtime);
+    STAILQ_INIT(&run->waiting);
+    run->connections = calloc(config->connections, sizeof(*run->connections));
+    if (run->connections == NULL) {
+        abort();
+    }
+    for (unsigned i = 0; i < config->connections; i++) {
+        struct load_connection *connection = &run->connections[i];
+        connection->run = run;
+        connection->entry = &run->config.entries[i % config->entry_count];
+        LIST_INSERT_HEAD(&run->free, connection, link);
+    }
+    timer_init(&run->tick, runtime, run_on_tick, run);
+    timer_start(&run->tick, 0);
+    return run;
+}
+
+void
+load_run_destroy(struct load_run *run)
+{
+    timer_stop(&run->tick);
+    for (unsigned i = 0; i < run->config.connections; i++) {
+        struct load_connection *connection = &run->connections[i];
+        free(connection->item);
+        connection->item = NULL;
+        if (connection->http != NULL) {
+            evhttp_connection_free(connection->http);
+        }
+    }
+    load_keys_destroy(run->keys);
+    free(run->connections);
+    free(run);
+}
