--- a/packages/base/runtime.c
+++ b/packages/base/runtime.c
@@ -175,7 +175,14 @@
     runtime->manual = manual;
     runtime->manual_now_us = start_us;
     STAILQ_INIT(&runtime->ready);
-    runtime->event_base = event_base_new();
+    struct event_config *config = event_config_new();
+    if (config == NULL) {
+        goto fail;
+    }
+    /* Without it, timers are rounded up to whole milliseconds. */
+    event_config_set_flag(config, EVENT_BASE_FLAG_PRECISE_TIMER);
+    runtime->event_base = event_base_new_with_config(config);
+    event_config_free(config);
     if (runtime->event_base == NULL) {
         goto fail;
     }
