Golden sessions of chestnutgapctl against a running store

Sessions run the program itself against store_standin and daemons with fixed answers: applying, wrong documents, races of six operators, lost, delayed and refused answers, waiting, promises, suspects, owners. The stand-in can lose the answers of commits alone, so that the resolution by reading back is seen from outside.

--- a/packages/ctl/ctlstore.c
+++ b/packages/ctl/ctlstore.c
@@ -101,7 +101,8 @@
     while (pending.more) {
         store_scan(&ctl->store, &request, on_read, &pending);
         runtime_run(ctl->runtime);
-        if (pending.outcome != STORE_COMMITTED || ctl_left_us(ctl) == 0) {
+        const bool late = pending.more && ctl_left_us(ctl) == 0;
+        if (pending.outcome != STORE_COMMITTED || late) {
             ctl_rows_clear(rows);
             return fail_read(ctl, scan->table);
         }
--- /dev/null
+++ b/packages/ctl/test/ctl_test.cc
@@ -0,0 +1,205 @@
+#include "session.h"
+
+namespace {
+
+const char *const powys = "examples/powys/state.json";
+
+/** A daemon's answer about its promises. */
+std::string
+promises(int violations)
+{
+    std::string text = "[";
+    for (const char *name :
+         {"one_owner", "epoch_rises", "revision_rises", "lease_held",
+          "zone_out", "leaving", "limit", "not_run", "at_most_once",
+          "own_answer", "request_state", "graceful_stop"}) {
+        const bool first = text == "[";
+        text += (first ? "" : ",") + std::string("{\"name\":\"") + name +
+                "\",\"text\":\"\",\"checks\":10,\"violations\":" +
+                std::to_string(first ? violations : 0) + "}";
+    }
+    return text + "]";
+}
+
+std::string
+status(int revision)
+{
+    return R"({"instance":"i","zone":"z","lease_until_us":1,"revision":)" +
+           std::to_string(revision) +
+           R"(,"draining":false,"load":{"in_flight":2,"limit":20}})";
+}
+
+class Ctl : public Session {};
+
+TEST_F(Ctl, ApplyingSession)
+{
+    const std::string wrong = example("powys/state.json", "\"slots\": 20",
+                                      "\"slots\": 200, \"slot\": 1");
+    const std::string out =
+        example("powys/state.json", "\"out\": false", "\"out\": true");
+    const std::string shards =
+        example("powys/state.json", "\"shards\": 256", "\"shards\": 512");
+    EXPECT_EQ(1, record("get"));
+    EXPECT_EQ(0, record(std::string("check ") + powys));
+    EXPECT_EQ(1, record("check " + wrong));
+    EXPECT_EQ(1, record("apply " + wrong + " --json"));
+    EXPECT_EQ(0, record("check --settings "
+                        "examples/powys/settings-patrymau-1.json"));
+    EXPECT_EQ(0, record(std::string("diff ") + powys));
+    EXPECT_EQ(0, record(std::string("apply ") + powys + " --author ann"));
+    EXPECT_EQ(0, record(std::string("apply ") + powys));
+    EXPECT_EQ(0, record("diff --json " + out));
+    EXPECT_EQ(0, record("apply --json --base 1 " + out));
+    EXPECT_EQ(1, record("apply " + shards));
+    EXPECT_EQ(3, record(std::string("apply --base 1 ") + powys));
+    EXPECT_EQ(3, record(std::string("apply --json --base 1 ") + powys));
+    EXPECT_EQ(0, record("get --revision 1 --json"));
+    EXPECT_EQ(1, record("get --revision 9"));
+    EXPECT_EQ(0, record("audit"));
+    EXPECT_EQ(0, record("audit --limit 1 --json"));
+    expect_golden("apply.txt");
+}
+
+TEST_F(Ctl, UsageSession)
+{
+    EXPECT_EQ(2, record(""));
+    EXPECT_EQ(2, record("nothing"));
+    EXPECT_EQ(2, record("apply"));
+    EXPECT_EQ(2, record("apply a b"));
+    EXPECT_EQ(2, record("apply a --base x"));
+    EXPECT_EQ(2, record("--store host:1 get"));
+    EXPECT_EQ(2, record("explain k"));
+    EXPECT_EQ(2, record("suspects forgive"));
+    EXPECT_EQ(2, record("suspects lift zz"));
+    EXPECT_EQ(0, record("--help"));
+    EXPECT_EQ(0, record("apply --help"));
+    expect_golden("usage.txt");
+}
+
+TEST_F(Ctl, StoreFaultsSession)
+{
+    const std::string out =
+        example("powys/state.json", "\"out\": false", "\"out\": true");
+    store_post("/v1/faults", R"({"lose_write_answers_percent": 100})");
+    EXPECT_EQ(0, record(std::string("apply --author ann ") + powys));
+    store_post("/v1/faults",
+               R"({"delay_writes_percent": 100, "delay_writes_ms": 500})");
+    EXPECT_EQ(0, record("apply --author ann " + out));
+    store_post("/v1/faults", R"({"down": true})");
+    EXPECT_EQ(4, record(std::string("apply --author ann ") + powys));
+    EXPECT_EQ(4, record("status --json"));
+    store_post("/v1/faults",
+               R"({"delay_writes_percent": 100, "delay_writes_ms": 60000})");
+    EXPECT_EQ(
+        5, record(std::string("apply --timeout 300 --author ann ") + powys));
+    store_post("/v1/faults", "{}");
+    EXPECT_EQ(0, record("audit"));
+    expect_golden("faults.txt");
+}
+
+TEST_F(Ctl, RacingOperatorsLeaveOneWinnerWhomTheOthersAreTold)
+{
+    store_post("/v1/faults", R"({"latency_ms": 200})");
+    const size_t count = 6;
+    std::vector<std::string> runs;
+    for (size_t i = 0; i < count; i++) {
+        runs.push_back("apply --author op" + std::to_string(i) + " " +
+                       example("powys/state.json", "\"slots\": 20",
+                               "\"slots\": " + std::to_string(10 + i)));
+    }
+    const std::vector<RunResult> results = run_all(runs);
+    size_t winner = count;
+    for (size_t i = 0; i < count; i++) {
+        if (results[i].code == 0) {
+            EXPECT_EQ(count, winner);
+            winner = i;
+        }
+    }
+    ASSERT_LT(winner, count);
+    const std::string told =
+        "revision 1 by op" + std::to_string(winner) + " (digest ";
+    for (size_t i = 0; i < count; i++) {
+        if (i != winner) {
+            EXPECT_EQ(3, results[i].code);
+            EXPECT_NE(std::string::npos, results[i].output.find(told))
+                << results[i].output;
+        }
+    }
+    store_post("/v1/faults", "{}");
+    EXPECT_NE(
+        std::string::npos,
+        run("get").output.find("\"slots\": " + std::to_string(10 + winner)));
+}
+
+TEST_F(Ctl, DaemonsSession)
+{
+    FakeDaemon first(runtime);
+    FakeDaemon second(runtime);
+    put_member("patrymau-1", "llanidloes", "patrymau", "active", first.port);
+    put_member("patrymau-2", "rhayader", "patrymau", "active", second.port);
+    put_member("patrymau-3", "rhayader", "patrymau", "fenced", 10001);
+    for (FakeDaemon *daemon : {&first, &second}) {
+        daemon->answers["/chestnutgap/status"] = status(0);
+        daemon->answers["/chestnutgap/promises"] = promises(0);
+        daemon->answers["/chestnutgap/suspects"] = "[]";
+        daemon->answers["/chestnutgap/entries"] =
+            R"([{"instance":"patrymau-1","zone":"llanidloes",)"
+            R"("http":"10.0.0.1:8080"}])";
+    }
+    second.on_request = [](FakeDaemon *daemon) {
+        if (daemon->requests["/chestnutgap/status"] == 3) {
+            daemon->answers["/chestnutgap/status"] = status(1);
+        }
+    };
+    first.answers["/chestnutgap/status"] = status(1);
+    EXPECT_EQ(0, record(std::string("apply --wait --author ann ") + powys));
+    EXPECT_EQ(3, second.requests["/chestnutgap/status"]);
+    EXPECT_EQ(0, record("members"));
+    EXPECT_EQ(0, record("status"));
+    EXPECT_EQ(0, record("promises"));
+    second.answers["/chestnutgap/promises"] = promises(2);
+    EXPECT_EQ(6, record("promises"));
+    second.answers.erase("/chestnutgap/promises");
+    EXPECT_EQ(5, record("promises"));
+    EXPECT_EQ(0, record("entries"));
+    const std::string out =
+        example("powys/state.json", "\"out\": false", "\"out\": true");
+    EXPECT_EQ(6, record("apply --wait --timeout 600 --author ann " + out));
+    EXPECT_EQ(6, record("apply --wait --timeout 300 --json " + out));
+    first.answers["/chestnutgap/suspects"] =
+        R"([{"fingerprint":"00000000000000ab","standing":"condemned",)"
+        R"("crashes":2,"remaining_us":599000000}])";
+    EXPECT_EQ(0, record("suspects list"));
+    first.answers["/chestnutgap/suspects"] = R"({"lifted":true})";
+    EXPECT_EQ(0, record("suspects lift 00000000000000ab --author ann"));
+    EXPECT_EQ(R"({"lift":"00000000000000ab"})", second.last_body);
+    EXPECT_EQ(0, record("audit --limit 1"));
+    expect_golden("daemons.txt");
+}
+
+TEST_F(Ctl, OwnersSession)
+{
+    put_member("patrymau-1", "llanidloes", "patrymau", "active", 10001);
+    EXPECT_EQ(0, run(std::string("apply --author ann ") + powys).code);
+    std::string shards;
+    for (int i = 0; i < 64; i++) {
+        shards +=
+            std::string(i > 0 ? "," : "") + (i < 60 ? "[0,3,0]" : "[1,0,0]");
+    }
+    put_row("shards", "patrymau/00002",
+            R"({"service":"patrymau","page":2,"owners":["patrymau-1",""],)"
+            R"("shards":[)" +
+                shards + R"(],"keys":[]})");
+    EXPECT_EQ(0, record("owners"));
+    EXPECT_EQ(0, record("owners hanes-ffit"));
+    EXPECT_EQ(0, record("owners --json"));
+    EXPECT_EQ(0, record("explain bridle --service patrymau"));
+    EXPECT_EQ(0, record("explain k1 --service patrymau"));
+    EXPECT_EQ(0, record("explain k1 --service patrymau --json"));
+    EXPECT_EQ(1, record("explain k1 --service nothing"));
+    put_row("shards", "patrymau/00001", R"({"service":"patrymau"})");
+    EXPECT_EQ(1, record("owners"));
+    expect_golden("owners.txt");
+}
+
+} // namespace
--- /dev/null
+++ b/packages/ctl/test/session.h
@@ -0,0 +1,94 @@
+/**
+ * @file
+ * Sessions of chestnutgapctl against a running store_standin and daemons
+ * that answer with fixed documents, recorded as transcripts.
+ */
+#ifndef CHESTNUTGAP_CTL_TEST_SESSION_H
+#define CHESTNUTGAP_CTL_TEST_SESSION_H
+
+#include <gtest/gtest.h>
+
+#include <sys/types.h>
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "base/runtime.h"
+}
+
+struct evhttp;
+struct evhttp_request;
+
+/** A daemon's HTTP endpoints. */
+class FakeDaemon {
+  public:
+    explicit FakeDaemon(struct runtime *runtime);
+    ~FakeDaemon();
+
+    std::map<std::string, std::string> answers; /**< by path */
+    std::map<std::string, int> requests;        /**< by path */
+    std::string last_body;
+    std::function<void(FakeDaemon *)> on_request; /**< before it answers */
+    int port = 0;
+
+  private:
+    static void serve(struct evhttp_request *request, void *ctx);
+    struct evhttp *http;
+};
+
+/** Result of one run of the program. */
+struct RunResult {
+    std::string output; /**< stdout and stderr */
+    int code = -1;
+};
+
+class Session : public ::testing::Test {
+  protected:
+    Session();
+    ~Session() override;
+
+    /** Runs the program; the daemons answer meanwhile. */
+    RunResult run(const std::string &arguments);
+
+    /** Runs several at the same time. */
+    std::vector<RunResult> run_all(const std::vector<std::string> &arguments);
+
+    /** Runs the program and adds it to the transcript. */
+    int record(const std::string &arguments);
+
+    /** Compares the transcript with a golden file. */
+    void expect_golden(const std::string &name);
+
+    /** Sends a request to the store. @return the answer's body */
+    std::string store_post(const std::string &path, const std::string &body);
+
+    /** Writes a row whatever it was. */
+    void put_row(const std::string &table, const std::string &row,
+                 const std::string &value);
+
+    /** Adds a member whose daemon listens on the port. */
+    void put_member(const std::string &instance, const std::string &zone,
+                    const std::string &service, const std::string &state,
+                    int port);
+
+    /** Writes a copy of an example with a text replaced. @return its path */
+    std::string example(const std::string &name, const std::string &from,
+                        const std::string &to);
+
+    struct runtime *runtime;
+    std::string directory;
+    int store_port = 0;
+
+  private:
+    void start_store();
+    std::string normal(const std::string &text) const;
+    pid_t store_pid = -1;
+    unsigned next_txn = 1;
+    unsigned next_file = 1;
+    std::string transcript;
+};
+
+#endif
--- a/packages/standin/faultsjson.c
+++ b/packages/standin/faultsjson.c
@@ -20,6 +20,8 @@
     document_bool(&object, "down", DOCUMENT_OPTIONAL, &faults->down);
     document_unsigned(&object, "lose_answers_percent", DOCUMENT_OPTIONAL, 0,
                       PERCENT_MAX, &faults->lose_answers_percent);
+    document_unsigned(&object, "lose_write_answers_percent", DOCUMENT_OPTIONAL,
+                      0, PERCENT_MAX, &faults->lose_write_answers_percent);
     document_unsigned(&object, "delay_writes_percent", DOCUMENT_OPTIONAL, 0,
                       PERCENT_MAX, &faults->delay_writes_percent);
     document_milliseconds(&object, "delay_writes_ms", DOCUMENT_OPTIONAL, 0,
@@ -33,7 +35,7 @@
 json_t *
 faults_to_json(const struct store_faults *faults)
 {
-    return json_pack("{s:I, s:b, s:i, s:i, s:I, s:i}", "latency_ms",
+    return json_pack("{s:I, s:b, s:i, s:i, s:i, s:I, s:i}", "latency_ms",
                      (json_int_t)(faults->latency_us / US_PER_MS), "down",
                      faults->down, "lose_answers_percent",
                      (int)faults->lose_answers_percent, "delay_writes_percent",
--- a/packages/store/storememory.c
+++ b/packages/store/storememory.c
@@ -155,7 +155,8 @@
     }
     store_tables_commit(memory->tables, call->txn, &call->result);
     call->outcome = call->result.outcome;
-    if (fault_hits(memory, faults->lose_answers_percent)) {
+    if (fault_hits(memory, faults->lose_answers_percent) ||
+        fault_hits(memory, faults->lose_write_answers_percent)) {
         call->outcome = STORE_UNKNOWN;
     }
 }
--- a/packages/store/storememory.h
+++ b/packages/store/storememory.h
@@ -18,10 +18,11 @@
 struct store_faults {
     int64_t latency_us;            /**< from a call to its answer */
     bool down;                     /**< every call is STORE_UNAVAILABLE */
-    unsigned lose_answers_percent; /**< done, but answered UNKNOWN */
-    unsigned delay_writes_percent; /**< answered UNKNOWN, done later */
-    int64_t delay_writes_us;       /**< how much later a write is done */
-    unsigned conflict_percent;     /**< commits refused as CONFLICT */
+    unsigned lose_answers_percent; /**< done, but the answer is lost */
+    unsigned lose_write_answers_percent; /**< the same, of commits only */
+    unsigned delay_writes_percent;       /**< answered UNKNOWN, done later */
+    int64_t delay_writes_us;             /**< how much later a write is done */
+    unsigned conflict_percent;           /**< commits refused as CONFLICT */
 };
 
 /** Calls that the store has received. */
