--- a/packages/protocol/rpc_internal.h
+++ b/packages/protocol/rpc_internal.h
@@ -30,6 +30,8 @@
 #define RPC_OUTPUT_HIGH (32u << 20) /* bytes; then reading stops */
 #define RPC_OUTPUT_LOW (4u << 20)   /* bytes; then reading goes on */
 #define RPC_OUTPUT_MAX (64u << 20)  /* bytes; then calls fail unsent */
+#define RPC_HELD_HIGH (64u << 20)   /* bytes of a peer's calls in work; then */
+                                    /* reading stops until half are answered */
 #define RPC_BULK_MIN (64u << 10)    /* bytes; such calls use their own lane */
 #define RPC_READ_MAX (256u << 10)   /* bytes taken from a socket at once */
 #define RPC_MARK_SIZE 4             /* bytes of a record mark */
@@ -55,6 +57,7 @@
     X(unknown_procedures, "calls of a procedure that is not served")          \
     X(cut_messages, "connections that closed within a message")               \
     X(slow_readers, "times a connection's output was full")                   \
+    X(held_back, "times that too much of one peer was in work")               \
     X(connects, "connections opened")                                         \
     X(accepts, "connections accepted")                                        \
     X(idle_closed, "idle connections closed")                                 \
@@ -99,11 +102,13 @@
     bool outgoing;
     bool bulk; /* lane for large calls */
     bool connected;
-    bool reading_paused;
+    bool output_full;  /* reading stops: the peer does not read */
+    bool holding_much; /* reading stops: too much of the peer is in work */
     struct timer connect_timer;
     struct rpc_call_queue waiting; /* not written: no connection yet */
     struct rpc_call_queue sent;
     struct xid_table requests;
+    size_t held_bytes;          /* of the peer's calls in work */
     uint64_t queued_bytes;      /* ever appended to the output */
     struct evbuffer *fragments; /* of a record that isn't complete */
     int64_t last_used_us;
@@ -133,6 +138,7 @@
     struct rpc_connection *connection; /* NULL: datagram, or closed */
     const struct rpc_procedure *procedure;
     struct address peer;
+    size_t size; /* bytes of the message */
     void *args;
     void *data;
 };
@@ -160,6 +166,12 @@
 /** Notes that a record of size bytes was appended to the output. */
 void rpc_connection_appended(struct rpc_connection *connection, size_t size);
 
+/** Counts a call of the peer that is now in work. */
+void rpc_connection_hold(struct rpc_connection *connection, size_t size);
+
+/** Counts a call of the peer that has ended. */
+void rpc_connection_release(struct rpc_connection *connection, size_t size);
+
 /* rpccall.c */
 
 /** Handles a reply. connection is NULL for a datagram from peer. */
--- a/packages/protocol/rpcconnection.c
+++ b/packages/protocol/rpcconnection.c
@@ -36,13 +36,10 @@
     return connection->queued_bytes - rpc_connection_backlog(connection);
 }
 
-static void
-connection_pause_reading(struct rpc_connection *connection)
+static bool
+connection_is_paused(const struct rpc_connection *connection)
 {
-    connection->reading_paused = true;
-    connection->node->counters.slow_readers->value++;
-    bufferevent_disable(connection->bev, EV_READ);
-    bufferevent_setwatermark(connection->bev, EV_WRITE, RPC_OUTPUT_LOW, 0);
+    return connection->output_full || connection->holding_much;
 }
 
 void
@@ -51,9 +48,46 @@
     connection->queued_bytes += size;
     connection->node->counters.bytes_sent->value += (int64_t)size;
     connection->last_used_us = runtime_now_us(connection->node->runtime);
-    if (!connection->outgoing && !connection->reading_paused &&
+    if (!connection->outgoing && !connection->output_full &&
         rpc_connection_backlog(connection) > RPC_OUTPUT_HIGH) {
-        connection_pause_reading(connection);
+        connection->output_full = true;
+        connection->node->counters.slow_readers->value++;
+        bufferevent_disable(connection->bev, EV_READ);
+        bufferevent_setwatermark(connection->bev, EV_WRITE, RPC_OUTPUT_LOW, 0);
+    }
+}
+
+void
+rpc_connection_hold(struct rpc_connection *connection, size_t size)
+{
+    connection->held_bytes += size;
+    if (connection->held_bytes > RPC_HELD_HIGH && !connection->holding_much) {
+        connection->holding_much = true;
+        connection->node->counters.held_back->value++;
+        bufferevent_disable(connection->bev, EV_READ);
+    }
+}
+
+/** Goes on reading, also what has been read already. */
+static void
+connection_resume(struct rpc_connection *connection)
+{
+    if (!connection_is_paused(connection)) {
+        bufferevent_enable(connection->bev, EV_READ);
+        bufferevent_trigger(connection->bev, EV_READ,
+                            BEV_TRIG_IGNORE_WATERMARKS |
+                                BEV_TRIG_DEFER_CALLBACKS);
+    }
+}
+
+void
+rpc_connection_release(struct rpc_connection *connection, size_t size)
+{
+    connection->held_bytes -= size;
+    if (connection->holding_much &&
+        connection->held_bytes < RPC_HELD_HIGH / 2) {
+        connection->holding_much = false;
+        connection_resume(connection);
     }
 }
 
@@ -116,7 +150,7 @@
     struct rpc_connection *connection = ctx;
     struct rpc_node *node = connection->node;
     connection->last_used_us = runtime_now_us(node->runtime);
-    while (!connection->reading_paused) {
+    while (!connection_is_paused(connection)) {
         size_t size;
         switch (take_fragment(connection, &size)) {
         case TAKE_INCOMPLETE:
@@ -143,13 +177,11 @@
 connection_on_write(struct bufferevent *bev, void *ctx)
 {
     struct rpc_connection *connection = ctx;
-    if (!connection->reading_paused) {
-        return;
+    if (connection->output_full) {
+        connection->output_full = false;
+        bufferevent_setwatermark(bev, EV_WRITE, 0, 0);
+        connection_resume(connection);
     }
-    connection->reading_paused = false;
-    bufferevent_setwatermark(bev, EV_WRITE, 0, 0);
-    bufferevent_enable(bev, EV_READ);
-    connection_on_read(bev, connection);
 }
 
 static void
@@ -215,13 +247,19 @@
         free(connection);
         return NULL;
     }
-    bufferevent_setcb(connection->bev, connection_on_read, connection_on_write,
-                      connection_on_event, connection);
     bufferevent_set_max_single_read(connection->bev, RPC_READ_MAX);
     bufferevent_set_max_single_write(connection->bev, RPC_READ_MAX);
     return connection;
 }
 
+static void
+connection_enable(struct rpc_connection *connection)
+{
+    bufferevent_setcb(connection->bev, connection_on_read, connection_on_write,
+                      connection_on_event, connection);
+    bufferevent_enable(connection->bev, EV_READ | EV_WRITE);
+}
+
 void
 rpc_connection_accept(struct rpc_node *node, evutil_socket_t fd,
                       const struct address *peer)
@@ -235,7 +273,7 @@
     node->counters.accepts->value++;
     connection->connected = true;
     LIST_INSERT_HEAD(&node->accepted, connection, link);
-    bufferevent_enable(connection->bev, EV_READ | EV_WRITE);
+    connection_enable(connection);
 }
 
 struct rpc_connection *
@@ -258,14 +296,15 @@
     connection->bulk = bulk;
     LIST_INSERT_HEAD(bucket, connection, link);
     node->counters.connects->value++;
-    bufferevent_enable(connection->bev, EV_READ | EV_WRITE);
-    timer_start(&connection->connect_timer, RPC_CONNECT_TIMEOUT_US);
     if (bufferevent_socket_connect(connection->bev,
                                    (const struct sockaddr *)&peer->storage,
                                    (int)peer->length) < 0) {
         rpc_connection_free(connection);
         return NULL;
     }
+    /* Not before: a failure at once would call back amid the connect. */
+    connection_enable(connection);
+    timer_start(&connection->connect_timer, RPC_CONNECT_TIMEOUT_US);
     return connection;
 }
 
@@ -303,6 +342,7 @@
     struct rpc_connection_list closing = LIST_HEAD_INITIALIZER(closing);
     LIST_REMOVE(connection, link);
     LIST_INSERT_HEAD(&closing, connection, link);
+    connection->output_full = true; /* stays so: nothing is read any more */
     bufferevent_disable(connection->bev, EV_READ | EV_WRITE);
     const uint64_t written = rpc_connection_written(connection);
     end_calls(&connection->waiting, 0, status);
--- a/packages/protocol/rpcrequest.c
+++ b/packages/protocol/rpcrequest.c
@@ -129,6 +129,10 @@
         request_create(node, connection, peer, header->xid);
     request->procedure = &node->procedures[header->procedure];
     request->args = args;
+    request->size = size;
+    if (connection != NULL) {
+        rpc_connection_hold(connection, size);
+    }
     request->procedure->handle(request->procedure->ctx, request, args);
 }
 
@@ -138,6 +142,7 @@
 {
     if (request->connection != NULL) {
         xid_table_remove(&request->connection->requests, &request->entry);
+        rpc_connection_release(request->connection, request->size);
         request->connection = NULL;
     }
 }
