standin: fix the JSON of the faults; random bytes against both endpoints

faults_to_json() missed an argument for the new fault, which the address sanitizer found and no test did. Adds a round trip of all fields and 400 seeded garbled requests. chestnutgapctl no longer hands argp an empty list of options, for which argp leaks two bytes.

--- a/packages/ctl/ctlmain.c
+++ b/packages/ctl/ctlmain.c
@@ -95,30 +95,28 @@
     {0},
 };
 
-static const struct argp_option no_options[] = {{0}};
-
 static const struct command commands[] = {
     {"check", "FILE", "Check a declared state, or settings", 1, 1,
      check_options, command_check},
     {"diff", "FILE", "Compare a declared state with the newest revision", 1, 1,
-     no_options, command_diff},
+     NULL, command_diff},
     {"apply", "FILE", "Make a declared state the next revision", 1, 1,
      apply_options, command_apply},
     {"get", "", "Print the declared state", 0, 0, get_options, command_get},
-    {"status", "", "Show revision, zones and daemons", 0, 0, no_options,
+    {"status", "", "Show revision, zones and daemons", 0, 0, NULL,
      command_status},
     {"owners", "[SERVICE]", "Show how many shards each instance owns", 0, 1,
-     no_options, command_owners},
-    {"members", "", "Show the instances", 0, 0, no_options, command_members},
+     NULL, command_owners},
+    {"members", "", "Show the instances", 0, 0, NULL, command_members},
     {"audit", "", "Show changes", 0, 0, audit_options, command_audit},
     {"explain", "KEY --service NAME", "Show who owns a key, and why", 1, 1,
      explain_options, command_explain},
-    {"promises", "", "Show whether each promise was kept", 0, 0, no_options,
+    {"promises", "", "Show whether each promise was kept", 0, 0, NULL,
      command_promises},
     {"suspects", "list | lift FINGERPRINT",
      "Show requests suspected of stopping targets, or lift a suspicion", 1, 2,
      suspects_options, command_suspects},
-    {"entries", "", "Show where callers can enter", 0, 0, no_options,
+    {"entries", "", "Show where callers can enter", 0, 0, NULL,
      command_entries},
 };
 
@@ -351,7 +349,7 @@
 ctl_main(int argc, char **argv)
 {
     static const struct argp parser = {
-        .options = no_options,
+        .options = NULL,
         .parser = parse_top_option,
         .args_doc = "COMMAND [ARGUMENT...]",
         .doc = "Operators' client of chestnutgap.\v",
--- a/packages/standin/faultsjson.c
+++ b/packages/standin/faultsjson.c
@@ -35,11 +35,12 @@
 json_t *
 faults_to_json(const struct store_faults *faults)
 {
-    return json_pack("{s:I, s:b, s:i, s:i, s:i, s:I, s:i}", "latency_ms",
-                     (json_int_t)(faults->latency_us / US_PER_MS), "down",
-                     faults->down, "lose_answers_percent",
-                     (int)faults->lose_answers_percent, "delay_writes_percent",
-                     (int)faults->delay_writes_percent, "delay_writes_ms",
-                     (json_int_t)(faults->delay_writes_us / US_PER_MS),
-                     "conflict_percent", (int)faults->conflict_percent);
+    return json_pack(
+        "{s:I, s:b, s:i, s:i, s:i, s:I, s:i}", "latency_ms",
+        (json_int_t)(faults->latency_us / US_PER_MS), "down", faults->down,
+        "lose_answers_percent", (int)faults->lose_answers_percent,
+        "lose_write_answers_percent", (int)faults->lose_write_answers_percent,
+        "delay_writes_percent", (int)faults->delay_writes_percent,
+        "delay_writes_ms", (json_int_t)(faults->delay_writes_us / US_PER_MS),
+        "conflict_percent", (int)faults->conflict_percent);
 }
--- a/packages/standin/test/storeserver_test.cc
+++ b/packages/standin/test/storeserver_test.cc
@@ -11,6 +11,7 @@
 extern "C" {
 #include "base/random.h"
 #include "base/runtime.h"
+#include "standin/faultsjson.h"
 #include "standin/storeserver.h"
 #include "store/storehttp.h"
 #include "store/storememory.h"
@@ -307,6 +308,80 @@
     }
 }
 
+/** Sends bytes to the stand-in and reads until it closes. */
+std::string
+talk_raw(struct runtime *runtime, uint16_t port, const std::string &bytes)
+{
+    const int fd = socket(AF_INET, SOCK_STREAM, 0);
+    struct sockaddr_in address = {};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    EXPECT_EQ(0, connect(fd, reinterpret_cast<struct sockaddr *>(&address),
+                         sizeof(address)));
+    EXPECT_EQ(static_cast<ssize_t>(bytes.size()),
+              send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL));
+    shutdown(fd, SHUT_WR);
+    std::string answer;
+    ssize_t size = -1;
+    for (int i = 0; i < 10000 && size != 0; i++) {
+        runtime_poll(runtime);
+        char buffer[4096];
+        size = recv(fd, buffer, sizeof(buffer), MSG_DONTWAIT);
+        answer.append(buffer, size > 0 ? size : 0);
+    }
+    close(fd);
+    return answer;
+}
+
+TEST_F(StoreHttp, StandinSurvivesRandomBytes)
+{
+    const std::vector<std::string> bodies = {
+        R"({"id":"00000000000000aa","expect":[{"table":"t","row":"a",)"
+        R"("version":0}],"write":[{"table":"t","row":"a","value":{"b":1}}]})",
+        R"({"latency_ms":0,"down":false,"lose_answers_percent":0,)"
+        R"("delay_writes_ms":0,"conflict_percent":0})",
+    };
+    struct random_state random;
+    random_seed(&random, 9);
+    for (int i = 0; i < 400; i++) {
+        const size_t which = random_below(&random, bodies.size());
+        std::string bytes =
+            (which == 0 ? "POST /v1/commit" : "POST /v1/faults") +
+            std::string(" HTTP/1.1\r\nContent-Length: ") +
+            std::to_string(bodies[which].size()) + "\r\n\r\n" + bodies[which];
+        const size_t changes = random_below(&random, 4);
+        for (size_t c = 0; c < changes; c++) {
+            bytes[random_below(&random, bytes.size())] =
+                static_cast<char>(random_u64(&random));
+        }
+        talk_raw(runtime, store_server_port(server), bytes);
+        set_faults([](auto *) {});
+    }
+    Answer read;
+    store_read(&store, "t", "a", on_read, &read);
+    wait(read);
+    EXPECT_EQ("a;", read.text);
+}
+
+TEST(Faults, JsonRoundTripOfAllFields)
+{
+    json_t *document =
+        json_pack("{s:i, s:b, s:i, s:i, s:i, s:i, s:i}", "latency_ms", 1,
+                  "down", 1, "lose_answers_percent", 2,
+                  "lose_write_answers_percent", 3, "delay_writes_percent", 4,
+                  "delay_writes_ms", 5, "conflict_percent", 6);
+    struct document_problems problems = {};
+    struct store_faults faults;
+    ASSERT_TRUE(faults_parse(document, &faults, &problems));
+    json_t *again = faults_to_json(&faults);
+    EXPECT_TRUE(json_equal(document, again));
+    json_decref(again);
+    json_object_set_new(document, "latency", json_integer(1));
+    EXPECT_FALSE(faults_parse(document, &faults, &problems));
+    json_decref(document);
+}
+
 TEST_F(StoreHttp, RandomBytesNeverProveACommit)
 {
     struct random_state random;
