http: refuse request lines without a path; split the client; damage tests

A damaged request line that libevhtp's parser accepts left the path unset, and the handler read a null string: found by the new seeded test that damages requests.

--- /dev/null
+++ b/packages/http/clientconnection.c
@@ -0,0 +1,195 @@
+#include "http/httpclient_internal.h"
+
+#include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+
+#define READ_MAX (256u << 10) /* bytes taken from a socket at once */
+
+void
+client_connection_close(struct client_connection *connection)
+{
+    struct http_client *client = connection->client;
+    LIST_REMOVE(connection, link);
+    client->connection_count--;
+    bufferevent_free(connection->bev);
+    http_reader_destroy(connection->reader);
+    free(connection);
+}
+
+void
+client_connection_fail(struct client_connection *connection,
+                       enum http_outcome outcome)
+{
+    struct http_client *client = connection->client;
+    struct http_call *call = connection->call;
+    const bool sent = call != NULL && http_call_is_sent(call);
+    client_connection_close(connection);
+    if (call != NULL) {
+        call->connection = NULL;
+        const bool unsent = !sent && outcome != HTTP_REFUSED;
+        http_call_end_without_answer(call, unsent ? HTTP_NOT_SENT : outcome);
+    }
+    http_client_assign(client);
+}
+
+/** Puts a connection whose answer is whole back into the pool. */
+static void
+connection_release(struct client_connection *connection, bool reusable)
+{
+    struct http_client *client = connection->client;
+    connection->call = NULL;
+    if (!reusable ||
+        client->connection_count > client->config.connections_max) {
+        client_connection_close(connection);
+        return;
+    }
+    http_reader_reset(connection->reader);
+    connection->idle_since_us = runtime_now_us(client->runtime);
+    LIST_REMOVE(connection, link);
+    LIST_INSERT_HEAD(&client->idle, connection, link);
+}
+
+static void
+connection_finish_call(struct client_connection *connection)
+{
+    struct http_client *client = connection->client;
+    struct http_call *call = connection->call;
+    const struct http_message *message =
+        http_reader_message(connection->reader);
+    struct evbuffer *input = bufferevent_get_input(connection->bev);
+    struct evbuffer *output = bufferevent_get_output(connection->bev);
+    const bool extra = evbuffer_get_length(input) > 0;
+    if (extra) {
+        client->counters.unexpected_bytes->value++;
+    }
+    const bool reusable =
+        message->keep_alive && !extra && evbuffer_get_length(output) == 0;
+    call->connection = NULL;
+    /* The callback may start or cancel other calls of this client. */
+    connection->call = NULL;
+    http_call_end(call, &(struct http_result){
+                            .outcome = HTTP_ANSWERED,
+                            .status = message->status,
+                            .headers = &message->headers,
+                            .body = message->body,
+                            .body_size = message->body_size,
+                        });
+    connection_release(connection, reusable);
+    http_client_assign(client);
+}
+
+static void
+connection_on_read(struct bufferevent *bev, void *ctx)
+{
+    struct client_connection *connection = ctx;
+    struct http_client *client = connection->client;
+    if (connection->call == NULL) {
+        client->counters.unexpected_bytes->value++;
+        client_connection_close(connection);
+        return;
+    }
+    http_reader_feed(connection->reader, bufferevent_get_input(bev));
+    const enum http_progress progress =
+        http_reader_progress(connection->reader);
+    if (progress == HTTP_PROGRESS_WHOLE) {
+        connection_finish_call(connection);
+    }
+    else if (progress == HTTP_PROGRESS_FAILED) {
+        client_connection_fail(connection, HTTP_MALFORMED);
+    }
+}
+
+/** Writes the call that has this connection, unless its owner stops it. */
+static void
+connection_write(struct client_connection *connection)
+{
+    struct http_call *call = connection->call;
+    if (call->may_send != NULL && !call->may_send(call->ctx)) {
+        call->connection = NULL;
+        connection_release(connection, true);
+        http_call_fail_later(call, HTTP_NOT_SENT);
+        return;
+    }
+    evbuffer_add_buffer(bufferevent_get_output(connection->bev),
+                        call->message);
+    evbuffer_free(call->message);
+    call->message = NULL;
+}
+
+static void
+connection_on_event(struct bufferevent *bev, short what, void *ctx)
+{
+    struct client_connection *connection = ctx;
+    struct http_client *client = connection->client;
+    const int error = EVUTIL_SOCKET_ERROR();
+    if ((what & BEV_EVENT_CONNECTED) != 0) {
+        const int on = 1;
+        setsockopt(bufferevent_getfd(bev), IPPROTO_TCP, TCP_NODELAY, &on,
+                   sizeof(on));
+        connection->connected = true;
+        if (connection->call != NULL) {
+            connection_write(connection);
+            http_client_assign(client);
+        }
+        return;
+    }
+    const bool refused = !connection->connected && error == ECONNREFUSED;
+    client_connection_fail(connection, refused ? HTTP_REFUSED : HTTP_CUT);
+}
+
+struct client_connection *
+client_connection_open(struct http_client *client)
+{
+    const struct address *address = &client->config.address;
+    struct client_connection *connection = calloc(1, sizeof(*connection));
+    if (connection == NULL) {
+        return NULL;
+    }
+    connection->client = client;
+    connection->connect_deadline_us =
+        runtime_now_us(client->runtime) + client->config.connect_timeout_us;
+    connection->reader =
+        http_reader_create(HTTP_MESSAGE_ANSWER, client->config.body_max);
+    connection->bev = bufferevent_socket_new(
+        runtime_event_base(client->runtime), -1, BEV_OPT_CLOSE_ON_FREE);
+    if (connection->reader == NULL || connection->bev == NULL ||
+        bufferevent_socket_connect(connection->bev,
+                                   (const struct sockaddr *)&address->storage,
+                                   (int)address->length) < 0) {
+        if (connection->bev != NULL) {
+            bufferevent_free(connection->bev);
+        }
+        http_reader_destroy(connection->reader);
+        free(connection);
+        return NULL;
+    }
+    /* Set after the connect, which may report a failure at once. */
+    bufferevent_setcb(connection->bev, connection_on_read, NULL,
+                      connection_on_event, connection);
+    bufferevent_set_max_single_read(connection->bev, READ_MAX);
+    bufferevent_set_max_single_write(connection->bev, READ_MAX);
+    bufferevent_enable(connection->bev, EV_READ | EV_WRITE);
+    LIST_INSERT_HEAD(&client->busy, connection, link);
+    client->connection_count++;
+    client->counters.connects->value++;
+    return connection;
+}
+
+void
+client_connection_send(struct client_connection *connection,
+                       struct http_call *call)
+{
+    connection->call = call;
+    call->connection = connection;
+    if (call->to_head) {
+        http_reader_expect_no_body(connection->reader);
+    }
+    if (connection->connected) {
+        connection_write(connection);
+    }
+}
--- a/packages/http/httpmessage.c
+++ b/packages/http/httpmessage.c
@@ -166,6 +166,16 @@
     return true;
 }
 
+/** The parser also takes a request line without a path. */
+static bool
+request_line_is_whole(const struct http_reader *reader)
+{
+    const struct http_message *message = &reader->message;
+    return reader->kind == HTTP_MESSAGE_ANSWER ||
+           (message->method[0] != '\0' && message->path != NULL &&
+            message->path[0] == '/');
+}
+
 /** True if the end of an answer's body can be told from a cut connection. */
 static bool
 answer_is_delimited(const struct http_reader *reader)
@@ -217,6 +227,9 @@
     message->status = htparser_get_status(parser);
     message->keep_alive = htparser_should_keep_alive(parser) != 0;
     message->http_1_0 = htparser_get_minor(parser) == 0;
+    if (!request_line_is_whole(reader)) {
+        return reader_fail(reader, 400);
+    }
     if (!reader_frame_body(reader)) {
         return -1;
     }
--- a/packages/http/test/http_test.cc
+++ b/packages/http/test/http_test.cc
@@ -11,6 +11,7 @@
 
 extern "C" {
 #include "base/counter.h"
+#include "base/random.h"
 #include "base/runtime.h"
 #include "http/httpclient.h"
 #include "http/httpproblem.h"
@@ -495,4 +496,66 @@
         Until([&] { return Count("http_server_send_timeouts") == 1; }));
 }
 
+/** Changes a few bytes, or cuts the end off. */
+std::string
+Mutate(std::string text, struct random_state *random)
+{
+    const uint64_t changes = random_below(random, 4);
+    for (uint64_t i = 0; i < changes; i++) {
+        text[random_below(random, text.size())] =
+            static_cast<char>(random_u64(random));
+    }
+    if (random_chance(random, 0.3)) {
+        text.resize(random_below(random, text.size()));
+    }
+    return text;
+}
+
+TEST_F(HttpTest, DamagedRequestsDoNoHarm)
+{
+    struct random_state random;
+    random_seed(&random, 3);
+    const std::string plain = "POST /a?b=c HTTP/1.1\r\nHost: h\r\n"
+                              "Content-Length: 5\r\n\r\nhello";
+    const std::string chunked = "PUT /a HTTP/1.1\r\nTransfer-Encoding: "
+                                "chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n";
+    for (int i = 0; i < 500; i++) {
+        const int fd =
+            ConnectRaw(Mutate(i % 2 == 0 ? plain : chunked, &random) + plain);
+        runtime_poll(runtime);
+        runtime_poll(runtime);
+        close(fd);
+        sockets.pop_back();
+    }
+    Call("POST", "/alive", "body");
+    ASSERT_TRUE(Results(1));
+    EXPECT_EQ("body", results[0].body);
+}
+
+TEST_F(HttpTest, DamagedAnswersEndEachCallOnce)
+{
+    struct random_state random;
+    random_seed(&random, 5);
+    const std::string answer =
+        "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-A: b\r\n\r\nhello";
+    const struct address address = Listen();
+    StartClient(address, 1);
+    size_t whole = 0;
+    for (size_t i = 1; i <= 100; i++) {
+        results.clear();
+        Call("GET", "/x");
+        Until([] { return false; }, 2);
+        const int fd = accept(sockets[0], nullptr, nullptr);
+        const std::string damaged = Mutate(answer, &random);
+        send(fd, damaged.data(), damaged.size(), MSG_NOSIGNAL);
+        close(fd);
+        ASSERT_TRUE(Results(1)) << i;
+        if (results[0].outcome == HTTP_ANSWERED && results[0].status == 200) {
+            EXPECT_EQ(5U, results[0].body.size());
+            whole++;
+        }
+    }
+    EXPECT_LT(0U, whole);
+}
+
 } // namespace
