--- a/packages/entry/bench/bench_requests.c
+++ b/packages/entry/bench/bench_requests.c
@@ -316,8 +316,8 @@
 }
 
 struct overload {
-    double goodput; /* of capacity */
-    double refusal_ms;
+    double goodput;       /* of capacity */
+    double slow_refusals; /* share of refusals */
 };
 
 static struct overload
@@ -334,7 +334,8 @@
     const struct model_counts *counts = model_get_counts(model);
     const struct overload overload = {
         .goodput = (double)counts->answered * 1e6 / WINDOW_US / capacity,
-        .refusal_ms = (double)counts->refusal_us / MS,
+        .slow_refusals =
+            (double)counts->slow_refusals / (double)counts->refusals,
     };
     model_destroy(model);
     return overload;
@@ -350,8 +351,8 @@
     print_compared(place->name, "overload_goodput", 100 * own.goodput,
                    "% of capacity", 90, "higher", 100 * plain.goodput,
                    "two_choices");
-    print_value(place->name, "overload_slowest_refusal", own.refusal_ms, "ms",
-                5, "lower");
+    print_value(place->name, "overload_refusals_over_5_ms",
+                100 * own.slow_refusals, "%", 1, "lower");
 }
 
 static double
@@ -402,7 +403,7 @@
 bench_crasher(const struct place *place)
 {
     struct model_config config = place->config(SEED);
-    config.rate *= 0.5;
+    config.rate *= 0.35; /* one of three targets bears it */
     const struct model_counts read = run_crasher(config, MODEL_CRASHER);
     const struct model_counts order =
         run_crasher(config, MODEL_CRASHING_ORDER);
--- a/packages/entry/model_internal.h
+++ b/packages/entry/model_internal.h
@@ -20,6 +20,7 @@
 #define MODEL_NO_WORK UINT64_MAX
 #define MODEL_ID_SIZE 32
 #define MODEL_SPREAD_US (300 * MODEL_MS) /* news reach all members */
+#define MODEL_PUSH_US (30 * MODEL_MS)    /* news of a crash do */
 
 typedef void (*model_event_cb)(struct model *model, void *ctx, uint64_t arg);
 
@@ -70,7 +71,8 @@
     bool up;
     bool failing;
     uint64_t incarnation;
-    int64_t cold_since_us; /* -1: warm */
+    int64_t cold_since_us;    /* -1: warm */
+    int64_t overrun_since_us; /* -1: runs no more than it bears for long */
     unsigned running;
     unsigned queued;
     struct model_work *first;
@@ -157,6 +159,9 @@
 /** One way between two instances. */
 int64_t model_delay_us(struct model *model, unsigned from, unsigned to);
 
+/** All members tell each other about their suspects. */
+void model_push_suspects(struct model *model, void *ctx, uint64_t arg);
+
 struct dedup_time model_time(const struct model *model);
 
 /* modeltarget.c */
--- a/packages/entry/request.c
+++ b/packages/entry/request.c
@@ -397,6 +397,30 @@
     request_wait(request, now_us);
 }
 
+/*
+ * The target can't serve it in time. Another one is asked only if it seems
+ * to have room, so that refusals stay quick when all are full.
+ */
+static void
+request_on_full(struct request *request, int64_t now_us)
+{
+    if (request->spec.keyed || request->redirects > 0) {
+        request_refuse(request, now_us);
+        return;
+    }
+    const uint32_t other = choice_pick(request->env->choice, request->tried,
+                                       request->tried_count, false, now_us);
+    if (other == CHOICE_NONE ||
+        !choice_has_slack(request->env->choice, other, now_us)) {
+        request_refuse(request, now_us);
+        return;
+    }
+    request->redirects++;
+    request_send(request, other, 0, false, now_us);
+    request_plan_hedge(request, now_us);
+    request_set_timer(request);
+}
+
 static void
 request_on_not_run(struct request *request, const struct request_reply *reply,
                    int64_t now_us)
@@ -418,13 +442,9 @@
         }
         return;
     case FORWARD_REASON_COLD:
-        if (!keyed && request->redirects == 0) {
-            request_redirect(request, now_us);
-            return;
-        }
-        request_retry(request, keyed, now_us);
-        return;
     case FORWARD_REASON_OVERLOADED:
+        request_on_full(request, now_us);
+        return;
     case FORWARD_REASON_TARGET_SHED:
     case FORWARD_REASON_TARGET_CONNECT:
     case FORWARD_REASON_PEER_LOST:
@@ -443,8 +463,13 @@
 {
     request->unproved = true;
     if (reply->reason == FORWARD_REASON_TARGET_CUT) {
+        suspects_report(request->env->suspects, now_us,
+                        request->spec.fingerprint, request->suspect);
+        if (request->suspect) {
+            request_refuse(request, now_us);
+            return;
+        }
         request->suspect = true;
-        request->tried_count = 0;
     }
     const bool lost_reply = reply->reason == FORWARD_REASON_PEER_LOST;
     if (request->spec.idempotent ||
@@ -514,6 +539,9 @@
     }
     request_end_try(request, attempt, now_us, request_choice_end(reply),
                     reply->load);
+    retry_note_full(request->env->retry,
+                    reply->reason == FORWARD_REASON_OVERLOADED ||
+                        reply->reason == FORWARD_REASON_COLD);
     if (reply->outcome != FORWARD_ANSWERED) {
         request_on_refusal(request, attempt, reply, now_us);
         return;
--- a/packages/entry/retry.c
+++ b/packages/entry/retry.c
@@ -2,6 +2,8 @@
 
 #define RETRY_BURST 10.0     /* tokens kept */
 #define RETRY_PER_SECOND 1.0 /* tokens earned without traffic */
+#define FULL_WEIGHT (1.0 / 64)
+#define FULL_SHARE 0.15 /* more refusals than this are an overload */
 #define RETRY_BACKOFF_MIN_US 2000
 #define RETRY_BACKOFF_MAX_US 200000
 
@@ -48,6 +50,18 @@
     return true;
 }
 
+void
+retry_note_full(struct retry *retry, bool full)
+{
+    retry->full_share += FULL_WEIGHT * ((full ? 1 : 0) - retry->full_share);
+}
+
+bool
+retry_all_full(const struct retry *retry)
+{
+    return retry->full_share > FULL_SHARE;
+}
+
 int64_t
 retry_backoff_us(struct random_state *random, unsigned attempt)
 {
--- a/packages/entry/retry.h
+++ b/packages/entry/retry.h
@@ -17,6 +17,7 @@
     double per_request;
     double tokens;
     int64_t filled_us;
+    double full_share; /* of recent tries, refused for want of capacity */
 };
 
 /** percent: extra tries, of requests. */
@@ -31,6 +32,12 @@
 /** Takes a token for one extra try. */
 bool retry_take(struct retry *retry, int64_t now_us);
 
+/** A try was refused for want of capacity, or was not. */
+void retry_note_full(struct retry *retry, bool full);
+
+/** Whether so many are refused that a retry would only be refused too. */
+bool retry_all_full(const struct retry *retry);
+
 /** Delay before try number attempt (1: the first retry), with jitter. */
 int64_t retry_backoff_us(struct random_state *random, unsigned attempt);
 
--- a/packages/gate/admission.c
+++ b/packages/gate/admission.c
@@ -191,8 +191,7 @@
 admission_has_room(const struct admission *admission, int64_t now_us)
 {
     return admission->alone == NULL &&
-           limit_in_flight(admission->limit) <
-               limit_current(admission->limit, now_us);
+           limit_has_room(admission->limit, now_us);
 }
 
 bool
@@ -268,9 +267,12 @@
     if (decision.verdict != ADMISSION_DISPATCH) {
         return decision;
     }
-    if (request->suspect ||
-        suspects_find(admission->suspects, now_us, request->fingerprint) ==
-            SUSPECTS_SUSPECT) {
+    if (request->suspect) {
+        suspects_report(admission->suspects, now_us, request->fingerprint,
+                        false);
+    }
+    if (suspects_find(admission->suspects, now_us, request->fingerprint) ==
+        SUSPECTS_SUSPECT) {
         return admission_wait_alone(admission, request);
     }
     if (queue_count(&admission->queue) == 0 &&
--- a/packages/gate/limit.c
+++ b/packages/gate/limit.c
@@ -20,11 +20,15 @@
 #define SUDDEN_SAMPLES 8
 #define GOOD_SAMPLES 16
 #define STALL_EXPECTED 16.0 /* answers that should have come, and did not */
+/* No more are sent when this many of each are overdue. */
+#define HOLD_EXPECTED 4.0
+#define HOLD_STARTS 4
 #define STALL_STEP_MAX_US (50 * US_PER_MS)
 #define SHRINK_FACTOR 0.9
 #define SHED_FACTOR 0.5
 #define SHED_WINDOW_US (1000 * US_PER_MS)
 #define GUARD_MIN_US (250 * US_PER_MS)
+#define GUARD_MAX_US (30000 * US_PER_MS) /* then slow is the new normal */
 #define GUARD_FORGET_US (30000 * US_PER_MS)
 #define REPORT_LIFE_US (2000 * US_PER_MS)
 #define PROBE_IDLE_US (1000 * US_PER_MS)
@@ -226,6 +230,18 @@
     }
 }
 
+bool
+limit_has_room(struct limit *limit, int64_t now_us)
+{
+    limit_check_stall(limit, now_us);
+    if (limit->phase == LIMIT_WARM && limit->in_flight >= HOLD_STARTS &&
+        limit->starts_since_finish >= HOLD_STARTS &&
+        limit->stall_expected >= HOLD_EXPECTED) {
+        return false;
+    }
+    return limit->in_flight < limit_current(limit, now_us);
+}
+
 bool
 limit_start(struct limit *limit, int64_t now_us)
 {
@@ -233,7 +249,6 @@
     if (!invariant_check(INVARIANT_LIMIT, held, "limit_start")) {
         return false;
     }
-    limit_check_stall(limit, now_us);
     limit->in_flight++;
     limit->starts_since_finish++;
     limit->traffic_us = now_us;
@@ -290,7 +305,7 @@
         return;
     }
     const bool calm = now_us - limit->bad_us >= limit->guard_us;
-    if ((good && calm) || age_us >= 2 * cold_start_us) {
+    if ((good && calm) || age_us >= GUARD_MAX_US) {
         limit_warm(limit, now_us);
     }
 }
--- a/packages/gate/limit.h
+++ b/packages/gate/limit.h
@@ -46,6 +46,12 @@
 /** Most requests that may be in flight now; at least 1. */
 unsigned limit_current(const struct limit *limit, int64_t now_us);
 
+/**
+ * Whether one more request may be sent now. While answers that are due do
+ * not come, none is.
+ */
+bool limit_has_room(struct limit *limit, int64_t now_us);
+
 unsigned limit_in_flight(const struct limit *limit);
 enum limit_phase limit_phase(const struct limit *limit);
 
--- a/packages/gate/suspects.c
+++ b/packages/gate/suspects.c
@@ -193,6 +193,27 @@
     }
 }
 
+void
+suspects_report(struct suspects *suspects, int64_t now_us,
+                uint64_t fingerprint, bool alone)
+{
+    /* Two ids, so that a report of each kind counts once. */
+    const uint64_t crash_id = hash_bytes(&alone, sizeof(alone), fingerprint);
+    struct suspects_entry *entry = suspects_lookup(suspects, fingerprint);
+    if (entry == NULL) {
+        entry = suspects_append(suspects, fingerprint);
+    }
+    const struct suspects_crash crash = {
+        .id = crash_id,
+        .accused = alone ? 1 : UINT32_MAX,
+    };
+    suspects_note_crash(&entry->item, &crash);
+    if (entry->expires_us < now_us + SUSPECTS_LIFE_US) {
+        entry->expires_us = now_us + SUSPECTS_LIFE_US;
+    }
+    suspects_condemn(suspects, entry, now_us);
+}
+
 enum suspects_standing
 suspects_find(const struct suspects *suspects, int64_t now_us,
               uint64_t fingerprint)
--- a/packages/gate/suspects.h
+++ b/packages/gate/suspects.h
@@ -52,6 +52,15 @@
                         uint64_t crash_id, const uint64_t *fingerprints,
                         size_t count);
 
+/**
+ * An entry was told that a target stopped while it ran the request. Counts
+ * as a crash of its own until the gate's report arrives.
+ *
+ * @param alone nothing else was in flight
+ */
+void suspects_report(struct suspects *suspects, int64_t now_us,
+                     uint64_t fingerprint, bool alone);
+
 enum suspects_standing suspects_find(const struct suspects *suspects,
                                      int64_t now_us, uint64_t fingerprint);
 
