--- a/packages/entry/request.c
+++ b/packages/entry/request.c
@@ -404,15 +404,20 @@
 static void
 request_on_full(struct request *request, int64_t now_us)
 {
-    if (request->spec.keyed || request->redirects > 0) {
+    const struct request_env *env = request->env;
+    if (retry_all_full(env->retry)) {
         request_refuse(request, now_us);
         return;
     }
-    const uint32_t other = choice_pick(request->env->choice, request->tried,
-                                       request->tried_count, false, now_us);
+    uint32_t other = CHOICE_NONE;
+    if (!request->spec.keyed && request->redirects == 0) {
+        other = choice_pick(env->choice, request->tried, request->tried_count,
+                            false, now_us);
+    }
     if (other == CHOICE_NONE ||
-        !choice_has_slack(request->env->choice, other, now_us)) {
-        request_refuse(request, now_us);
+        !choice_has_slack(env->choice, other, now_us)) {
+        request->tried_count = 0;
+        request_retry(request, request->spec.keyed, now_us);
         return;
     }
     request->redirects++;
