--- a/packages/entry/choice.c
+++ b/packages/entry/choice.c
@@ -56,6 +56,7 @@
     int64_t draining_until_us;
     /* Left because it was slow or failed. */
     bool suspended;
+    bool failed;  /* the latest try did not reach it */
     bool testing; /* a test is under way */
     int64_t test_at_us;
     int64_t test_delay_us;
@@ -445,20 +446,39 @@
     return CHOICE_NONE;
 }
 
-/* Rather a suspended member than none. */
+/* How much there is against a member that is not usable. */
+static unsigned
+choice_objection(const struct choice_member *member, int64_t now_us)
+{
+    if (now_us < member->draining_until_us) {
+        return 3;
+    }
+    if (member->failed) {
+        return 2;
+    }
+    return member->suspended ? 1 : 0;
+}
+
+/* Rather a suspended member than none: the one with the least against it,
+ * then with the fewest tries. */
 static uint32_t
-choice_any(struct choice *choice, const uint32_t *tried, size_t tried_count)
+choice_any(const struct choice *choice, const uint32_t *tried,
+           size_t tried_count, int64_t now_us)
 {
     uint32_t best = CHOICE_NONE;
+    unsigned best_objection = 0;
     for (uint32_t i = 0; i < choice->count; i++) {
         const struct choice_member *member = &choice->members[i];
         if (!member->used || member->removed || member->out ||
             choice_was_tried(i, tried, tried_count)) {
             continue;
         }
-        if (best == CHOICE_NONE ||
-            member->outstanding < choice->members[best].outstanding) {
+        const unsigned objection = choice_objection(member, now_us);
+        if (best == CHOICE_NONE || objection < best_objection ||
+            (objection == best_objection &&
+             member->outstanding < choice->members[best].outstanding)) {
             best = i;
+            best_objection = objection;
         }
     }
     return best;
@@ -481,7 +501,7 @@
     const uint32_t remote = choice_best_of_two(choice, &choice->remote, tried,
                                                tried_count, now_us);
     if (local == CHOICE_NONE && remote == CHOICE_NONE) {
-        return choice_any(choice, tried, tried_count);
+        return choice_any(choice, tried, tried_count, now_us);
     }
     if (local == CHOICE_NONE) {
         return remote;
@@ -636,6 +656,7 @@
     if (end != CHOICE_ABANDONED) {
         member->stall_expected = 0;
         member->stall_at_us = now_us;
+        member->failed = end == CHOICE_FAILED;
     }
     switch (end) {
     case CHOICE_ANSWERED:
