--- /dev/null
+++ b/packages/entry/choice_internal.h
@@ -0,0 +1,83 @@
+/**
+ * @file
+ * Parts of the choice of targets that its files share.
+ */
+#ifndef CHESTNUTGAP_ENTRY_CHOICE_INTERNAL_H
+#define CHESTNUTGAP_ENTRY_CHOICE_INTERNAL_H
+
+#include "entry/choice.h"
+
+#define US_PER_MS INT64_C(1000)
+#define CHOICE_NAME_SIZE 64
+#define CHOICE_LATENCY_DEFAULT_US 10000.0
+#define CHOICE_TEST_DELAY_MIN_US (100 * US_PER_MS)
+#define CHOICE_ALLOWANCE_NONE 1e9 /* as many tries as it likes */
+
+TAILQ_HEAD(choice_tries, choice_try);
+
+struct choice_member {
+    char name[CHOICE_NAME_SIZE];
+    uint64_t name_hash;
+    bool used;
+    bool removed; /* waits for its last tries */
+    bool local;
+    bool out;
+    struct choice_tries tries; /* oldest first */
+    unsigned outstanding;
+    double latency_us; /* smoothed, 0 before the first sample */
+    unsigned samples;
+    double stall_expected;
+    int64_t stall_at_us;
+    /* Load of all other entries, from the latest reply. */
+    double others;
+    int64_t report_us;
+    uint32_t limit;
+    bool cold;
+    int64_t draining_until_us;
+    /* Left because it was slow or failed. */
+    bool suspended;
+    bool failed;  /* the latest try did not reach it */
+    bool testing; /* a test is under way */
+    int64_t test_at_us;
+    int64_t test_delay_us;
+    unsigned good_tests;
+    double allowance; /* most tries at once after the return */
+};
+
+/* Numbers of members that may be chosen from. */
+struct choice_set {
+    uint32_t *members;
+    size_t count;
+};
+
+struct choice {
+    char zone[CHOICE_NAME_SIZE];
+    struct random_state *random;
+    struct choice_member *members;
+    uint32_t count;
+    uint32_t capacity;
+    struct choice_set local;
+    struct choice_set remote;
+    size_t suspended_count;
+    double reference_us; /* latency of members in a good state */
+    int64_t reference_at_us;
+};
+
+/** NULL if there is no such member. */
+struct choice_member *choice_member(const struct choice *choice,
+                                    uint32_t number);
+
+void choice_set_suspended(struct choice *choice, struct choice_member *member,
+                          bool suspended);
+
+/** Makes the number of a removed member free again. */
+void choice_free_member(struct choice *choice, struct choice_member *member);
+
+/** Computes the normal latency anew if it is time. */
+void choice_refresh_reference(struct choice *choice, int64_t now_us);
+
+/** Suspends a member that owes answers. */
+void choice_check_stall(struct choice *choice, struct choice_member *member,
+                        int64_t now_us);
+
+#endif
--- a/packages/entry/request.c
+++ b/packages/entry/request.c
@@ -3,44 +3,11 @@
 #include <stdlib.h>
 
 #include "base/invariant.h"
+#include "entry/request_internal.h"
 
-#define US_PER_MS INT64_C(1000)
-
-#define REDIRECTS_MAX 4
 #define WAIT_MAX_US (1000 * US_PER_MS) /* for an owner or a target */
 #define WAIT_STEP_US (20 * US_PER_MS)
 #define NO_TARGET_RETRY_MS 1000
-#define NEVER_US INT64_MAX
-
-struct request_try {
-    struct choice_try choice;
-    uint32_t number;
-    bool active;
-    bool hedge;
-};
-
-struct request {
-    const struct request_env *env;
-    struct request_spec spec;
-    void *data;
-    enum request_state state;
-    struct request_try tries[REQUEST_TRIES_MAX];
-    uint32_t active;
-    uint32_t sends;
-    uint32_t retries;
-    uint32_t redirects;
-    uint32_t tried[REQUEST_SENDS_MAX]; /* members not to be chosen again */
-    uint32_t tried_count;
-    bool unproved; /* a try that has ended may have run */
-    bool suspect;  /* a target stopped while it ran */
-    bool hedged;
-    uint32_t hint; /* owner that a gate named, or CHOICE_NONE */
-    uint64_t hint_epoch;
-    int64_t wait_until_us; /* WAITING: refused then */
-    int64_t hedge_at_us;
-    int64_t wake_at_us;           /* WAITING, BACKOFF: next look */
-    struct request_reply refusal; /* the latest */
-};
 
 static const bool request_steps[REQUEST_STATE_COUNT][REQUEST_STATE_COUNT] = {
     [REQUEST_NEW] = {[REQUEST_TRYING] = true,
@@ -102,7 +69,7 @@
     return request->unproved || request->active > 0;
 }
 
-static void
+void
 request_move(struct request *request, enum request_state state)
 {
     if (request->state == state) {
@@ -113,7 +80,7 @@
     request->state = state;
 }
 
-static void
+void
 request_set_timer(struct request *request)
 {
     int64_t due_us = request->spec.deadline_us;
@@ -128,7 +95,7 @@
     request->env->ops.set_timer(request->env->ops_ctx, request, due_us);
 }
 
-static struct request_try *
+struct request_try *
 request_find_try(struct request *request, uint32_t number)
 {
     for (size_t i = 0; i < REQUEST_TRIES_MAX; i++) {
@@ -140,7 +107,7 @@
     return NULL;
 }
 
-static void
+void
 request_end_try(struct request *request, struct request_try *attempt,
                 int64_t now_us, enum choice_end end,
                 const struct forward_load *load)
@@ -150,7 +117,7 @@
     choice_finish(request->env->choice, &attempt->choice, now_us, end, load);
 }
 
-static void
+void
 request_cancel_tries(struct request *request, int64_t now_us)
 {
     for (size_t i = 0; i < REQUEST_TRIES_MAX; i++) {
@@ -164,7 +131,7 @@
     }
 }
 
-static void
+void
 request_answer(struct request *request, const struct request_answer *answer)
 {
     if (answer->outcome == FORWARD_NOT_RUN) {
@@ -176,7 +143,7 @@
 }
 
 /* Ends the request without a target's answer. */
-static void
+void
 request_give_up(struct request *request, enum forward_reason reason,
                 uint32_t retry_after_ms, int64_t now_us)
 {
@@ -194,7 +161,7 @@
  * A request that is not idempotent may be sent again only if each earlier
  * try is proved not to have run, or if the owner's gate knows its id.
  */
-static bool
+bool
 request_may_send(const struct request *request)
 {
     const struct request_spec *spec = &request->spec;
@@ -202,7 +169,7 @@
            !request_is_unproved(request);
 }
 
-static void
+void
 request_send(struct request *request, uint32_t member, uint64_t epoch,
              bool hedge, int64_t now_us)
 {
@@ -262,7 +229,7 @@
                        spec->idempotent && request->sends == 0, now_us);
 }
 
-static void
+void
 request_wait(struct request *request, int64_t now_us)
 {
     if (request->wait_until_us == 0) {
@@ -282,7 +249,7 @@
     request_set_timer(request);
 }
 
-static void
+void
 request_plan_hedge(struct request *request, int64_t now_us)
 {
     const int64_t delay_us = hedge_delay_us(request->env->hedge);
@@ -294,7 +261,7 @@
     }
 }
 
-static void
+void
 request_try_again(struct request *request, int64_t now_us)
 {
     uint64_t epoch;
@@ -329,163 +296,7 @@
     request_try_again(request, now_us);
 }
 
-static void
-request_backoff(struct request *request, int64_t delay_us, int64_t now_us)
-{
-    request_move(request, REQUEST_BACKOFF);
-    request->wake_at_us = now_us + delay_us;
-    request_set_timer(request);
-}
-
-/* Ends the request with its latest refusal or loss. */
-static void
-request_refuse(struct request *request, int64_t now_us)
-{
-    request_give_up(request, request->refusal.reason,
-                    request->refusal.retry_after_ms, now_us);
-}
-
-/* Repeats the request if budget and deadline allow. */
-static void
-request_retry(struct request *request, bool same_member, int64_t now_us)
-{
-    int64_t delay_us =
-        retry_backoff_us(request->env->random, request->retries + 1);
-    const int64_t advised_us = request->refusal.retry_after_ms * US_PER_MS;
-    if (same_member && advised_us > delay_us) {
-        delay_us = advised_us;
-    }
-    if (!request_may_send(request) || request->sends >= REQUEST_SENDS_MAX ||
-        now_us + delay_us >= request->spec.deadline_us ||
-        !retry_take(request->env->retry, now_us)) {
-        request_refuse(request, now_us);
-        return;
-    }
-    request->retries++;
-    request_backoff(request, delay_us, now_us);
-}
-
-/* The refusal says that another member is to be asked. Costs no budget, as
- * the gate refused before any work, but is bounded. */
-static void
-request_redirect(struct request *request, int64_t now_us)
-{
-    if (request->sends >= REQUEST_SENDS_MAX ||
-        request->redirects >= REDIRECTS_MAX) {
-        request_retry(request, false, now_us);
-        return;
-    }
-    request->redirects++;
-    request_try_again(request, now_us);
-}
-
-static void
-request_on_not_owner(struct request *request,
-                     const struct request_reply *reply, int64_t now_us)
-{
-    if (reply->owner != CHOICE_NONE && reply->retry_after_ms == 0 &&
-        request->redirects < REDIRECTS_MAX) {
-        request->hint = reply->owner;
-        request->hint_epoch = reply->owner_epoch;
-        request_redirect(request, now_us);
-        return;
-    }
-    if (request->sends >= REQUEST_SENDS_MAX) {
-        request_refuse(request, now_us);
-        return;
-    }
-    request_wait(request, now_us);
-}
-
-/*
- * The target can't serve it in time. Another one is asked only if it seems
- * to have room, so that refusals stay quick when all are full.
- */
-static void
-request_on_full(struct request *request, int64_t now_us)
-{
-    const struct request_env *env = request->env;
-    if (retry_all_full(env->retry)) {
-        request_refuse(request, now_us);
-        return;
-    }
-    uint32_t other = CHOICE_NONE;
-    if (!request->spec.keyed && request->redirects == 0) {
-        other = choice_pick(env->choice, request->tried, request->tried_count,
-                            false, now_us);
-    }
-    if (other == CHOICE_NONE ||
-        !choice_has_slack(env->choice, other, now_us)) {
-        request->tried_count = 0;
-        request_retry(request, request->spec.keyed, now_us);
-        return;
-    }
-    request->redirects++;
-    request_send(request, other, 0, false, now_us);
-    request_plan_hedge(request, now_us);
-    request_set_timer(request);
-}
-
-static void
-request_on_not_run(struct request *request, const struct request_reply *reply,
-                   int64_t now_us)
-{
-    const bool keyed = request->spec.keyed;
-    switch (reply->reason) {
-    case FORWARD_REASON_NOT_OWNER:
-        request_on_not_owner(request, reply, now_us);
-        return;
-    case FORWARD_REASON_NO_LEASE:
-    case FORWARD_REASON_DRAINING:
-    case FORWARD_REASON_ZONE_OUT:
-    case FORWARD_REASON_CANCELLED:
-        if (keyed) {
-            request_on_not_owner(request, reply, now_us);
-        }
-        else {
-            request_redirect(request, now_us);
-        }
-        return;
-    case FORWARD_REASON_COLD:
-    case FORWARD_REASON_OVERLOADED:
-        request_on_full(request, now_us);
-        return;
-    case FORWARD_REASON_TARGET_SHED:
-    case FORWARD_REASON_TARGET_CONNECT:
-    case FORWARD_REASON_PEER_LOST:
-    case FORWARD_REASON_NO_TARGET:
-        request_retry(request, keyed, now_us);
-        return;
-    default:
-        request_refuse(request, now_us);
-        return;
-    }
-}
-
-static void
-request_on_unknown(struct request *request, const struct request_reply *reply,
-                   int64_t now_us)
-{
-    request->unproved = true;
-    if (reply->reason == FORWARD_REASON_TARGET_CUT) {
-        suspects_report(request->env->suspects, now_us,
-                        request->spec.fingerprint, request->suspect);
-        if (request->suspect) {
-            request_refuse(request, now_us);
-            return;
-        }
-        request->suspect = true;
-    }
-    const bool lost_reply = reply->reason == FORWARD_REASON_PEER_LOST;
-    if (request->spec.idempotent ||
-        (lost_reply && request->spec.has_id && request->spec.keyed)) {
-        request_retry(request, false, now_us);
-        return;
-    }
-    request_refuse(request, now_us);
-}
-
-static void
+void
 request_note_tried(struct request *request, uint32_t member)
 {
     if (request->tried_count < REQUEST_SENDS_MAX) {
@@ -493,94 +304,6 @@
     }
 }
 
-static enum choice_end
-request_choice_end(const struct request_reply *reply)
-{
-    switch (reply->reason) {
-    case FORWARD_REASON_TARGET_CONNECT:
-    case FORWARD_REASON_TARGET_CUT:
-    case FORWARD_REASON_PEER_LOST:
-    case FORWARD_REASON_NO_LEASE:
-        return CHOICE_FAILED;
-    case FORWARD_REASON_DEADLINE:
-        return CHOICE_ABANDONED;
-    default:
-        break;
-    }
-    return reply->outcome == FORWARD_ANSWERED ? CHOICE_ANSWERED
-                                              : CHOICE_REFUSED;
-}
-
-/* A try has ended without an answer for the caller. */
-static void
-request_on_refusal(struct request *request, const struct request_try *attempt,
-                   const struct request_reply *reply, int64_t now_us)
-{
-    request->refusal = *reply;
-    request->refusal.load = NULL;
-    request_note_tried(request, attempt->choice.member);
-    if (request->active > 0) {
-        /* The other try may still be answered. */
-        request->unproved |= reply->outcome == FORWARD_UNKNOWN;
-        request->hedge_at_us = NEVER_US;
-        request_set_timer(request);
-        return;
-    }
-    if (reply->outcome == FORWARD_UNKNOWN) {
-        request_on_unknown(request, reply, now_us);
-    }
-    else {
-        request_on_not_run(request, reply, now_us);
-    }
-}
-
-void
-request_replied(struct request *request, uint32_t number,
-                const struct request_reply *reply, int64_t now_us)
-{
-    struct request_try *attempt = request_find_try(request, number);
-    if (attempt == NULL) {
-        return;
-    }
-    request_end_try(request, attempt, now_us, request_choice_end(reply),
-                    reply->load);
-    retry_note_full(request->env->retry,
-                    reply->reason == FORWARD_REASON_OVERLOADED ||
-                        reply->reason == FORWARD_REASON_COLD);
-    if (reply->outcome != FORWARD_ANSWERED) {
-        request_on_refusal(request, attempt, reply, now_us);
-        return;
-    }
-    if (!attempt->hedge) {
-        hedge_record(request->env->hedge, now_us,
-                     now_us - attempt->choice.started_us);
-    }
-    request_cancel_tries(request, now_us);
-    const struct request_answer answer = {
-        .outcome = FORWARD_ANSWERED,
-        .number = number,
-    };
-    request_answer(request, &answer);
-}
-
-void
-request_failed(struct request *request, uint32_t number,
-               enum request_failure failure, int64_t now_us)
-{
-    struct request_try *attempt = request_find_try(request, number);
-    if (attempt == NULL) {
-        return;
-    }
-    const struct request_reply reply = {
-        .outcome =
-            failure == REQUEST_NOT_SENT ? FORWARD_NOT_RUN : FORWARD_UNKNOWN,
-        .reason = FORWARD_REASON_PEER_LOST,
-        .owner = CHOICE_NONE,
-    };
-    request_end_try(request, attempt, now_us, CHOICE_FAILED, NULL);
-    request_on_refusal(request, attempt, &reply, now_us);
-}
-
 static void
 request_hedge(struct request *request, int64_t now_us)
 {
--- /dev/null
+++ b/packages/entry/request_internal.h
@@ -0,0 +1,83 @@
+/**
+ * @file
+ * Parts of the request state machine that its files share.
+ */
+#ifndef CHESTNUTGAP_ENTRY_REQUEST_INTERNAL_H
+#define CHESTNUTGAP_ENTRY_REQUEST_INTERNAL_H
+
+#include "entry/request.h"
+
+#define US_PER_MS INT64_C(1000)
+#define NEVER_US INT64_MAX
+
+struct request_try {
+    struct choice_try choice;
+    uint32_t number;
+    bool active;
+    bool hedge;
+};
+
+struct request {
+    const struct request_env *env;
+    struct request_spec spec;
+    void *data;
+    enum request_state state;
+    struct request_try tries[REQUEST_TRIES_MAX];
+    uint32_t active;
+    uint32_t sends;
+    uint32_t retries;
+    uint32_t redirects;
+    uint32_t tried[REQUEST_SENDS_MAX]; /* members not to be chosen again */
+    uint32_t tried_count;
+    bool unproved; /* a try that has ended may have run */
+    bool suspect;  /* a target stopped while it ran */
+    bool hedged;
+    uint32_t hint; /* owner that a gate named, or CHOICE_NONE */
+    uint64_t hint_epoch;
+    int64_t wait_until_us; /* WAITING: refused then */
+    int64_t hedge_at_us;
+    int64_t wake_at_us;           /* WAITING, BACKOFF: next look */
+    struct request_reply refusal; /* the latest */
+};
+
+/** Moves to another state; a step that is not listed is reported. */
+void request_move(struct request *request, enum request_state state);
+
+/** Asks for the next call of request_timer(). */
+void request_set_timer(struct request *request);
+
+/** NULL if there is no such try under way. */
+struct request_try *request_find_try(struct request *request, uint32_t number);
+
+void request_end_try(struct request *request, struct request_try *attempt,
+                     int64_t now_us, enum choice_end end,
+                     const struct forward_load *load);
+
+void request_cancel_tries(struct request *request, int64_t now_us);
+
+/** Answers the caller and ends the request. */
+void request_answer(struct request *request,
+                    const struct request_answer *answer);
+
+/** Ends the request without a target's answer. */
+void request_give_up(struct request *request, enum forward_reason reason,
+                     uint32_t retry_after_ms, int64_t now_us);
+
+/** Whether another try cannot run the request a second time. */
+bool request_may_send(const struct request *request);
+
+void request_send(struct request *request, uint32_t member, uint64_t epoch,
+                  bool hedge, int64_t now_us);
+
+/** Waits for an owner or a target to be known. */
+void request_wait(struct request *request, int64_t now_us);
+
+void request_plan_hedge(struct request *request, int64_t now_us);
+
+/** Finds a member and sends a try, or waits. */
+void request_try_again(struct request *request, int64_t now_us);
+
+/** The member is not chosen again. */
+void request_note_tried(struct request *request, uint32_t member);
+
+#endif
--- a/packages/gate/dedup_internal.h
+++ b/packages/gate/dedup_internal.h
@@ -70,6 +70,9 @@
 struct dedup_entry *dedup_add(struct dedup *dedup, struct dedup_shard *shard,
                               const struct dedup_request *request);
 
+/** Forgets an entry. */
+void dedup_remove(struct dedup *dedup, struct dedup_entry *entry);
+
 /** Makes the entry one of another shard. */
 void dedup_move_entry(struct dedup_entry *entry, struct dedup_shard *to);
 
