gate, entry: unit tests, randomised runs, requests_soak

"Not run" for a request with an id now also holds for its earlier arrivals: the owner's gate looks the id up before it refuses for want of capacity, and the entry says unknown when no owner has spoken.

--- a/packages/entry/model.c
+++ b/packages/entry/model.c
@@ -278,6 +278,12 @@
     model->now_us = until_us;
 }
 
+size_t
+model_open(const struct model *model)
+{
+    return model->open;
+}
+
 void
 model_drain(struct model *model)
 {
--- a/packages/entry/model.h
+++ b/packages/entry/model.h
@@ -32,6 +32,7 @@
     unsigned targets; /**< spread over the zones in turn; each has an entry */
     unsigned slots;
     unsigned connections;
+    unsigned real_slots; /**< what the target really has; 0: as declared */
     unsigned cold_limit;
     int64_t cold_start_us;
     int64_t service_us;    /**< mean time that a warm target takes */
@@ -93,6 +94,9 @@
 /** Runs until the clock shows until_us. It starts at 1 s. */
 void model_run(struct model *model, int64_t until_us);
 
+/** Requests of callers that have not ended. */
+size_t model_open(const struct model *model);
+
 /** Stops the callers, and runs until all requests have ended. */
 void model_drain(struct model *model);
 
@@ -144,6 +148,14 @@
 void model_send(struct model *model, unsigned entry, enum model_kind kind,
                 unsigned resends);
 
+/**
+ * A randomised run of some seconds: callers, lost and cut answers, and all
+ * faults and acts above at random times.
+ *
+ * @return false if a promise was broken; problem tells which.
+ */
+bool model_random_run(uint64_t seed, char *problem, size_t problem_size);
+
 /* Results. */
 
 void model_reset_counts(struct model *model);
--- a/packages/entry/modelentry.c
+++ b/packages/entry/modelentry.c
@@ -1,6 +1,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 
+#include "base/invariant.h"
 #include "entry/model_internal.h"
 
 #define RESEND_DELAY_US (50 * MODEL_MS)
@@ -251,7 +252,9 @@
         return;
     }
     if (reply->outcome == FORWARD_ANSWERED &&
-        answered_order != arrival->order->number) {
+        !invariant_check(INVARIANT_OWN_ANSWER,
+                         answered_order == arrival->order->number,
+                         arrival->order->id)) {
         model->counts.wrong_answers++;
     }
     request_replied(arrival->request, attempt, reply, model->now_us);
--- a/packages/entry/modelfault.c
+++ b/packages/entry/modelfault.c
@@ -56,6 +56,9 @@
 static void
 model_hand_over(struct model *model, struct model_instance *from)
 {
+    if (model->instances[from->moving_to].frozen) {
+        from->moving_to = model_receiver(model, from->number);
+    }
     struct model_instance *to = &model->instances[from->moving_to];
     for (uint32_t shard = 0; shard < MODEL_SHARDS; shard++) {
         if (model->owners[shard] != from->number) {
--- a/packages/entry/modelgate.c
+++ b/packages/entry/modelgate.c
@@ -168,11 +168,22 @@
                    &parent->gate_request, &result, model->now_us);
 }
 
+static bool
+parent_is_frozen(struct model *model, uint64_t number)
+{
+    const struct model_work *parent = model_work_find(model, number);
+    return parent != NULL && model->instances[parent->target].frozen;
+}
+
 static void
 reply_arrives(struct model *model, void *ctx, uint64_t arg)
 {
     (void)arg;
     struct reply_message *message = ctx;
+    if (parent_is_frozen(model, message->parent)) {
+        model_at(model, FROZEN_STEP_US, reply_arrives, message, 0);
+        return;
+    }
     message->reply.load = &message->load;
     if (message->parent != MODEL_NO_WORK) {
         delegated_reply(model, message);
--- /dev/null
+++ b/packages/entry/modelrandom.c
@@ -0,0 +1,176 @@
+#include <stdio.h>
+
+#include "base/invariant.h"
+#include "entry/model_internal.h"
+
+#define RUN_US (6000 * MODEL_MS)
+#define STEP_MIN_US (20 * MODEL_MS)
+#define STEP_MAX_US (400 * MODEL_MS)
+#define TARGETS 6
+#define ZONES 3
+#define NOBODY UINT32_MAX
+
+/** What is out of order in a randomised run. */
+struct random_run {
+    struct model *model;
+    struct random_state random;
+    uint32_t zone_out;
+    uint32_t frozen;
+    uint32_t left;
+};
+
+static struct model_config
+random_config(struct random_state *random)
+{
+    struct model_config config = model_powys(random_u64(random));
+    config.targets = TARGETS;
+    config.zones = ZONES;
+    config.slots = (unsigned)random_range(random, 2, 10);
+    config.cold_limit = (unsigned)random_range(random, 1, 2);
+    config.cold_start_us = random_range(random, 100, 1500) * MODEL_MS;
+    config.rate = (double)random_range(random, 20, 70) * config.slots;
+    config.orders = 0.4;
+    config.retention_us = 30000 * MODEL_MS;
+    config.lost_replies = random_chance(random, 0.5) ? 0.03 : 0;
+    config.cut_answers = random_chance(random, 0.5) ? 0.01 : 0;
+    config.start_warm = random_chance(random, 0.5);
+    config.real_slots = random_chance(random, 0.3) ? config.slots - 1 : 0;
+    return config;
+}
+
+static void
+random_zone(struct random_run *run)
+{
+    if (run->zone_out != NOBODY) {
+        model_set_zone_out(run->model, run->zone_out, false);
+        run->zone_out = NOBODY;
+        return;
+    }
+    run->zone_out = (uint32_t)random_below(&run->random, ZONES);
+    model_set_zone_out(run->model, run->zone_out, true);
+}
+
+static void
+random_freeze(struct random_run *run, uint32_t target)
+{
+    if (run->frozen != NOBODY) {
+        model_thaw(run->model, run->frozen);
+        run->frozen = NOBODY;
+    }
+    else if (target != run->left) {
+        run->frozen = target;
+        model_freeze(run->model, target);
+    }
+}
+
+static void
+random_act(struct random_run *run)
+{
+    struct model *model = run->model;
+    const uint32_t target = (uint32_t)random_below(&run->random, TARGETS);
+    const bool on = random_chance(&run->random, 0.5);
+    switch (random_below(&run->random, 10)) {
+    case 0:
+        model_set_slow(model, target, on ? 10 : 1);
+        break;
+    case 1:
+        model_turn_cold(model, target);
+        break;
+    case 2:
+        model_crash(model, target);
+        break;
+    case 3:
+        model_set_failing(model, target, on);
+        break;
+    case 4:
+        random_zone(run);
+        break;
+    case 5:
+        random_freeze(run, target);
+        break;
+    case 6:
+        if (run->left == NOBODY && target != run->frozen) {
+            run->left = target;
+            model_leave(model, target);
+        }
+        break;
+    case 7:
+        if (target != run->frozen) {
+            model_move(model, target, (target + 1) % TARGETS);
+        }
+        break;
+    default:
+        model_send(model, target, on ? MODEL_CRASHER : MODEL_CRASHING_ORDER,
+                   3);
+        break;
+    }
+}
+
+static void
+random_end(struct random_run *run)
+{
+    if (run->frozen != NOBODY) {
+        model_thaw(run->model, run->frozen);
+    }
+    for (unsigned i = 0; i < TARGETS; i++) {
+        model_set_failing(run->model, i, false);
+        model_set_slow(run->model, i, 1);
+    }
+    model_drain(run->model);
+}
+
+static bool
+random_judge(struct model *model, const int64_t *violations, char *problem,
+             size_t problem_size)
+{
+    for (int i = 0; i < INVARIANT_COUNT; i++) {
+        const enum invariant id = (enum invariant)i;
+        if (invariant_violations(id) != violations[i]) {
+            snprintf(problem, problem_size, "broken: %s", invariant_text(id));
+            return false;
+        }
+    }
+    const struct model_ledger ledger = model_get_ledger(model);
+    const struct model_counts *counts = model_get_counts(model);
+    snprintf(problem, problem_size,
+             "orders %llu: doubled %llu, lost %llu, false refusals %llu; "
+             "wrong answers %llu, starts in a zone that is out %llu, "
+             "without an answer %zu",
+             (unsigned long long)ledger.orders,
+             (unsigned long long)ledger.doubled,
+             (unsigned long long)ledger.lost,
+             (unsigned long long)ledger.false_refusals,
+             (unsigned long long)counts->wrong_answers,
+             (unsigned long long)counts->starts_after_out, model_open(model));
+    return ledger.doubled == 0 && ledger.lost == 0 &&
+           ledger.false_refusals == 0 && counts->wrong_answers == 0 &&
+           counts->starts_after_out == 0 && model_open(model) == 0;
+}
+
+bool
+model_random_run(uint64_t seed, char *problem, size_t problem_size)
+{
+    struct random_run run = {
+        .zone_out = NOBODY,
+        .frozen = NOBODY,
+        .left = NOBODY,
+    };
+    int64_t violations[INVARIANT_COUNT];
+    for (int i = 0; i < INVARIANT_COUNT; i++) {
+        violations[i] = invariant_violations((enum invariant)i);
+    }
+    random_seed(&run.random, seed);
+    const struct model_config config = random_config(&run.random);
+    run.model = model_create(&config);
+    while (model_now_us(run.model) < MODEL_START_US + RUN_US) {
+        random_act(&run);
+        model_run(run.model,
+                  model_now_us(run.model) +
+                      random_range(&run.random, STEP_MIN_US, STEP_MAX_US));
+    }
+    random_end(&run);
+    const bool kept =
+        random_judge(run.model, violations, problem, problem_size);
+    model_destroy(run.model);
+    return kept;
+}
--- a/packages/entry/modeltarget.c
+++ b/packages/entry/modeltarget.c
@@ -147,13 +147,15 @@
 {
     struct model_target *target = &model->instances[work->target].target;
     const struct model_config *config = &model->config;
+    const bool sheds = config->real_slots > 0;
+    const unsigned slots = sheds ? config->real_slots : config->slots;
     work->at_target = true;
     work->next = NULL;
-    if (target->running < config->slots) {
+    if (target->running < slots) {
         target_start(model, work);
         return true;
     }
-    if (target->running + target->queued >= config->connections) {
+    if (sheds || target->running + target->queued >= config->connections) {
         work->at_target = false;
         return false;
     }
--- a/packages/entry/request.c
+++ b/packages/entry/request.c
@@ -143,13 +143,22 @@
 }
 
 /* Ends the request without a target's answer. */
+/* Whether it is proved that no earlier arrival with the same id has run. */
+static bool
+request_is_first(const struct request *request)
+{
+    const struct request_spec *spec = &request->spec;
+    return spec->idempotent || !spec->has_id || request->vouched;
+}
+
 void
 request_give_up(struct request *request, enum forward_reason reason,
                 uint32_t retry_after_ms, int64_t now_us)
 {
     request_cancel_tries(request, now_us);
+    const bool not_run = !request->unproved && request_is_first(request);
     const struct request_answer answer = {
-        .outcome = request->unproved ? FORWARD_UNKNOWN : FORWARD_NOT_RUN,
+        .outcome = not_run ? FORWARD_NOT_RUN : FORWARD_UNKNOWN,
         .reason = reason,
         .number = REQUEST_NO_TRY,
         .retry_after_ms = retry_after_ms,
@@ -284,6 +293,9 @@
     hedge_earn(env->hedge);
     switch (suspects_find(env->suspects, now_us, request->spec.fingerprint)) {
     case SUSPECTS_CONDEMNED:
+        if (!request->spec.idempotent && request->spec.has_id) {
+            break; /* the owner's gate knows whether it has run */
+        }
         request_give_up(request, FORWARD_REASON_SUSPECT,
                         SUSPECTS_CONDEMNED_US / US_PER_MS, now_us);
         return;
--- a/packages/entry/request_internal.h
+++ b/packages/entry/request_internal.h
@@ -31,6 +31,7 @@
     uint32_t tried_count;
     bool unproved; /* a try that has ended may have run */
     bool suspect;  /* a target stopped while it ran */
+    bool vouched;  /* the owner's gate says that its id has never run */
     bool hedged;
     uint32_t hint; /* owner that a gate named, or CHOICE_NONE */
     uint64_t hint_epoch;
--- a/packages/entry/requestresult.c
+++ b/packages/entry/requestresult.c
@@ -158,6 +158,25 @@
     request_refuse(request, now_us);
 }
 
+/* Whether the gate had looked the id up, as its owner, before it refused. */
+static bool
+request_is_vouched(const struct request_reply *reply)
+{
+    if (reply->outcome != FORWARD_NOT_RUN) {
+        return false;
+    }
+    switch (reply->reason) {
+    case FORWARD_REASON_NOT_OWNER:
+    case FORWARD_REASON_NO_LEASE:
+    case FORWARD_REASON_DEADLINE:
+    case FORWARD_REASON_PEER_LOST:
+    case FORWARD_REASON_NO_TARGET:
+        return false;
+    default:
+        return true;
+    }
+}
+
 static enum choice_end
 request_choice_end(const struct request_reply *reply)
 {
@@ -212,6 +231,7 @@
     retry_note_full(request->env->retry,
                     reply->reason == FORWARD_REASON_OVERLOADED ||
                         reply->reason == FORWARD_REASON_COLD);
+    request->vouched |= request_is_vouched(reply);
     if (reply->outcome != FORWARD_ANSWERED) {
         request_on_refusal(request, attempt, reply, now_us);
         return;
--- a/packages/gate/admission.c
+++ b/packages/gate/admission.c
@@ -127,7 +127,7 @@
 }
 
 static struct admission_decision
-admission_check_owner(const struct admission *admission,
+admission_check_shard(const struct admission *admission,
                       const struct admission_request *request)
 {
     uint64_t epoch = 0;
@@ -147,8 +147,8 @@
 }
 
 struct admission_decision
-admission_check(const struct admission *admission,
-                const struct admission_request *request, int64_t now_us)
+admission_check_owner(const struct admission *admission,
+                      const struct admission_request *request, int64_t now_us)
 {
     if (now_us >= request->entry.deadline_us) {
         return admission_refuse(FORWARD_REASON_DEADLINE, 0);
@@ -156,6 +156,16 @@
     if (now_us >= admission->lease_until_us) {
         return admission_refuse(FORWARD_REASON_NO_LEASE, NO_LEASE_RETRY_MS);
     }
+    if (request->keyed) {
+        return admission_check_shard(admission, request);
+    }
+    return admission_dispatch();
+}
+
+static struct admission_decision
+admission_check(const struct admission *admission,
+                const struct admission_request *request, int64_t now_us)
+{
     if (admission_stopped(admission->leaving_since_us, request->keyed,
                           now_us)) {
         return admission_refuse(FORWARD_REASON_DRAINING, 0);
@@ -169,10 +179,7 @@
         return admission_refuse(FORWARD_REASON_SUSPECT,
                                 SUSPECTS_CONDEMNED_US / US_PER_MS);
     }
-    if (request->keyed) {
-        return admission_check_owner(admission, request);
-    }
-    return admission_dispatch();
+    return admission_check_owner(admission, request, now_us);
 }
 
 static struct queue_rate
--- a/packages/gate/admission.h
+++ b/packages/gate/admission.h
@@ -94,12 +94,13 @@
                             int64_t now_us);
 
 /**
- * Whether the request could be admitted, leaving capacity aside. Use it
- * before work such as a duplicate lookup.
+ * Whether this instance may speak for the request: in time, with a lease and
+ * as the owner of its shard. Ask before the duplicate table is: only then
+ * does "not run" hold for earlier tries with the same id too.
  */
 struct admission_decision
-admission_check(const struct admission *admission,
-                const struct admission_request *request, int64_t now_us);
+admission_check_owner(const struct admission *admission,
+                      const struct admission_request *request, int64_t now_us);
 
 /**
  * Whether a request that any target may run is better run by another one:
--- a/packages/gate/gate.c
+++ b/packages/gate/gate.c
@@ -182,21 +182,28 @@
     gate_done(gate, request);
 }
 
-void
-gate_arrive(struct gate *gate, struct gate_request *request,
-            const struct dedup_time *time)
+static void
+gate_arrive_id(struct gate *gate, struct gate_request *request,
+               const struct dedup_time *time)
 {
-    gate->now_us = time->now_us;
-    const struct admission_decision decision =
-        admission_check(gate->admission, &request->admission, time->now_us);
+    const struct admission_decision decision = admission_check_owner(
+        gate->admission, &request->admission, time->now_us);
     if (decision.verdict == ADMISSION_REFUSE) {
         gate_refuse(gate, request, decision.reason, decision.retry_after_ms);
         return;
     }
+    gate_begin_id(gate, request, time);
+}
+
+void
+gate_arrive(struct gate *gate, struct gate_request *request,
+            const struct dedup_time *time)
+{
+    gate->now_us = time->now_us;
     const struct admission_request *admission = &request->admission;
     if (admission->keyed && !admission->entry.idempotent &&
         request->id[0] != '\0') {
-        gate_begin_id(gate, request, time);
+        gate_arrive_id(gate, request, time);
         return;
     }
     gate_admit(gate, request, time->now_us);
--- a/packages/gate/runs.c
+++ b/packages/gate/runs.c
@@ -289,6 +289,9 @@
         return; /* the batch is sent again */
     }
     const struct store_row *row = &result->rows[0];
+    if (row->version == 0) {
+        return; /* refused for no reason of ours; sent again */
+    }
     if (runs_is_own_txn(runs, row->txn_id)) {
         runs_end_batch(runs, RUNS_RECORDED);
         return;
@@ -313,6 +316,9 @@
         runs_end_batch(runs, RUNS_RECORDED);
         return;
     case STORE_CONFLICT:
+        if (result->row == NULL) {
+            return;
+        }
         runs->outstanding = true;
         store_read(runs->store, RUNS_TABLE, result->row, runs_on_conflict_read,
                    runs);
--- /dev/null
+++ b/packages/gate/test/runs_test.cc
@@ -0,0 +1,186 @@
+#include <gtest/gtest.h>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "base/random.h"
+#include "base/runtime.h"
+#include "gate/runs.h"
+#include "store/storememory.h"
+}
+
+namespace {
+
+/* One gate's batches on a store that several gates may share. */
+struct Holder {
+    Holder(const struct store *store, random_state *random, std::string name)
+        : name_(std::move(name))
+    {
+        const runs_config config = {"archebion", name_.c_str(), 5000,
+                                    60 * US_PER_SECOND};
+        runs_ = runs_create(
+            &config, store, random,
+            [](void *ctx, struct runs_insert *insert, runs_verdict verdict) {
+                auto *self = static_cast<Holder *>(ctx);
+                self->verdicts_[self->ids_[insert]] = verdict;
+            },
+            this);
+    }
+    ~Holder()
+    {
+        runs_destroy(runs_);
+    }
+    void Ask(const std::string &id, int64_t deadline_us)
+    {
+        inserts_.push_back(std::make_unique<struct runs_insert>());
+        ids_[inserts_.back().get()] = id;
+        ::runs_insert(runs_, inserts_.back().get(), 3, id.c_str(),
+                      deadline_us);
+    }
+    std::string name_;
+    struct runs *runs_;
+    std::vector<std::unique_ptr<struct runs_insert>> inserts_;
+    std::map<struct runs_insert *, std::string> ids_;
+    std::map<std::string, runs_verdict> verdicts_;
+};
+
+class Runs : public testing::Test {
+  protected:
+    void SetUp() override
+    {
+        runtime_ = runtime_create_manual(0, nullptr);
+        memory_ = store_memory_create(runtime_, 1);
+        store_ = store_memory_store(memory_);
+        random_seed(&random_, 1);
+        faults_.latency_us = 2000;
+        store_memory_set_faults(memory_, &faults_);
+    }
+    void TearDown() override
+    {
+        store_memory_destroy(memory_);
+        runtime_destroy(runtime_);
+    }
+    void Run(std::vector<Holder *> holders, int64_t duration_us)
+    {
+        for (int64_t i = 0; i < duration_us; i += 1000) {
+            for (Holder *holder : holders) {
+                runs_tick(holder->runs_, runtime_now_us(runtime_));
+            }
+            runtime_advance(runtime_, 1000);
+        }
+    }
+
+    struct runtime *runtime_ = nullptr;
+    struct store_memory *memory_ = nullptr;
+    struct store store_ = {};
+    store_faults faults_ = {};
+    random_state random_ = {};
+};
+
+TEST_F(Runs, ManyIdsShareATransaction)
+{
+    Holder a(&store_, &random_, "a/1");
+    for (int i = 0; i < 1000; i++) {
+        a.Ask(std::to_string(i), US_PER_SECOND);
+    }
+    Run({&a}, 100000);
+    EXPECT_EQ(1000U, a.verdicts_.size());
+    for (const auto &[id, verdict] : a.verdicts_) {
+        EXPECT_EQ(RUNS_RECORDED, verdict);
+        runs_finished(a.runs_, 3, id.c_str(), 201, runtime_now_us(runtime_));
+    }
+    Run({&a}, 100000);
+    EXPECT_EQ(8U, runs_commits(a.runs_)) << "four of inserts, four of marks";
+}
+
+TEST_F(Runs, NewOwnerFindsWhatTheFormerOneRecorded)
+{
+    Holder a(&store_, &random_, "a/1");
+    Holder b(&store_, &random_, "b/1");
+    a.Ask("ran", US_PER_SECOND);
+    Run({&a}, 20000);
+    b.Ask("ran", US_PER_SECOND);
+    b.Ask("new", US_PER_SECOND);
+    Run({&a, &b}, 100000);
+    EXPECT_EQ(RUNS_PRESENT, b.verdicts_["ran"]);
+    EXPECT_EQ(RUNS_RECORDED, b.verdicts_["new"]);
+}
+
+TEST_F(Runs, StoreThatIsDownMeansNotRunAndMarksAreKept)
+{
+    Holder a(&store_, &random_, "a/1");
+    a.Ask("first", US_PER_SECOND);
+    Run({&a}, 20000);
+    faults_.down = true;
+    store_memory_set_faults(memory_, &faults_);
+    runs_finished(a.runs_, 3, "first", 200, 0);
+    a.Ask("x", US_PER_SECOND);
+    Run({&a}, 50000);
+    EXPECT_EQ(RUNS_REFUSED, a.verdicts_["x"]);
+    faults_.down = false;
+    store_memory_set_faults(memory_, &faults_);
+    const int64_t before = store_memory_counts(memory_).commits;
+    Run({&a}, 50000);
+    EXPECT_EQ(before + 1, store_memory_counts(memory_).commits);
+}
+
+/* Owners follow each other while answers are lost and writes come late:
+ * whoever is told "recorded" runs, so two must never be told that. */
+TEST_F(Runs, AtMostOneOwnerIsToldToRun)
+{
+    std::map<std::string, int> told;
+    size_t recorded = 0;
+    for (uint64_t seed = 1; seed <= 30; seed++) {
+        faults_.lose_write_answers_percent = 20;
+        faults_.delay_writes_percent = 20;
+        faults_.delay_writes_us = 50000;
+        faults_.conflict_percent = 5;
+        store_memory_set_faults(memory_, &faults_);
+        const std::string tag = std::to_string(seed) + "/";
+        Holder a(&store_, &random_, tag + "a");
+        Holder b(&store_, &random_, tag + "b");
+        Holder c(&store_, &random_, tag + "c");
+        const std::vector<Holder *> all = {&a, &b, &c};
+        for (Holder *holder : all) {
+            for (int i = 0; i < 20; i++) {
+                const int64_t deadline_us =
+                    runtime_now_us(runtime_) +
+                    random_range(&random_, 5000, 300000);
+                holder->Ask(tag + std::to_string(i), deadline_us);
+            }
+            Run(all, random_range(&random_, 1000, 60000));
+        }
+        Run(all, 500000);
+        for (Holder *holder : all) {
+            EXPECT_EQ(20U, holder->verdicts_.size());
+            for (const auto &[id, verdict] : holder->verdicts_) {
+                told[id] += verdict == RUNS_RECORDED;
+                recorded += verdict == RUNS_RECORDED;
+            }
+        }
+    }
+    for (const auto &[id, times] : told) {
+        EXPECT_LE(times, 1) << id;
+    }
+    EXPECT_GT(recorded, 300U);
+}
+
+TEST_F(Runs, IdRefusedWhileItsWriteWasInDoubtMayBeAskedForAgain)
+{
+    faults_.lose_write_answers_percent = 100;
+    store_memory_set_faults(memory_, &faults_);
+    Holder a(&store_, &random_, "a/1");
+    a.Ask("x", 20000);
+    Run({&a}, 40000);
+    EXPECT_EQ(RUNS_REFUSED, a.verdicts_["x"]);
+    faults_.lose_write_answers_percent = 0;
+    store_memory_set_faults(memory_, &faults_);
+    a.Ask("x", US_PER_SECOND);
+    Run({&a}, 40000);
+    EXPECT_EQ(RUNS_RECORDED, a.verdicts_["x"]);
+}
+
+} // namespace
