--- a/packages/membership/directory.c
+++ b/packages/membership/directory.c
@@ -14,20 +14,20 @@
 #define PERCENT 100
 #define US_PER_MS 1000
 
-/** Guardians as positions in the table. */
+/** Guardians as positions in the table. Unaligned, to save padding. */
 struct compact_guardians {
     uint64_t incarnations[MEMBER_GUARDIANS_MAX];
     uint32_t positions[MEMBER_GUARDIANS_MAX];
-};
+} __attribute__((packed, aligned(4)));
 
 struct entry {
     char *instance;
     uint64_t incarnation;
     uint64_t version; /* 0: only named by other rows */
     int64_t first_seen_us;
+    struct compact_guardians *outgoing; /* NULL if there are none */
     struct compact_guardians guardians;
     uint32_t lease_us;
-    struct compact_guardians *outgoing; /* NULL if there are none */
     struct endpoint rpc;
     struct endpoint http;
     uint32_t renewal_max_ms;
--- a/packages/membership/model.c
+++ b/packages/membership/model.c
@@ -287,8 +287,8 @@
     model_write(model, number, model->nodes[number].fence_serial, row, txn_id);
 }
 
-static void
-start_fence(struct model *model, int number)
+void
+model_start_fence(struct model *model, int number)
 {
     static const struct fence_ops ops = {
         .ask = ask,
@@ -328,7 +328,7 @@
     }
     if (member_is_live(&model->row) && now_us >= node->fence_after_us &&
         (at_random || silence_us >= lease_us * SUSPECT_PERCENT / PERCENT)) {
-        start_fence(model, number);
+        model_start_fence(model, number);
     }
 }
 
@@ -426,7 +426,7 @@
     model_start_holder(model);
 }
 
-/** Ends the holder's process, or lets it stand still. */
+/** Ends a process, or lets the holder's stand still. */
 static void
 strike_holder(struct model *model)
 {
@@ -438,6 +438,12 @@
         node->paused_until_us = model_now_us(model) + config->pause_us;
         return;
     }
+    if (config->kill_guardian) {
+        int number = node_of(&lease_row(model->lease)->guardians.refs[0]);
+        model_stop_guardian(model, number);
+        model_start_guardian(model, number);
+        return;
+    }
     node->host_down = config->kill_host;
     model_stop_holder(model);
 }
--- a/packages/membership/model.h
+++ b/packages/membership/model.h
@@ -23,12 +23,15 @@
     int64_t renewal_max_us;
     /** Faults and certificates of live holders; false for a quiet run. */
     bool adverse;
+    unsigned loss_percent; /**< of messages, all the time */
     /** If positive, the holder's process ends at this time... */
     int64_t kill_us;
     /** ...and its host does not answer either. */
     bool kill_host;
     /** If positive, the holder stands still from kill_us for this long. */
     int64_t pause_us;
+    /** A guardian's process ends at kill_us, in place of the holder's. */
+    bool kill_guardian;
     /** If positive, the store is down from this time on. */
     int64_t store_down_us;
 };
--- a/packages/membership/model_internal.h
+++ b/packages/membership/model_internal.h
@@ -120,6 +120,7 @@
 void model_start_holder(struct model *model);
 void model_stop_holder(struct model *model);
 void model_start_guardian(struct model *model, int number);
+void model_start_fence(struct model *model, int number);
 void model_stop_guardian(struct model *model, int number);
 
 /* modelnet.c */
--- a/packages/membership/modelnet.c
+++ b/packages/membership/modelnet.c
@@ -111,6 +111,22 @@
     }
 }
 
+/** The holder's host has refused a connection for its earlier process. */
+static void
+take_refusal(struct model *model, const struct model_event *event)
+{
+    struct model_node *node = &model->nodes[event->to];
+    if (node->fence == NULL &&
+        model->row.self.incarnation == event->incarnation &&
+        member_is_live(&model->row)) {
+        model_start_fence(model, event->to);
+    }
+    if (node->fence != NULL &&
+        fence_holder(node->fence)->incarnation == event->incarnation) {
+        fence_on_holder_refused(node->fence);
+    }
+}
+
 /** An answer arrives at the process that asked. */
 static void
 take_answer(struct model *model, const struct model_event *event)
@@ -137,10 +153,7 @@
         }
         break;
     case MODEL_REFUSED:
-        if (node->fence != NULL &&
-            fence_holder(node->fence)->incarnation == event->incarnation) {
-            fence_on_holder_refused(node->fence);
-        }
+        take_refusal(model, event);
         break;
     case MODEL_STORE_ROW:
         take_row(model, event, now_us);
@@ -270,16 +283,24 @@
     return event;
 }
 
+static unsigned
+loss_percent(const struct model *model)
+{
+    return model->faults.loss_until_us > model_now_us(model)
+               ? model->faults.loss_percent
+               : model->config.loss_percent;
+}
+
 struct model_event *
 model_send(struct model *model, enum model_kind kind, int from, int to)
 {
     const struct model_faults *faults = &model->faults;
     int64_t now_us = model_now_us(model);
+    unsigned loss = loss_percent(model);
     int64_t delay_us =
         random_range(&model->random, LATENCY_MIN_US, LATENCY_MAX_US);
     if (faults->cut_until_us[from][to] > now_us ||
-        (faults->loss_until_us > now_us &&
-         random_below(&model->random, PERCENT) < faults->loss_percent)) {
+        (loss > 0 && random_below(&model->random, PERCENT) < loss)) {
         return NULL;
     }
     if (faults->slow_until_us > now_us) {
