--- a/packages/store/storecall.c
+++ b/packages/store/storecall.c
@@ -157,7 +157,6 @@
         return false;
     }
     evbuffer_remove(body, call->data, call->data_size);
-    count(call->http->bytes_received, (int64_t)call->data_size);
     return true;
 }
 
@@ -226,6 +225,34 @@
     call_finish(call, answer_outcome(call, request));
 }
 
+/** Counts what leaves for the kernel. */
+static void
+on_output(struct evbuffer *buffer, const struct evbuffer_cb_info *info,
+          void *ctx)
+{
+    (void)buffer;
+    count(ctx, (int64_t)info->n_deleted);
+}
+
+/** Counts what comes from the kernel. */
+static void
+on_input(struct evbuffer *buffer, const struct evbuffer_cb_info *info,
+         void *ctx)
+{
+    (void)buffer;
+    count(ctx, (int64_t)info->n_added);
+}
+
+static void
+count_bytes(struct store_http *http, struct http_connection *connection)
+{
+    struct bufferevent *bev =
+        evhttp_connection_get_bufferevent(connection->evcon);
+    evbuffer_add_cb(bufferevent_get_output(bev), on_output, http->bytes_sent);
+    evbuffer_add_cb(bufferevent_get_input(bev), on_input,
+                    http->bytes_received);
+}
+
 static struct http_connection *
 connection_open(struct store_http *http)
 {
@@ -252,6 +279,7 @@
     evhttp_connection_set_timeout_tv(connection->evcon, &timeout);
     evhttp_connection_set_max_body_size(connection->evcon,
                                         STORE_ANSWER_SIZE_MAX);
+    count_bytes(http, connection);
     TAILQ_INSERT_TAIL(&http->connections, connection, link);
     http->connection_count++;
     return connection;
@@ -305,7 +333,6 @@
     }
     evbuffer_add(evhttp_request_get_output_buffer(request), call->body,
                  call->body_size);
-    count(call->http->bytes_sent, (int64_t)call->body_size);
     connection->call = call;
     call->connection = connection;
     /* It may finish the call within, or fail without a callback. */
--- a/packages/store/storehttp.c
+++ b/packages/store/storehttp.c
@@ -101,9 +101,9 @@
     http->unknown = counter_add(registry, "store_calls_unknown",
                                 "writes whose answer was lost");
     http->bytes_sent =
-        counter_add(registry, "store_sent_bytes", "bytes of request bodies");
+        counter_add(registry, "store_sent_bytes", "bytes sent to the store");
     http->bytes_received = counter_add(registry, "store_received_bytes",
-                                       "bytes of answer bodies");
+                                       "bytes received from the store");
 }
 
 struct store_http *
