--- a/packages/settings/test/settings_test.cc
+++ b/packages/settings/test/settings_test.cc
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include <fstream>
+#include <sstream>
 #include <string>
 #include <vector>
 
@@ -89,6 +91,31 @@
       "port": 1})"));
 }
 
+TEST(Settings, EveryFieldIsInTheManual)
+{
+    std::ifstream file(SOURCE_DIR "/docs/man/chestnutgap-settings.5.scd");
+    std::stringstream manual;
+    manual << file.rdbuf();
+    struct document_problems problems = {};
+    json_t *document = document_load(
+        SOURCE_DIR "/examples/powys/settings-patrymau-1.json", &problems);
+    const char *field;
+    const char *inner;
+    json_t *member;
+    json_t *value;
+    json_object_foreach (document, field, member) {
+        EXPECT_NE(std::string::npos,
+                  manual.str().find("*" + std::string(field) + "*"))
+            << field;
+        json_object_foreach (member, inner, value) {
+            EXPECT_NE(std::string::npos,
+                      manual.str().find("*" + std::string(inner) + "*"))
+                << inner;
+        }
+    }
+    json_decref(document);
+}
+
 TEST(Settings, RandomBytesAreRefusedOrWhole)
 {
     const std::string valid =
--- a/packages/state/test/state_test.cc
+++ b/packages/state/test/state_test.cc
@@ -1,6 +1,8 @@
 #include <gtest/gtest.h>
 
 #include <cstring>
+#include <fstream>
+#include <sstream>
 #include <string>
 #include <vector>
 
@@ -222,6 +224,46 @@
     json_decref(document);
 }
 
+std::string
+read_file(const std::string &name)
+{
+    std::ifstream file(SOURCE_DIR "/" + name);
+    std::stringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+/** Expects every field of a document on both reference pages. */
+void
+expect_documented(const json_t *value)
+{
+    static const std::string page = read_file("docs/STATE.md");
+    static const std::string manual =
+        read_file("docs/man/chestnutgap-state.5.scd");
+    const char *field;
+    json_t *member;
+    json_object_foreach (const_cast<json_t *>(value), field, member) {
+        const std::string name(field);
+        EXPECT_NE(std::string::npos, page.find(name)) << name;
+        EXPECT_NE(std::string::npos, manual.find("*" + name + "*")) << name;
+        expect_documented(member);
+    }
+    for (size_t i = 0; i < json_array_size(value); i++) {
+        expect_documented(json_array_get(value, i));
+    }
+}
+
+TEST(State, EveryFieldIsDocumented)
+{
+    json_t *document = load("powys/state.json");
+    struct state *state = parse(document);
+    json_t *normal = state_to_json(state);
+    expect_documented(normal);
+    json_decref(normal);
+    state_destroy(state);
+    json_decref(document);
+}
+
 TEST(State, RandomBytesAreRefusedOrWhole)
 {
     json_t *document = load("powys/state.json");
