membership: fences are told also after a quick return; spread replacements

Cause: a member that polls each second may see only the row of the next incarnation and miss the fence of the earlier one; after the loss of a zone every holder would replace its guardian in the same second; a member that has left still answered that holders are alive. Change: member_fenced is called for the earlier incarnation too, with the wait that the next row keeps; lost guardians are replaced after a random part of 2 ms per member while the lease is safe; a member that has left answers that it is no guardian.

--- a/packages/membership/lease.c
+++ b/packages/membership/lease.c
@@ -24,6 +24,7 @@
     lease->generation = 1;
     lease->retry_us = LEASE_NEVER_US;
     lease->changed_us = LEASE_NEVER_US;
+    lease->change_due_us = LEASE_NEVER_US;
     lease->store_renewed_us = LEASE_NEVER_US;
     lease->adopted_us = LEASE_NEVER_US;
     lease->lease_changed_us = LEASE_NEVER_US;
@@ -316,6 +317,12 @@
     lease->generation++;
 }
 
+void
+lease_set_change_spread(struct lease *lease, int64_t spread_us)
+{
+    lease->spread_us = spread_us;
+}
+
 enum lease_status
 lease_status(const struct lease *lease)
 {
--- a/packages/membership/lease.h
+++ b/packages/membership/lease.h
@@ -115,6 +115,10 @@
 /** Changes what the row says about the target, and the lease's lengths. */
 void lease_set_abilities(struct lease *lease, const struct member *row);
 
+/** A guardian that is lost while the lease is safe is replaced after a
+ * random part of spread_us. */
+void lease_set_change_spread(struct lease *lease, int64_t spread_us);
+
 enum lease_status lease_status(const struct lease *lease);
 
 /** End of the lease; LEASE_NEVER_US if it is not held at all. */
--- a/packages/membership/lease_internal.h
+++ b/packages/membership/lease_internal.h
@@ -66,6 +66,8 @@
     int64_t retry_us;         /* no store operation before this */
     int64_t backoff_us;       /* 0 after a success */
     int64_t changed_us;       /* latest change of guardians */
+    int64_t change_due_us;    /* of a lost guardian's replacement, or never */
+    int64_t spread_us;        /* most that a replacement is delayed */
     int64_t store_renewed_us; /* send time of the latest committed write */
     int64_t adopted_us;       /* when the known row became known */
     int64_t lease_changed_us; /* earlier acknowledgements do not count */
--- a/packages/membership/leasewrite.c
+++ b/packages/membership/leasewrite.c
@@ -232,6 +232,25 @@
                           lease->row.renewal_max_us / 2);
 }
 
+/** When a lost guardian is to be replaced, INT64_MAX if none is lost. */
+static int64_t
+change_due_us(struct lease *lease, int64_t now_us)
+{
+    if (lease->row.outgoing.count > 0 || !has_bad_guardian(lease, now_us)) {
+        lease->change_due_us = LEASE_NEVER_US;
+        return INT64_MAX;
+    }
+    if (lease->change_due_us == LEASE_NEVER_US) {
+        lease->change_due_us = now_us;
+        if (lease->spread_us > 0) {
+            lease->change_due_us +=
+                random_range(lease->config.random, 0, lease->spread_us);
+        }
+    }
+    return lease_max_us(lease->change_due_us,
+                        lease_after_us(lease->changed_us, CHANGE_PAUSE_US));
+}
+
 /** Starts the store operation that is due, if any. */
 bool
 lease_use_store(struct lease *lease, int64_t now_us)
@@ -260,8 +279,7 @@
     if (confirm_is_due(lease, now_us)) {
         return write_confirm(lease, now_us);
     }
-    if (lease->row.outgoing.count == 0 && has_bad_guardian(lease, now_us) &&
-        now_us >= lease_after_us(lease->changed_us, CHANGE_PAUSE_US)) {
+    if (now_us >= change_due_us(lease, now_us)) {
         return write_with(lease, PEER_LOST_US, LEASE_REASON_GUARDIANS, now_us);
     }
     if (now_us >= renewal_due_us(lease)) {
@@ -282,10 +300,7 @@
     int64_t due_us = renewal_due_us(lease);
     due_us = lease_min_us(
         due_us, lease_after_us(lease->until_us, -lease->row.lease_us / 2));
-    if (lease->row.outgoing.count == 0 && has_bad_guardian(lease, now_us)) {
-        due_us = lease_min_us(
-            due_us, lease_after_us(lease->changed_us, CHANGE_PAUSE_US));
-    }
+    due_us = lease_min_us(due_us, change_due_us(lease, now_us));
     if (lease->must_read || lease->generation != lease->written_generation) {
         due_us = now_us;
     }
--- a/packages/membership/member.h
+++ b/packages/membership/member.h
@@ -59,8 +59,9 @@
     struct guardian_set guardians;
     struct guardian_set outgoing; /**< earlier set, until confirmed */
     /**
-     * Set by a fence: a new owner starts only this long after it learnt of
-     * the fence, because the target may still run earlier requests.
+     * Set by a fence, and kept by the next incarnation: a new owner starts
+     * only this long after it learnt of the fence, because the target may
+     * still run earlier requests.
      */
     int64_t serve_after_us;
     uint64_t version; /**< of the row in the store; not part of the JSON */
--- a/packages/membership/memberjoin.c
+++ b/packages/membership/memberjoin.c
@@ -36,6 +36,7 @@
         directory_row(task->directory, task->self.self.instance, &row);
     if (!known || !member_is_live(&row)) {
         task->step = MEMBER_STEP_MEMBER;
+        task->self.serve_after_us = known ? row.serve_after_us : 0;
         member_lease_start(task, known ? row.version : 0);
         return;
     }
--- a/packages/membership/memberpoll.c
+++ b/packages/membership/memberpoll.c
@@ -5,10 +5,10 @@
 #include "base/hash.h"
 
 #define POLL_INTERVAL_US INT64_C(1000000)       /* of a member that polls */
-#define POLL_IDLE_INTERVAL_US INT64_C(30000000) /* of the others */
+#define POLL_IDLE_INTERVAL_US INT64_C(60000000) /* of the others */
 #define POLL_RETRY_US INT64_C(500000)           /* after a failure */
 #define POLL_SOON_US INT64_C(20000)             /* when a row is missing */
-#define POLLERS_PER_ZONE 3
+#define POLLERS_PER_ZONE 5
 
 /** Counts members of the zone that poll before this one. */
 struct poller_rank {
--- a/packages/membership/membertask.c
+++ b/packages/membership/membertask.c
@@ -7,6 +7,8 @@
 #define LOG_MODULE "membership"
 #include "base/log.h"
 
+#define SPREAD_PER_MEMBER_US INT64_C(2000)
+
 int64_t
 member_now_us(const struct membertask *task)
 {
@@ -126,16 +128,52 @@
     }
 }
 
+/** Tells of a fence, also if only the row of the next incarnation is known. */
+static void
+report_fence(struct membertask *task, const struct member *before,
+             const struct member *row)
+{
+    const struct membertask_callbacks *callbacks = &task->config.callbacks;
+    struct member fenced = *row;
+    if (row->state != MEMBER_FENCED) {
+        if (before == NULL || !member_is_live(before) ||
+            before->self.incarnation == row->self.incarnation) {
+            return;
+        }
+        fenced = *before;
+        fenced.state = MEMBER_FENCED;
+        fenced.version = row->version;
+        fenced.serve_after_us = row->serve_after_us;
+    }
+    if (callbacks->member_fenced != NULL) {
+        callbacks->member_fenced(callbacks->ctx, &fenced);
+    }
+}
+
+/** Spreads the replacements of guardians over time, so that the loss of a
+ * zone does not bring more writes than the store bears. */
+static void
+count_members(struct membertask *task)
+{
+    size_t live = directory_live_count(task->directory);
+    task->counters.members->value = (int64_t)live;
+    if (task->lease != NULL) {
+        lease_set_change_spread(task->lease,
+                                (int64_t)live * SPREAD_PER_MEMBER_US);
+    }
+}
+
 bool
 member_take_row(struct membertask *task, const struct member *row)
 {
     const struct membertask_callbacks *callbacks = &task->config.callbacks;
     int64_t now_us = member_now_us(task);
+    struct member before;
+    bool known = directory_row(task->directory, row->self.instance, &before);
     if (!directory_apply(task->directory, row, now_us)) {
         return false;
     }
-    task->counters.members->value =
-        (int64_t)directory_live_count(task->directory);
+    count_members(task);
     if (guardian_find(task->guardian, row->self.incarnation) != NULL ||
         guardian_set_contains(&row->guardians, &task->self.self)) {
         guardian_saw(task->guardian, row->self.incarnation, row->version,
@@ -150,9 +188,7 @@
     if (callbacks->member_changed != NULL) {
         callbacks->member_changed(callbacks->ctx, row);
     }
-    if (row->state == MEMBER_FENCED && callbacks->member_fenced != NULL) {
-        callbacks->member_fenced(callbacks->ctx, row);
-    }
+    report_fence(task, known ? &before : NULL, row);
     return true;
 }
 
@@ -403,6 +439,13 @@
 membertask_on_certify(struct membertask *task,
                       const struct lease_certify_args *args)
 {
+    /* A member that has left acknowledges nothing any more. */
+    if (task->step == MEMBER_STEP_LEFT || task->finishing) {
+        return (struct lease_certify_result){
+            .status = LEASE_CERTIFY_NOT_GUARDIAN,
+            .row_version = args->row_version,
+        };
+    }
     member_watch_check_pause(task, member_now_us(task));
     struct lease_certify_result result =
         guardian_certify(task->guardian, args, member_now_us(task));
--- a/packages/membership/membertask.h
+++ b/packages/membership/membertask.h
@@ -32,8 +32,9 @@
     void (*lease_lost)(void *ctx);
     /** A row became known, from the store or by membertask_apply_row(). */
     void (*member_changed)(void *ctx, const struct member *row);
-    /** A fenced row became known. The member owns nothing any more; a new
-     * owner starts row->serve_after_us after this call. */
+    /** A fence became known. That incarnation owns nothing any more; a new
+     * owner starts row->serve_after_us after this call. The instance may
+     * have joined again, as another incarnation. */
     void (*member_fenced)(void *ctx, const struct member *row);
     /** A member has a higher revision of the configuration than ours. */
     void (*revision_seen)(void *ctx, uint64_t revision);
