Broken promises outlive the process that found them

Counts of checks and violations were lost with each process. promiselog writes violations to the audit trail, at most once a second for each promise, and the totals at a planned stop; chestnutgapctl promises adds them up and tells 'not checked' from 'kept'. A test runs the client against three running daemons.

--- a/packages/ctl/ctlmain.c
+++ b/packages/ctl/ctlmain.c
@@ -85,6 +85,12 @@
     {0},
 };
 
+static const struct argp_option promises_options[] = {
+    {"since", OPTION_SINCE, "SECONDS", 0,
+     "Count what the audit trail has of the last seconds (a day)", 0},
+    {0},
+};
+
 static const struct argp_option explain_options[] = {
     {"service", OPTION_SERVICE, "NAME", 0, "Service that the key is of", 0},
     {0},
@@ -111,8 +117,8 @@
     {"audit", "", "Show changes", 0, 0, audit_options, command_audit},
     {"explain", "KEY --service NAME", "Show who owns a key, and why", 1, 1,
      explain_options, command_explain},
-    {"promises", "", "Show whether each promise was kept", 0, 0, NULL,
-     command_promises},
+    {"promises", "", "Show whether each promise was kept", 0, 0,
+     promises_options, command_promises},
     {"suspects", "list | lift FINGERPRINT",
      "Show requests suspected of stopping targets, or lift a suspicion", 1, 2,
      suspects_options, command_suspects},
--- a/packages/ctl/promises.c
+++ b/packages/ctl/promises.c
@@ -2,11 +2,14 @@
 
 #include <string.h>
 
+#include "store/promiselog.h"
+
 const char *
 promise_verdict_name(enum promise_verdict verdict)
 {
     static const char *const names[] = {
         [PROMISE_KEPT] = "kept",
+        [PROMISE_NOT_CHECKED] = "not checked",
         [PROMISE_BROKEN] = "broken",
         [PROMISE_NOT_KNOWN] = "not known",
     };
@@ -41,23 +44,78 @@
 }
 
 void
-promises_add_up(const struct daemon_queries *queries,
-                struct promise promises[INVARIANT_COUNT])
+promises_add_answers(struct promises *promises,
+                     const struct daemon_queries *queries)
 {
+    promises->asked += queries->count;
     for (int id = 0; id < INVARIANT_COUNT; id++) {
-        struct promise *promise = &promises[id];
-        *promise = (struct promise){.checks = 0};
         for (size_t i = 0; i < queries->count; i++) {
-            add_report(promise,
+            add_report(&promises->list[id],
                        find_report(queries->queries[i].answer,
                                    invariant_name((enum invariant)id)));
         }
-        promise->verdict = PROMISE_KEPT;
-        if (promise->silent > 0 || queries->count == 0) {
-            promise->verdict = PROMISE_NOT_KNOWN;
-        }
-        if (promise->violations > 0) {
-            promise->verdict = PROMISE_BROKEN;
+    }
+}
+
+static void
+add_broken(struct promises *promises, const json_t *value)
+{
+    const char *name = json_string_value(json_object_get(value, "subject"));
+    const json_t *after = json_object_get(value, "after");
+    for (int id = 0; name != NULL && id < INVARIANT_COUNT; id++) {
+        if (strcmp(invariant_name((enum invariant)id), name) == 0) {
+            promises->list[id].recorded +=
+                json_integer_value(json_object_get(after, "count"));
         }
     }
 }
+
+/** Violations among the totals have rows of their own. */
+static void
+add_totals(struct promises *promises, const json_t *value)
+{
+    const json_t *after = json_object_get(value, "after");
+    for (int id = 0; id < INVARIANT_COUNT; id++) {
+        const json_t *total =
+            json_object_get(after, invariant_name((enum invariant)id));
+        promises->list[id].checks +=
+            json_integer_value(json_object_get(total, "checks"));
+    }
+    promises->ended++;
+}
+
+void
+promises_add_record(struct promises *promises, const json_t *value)
+{
+    const char *what = json_string_value(json_object_get(value, "what"));
+    if (what == NULL) {
+        return;
+    }
+    if (strcmp(what, PROMISELOG_BROKEN) == 0) {
+        add_broken(promises, value);
+    }
+    if (strcmp(what, PROMISELOG_TOTALS) == 0) {
+        add_totals(promises, value);
+    }
+}
+
+static enum promise_verdict
+decide(const struct promise *promise, size_t asked)
+{
+    if (promise->violations > 0 || promise->recorded > 0) {
+        return PROMISE_BROKEN;
+    }
+    if (promise->silent > 0 || asked == 0) {
+        return PROMISE_NOT_KNOWN;
+    }
+    return promise->checks > 0 ? PROMISE_KEPT : PROMISE_NOT_CHECKED;
+}
+
+void
+promises_decide(struct promises *promises)
+{
+    for (int id = 0; id < INVARIANT_COUNT; id++) {
+        struct promise *promise = &promises->list[id];
+        promise->verdict = decide(promise, promises->asked);
+    }
+}
--- a/packages/ctl/test/session.h
+++ b/packages/ctl/test/session.h
@@ -78,11 +78,22 @@
     std::string example(const std::string &name, const std::string &from,
                         const std::string &to);
 
+    /** Starts a daemon without a target. */
+    pid_t start_daemon(const std::string &instance, const std::string &zone);
+
+    /** Ends a program by SIGTERM. @return its exit code */
+    static int stop(pid_t pid);
+
+    /** Runs a command until its output has the text count times. */
+    void wait_for(const std::string &arguments, const std::string &text,
+                  size_t count);
+
     struct runtime *runtime;
     std::string directory;
     int store_port = 0;
 
   private:
+    pid_t start(std::vector<std::string> words, const std::string &output);
     void start_store();
     std::string normal(const std::string &text) const;
     pid_t store_pid = -1;
