--- a/packages/store/promiselog.c
+++ b/packages/store/promiselog.c
@@ -45,7 +45,10 @@
     size_t i = 0;
     for (; from[i] != '\0' && i + 1 < size; i++) {
         const unsigned char c = (unsigned char)from[i];
-        to[i] = c >= 0x20 && c < 0x7f ? from[i] : '?';
+        to[i] = '?';
+        if (c >= 0x20 && c < 0x7f) {
+            to[i] = from[i];
+        }
     }
     to[i] = '\0';
 }
