--- a/packages/entry/choice.c
+++ b/packages/entry/choice.c
@@ -31,6 +31,7 @@
 choice_usable(const struct choice_member *member, int64_t now_us)
 {
     return !member->suspended && now_us >= member->draining_until_us &&
+           now_us >= member->full_until_us &&
            member->outstanding < member->allowance;
 }
 
--- a/packages/entry/choice.h
+++ b/packages/entry/choice.h
@@ -30,7 +30,9 @@
 enum choice_end {
     CHOICE_ANSWERED,
     CHOICE_REFUSED,   /**< by the gate, as not run */
-    CHOICE_FAILED,    /**< no connection, or it was lost */
+    CHOICE_FULL,      /**< by the gate, for want of capacity */
+    CHOICE_FAILED,    /**< it could not be reached */
+    CHOICE_LOST,      /**< the connection closed before the reply */
     CHOICE_ABANDONED, /**< cancelled before its end was known */
 };
 
--- a/packages/entry/choice_internal.h
+++ b/packages/entry/choice_internal.h
@@ -34,10 +34,12 @@
     uint32_t limit;
     bool cold;
     int64_t draining_until_us;
+    int64_t full_until_us;
     /* Left because it was slow or failed. */
     bool suspended;
-    bool failed;  /* the latest try did not reach it */
-    bool testing; /* a test is under way */
+    bool failed;     /* the latest try did not reach it */
+    unsigned losses; /* in a row */
+    bool testing;    /* a test is under way */
     int64_t test_at_us;
     int64_t test_delay_us;
     unsigned good_tests;
--- a/packages/entry/choicelearn.c
+++ b/packages/entry/choicelearn.c
@@ -19,6 +19,8 @@
 #define GOOD_RATIO 1.8
 #define TEST_DELAY_MAX_US (2000 * US_PER_MS)
 #define TESTS_TO_RETURN 3
+#define LOSSES_TO_LEAVE 3
+#define FULL_RATIO 0.5 /* a full member is left alone, of a latency */
 #define ALLOWANCE_ENOUGH 64.0
 #define DRAINING_LIFE_US (1000 * US_PER_MS)
 
@@ -184,6 +186,15 @@
     }
 }
 
+static void
+choice_refused(struct choice *choice, struct choice_member *member,
+               int64_t now_us)
+{
+    if (member->testing) {
+        choice_suspend(choice, member, now_us);
+    }
+}
+
 void
 choice_finish(struct choice *choice, struct choice_try *attempt,
               int64_t now_us, enum choice_end end,
@@ -207,18 +218,27 @@
     }
     switch (end) {
     case CHOICE_ANSWERED:
+        member->losses = 0;
         choice_answered(choice, member, latency_us, now_us);
         break;
+    case CHOICE_LOST:
+        if (++member->losses >= LOSSES_TO_LEAVE || member->testing) {
+            choice_suspend(choice, member, now_us);
+        }
+        break;
     case CHOICE_FAILED:
         choice_suspend(choice, member, now_us);
         break;
     case CHOICE_ABANDONED:
         choice_abandoned(choice, member, latency_us, now_us);
         break;
+    case CHOICE_FULL:
+        member->full_until_us =
+            now_us + (int64_t)(choice->reference_us * FULL_RATIO);
+        choice_refused(choice, member, now_us);
+        break;
     case CHOICE_REFUSED:
-        if (member->testing) {
-            choice_suspend(choice, member, now_us);
-        }
+        choice_refused(choice, member, now_us);
         break;
     }
     if (member->removed && member->outstanding == 0) {
--- a/packages/entry/requestresult.c
+++ b/packages/entry/requestresult.c
@@ -78,10 +78,6 @@
 request_on_full(struct request *request, int64_t now_us)
 {
     const struct request_env *env = request->env;
-    if (retry_all_full(env->retry)) {
-        request_refuse(request, now_us);
-        return;
-    }
     uint32_t other = CHOICE_NONE;
     if (!request->spec.keyed && request->redirects == 0) {
         other = choice_pick(env->choice, request->tried, request->tried_count,
@@ -89,6 +85,11 @@
     }
     if (other == CHOICE_NONE ||
         !choice_has_slack(env->choice, other, now_us)) {
+        retry_note_full(env->retry, true);
+        if (retry_all_full(env->retry)) {
+            request_refuse(request, now_us);
+            return;
+        }
         request->tried_count = 0;
         request_retry(request, request->spec.keyed, now_us);
         return;
@@ -182,10 +183,14 @@
 {
     switch (reply->reason) {
     case FORWARD_REASON_TARGET_CONNECT:
-    case FORWARD_REASON_TARGET_CUT:
-    case FORWARD_REASON_PEER_LOST:
     case FORWARD_REASON_NO_LEASE:
         return CHOICE_FAILED;
+    case FORWARD_REASON_TARGET_CUT:
+    case FORWARD_REASON_PEER_LOST:
+        return CHOICE_LOST;
+    case FORWARD_REASON_COLD:
+    case FORWARD_REASON_OVERLOADED:
+        return CHOICE_FULL;
     case FORWARD_REASON_DEADLINE:
         return CHOICE_ABANDONED;
     default:
@@ -228,14 +233,12 @@
     }
     request_end_try(request, attempt, now_us, request_choice_end(reply),
                     reply->load);
-    retry_note_full(request->env->retry,
-                    reply->reason == FORWARD_REASON_OVERLOADED ||
-                        reply->reason == FORWARD_REASON_COLD);
     request->vouched |= request_is_vouched(reply);
     if (reply->outcome != FORWARD_ANSWERED) {
         request_on_refusal(request, attempt, reply, now_us);
         return;
     }
+    retry_note_full(request->env->retry, false);
     if (!attempt->hedge) {
         hedge_record(request->env->hedge, now_us,
                      now_us - attempt->choice.started_us);
@@ -262,6 +265,8 @@
         .reason = FORWARD_REASON_PEER_LOST,
         .owner = CHOICE_NONE,
     };
-    request_end_try(request, attempt, now_us, CHOICE_FAILED, NULL);
+    const enum choice_end end =
+        failure == REQUEST_NOT_SENT ? CHOICE_FAILED : CHOICE_LOST;
+    request_end_try(request, attempt, now_us, end, NULL);
     request_on_refusal(request, attempt, &reply, now_us);
 }
--- a/packages/entry/retry.c
+++ b/packages/entry/retry.c
@@ -3,7 +3,7 @@
 #define RETRY_BURST 10.0     /* tokens kept */
 #define RETRY_PER_SECOND 1.0 /* tokens earned without traffic */
 #define FULL_WEIGHT (1.0 / 64)
-#define FULL_SHARE 0.3 /* more refusals than this are an overload */
+#define FULL_SHARE 0.2 /* more refusals than this are an overload */
 #define RETRY_BACKOFF_MIN_US 2000
 #define RETRY_BACKOFF_MAX_US 200000
 
--- a/packages/entry/retry.h
+++ b/packages/entry/retry.h
@@ -32,7 +32,7 @@
 /** Takes a token for one extra try. */
 bool retry_take(struct retry *retry, int64_t now_us);
 
-/** A try was refused for want of capacity, or was not. */
+/** A request found no member with room, or was answered. */
 void retry_note_full(struct retry *retry, bool full);
 
 /** Whether so many are refused that a retry would only be refused too. */
--- a/packages/gate/limit.c
+++ b/packages/gate/limit.c
@@ -27,6 +27,10 @@
 #define SHRINK_FACTOR 0.9
 #define SHED_FACTOR 0.5
 #define SHED_WINDOW_US (1000 * US_PER_MS)
+#define SHEDS_COLD 3 /* in one window */
+#define SHED_CAP_RAISE_US (5000 * US_PER_MS)
+#define FAILED_WEIGHT (1.0 / 16)
+#define FAILED_SHARE_BAD 0.3
 #define GUARD_MIN_US (250 * US_PER_MS)
 #define GUARD_MAX_US (30000 * US_PER_MS) /* then slow is the new normal */
 #define GUARD_FORGET_US (30000 * US_PER_MS)
@@ -52,7 +56,10 @@
     unsigned starts_since_finish;
     int64_t stall_at_us;
     int64_t shed_us;
-    int64_t failed_us;
+    unsigned sheds;    /* in the current window */
+    unsigned shed_cap; /* 0: none */
+    int64_t shed_cap_us;
+    double failed_share; /* of recent requests */
     unsigned report_cap;
     int64_t report_until_us;
     int64_t traffic_us;
@@ -75,7 +82,10 @@
 static void
 limit_set(struct limit *limit, double value)
 {
-    const double ceiling = limit_ceiling(limit);
+    double ceiling = limit_ceiling(limit);
+    if (limit->shed_cap > 0 && limit->shed_cap < ceiling) {
+        ceiling = limit->shed_cap;
+    }
     limit->value = fmin(fmax(value, 1.0), ceiling);
     limit->successes = 0;
 }
@@ -100,7 +110,6 @@
     limit->config = *config;
     limit->guard_us = GUARD_MIN_US;
     limit->shed_us = now_us - SHED_WINDOW_US;
-    limit->failed_us = now_us - SHED_WINDOW_US;
     limit->stall_at_us = now_us;
     limit->traffic_us = now_us;
     limit->probe_us = now_us - PROBE_INTERVAL_US;
@@ -185,30 +194,36 @@
     limit->good_samples = 0;
 }
 
+/*
+ * One shed answer tells how many requests are too many; the limit stays
+ * below that for a while. Several in a short time are a cold start.
+ */
 static void
 limit_shed(struct limit *limit, int64_t now_us)
 {
-    const bool again = now_us - limit->shed_us < SHED_WINDOW_US;
+    if (now_us - limit->shed_us >= SHED_WINDOW_US) {
+        limit->sheds = 0;
+    }
     limit->shed_us = now_us;
     limit->bad_us = now_us;
-    if (again || limit->phase != LIMIT_WARM) {
+    limit->sheds++;
+    if (limit->sheds >= SHEDS_COLD || limit->phase != LIMIT_WARM) {
         limit_enter(limit, LIMIT_COLD, now_us);
+        limit_set(limit, limit->value * SHED_FACTOR);
+        return;
     }
-    limit_set(limit, limit->value * SHED_FACTOR);
+    limit->shed_cap = limit->in_flight > 1 ? limit->in_flight : 1;
+    limit->shed_cap_us = now_us;
+    limit_set(limit, limit->value);
 }
 
-/* One cut connection says little; several in a short time are trouble. */
+/* A few cut connections say little; a large share of them is trouble. */
 static void
 limit_failed(struct limit *limit, int64_t now_us)
 {
-    const bool again = now_us - limit->failed_us < SHED_WINDOW_US;
-    limit->failed_us = now_us;
-    if (again) {
+    if (limit->failed_share > FAILED_SHARE_BAD) {
         limit_guard(limit, now_us);
     }
-    else {
-        limit_set(limit, limit->value * SHED_FACTOR);
-    }
 }
 
 static void
@@ -351,6 +366,8 @@
     limit->stall_expected = 0;
     limit->stall_at_us = now_us;
     limit->starts_since_finish = 0;
+    const double failed = sample == LIMIT_SAMPLE_FAILED ? 1 : 0;
+    limit->failed_share += FAILED_WEIGHT * (failed - limit->failed_share);
     if (sample == LIMIT_SAMPLE_SHED) {
         limit_shed(limit, now_us);
         return;
@@ -371,10 +388,26 @@
     limit->report_until_us = now_us + REPORT_LIFE_US;
 }
 
+/* Lets the limit try one more than was shed, from time to time. */
+static void
+limit_raise_shed_cap(struct limit *limit, int64_t now_us)
+{
+    if (limit->shed_cap == 0 ||
+        now_us - limit->shed_cap_us < SHED_CAP_RAISE_US) {
+        return;
+    }
+    limit->shed_cap_us = now_us;
+    limit->shed_cap++;
+    if (limit->shed_cap >= limit->config.slots) {
+        limit->shed_cap = 0;
+    }
+}
+
 void
 limit_tick(struct limit *limit, int64_t now_us)
 {
     limit_check_stall(limit, now_us);
+    limit_raise_shed_cap(limit, now_us);
     if (limit->phase != LIMIT_WARM) {
         limit_check_warm(limit, now_us);
     }
