--- a/packages/membership/test/cluster.h
+++ b/packages/membership/test/cluster.h
@@ -12,6 +12,7 @@
 extern "C" {
 #include "base/counter.h"
 #include "base/invariant.h"
+#include "base/random.h"
 #include "base/runtime.h"
 #include "membership/membertask_internal.h"
 #include "store/audit.h"
@@ -19,6 +20,24 @@
 }
 
 class Cluster;
+struct Node;
+
+/** A store operation of a node, whose process may be gone at the answer. */
+struct NodeOperation {
+    Node *node;
+    int starts;
+    store_commit_cb on_commit;
+    store_read_cb on_read;
+    void *ctx;
+};
+
+/** A call that waits in the socket of a process that stands still. */
+struct WaitingCall {
+    struct address from;
+    enum rpc_procedure_number procedure;
+    struct lease_renew_args renew;
+    struct lease_certify_args certify;
+};
 
 /** One instance: its process may run, stand still, or be gone. */
 struct Node {
@@ -28,21 +47,16 @@
     struct membertask *task = nullptr;
     struct counter_registry *counters = nullptr;
     bool paused = false;
+    std::vector<NodeOperation *> answered; /**< while it stood still */
+    std::vector<WaitingCall> waiting;
     bool machine_up = true;
     bool held = false;
+    uint64_t looked_version = 0;   /**< of the store, at the latest look */
+    uint64_t live_incarnation = 0; /**< in the store, then */
     int starts = 0;
     std::map<uint64_t, int64_t> fenced; /**< serve_after_us by incarnation */
 };
 
-/** A store operation of a node, whose process may be gone at the answer. */
-struct NodeOperation {
-    Node *node;
-    int starts;
-    store_commit_cb on_commit;
-    store_read_cb on_read;
-    void *ctx;
-};
-
 /** A call under way, or a pause of the network before its answer. */
 struct FakeCall {
     Cluster *cluster;
@@ -155,24 +169,43 @@
             counter_registry_destroy(node.counters);
             node.task = nullptr;
         }
+        for (auto *operation : node.answered) {
+            delete operation;
+        }
+        node.answered.clear();
+        node.waiting.clear();
     }
 
-    /** Stands still until resume(); calls to it are not answered. */
+    /** Stands still until resume(). What arrives waits in its sockets. */
     void pause(int number)
     {
-        while (!LIST_EMPTY(&nodes[number]->task->operations)) {
-            run_ms(1);
-        }
         log(number, "paused");
         nodes[number]->paused = true;
         timer_stop(&nodes[number]->task->timer);
     }
 
+    /** Goes on: handles what has arrived, and takes answers of the store that
+     * are this late as lost. */
     void resume(int number)
     {
+        Node &node = *nodes[number];
         log(number, "resumed");
-        nodes[number]->paused = false;
-        timer_start(&nodes[number]->task->timer, 0);
+        node.paused = false;
+        timer_start(&node.task->timer, 0);
+        for (auto &call : node.waiting) {
+            if (call.procedure == PROCEDURE_RENEW) {
+                membertask_on_renew(node.task, &call.from, &call.renew);
+            }
+            if (call.procedure == PROCEDURE_CERTIFY) {
+                membertask_on_certify(node.task, &call.certify);
+            }
+        }
+        node.waiting.clear();
+        std::vector<NodeOperation *> answered;
+        answered.swap(node.answered);
+        for (auto *operation : answered) {
+            fail_operation(operation);
+        }
     }
 
     void run_ms(int64_t duration_ms)
@@ -185,6 +218,28 @@
         }
     }
 
+    /** True if the member's own row is in the store and live. */
+    bool has_live_row(int number)
+    {
+        Node &node = *nodes[number];
+        uint64_t version = store_tables_version(store_memory_tables(memory));
+        if (version != node.looked_version) {
+            struct store_row row;
+            struct member member;
+            store_tables_read(store_memory_tables(memory), MEMBER_TABLE,
+                              node.name.c_str(), &row);
+            node.looked_version = version;
+            node.live_incarnation =
+                row.value != nullptr &&
+                        member_from_json(row.value, row.version, &member,
+                                         nullptr) &&
+                        member_is_live(&member)
+                    ? member.self.incarnation
+                    : 0;
+        }
+        return node.live_incarnation == node.task->self.self.incarnation;
+    }
+
     int64_t counter(int number, const char *name)
     {
         return counter_add(nodes[number]->counters, name, "")->value;
@@ -304,12 +359,34 @@
         return operation;
     }
 
-    /** @return true if the process that began the operation still runs. */
-    static bool end_operation(NodeOperation *operation)
+    /** @return true if the process that began the operation runs now. */
+    static bool end_operation(std::unique_ptr<NodeOperation> &operation)
     {
         Node *node = operation->node;
-        node->cluster->operations_.erase(operation);
-        return node->task != nullptr && node->starts == operation->starts;
+        node->cluster->operations_.erase(operation.get());
+        if (node->task == nullptr || node->starts != operation->starts) {
+            return false;
+        }
+        if (node->paused) {
+            node->answered.push_back(operation.release());
+            return false;
+        }
+        return true;
+    }
+
+    static void fail_operation(NodeOperation *operation)
+    {
+        struct store_commit_result committed = {};
+        struct store_read_result read = {};
+        committed.outcome = STORE_UNKNOWN;
+        read.outcome = STORE_UNAVAILABLE;
+        if (operation->on_commit != nullptr) {
+            operation->on_commit(operation->ctx, &committed);
+        }
+        else {
+            operation->on_read(operation->ctx, &read);
+        }
+        delete operation;
     }
 
     static void finish_commit(void *ctx,
@@ -317,7 +394,7 @@
     {
         std::unique_ptr<NodeOperation> operation(
             static_cast<NodeOperation *>(ctx));
-        if (end_operation(operation.get())) {
+        if (end_operation(operation)) {
             operation->on_commit(operation->ctx, result);
         }
     }
@@ -326,7 +403,7 @@
     {
         std::unique_ptr<NodeOperation> operation(
             static_cast<NodeOperation *>(ctx));
-        if (end_operation(operation.get())) {
+        if (end_operation(operation)) {
             operation->on_read(operation->ctx, result);
         }
     }
@@ -412,6 +489,11 @@
             cluster.serve(call, peer);
         }
         else if (call->procedure != PROCEDURE_NULL) {
+            WaitingCall waiting = {
+                {}, call->procedure, call->renew, call->certify};
+            address_parse(address_text(call->from).c_str(), &waiting.from,
+                          nullptr);
+            peer.waiting.push_back(waiting);
             lost = true;
         }
         int64_t now_us = runtime_now_us(cluster.runtime);
--- a/packages/membership/test/membertask_test.cc
+++ b/packages/membership/test/membertask_test.cc
@@ -301,4 +301,19 @@
     }
 }
 
+TEST_F(Session, SecondProcessOfTheSameNameWaitsForTheFirst)
+{
+    join();
+    uint64_t first = membertask_incarnation(cluster.nodes[0]->task);
+    int second = cluster.add("llanidloes-1", "llanidloes");
+    cluster.run_ms(5000);
+    EXPECT_EQ(first, membertask_incarnation(cluster.nodes[0]->task));
+    EXPECT_TRUE(membertask_is_active(cluster.nodes[0]->task));
+    EXPECT_EQ(0u, membertask_incarnation(cluster.nodes[second]->task));
+    cluster.nodes[0]->machine_up = false;
+    cluster.stop(0);
+    cluster.run_ms(5000);
+    EXPECT_TRUE(membertask_is_active(cluster.nodes[second]->task));
+}
+
 } // namespace
