--- /dev/null
+++ b/packages/placement/modelmember.c
@@ -0,0 +1,516 @@
+#include "placement/model_internal.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define RPC_LOST_US INT64_C(300000) /* a lost call is given up after */
+#define ASSIGN_TRIES 3
+#define SCAN_PERIOD_US INT64_C(2000000)
+#define LOAD_PERIOD_US INT64_C(1000000)
+
+static bool
+message_is_lost(struct model *model, unsigned from, unsigned to)
+{
+    return model->members[from].isolated || model->members[to].isolated ||
+           !model->members[to].running ||
+           random_chance(&model->random, model->options.faults.loss);
+}
+
+static struct shardpage *
+page_of(const struct model_member *member, uint32_t number, uint64_t *version)
+{
+    struct shardpage *page = malloc(sizeof(*page));
+
+    if (page == NULL) {
+        abort();
+    }
+    *version = shardmap_page(member->map, MODEL_SERVICE, number, page);
+    return page;
+}
+
+static void
+page_arrives(struct model *model, struct model_event *event)
+{
+    placer_page(model->members[event->member].placer, event->content,
+                event->number, model->now_us);
+}
+
+static void
+send_page(struct model *model, unsigned from, unsigned to, uint32_t number,
+          int64_t delay_us)
+{
+    struct model_event *event;
+    uint64_t version;
+    struct shardpage *page;
+
+    if (message_is_lost(model, from, to)) {
+        return;
+    }
+    page = page_of(&model->members[from], number, &version);
+    event = model_event_add(
+        model, to, delay_us + model_latency(model, model->options.one_way_us),
+        page_arrives);
+    event->content = page;
+    event->number = version;
+}
+
+static void
+handed(struct model *model, struct model_event *event)
+{
+    placer_handed(model->members[event->member].placer, event->shard,
+                  event->number, event->flag, model->now_us);
+}
+
+static void
+answer_handed(struct model *model, unsigned to, unsigned from,
+              const struct place_action *action, bool accepted,
+              int64_t delay_us)
+{
+    struct model_event *event = model_event_add(model, to, delay_us, handed);
+
+    event->from = from;
+    event->shard = action->shard;
+    event->number = action->attempt;
+    event->flag = accepted;
+}
+
+static void
+call_arrives(struct model *model, struct model_event *event)
+{
+    struct model_member *member = &model->members[event->member];
+    const struct place_action *action = event->action;
+    struct offer_info info = {
+        .shard = action->shard,
+        .epoch = action->epoch,
+        .from = model->members[event->from].name,
+        .incarnation = event->number,
+        .attempt = action->attempt,
+        .weight = action->weight,
+        .blob = action->blob,
+        .blob_size = action->blob_size,
+    };
+    bool accepted = action->type == PLACE_RESERVE
+                        ? placer_reserved(member->placer, action->weight,
+                                          action->urgent, model->now_us)
+                        : placer_offered(member->placer, &info, model->now_us);
+
+    /* The caller may have started again in the meantime. */
+    if (model->members[event->from].life != event->from_life) {
+        return;
+    }
+    if (message_is_lost(model, event->member, event->from)) {
+        answer_handed(model, event->from, event->member, action, false,
+                      RPC_LOST_US);
+        return;
+    }
+    answer_handed(model, event->from, event->member, action, accepted,
+                  model_latency(model, model->options.one_way_us));
+}
+
+static void
+send_call(struct model *model, unsigned from, struct place_action *action)
+{
+    int to = model_member_index(model, action->peer);
+    struct model_event *event;
+
+    if (to < 0 || message_is_lost(model, from, (unsigned)to)) {
+        answer_handed(model, from, from, action, false, RPC_LOST_US);
+        place_action_destroy(action);
+        return;
+    }
+    event = model_event_add(model, (unsigned)to,
+                            model_latency(model, model->options.one_way_us),
+                            call_arrives);
+    event->action = action;
+    event->from = from;
+    event->from_life = model->members[from].life;
+    event->number = model->members[from].incarnation;
+}
+
+static void
+load_arrives(struct model *model, struct model_event *event)
+{
+    struct model_member *from = &model->members[event->from];
+
+    placer_peer_load(model->members[event->member].placer, from->name,
+                     event->load, false, 0, event->flag, model->now_us);
+}
+
+static void
+send_load(struct model *model, unsigned from, unsigned to)
+{
+    struct model_event *event;
+    double load;
+    double limit;
+    bool cold;
+    bool wants;
+
+    if (message_is_lost(model, from, to)) {
+        return;
+    }
+    placer_report(model->members[from].placer, model->now_us, &load, &cold,
+                  &limit, &wants);
+    event = model_event_add(model, to,
+                            model_latency(model, model->options.one_way_us),
+                            load_arrives);
+    event->from = from;
+    event->load = load;
+    event->flag = wants;
+}
+
+static void
+drain_finished(struct model *model, struct model_event *event)
+{
+    uint64_t token = model_shard_at(model, event->shard)->token;
+
+    placer_drained(model->members[event->member].placer, event->shard, &token,
+                   sizeof(token), model->now_us);
+}
+
+static void
+start_drain(struct model *model, unsigned index, uint32_t shard)
+{
+    struct model_shard *known = model_shard_at(model, shard);
+    double mean = (double)model->options.drain_mean_us;
+    int64_t delay_us = (int64_t)random_exponential(&model->random, mean);
+    struct model_event *event;
+
+    if (delay_us > model->options.longest_request_us) {
+        delay_us = model->options.longest_request_us;
+    }
+    known->drained_us = model->now_us;
+    event = model_event_add(model, index, delay_us, drain_finished);
+    event->shard = shard;
+}
+
+static void
+add_gap(struct model *model, int64_t gap_us)
+{
+    if (model->gap_count == model->gap_capacity) {
+        model->gap_capacity = 2 * model->gap_capacity + 256;
+        model->gaps_us =
+            realloc(model->gaps_us, model->gap_capacity * sizeof(int64_t));
+        if (model->gaps_us == NULL) {
+            abort();
+        }
+    }
+    model->gaps_us[model->gap_count++] = gap_us;
+}
+
+static void
+check_handover(struct model *model, unsigned index,
+               const struct place_action *action)
+{
+    struct model_shard *known = model_shard_at(model, action->shard);
+    uint64_t token = 0;
+
+    if (!action->planned) {
+        known->drained_us = 0;
+        return;
+    }
+    if (action->blob_size == sizeof(token)) {
+        memcpy(&token, action->blob, sizeof(token));
+    }
+    if (token != known->token) {
+        model_violation(model, "handover is not complete", action->shard,
+                        model->members[index].name);
+    }
+    /* What was drained has finished: the wait after a fence is not due. */
+    known->served_us = 0;
+    if (known->drained_us != 0) {
+        add_gap(model, model->now_us - known->drained_us);
+        known->drained_us = 0;
+    }
+}
+
+static void
+check_one_server(struct model *model, unsigned index, uint32_t shard)
+{
+    uint32_t epoch;
+
+    for (unsigned i = 0; i < model->options.members; i++) {
+        const struct model_member *other = &model->members[i];
+        if (i != index && other->running && !other->paused &&
+            placer_serves(other->placer, shard, model->now_us, &epoch)) {
+            model_violation(model, "two owners", shard,
+                            model->members[index].name);
+        }
+    }
+}
+
+/* The shard is served by this member now: checks all promises about it. */
+static void
+check_shard(struct model *model, unsigned index, uint32_t shard,
+            uint32_t epoch)
+{
+    struct model_shard *known = model_shard_at(model, shard);
+    const struct model_member *member = &model->members[index];
+    bool same =
+        known->server == (int)index && known->server_life == member->life;
+
+    model->result.checks++;
+    if (epoch < known->epoch ||
+        (epoch == known->epoch && known->server != (int)index &&
+         known->server >= 0)) {
+        model_violation(model, "epoch does not rise", shard, member->name);
+    }
+    if (known->server != (int)index && !model->options.targets_check_grants &&
+        model->now_us < known->served_us + model->options.longest_request_us) {
+        model_violation(model, "served before old requests ended", shard,
+                        member->name);
+    }
+    if (!same) {
+        check_one_server(model, index, shard);
+    }
+    known->epoch = epoch;
+    known->server = (int)index;
+    known->server_life = member->life;
+    known->served_us = model->now_us;
+    known->token++;
+}
+
+void
+model_check_serving(struct model *model, unsigned index)
+{
+    const struct model_member *member = &model->members[index];
+    uint32_t epoch;
+
+    for (uint32_t i = 0; i < model->options.shards; i++) {
+        if (placer_serves(member->placer, i, model->now_us, &epoch)) {
+            check_shard(model, index, i, epoch);
+        }
+    }
+}
+
+static void
+publish(struct model *model, unsigned from, uint32_t page)
+{
+    for (unsigned i = 0; i < model->options.members; i++) {
+        if (i != from) {
+            send_page(model, from, i, page, 0);
+        }
+    }
+}
+
+static void
+assign(struct model *model, unsigned from, const struct place_action *action)
+{
+    int to = model_member_index(model, action->peer);
+
+    for (int i = 0; to >= 0 && i < ASSIGN_TRIES; i++) {
+        send_page(model, from, (unsigned)to, action->page, i * RPC_LOST_US);
+    }
+}
+
+static void
+gained(struct model *model, unsigned index, const struct place_action *action)
+{
+    struct model_shard *known = model_shard_at(model, action->shard);
+    uint32_t epoch;
+
+    check_handover(model, index, action);
+    if ((action->shard & SHARD_KEY_FLAG) != 0) {
+        return;
+    }
+    if (placer_serves(model->members[index].placer, action->shard,
+                      model->now_us, &epoch)) {
+        if (known->server != (int)index) {
+            check_one_server(model, index, action->shard);
+        }
+        check_shard(model, index, action->shard, epoch);
+    }
+}
+
+static void
+trace_action(struct model *model, unsigned index,
+             const struct place_action *action)
+{
+    char detail[160];
+
+    switch (action->type) {
+    case PLACE_PROBE:
+    case PLACE_PUBLISH:
+    case PLACE_COMMIT:
+    case PLACE_REFRESH:
+        return;
+    case PLACE_READ:
+    case PLACE_ASSIGN:
+        (void)snprintf(detail, sizeof(detail), "page %u %s", action->page,
+                       action->peer);
+        break;
+    default:
+        (void)snprintf(detail, sizeof(detail), "shard %u epoch %u %s%s",
+                       action->shard, action->epoch, action->peer,
+                       action->planned ? "planned" : "");
+        break;
+    }
+    model_trace(model, model->members[index].name,
+                place_action_name(action->type), detail);
+}
+
+/* @return true if the action was taken over. */
+static bool
+carry_out(struct model *model, unsigned index, struct place_action *action)
+{
+    int peer = model_member_index(model, action->peer);
+
+    switch (action->type) {
+    case PLACE_COMMIT:
+        model_store_commit(model, index, action);
+        return true;
+    case PLACE_RESERVE:
+    case PLACE_HANDOVER:
+        send_call(model, index, action);
+        return true;
+    case PLACE_READ:
+        model_store_read(model, index, action->page);
+        return false;
+    case PLACE_SCAN:
+        model_store_scan(model, index, 0, true);
+        return false;
+    case PLACE_GAINED:
+        gained(model, index, action);
+        return false;
+    case PLACE_DRAIN:
+        start_drain(model, index, action->shard);
+        return false;
+    case PLACE_RESUME:
+        model_shard_at(model, action->shard)->drained_us = 0;
+        return false;
+    case PLACE_ASSIGN:
+        assign(model, index, action);
+        return false;
+    case PLACE_PUBLISH:
+        publish(model, index, action->page);
+        return false;
+    case PLACE_PROBE:
+        if (peer >= 0) {
+            send_load(model, index, (unsigned)peer);
+            send_load(model, (unsigned)peer, index);
+        }
+        return false;
+    case PLACE_REFRESH:
+        if (peer >= 0) {
+            model_tell_one(model, index, (unsigned)peer, false);
+        }
+        return false;
+    default:
+        return false;
+    }
+}
+
+void
+model_member_drain(struct model *model, unsigned index)
+{
+    struct model_member *member = &model->members[index];
+    struct place_action *action;
+
+    while (member->placer != NULL &&
+           (action = placer_next_action(member->placer)) != NULL) {
+        trace_action(model, index, action);
+        if (!carry_out(model, index, action)) {
+            place_action_destroy(action);
+        }
+    }
+}
+
+static void
+set_loads(struct model *model, struct model_member *member)
+{
+    for (uint32_t i = 0; i < model->options.shards; i++) {
+        placer_set_load(member->placer, i, model->shards[i].load, 0, 0);
+    }
+}
+
+/* What the member would learn anyway, by and by. */
+static void
+synchronise(struct model *model, unsigned index)
+{
+    struct model_member *member = &model->members[index];
+
+    if (member->isolated ||
+        model->now_us - member->synced_us < SCAN_PERIOD_US) {
+        return;
+    }
+    member->synced_us = model->now_us;
+    model_store_scan(model, index, 0, false);
+    for (unsigned i = 0; i < model->options.members; i++) {
+        if (model->rows[i].version != 0) {
+            model_tell_one(model, index, i, false);
+        }
+    }
+}
+
+void
+model_member_tick(struct model *model, unsigned index)
+{
+    struct model_member *member = &model->members[index];
+
+    placer_set_lease(member->placer, member->lease_until_us);
+    for (unsigned i = 0; i < model->options.zones; i++) {
+        char zone[STATE_NAME_MAX + 1];
+        (void)snprintf(zone, sizeof(zone), "zone-%u", i);
+        placer_set_zone_out(member->placer, zone, model->zones_out[i]);
+    }
+    if (model->now_us - member->loaded_us >= LOAD_PERIOD_US) {
+        member->loaded_us = model->now_us;
+        set_loads(model, member);
+    }
+    synchronise(model, index);
+    placer_run(member->placer, model->now_us);
+}
+
+void
+model_member_start(struct model *model, unsigned index)
+{
+    struct model_member *member = &model->members[index];
+    struct placer_spec spec = {
+        .instance = member->name,
+        .zone = member->zone,
+        .service = MODEL_SERVICE,
+        .shards = model->options.shards,
+        .seed = random_u64(&model->random),
+    };
+    struct placer_limits limits = {
+        .targets_check_grants = model->options.targets_check_grants,
+        .longest_request_us = model->options.longest_request_us,
+        .moves_per_second = model->options.moves_per_second,
+        .capacity = model->options.capacity,
+    };
+
+    if (member->running) {
+        return;
+    }
+    /* The map stays at times: a process that starts from an old snapshot. */
+    if (member->map == NULL || random_chance(&model->random, 0.5)) {
+        shardmap_destroy(member->map);
+        member->map = shardmap_create();
+        (void)shardmap_add_service(member->map, MODEL_SERVICE,
+                                   model->options.shards, NULL);
+    }
+    spec.map = member->map;
+    placer_destroy(member->placer);
+    member->placer = placer_create(&spec, &limits, model->now_us);
+    member->life++;
+    member->running = true;
+    member->paused = false;
+    member->leaving = false;
+    member->registering = false;
+    member->synced_us = model->now_us - SCAN_PERIOD_US;
+    member->loaded_us = model->now_us - LOAD_PERIOD_US;
+    member->lease_until_us = model->now_us;
+    model_trace(model, member->name, "starts", "");
+    model_register(model, index);
+}
+
+void
+model_member_stop(struct model *model, unsigned index)
+{
+    struct model_member *member = &model->members[index];
+
+    if (member->running) {
+        member->running = false;
+        member->life++;
+        model_trace(model, member->name, "stops", "");
+    }
+}
--- /dev/null
+++ b/packages/placement/modelstore.c
@@ -0,0 +1,404 @@
+#include "placement/model_internal.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define FENCE_MARGIN_US INT64_C(10000) /* after the lease's end */
+#define FENCE_DELAY_US INT64_C(60000)  /* certificates and transaction */
+#define TELL_DELAY_US INT64_C(200000)  /* until others know of a row */
+#define LATE_WRITE_MAX_US INT64_C(5000000)
+
+static bool
+conditions_hold(struct model *model, const struct page_write *write)
+{
+    const struct model_page *page = &model->pages[write->page.page];
+
+    if (page->version != write->base_version) {
+        return false;
+    }
+    for (size_t i = 0; i < write->expect_count; i++) {
+        int index = model_member_index(model, write->expects[i].instance);
+        if (index < 0 ||
+            model->rows[index].version != write->expects[i].version) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static void
+note_moves(struct model *model, const struct page_write *write)
+{
+    for (size_t i = 0; i < write->change_count; i++) {
+        char detail[200];
+        const struct page_change *change = &write->changes[i];
+        model->load_moved += model_shard_at(model, change->shard)->load;
+        model->shards_moved +=
+            change->kind == CHANGE_MOVE || change->kind == CHANGE_REPLACE;
+        (void)snprintf(detail, sizeof(detail), "%s %u: %s -> %s epoch %u (%s)",
+                       change_kind_name(change->kind), change->shard,
+                       change->from[0] == '\0' ? "-" : change->from,
+                       change->to, change->epoch, change->why);
+        model_trace(model, "store", "write", detail);
+    }
+}
+
+static void
+check_epochs(struct model *model, const struct page_write *write)
+{
+    struct shardpage before = model->pages[write->page.page].page;
+
+    for (size_t i = 0; i < write->page.shard_count; i++) {
+        const struct shardpage_entry *entry = &write->page.entries[i];
+        if (model->pages[write->page.page].version != 0 &&
+            entry->epoch < before.entries[i].epoch) {
+            model_violation(model, "epoch falls in the store", entry->shard,
+                            entry->owner);
+        }
+    }
+}
+
+/* @return the outcome; *version is set if committed. */
+static enum store_outcome
+apply_write(struct model *model, const struct page_write *write,
+            uint64_t *version)
+{
+    struct model_page *page = &model->pages[write->page.page];
+
+    if (model->conflict_next) {
+        model->conflict_next = false;
+        if (page->version != 0) {
+            page->version = ++model->store_version;
+        }
+    }
+    if (!conditions_hold(model, write)) {
+        model->result.conflicts++;
+        model_trace(model, "store", "conflict", "");
+        return STORE_CONFLICT;
+    }
+    check_epochs(model, write);
+    note_moves(model, write);
+    page->version = ++model->store_version;
+    page->page = write->page;
+    *version = page->version;
+    model->result.commits++;
+    return STORE_COMMITTED;
+}
+
+static void
+commit_answered(struct model *model, struct model_event *event)
+{
+    placer_committed(model->members[event->member].placer, event->number,
+                     event->outcome, event->version, model->now_us);
+}
+
+struct commit_answer {
+    uint64_t txn_id;
+    uint64_t version;
+};
+
+static void
+answer_commit(struct model *model, unsigned member, int64_t delay_us,
+              const struct commit_answer *answer, enum store_outcome outcome)
+{
+    struct model_event *event =
+        model_event_add(model, member, delay_us, commit_answered);
+
+    event->number = answer->txn_id;
+    event->outcome = outcome;
+    event->version = answer->version;
+}
+
+/* A write that reached the store applies whether or not its sender lives. */
+static void
+late_write(struct model *model, struct model_event *event)
+{
+    uint64_t version;
+
+    model_trace(model, "store", "late", "a delayed write arrives");
+    (void)apply_write(model, event->action->write, &version);
+}
+
+static bool
+is_reachable(const struct model *model, unsigned member)
+{
+    return !model->store_down && !model->members[member].isolated;
+}
+
+static void
+commit_arrives(struct model *model, struct model_event *event)
+{
+    const struct model_faults *faults = &model->options.faults;
+    struct commit_answer answer = {.txn_id = event->action->write->txn_id};
+    int64_t back_us = model_latency(model, model->options.store_us / 2);
+    enum store_outcome outcome;
+    bool lost = model->lose_next ||
+                random_chance(&model->random, faults->lost_answers);
+
+    if (!is_reachable(model, event->member)) {
+        answer_commit(model, event->member, back_us, &answer,
+                      STORE_UNAVAILABLE);
+        return;
+    }
+    if (random_chance(&model->random, faults->late_writes)) {
+        struct model_event *late = model_event_add(
+            model, event->member,
+            random_range(&model->random, 0, LATE_WRITE_MAX_US), late_write);
+        late->action = event->action;
+        event->action = NULL;
+        model->result.unknown++;
+        answer_commit(model, event->member, MODEL_ANSWER_LOST_US, &answer,
+                      STORE_UNKNOWN);
+        return;
+    }
+    outcome = apply_write(model, event->action->write, &answer.version);
+    if (lost) {
+        model->lose_next = false;
+        model->result.unknown++;
+        model_trace(model, "store", "lost", "answer");
+        answer_commit(model, event->member, MODEL_ANSWER_LOST_US, &answer,
+                      STORE_UNKNOWN);
+        return;
+    }
+    answer_commit(model, event->member, back_us, &answer, outcome);
+}
+
+void
+model_store_commit(struct model *model, unsigned member,
+                   struct place_action *action)
+{
+    struct model_event *event = model_event_add(
+        model, member, model_latency(model, model->options.store_us / 2),
+        commit_arrives);
+
+    event->action = action;
+}
+
+static void
+read_answered(struct model *model, struct model_event *event)
+{
+    placer_read(model->members[event->member].placer, event->page, event->flag,
+                event->content, event->number, model->now_us);
+}
+
+static struct shardpage *
+copy_page(const struct shardpage *page)
+{
+    struct shardpage *copy = malloc(sizeof(*copy));
+
+    if (copy == NULL) {
+        abort();
+    }
+    *copy = *page;
+    return copy;
+}
+
+static void
+read_arrives(struct model *model, struct model_event *event)
+{
+    const struct model_page *page = &model->pages[event->page];
+    struct model_event *answer = model_event_add(
+        model, event->member,
+        model_latency(model, model->options.store_us / 2), read_answered);
+
+    answer->page = event->page;
+    answer->flag = is_reachable(model, event->member);
+    answer->number = page->version;
+    answer->content = page->version == 0 ? NULL : copy_page(&page->page);
+}
+
+void
+model_store_read(struct model *model, unsigned member, uint32_t page)
+{
+    struct model_event *event = model_event_add(
+        model, member, model_latency(model, model->options.store_us / 2),
+        read_arrives);
+
+    event->page = page;
+}
+
+static void
+page_read(struct model *model, struct model_event *event)
+{
+    placer_page(model->members[event->member].placer, event->content,
+                event->number, model->now_us);
+}
+
+static void
+scan_answered(struct model *model, struct model_event *event)
+{
+    placer_scanned(model->members[event->member].placer, event->flag,
+                   event->number, model->now_us);
+}
+
+static void
+scan_arrives(struct model *model, struct model_event *event)
+{
+    bool ok = is_reachable(model, event->member);
+    int64_t back_us = model_latency(model, model->options.store_us / 2);
+    struct model_event *answer;
+
+    for (uint32_t i = 0; ok && i < model->page_count; i++) {
+        if (model->pages[i].version <= event->number) {
+            continue;
+        }
+        answer = model_event_add(model, event->member, back_us, page_read);
+        answer->number = model->pages[i].version;
+        answer->content = copy_page(&model->pages[i].page);
+    }
+    if (event->flag) {
+        answer = model_event_add(model, event->member, back_us, scan_answered);
+        answer->flag = ok;
+        answer->number = model->store_version;
+    }
+}
+
+void
+model_store_scan(struct model *model, unsigned member, uint64_t since,
+                 bool answer)
+{
+    struct model_event *event = model_event_add(
+        model, member, model_latency(model, model->options.store_us / 2),
+        scan_arrives);
+
+    event->number = since;
+    event->flag = answer;
+}
+
+static void
+member_told(struct model *model, struct model_event *event)
+{
+    const struct model_member *about = &model->members[event->from];
+    const struct model_row *row = &model->rows[event->from];
+    struct peer_info info = {
+        .state = row->state,
+        .incarnation = row->incarnation,
+        .version = row->version,
+        .capacity = model->options.capacity,
+        .fenced_here = event->flag && row->state == PEER_GONE,
+    };
+
+    (void)snprintf(info.name, sizeof(info.name), "%s", about->name);
+    (void)snprintf(info.zone, sizeof(info.zone), "%s", about->zone);
+    if (row->version != 0) {
+        placer_member(model->members[event->member].placer, &info,
+                      model->now_us);
+    }
+}
+
+void
+model_tell_one(struct model *model, unsigned member, unsigned about,
+               bool fenced_here)
+{
+    struct model_event *event = model_event_add(
+        model, member, model_latency(model, TELL_DELAY_US), member_told);
+
+    event->from = about;
+    event->flag = fenced_here;
+}
+
+void
+model_tell_members(struct model *model, unsigned about)
+{
+    for (unsigned i = 0; i < model->options.members; i++) {
+        if (model->members[i].running && !model->members[i].isolated) {
+            model_tell_one(model, i, about, false);
+        }
+    }
+}
+
+static void
+registered(struct model *model, struct model_event *event)
+{
+    struct model_member *member = &model->members[event->member];
+    struct model_row *row = &model->rows[event->member];
+
+    member->registering = false;
+    if (!is_reachable(model, event->member)) {
+        return;
+    }
+    row->version = ++model->store_version;
+    row->incarnation = ++member->incarnation;
+    row->state = PEER_ACTIVE;
+    member->lease_until_us = model->now_us + MODEL_LEASE_US;
+    member->leaving = false;
+    placer_set_self(member->placer, row->incarnation, row->version,
+                    model->now_us);
+    placer_set_leaving(member->placer, false);
+    model_trace(model, member->name, "registers", "");
+    model_tell_members(model, event->member);
+}
+
+void
+model_register(struct model *model, unsigned index)
+{
+    struct model_member *member = &model->members[index];
+
+    if (!member->registering) {
+        member->registering = true;
+        (void)model_event_add(model, index,
+                              model_latency(model, model->options.store_us),
+                              registered);
+    }
+}
+
+static void
+fence(struct model *model, unsigned index)
+{
+    struct model_row *row = &model->rows[index];
+    unsigned by =
+        (unsigned)random_below(&model->random, model->options.members);
+
+    row->version = ++model->store_version;
+    row->state = PEER_GONE;
+    model->result.fences++;
+    model_trace(model, model->members[index].name, "fenced", "");
+    model_tell_members(model, index);
+    if (model->members[by].running && !model->members[by].isolated) {
+        struct model_event *event = model_event_add(model, by, 0, member_told);
+        event->from = index;
+        event->flag = true;
+    }
+}
+
+static void
+renew(struct model *model, unsigned index)
+{
+    struct model_member *member = &model->members[index];
+    struct model_row *row = &model->rows[index];
+
+    if (member->isolated || !member->running || member->paused ||
+        row->incarnation != member->incarnation ||
+        model->now_us - member->renewed_us < MODEL_RENEW_US) {
+        return;
+    }
+    member->renewed_us = model->now_us;
+    if (row->state == PEER_GONE || row->incarnation == 0) {
+        model_register(model, index);
+        return;
+    }
+    member->lease_until_us = model->now_us + MODEL_LEASE_US;
+    /* The row is renewed in the store now and then. */
+    if (!model->store_down && random_chance(&model->random, 0.01)) {
+        row->version = ++model->store_version;
+        placer_set_self(member->placer, row->incarnation, row->version,
+                        model->now_us);
+        model_tell_members(model, index);
+    }
+}
+
+void
+model_leases(struct model *model)
+{
+    for (unsigned i = 0; i < model->options.members; i++) {
+        struct model_member *member = &model->members[i];
+        struct model_row *row = &model->rows[i];
+        int64_t lapsed_us = model->now_us - member->lease_until_us;
+        renew(model, i);
+        if (row->version != 0 && row->state != PEER_GONE &&
+            lapsed_us > FENCE_MARGIN_US + FENCE_DELAY_US &&
+            !model->store_down) {
+            fence(model, i);
+        }
+    }
+}
--- a/packages/placement/ownertable.c
+++ b/packages/placement/ownertable.c
@@ -144,18 +144,6 @@
     return number == 0 ? 0 : table->owners[number].shards;
 }
 
-void
-ownertable_visit(const struct ownertable *table,
-                 void (*visit)(void *ctx, const char *owner, uint32_t shards),
-                 void *ctx)
-{
-    for (size_t i = 1; i < table->count; i++) {
-        if (table->owners[i].shards > 0) {
-            visit(ctx, table->owners[i].name, table->owners[i].shards);
-        }
-    }
-}
-
 size_t
 ownertable_memory(const struct ownertable *table)
 {
--- a/packages/placement/ownertable.h
+++ b/packages/placement/ownertable.h
@@ -30,12 +30,6 @@
 /** Shards held by the owner. */
 uint32_t ownertable_count(const struct ownertable *table, const char *name);
 
-/** Calls visit for each owner with at least one shard. */
-void ownertable_visit(const struct ownertable *table,
-                      void (*visit)(void *ctx, const char *owner,
-                                    uint32_t shards),
-                      void *ctx);
-
 size_t ownertable_memory(const struct ownertable *table);
 
 #endif
--- /dev/null
+++ b/packages/placement/placer.c
@@ -0,0 +1,512 @@
+#include "placement/placer_internal.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+static void
+on_commit(void *ctx, const struct page_write *write)
+{
+    struct placer *placer = ctx;
+    struct place_action *action = placer_add_action(placer, PLACE_COMMIT);
+
+    action->page = write->page.page;
+    action->write = malloc(sizeof(*write));
+    if (action->write == NULL) {
+        abort();
+    }
+    *action->write = *write;
+}
+
+static void
+on_read(void *ctx, uint32_t page)
+{
+    struct placer *placer = ctx;
+
+    placer_add_action(placer, PLACE_READ)->page = page;
+}
+
+static void
+on_learned(void *ctx, const struct shardpage *page, uint64_t version)
+{
+    struct placer *placer = ctx;
+
+    shardmap_apply(placer->map, page, version, placer_entry_changed, placer);
+}
+
+static void
+on_ended(void *ctx, const struct change *change, enum change_result result)
+{
+    struct placer *placer = ctx;
+    uint32_t page = placer_page_of(placer, change->base);
+    bool done = result == CHANGE_DONE;
+
+    switch (change->kind) {
+    case CHANGE_MOVE:
+        placer_move_ended(placer, change, result);
+        break;
+    case CHANGE_REPLACE:
+        placer->counts.replaced += done ? 1 : 0;
+        break;
+    case CHANGE_CLAIM:
+        placer->counts.claimed += done ? 1 : 0;
+        break;
+    case CHANGE_SPLIT:
+        placer->counts.splits += done ? 1 : 0;
+        break;
+    case CHANGE_MERGE:
+        placer->counts.merges += done ? 1 : 0;
+        break;
+    }
+    if (!done) {
+        return;
+    }
+    if (strcmp(change->to, placer->instance) != 0) {
+        placer_add_page_action(placer, PLACE_ASSIGN, change->to, page);
+    }
+    placer_add_page_action(placer, PLACE_PUBLISH, "", page);
+}
+
+static const struct pagewriter_ops writer_ops = {
+    .commit = on_commit,
+    .read = on_read,
+    .learned = on_learned,
+    .ended = on_ended,
+};
+
+static bool
+create_parts(struct placer *placer, uint64_t seed)
+{
+    struct pagewriter_spec spec = {
+        .instance = placer->instance,
+        .service = placer->service,
+        .map = placer->map,
+        .ops = &writer_ops,
+        .ctx = placer,
+    };
+
+    placer->peers = peers_create();
+    placer->owned = ownedset_create();
+    placer->offers = offers_create();
+    spec.peers = placer->peers;
+    placer->writer = pagewriter_create(&spec, seed);
+    return placer->peers != NULL && placer->owned != NULL &&
+           placer->offers != NULL && placer->writer != NULL;
+}
+
+struct placer *
+placer_create(const struct placer_spec *spec,
+              const struct placer_limits *limits, int64_t now_us)
+{
+    struct placer *placer = calloc(1, sizeof(*placer));
+
+    if (placer == NULL) {
+        return NULL;
+    }
+    (void)snprintf(placer->instance, sizeof(placer->instance), "%s",
+                   spec->instance);
+    (void)snprintf(placer->zone, sizeof(placer->zone), "%s", spec->zone);
+    (void)snprintf(placer->service, sizeof(placer->service), "%s",
+                   spec->service);
+    placer->shards = spec->shards;
+    placer->map = spec->map;
+    placer->limits = *limits;
+    placer->now_us = now_us;
+    placer->tokens_us = now_us;
+    TAILQ_INIT(&placer->actions);
+    random_seed(&placer->random, spec->seed);
+    if (!create_parts(placer, random_u64(&placer->random))) {
+        placer_destroy(placer);
+        return NULL;
+    }
+    return placer;
+}
+
+void
+placer_destroy(struct placer *placer)
+{
+    struct place_action *action;
+
+    if (placer == NULL) {
+        return;
+    }
+    while ((action = placer_next_action(placer)) != NULL) {
+        place_action_destroy(action);
+    }
+    pagewriter_destroy(placer->writer);
+    offers_destroy(placer->offers);
+    ownedset_destroy(placer->owned);
+    peers_destroy(placer->peers);
+    free(placer);
+}
+
+struct place_action *
+placer_add_action(struct placer *placer, enum place_action_type type)
+{
+    struct place_action *action = calloc(1, sizeof(*action));
+
+    if (action == NULL) {
+        abort();
+    }
+    action->type = type;
+    TAILQ_INSERT_TAIL(&placer->actions, action, link);
+    return action;
+}
+
+void
+placer_add_page_action(struct placer *placer, enum place_action_type type,
+                       const char *peer, uint32_t page)
+{
+    struct place_action *action;
+
+    TAILQ_FOREACH (action, &placer->actions, link) {
+        if (action->type == type && action->page == page &&
+            strcmp(action->peer, peer) == 0) {
+            return;
+        }
+    }
+    action = placer_add_action(placer, type);
+    action->page = page;
+    (void)snprintf(action->peer, sizeof(action->peer), "%s", peer);
+}
+
+struct place_action *
+placer_next_action(struct placer *placer)
+{
+    struct place_action *action = TAILQ_FIRST(&placer->actions);
+
+    if (action != NULL) {
+        TAILQ_REMOVE(&placer->actions, action, link);
+    }
+    return action;
+}
+
+uint32_t
+placer_page_of(const struct placer *placer, uint32_t shard)
+{
+    uint32_t base = shard;
+
+    if ((shard & SHARD_KEY_FLAG) != 0) {
+        base = shardmap_base(placer->map, placer->service, shard);
+    }
+    return base / SHARDPAGE_SHARDS;
+}
+
+bool
+placer_lease_held(const struct placer *placer)
+{
+    return placer->now_us < placer->lease_until_us;
+}
+
+void
+placer_set_limits(struct placer *placer, const struct placer_limits *limits)
+{
+    placer->limits = *limits;
+}
+
+void
+placer_set_lease(struct placer *placer, int64_t until_us)
+{
+    placer->lease_until_us = until_us;
+}
+
+void
+placer_set_leaving(struct placer *placer, bool leaving)
+{
+    placer->leaving = leaving;
+    placer->plan_due_us = 0;
+}
+
+void
+placer_set_zone_out(struct placer *placer, const char *zone, bool out)
+{
+    peers_set_zone_out(placer->peers, zone, out);
+    if (strcmp(zone, placer->zone) == 0) {
+        placer->zone_out = out;
+        placer->plan_due_us = 0;
+    }
+}
+
+void
+placer_set_cold(struct placer *placer, bool cold, double limit)
+{
+    placer->cold = cold;
+    placer->cold_limit = limit;
+}
+
+void
+placer_set_self(struct placer *placer, uint64_t incarnation, uint64_t version,
+                int64_t now_us)
+{
+    placer->now_us = now_us;
+    placer->self_version = version;
+    pagewriter_set_self(placer->writer, version);
+    if (incarnation == placer->incarnation) {
+        return;
+    }
+    placer->incarnation = incarnation;
+    placer->registered = version;
+    placer->confirmed = false;
+    placer->scanning = false;
+    placer->scan_due_us = now_us;
+    pagewriter_reset(placer->writer);
+    placer_drop_all(placer);
+}
+
+void
+placer_set_load(struct placer *placer, uint32_t shard, double load,
+                uint64_t hot_hash, double hot_load)
+{
+    struct owned *owned = ownedset_find(placer->owned, shard);
+
+    if (owned != NULL) {
+        owned->load = load;
+        owned->hot_hash = hot_hash;
+        owned->hot_load = hot_load;
+    }
+}
+
+void
+placer_member(struct placer *placer, const struct peer_info *info,
+              int64_t now_us)
+{
+    placer->now_us = now_us;
+    peers_update(placer->peers, info, now_us);
+    if (info->state == PEER_GONE) {
+        placer->plan_due_us = 0;
+        placer->owners_due_us = 0;
+    }
+}
+
+void
+placer_peer_load(struct placer *placer, const char *name, double load,
+                 bool cold, double cold_limit, bool wants, int64_t now_us)
+{
+    struct peer *peer = peers_find(placer->peers, name);
+
+    if (peer != NULL) {
+        peers_report(peer, load, cold, cold_limit, wants, now_us);
+    }
+}
+
+static bool
+accepts_shards(const struct placer *placer)
+{
+    return placer->confirmed && placer_lease_held(placer) &&
+           !placer->leaving && !placer->zone_out;
+}
+
+bool
+placer_reserved(struct placer *placer, double weight, bool urgent,
+                int64_t now_us)
+{
+    struct balance_view view;
+
+    placer->now_us = now_us;
+    if (!accepts_shards(placer)) {
+        return false;
+    }
+    if (urgent) {
+        return true;
+    }
+    view = placer_view(placer);
+    view.load += offers_weight(placer->offers);
+    return balance_accepts(&view, weight);
+}
+
+bool
+placer_offered(struct placer *placer, const struct offer_info *info,
+               int64_t now_us)
+{
+    placer->now_us = now_us;
+    if (!accepts_shards(placer)) {
+        return false;
+    }
+    offers_expire(placer->offers, now_us);
+    return offers_put(placer->offers, info, now_us);
+}
+
+void
+placer_page(struct placer *placer, const struct shardpage *page,
+            uint64_t version, int64_t now_us)
+{
+    placer->now_us = now_us;
+    if (strcmp(page->service, placer->service) != 0) {
+        shardmap_apply(placer->map, page, version, NULL, NULL);
+        return;
+    }
+    if (shardmap_apply(placer->map, page, version, placer_entry_changed,
+                       placer)) {
+        pagewriter_changed(placer->writer, page->page, now_us);
+    }
+}
+
+void
+placer_scanned(struct placer *placer, bool ok, uint64_t as_of, int64_t now_us)
+{
+    placer->now_us = now_us;
+    placer->scanning = false;
+    if (!ok || as_of < placer->registered) {
+        placer->scan_due_us = now_us + SCAN_RETRY_US;
+        return;
+    }
+    if (placer->confirmed || placer->incarnation == 0) {
+        return;
+    }
+    placer->confirmed = true;
+    placer->confirmed_us = now_us;
+    placer_adopt_all(placer);
+}
+
+void
+placer_committed(struct placer *placer, uint64_t txn_id,
+                 enum store_outcome outcome, uint64_t version, int64_t now_us)
+{
+    placer->now_us = now_us;
+    pagewriter_committed(placer->writer, txn_id, outcome, version, now_us);
+}
+
+void
+placer_read(struct placer *placer, uint32_t number, bool ok,
+            const struct shardpage *page, uint64_t version, int64_t now_us)
+{
+    placer->now_us = now_us;
+    pagewriter_read(placer->writer, number, ok, page, version, now_us);
+}
+
+static void
+request_scan(struct placer *placer)
+{
+    if (placer->confirmed || placer->scanning || placer->incarnation == 0 ||
+        placer->now_us < placer->scan_due_us) {
+        return;
+    }
+    placer->scanning = true;
+    placer_add_action(placer, PLACE_SCAN);
+}
+
+static void
+probe(struct placer *placer)
+{
+    const struct peer *peer;
+
+    placer->probe_due_us = placer->now_us + PROBE_PERIOD_US;
+    peer = peers_pick(placer->peers, &placer->random, placer->instance);
+    if (peer != NULL) {
+        struct place_action *action = placer_add_action(placer, PLACE_PROBE);
+        (void)snprintf(action->peer, sizeof(action->peer), "%s",
+                       peer->info.name);
+    }
+}
+
+void
+placer_run(struct placer *placer, int64_t now_us)
+{
+    placer->now_us = now_us;
+    request_scan(placer);
+    pagewriter_run(placer->writer, now_us);
+    if (!placer->confirmed) {
+        return;
+    }
+    placer_start_serving(placer);
+    placer_check_moves(placer);
+    if (!placer_lease_held(placer)) {
+        return;
+    }
+    if (now_us >= placer->plan_due_us) {
+        placer->plan_due_us = now_us + PLAN_PERIOD_US;
+        placer_plan(placer);
+        placer_claim(placer);
+    }
+    if (now_us >= placer->balance_due_us) {
+        placer->balance_due_us = now_us + BALANCE_PERIOD_US;
+        placer_balance(placer);
+    }
+    if (now_us >= placer->probe_due_us) {
+        probe(placer);
+    }
+    pagewriter_run(placer->writer, now_us);
+}
+
+int64_t
+placer_due_us(const struct placer *placer)
+{
+    return placer->now_us + IDLE_PERIOD_US;
+}
+
+bool
+placer_serves(const struct placer *placer, uint32_t shard, int64_t now_us,
+              uint32_t *epoch)
+{
+    const struct owned *owned = ownedset_find(placer->owned, shard);
+
+    if (owned == NULL || !placer->confirmed ||
+        now_us >= placer->lease_until_us || !owned_is_serving(owned, now_us)) {
+        return false;
+    }
+    *epoch = owned->epoch;
+    return true;
+}
+
+size_t
+placer_owned(const struct placer *placer)
+{
+    return ownedset_count(placer->owned);
+}
+
+bool
+placer_confirmed(const struct placer *placer)
+{
+    return placer->confirmed;
+}
+
+struct balance_view
+placer_view(const struct placer *placer)
+{
+    double capacity = placer->limits.capacity;
+    struct balance_view view = {0};
+    size_t owned = ownedset_count(placer->owned);
+
+    view.floor =
+        balance_floor(capacity, peers_count(placer->peers), placer->shards);
+    if (placer->cold && placer->cold_limit < capacity) {
+        capacity = placer->cold_limit;
+    }
+    view.capacity = capacity < 1 ? 1 : capacity;
+    view.load = ownedset_load(placer->owned) + (double)owned * view.floor;
+    view.mean = balance_mean(placer->peers, placer->instance, view.load,
+                             view.capacity, placer->now_us);
+    return view;
+}
+
+void
+placer_report(const struct placer *placer, int64_t now_us, double *load,
+              bool *cold, double *cold_limit, bool *wants)
+{
+    struct balance_view view = placer_view(placer);
+
+    (void)now_us;
+    *load = view.load;
+    *cold = placer->cold;
+    *cold_limit = placer->cold_limit;
+    *wants = accepts_shards(placer) && balance_wants(&view);
+}
+
+struct peers *
+placer_peers(const struct placer *placer)
+{
+    return placer->peers;
+}
+
+struct placer_counts
+placer_counts(const struct placer *placer)
+{
+    return placer->counts;
+}
+
+size_t
+placer_memory(const struct placer *placer)
+{
+    return sizeof(*placer) + peers_memory(placer->peers) +
+           ownedset_count(placer->owned) * sizeof(struct owned);
+}
--- /dev/null
+++ b/packages/placement/placerclaim.c
@@ -0,0 +1,219 @@
+#include "placement/placer_internal.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/hash.h"
+
+#define SETTLE_US INT64_C(2000000) /* before shards without history */
+#define YOUNG_US INT64_C(5000000)  /* before shards of others are placed */
+#define STAGGER_US INT64_C(300000) /* between members of successive ranks */
+#define UNKNOWN_OWNER_US INT64_C(3000000) /* between looks for an owner */
+#define REPLACE_CHOICES 3
+
+static struct change *
+new_change(const struct shardpage_entry *entry, enum change_kind kind,
+           const char *to, const char *why)
+{
+    struct change *change = calloc(1, sizeof(*change));
+
+    if (change == NULL) {
+        abort();
+    }
+    change->kind = kind;
+    change->shard = entry->shard;
+    change->base = entry->base;
+    change->from_epoch = entry->epoch;
+    change->why = why;
+    (void)snprintf(change->from, sizeof(change->from), "%s", entry->owner);
+    (void)snprintf(change->to, sizeof(change->to), "%s", to);
+    return change;
+}
+
+/* Time to wait before this instance acts on a page for a subject: the
+ * members of the service act one after the other, in an order that differs
+ * from page to page. */
+static int64_t
+own_turn_us(const struct placer *placer, const char *subject, uint32_t page)
+{
+    uint64_t hash = hash_bytes(&page, sizeof(page), hash_string(subject));
+    size_t rank = peers_rank(placer->peers, hash, placer->instance);
+
+    return (int64_t)rank * STAGGER_US;
+}
+
+/* Receivers of shards that nobody ever owned: in proportion to capacity and
+ * in runs, so that a member's shards are on few pages. */
+static const char *
+first_owner(const struct placer *placer, uint32_t shard)
+{
+    double total = 0;
+    double at;
+
+    for (size_t i = 0; i < peers_count(placer->peers); i++) {
+        const struct peer *peer = peers_at(placer->peers, i);
+        total += peer_is_eligible(peer) ? peer->info.capacity : 0;
+    }
+    at = total * shard / placer->shards;
+    for (size_t i = 0; i < peers_count(placer->peers); i++) {
+        const struct peer *peer = peers_at(placer->peers, i);
+        if (!peer_is_eligible(peer)) {
+            continue;
+        }
+        if (at < peer->info.capacity) {
+            return peer->info.name;
+        }
+        at -= peer->info.capacity;
+    }
+    return placer->instance;
+}
+
+static void
+claim_page(struct placer *placer, uint32_t number, struct shardpage *page)
+{
+    for (size_t i = 0; i < page->shard_count; i++) {
+        const struct shardpage_entry *entry = &page->entries[i];
+        if (entry->epoch == 0 &&
+            !pagewriter_has(placer->writer, number, entry->shard)) {
+            pagewriter_add(placer->writer, number,
+                           new_change(entry, CHANGE_CLAIM,
+                                      first_owner(placer, entry->shard),
+                                      "never owned"));
+        }
+    }
+}
+
+/* Estimated load of a shard of a member that is gone. */
+static double
+estimated_weight(const struct placer *placer, const struct peer *gone)
+{
+    uint32_t owned = shardmap_owned(placer->map, gone->info.name);
+
+    if (owned == 0) {
+        return 0;
+    }
+    return placer_view(placer).mean * gone->info.capacity / owned;
+}
+
+static const char *
+choose_replacement(struct placer *placer, double weight)
+{
+    struct peer *peer = peers_pick_least(placer->peers, &placer->random,
+                                         REPLACE_CHOICES, weight, "");
+
+    if (peer == NULL) {
+        return NULL;
+    }
+    peer->pending += weight;
+    return peer->info.name;
+}
+
+static void
+replace_entry(struct placer *placer, uint32_t number,
+              const struct shardpage_entry *entry, const struct peer *gone,
+              double weight)
+{
+    const char *to = choose_replacement(placer, weight);
+    struct change *change;
+
+    if (to == NULL) {
+        return;
+    }
+    change = new_change(entry, CHANGE_REPLACE, to, "owner is gone");
+    change->from_version = gone->info.version;
+    change->wait = !placer->limits.targets_check_grants;
+    pagewriter_add(placer->writer, number, change);
+}
+
+static bool
+is_own_turn(const struct placer *placer, const struct peer *gone,
+            uint32_t number)
+{
+    int64_t since_us = placer->now_us - gone->changed_us;
+
+    return gone->info.fenced_here ||
+           since_us >= own_turn_us(placer, gone->info.name, number);
+}
+
+static void
+look_at_page(struct placer *placer, uint32_t number)
+{
+    struct shardpage page;
+
+    shardmap_page(placer->map, placer->service, number, &page);
+    for (size_t i = 0; i < page.shard_count + page.key_count; i++) {
+        const struct shardpage_entry *entry = &page.entries[i];
+        const struct peer *owner;
+        if (entry->epoch == 0 || strcmp(entry->owner, placer->instance) == 0) {
+            continue;
+        }
+        owner = peers_find(placer->peers, entry->owner);
+        if (owner != NULL && owner->info.state == PEER_GONE &&
+            is_own_turn(placer, owner, number) &&
+            !pagewriter_has(placer->writer, number, entry->shard)) {
+            replace_entry(placer, number, entry, owner,
+                          estimated_weight(placer, owner));
+        }
+    }
+}
+
+struct missing_search {
+    struct placer *placer;
+    bool any_gone;
+};
+
+/* Notes whether an owner is gone, and asks about one that is not known. */
+static void
+check_owner(void *ctx, const char *name)
+{
+    struct missing_search *search = ctx;
+    const struct peer *peer = peers_find(search->placer->peers, name);
+
+    if (peer != NULL && peer->info.state == PEER_GONE) {
+        search->any_gone = true;
+    }
+    if (peer == NULL) {
+        struct place_action *action =
+            placer_add_action(search->placer, PLACE_REFRESH);
+        (void)snprintf(action->peer, sizeof(action->peer), "%s", name);
+    }
+}
+
+static bool
+any_owner_gone(struct placer *placer)
+{
+    struct missing_search search = {.placer = placer};
+
+    if (placer->now_us < placer->owners_due_us) {
+        return placer->owners_gone;
+    }
+    placer->owners_due_us = placer->now_us + UNKNOWN_OWNER_US;
+    shardmap_service_owners(placer->map, placer->service, check_owner,
+                            &search);
+    placer->owners_gone = search.any_gone;
+    return search.any_gone;
+}
+
+void
+placer_claim(struct placer *placer)
+{
+    int64_t age_us = placer->now_us - placer->confirmed_us;
+    bool gone = any_owner_gone(placer);
+
+    if (placer->leaving || placer->zone_out || age_us < SETTLE_US ||
+        pagewriter_troubled(placer->writer, placer->now_us)) {
+        return;
+    }
+    for (uint32_t i = 0; i < shardpage_count(placer->shards); i++) {
+        bool never = shardmap_version(placer->map, placer->service, i) == 0;
+        if (never && age_us >= SETTLE_US + own_turn_us(placer, "claim", i)) {
+            struct shardpage page;
+            shardmap_page(placer->map, placer->service, i, &page);
+            claim_page(placer, i, &page);
+        }
+        else if (!never && gone && age_us >= YOUNG_US) {
+            look_at_page(placer, i);
+        }
+    }
+}
--- /dev/null
+++ b/packages/placement/placerplan.c
@@ -0,0 +1,229 @@
+#include "placement/placer_internal.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define EVACUATION_MOVES 64 /* shards moved away at one time */
+#define EVACUATION_CHOICES 3
+#define BALANCE_MOVES_AT_ONCE 8 /* shards moved for balance at one time */
+#define TOKENS_MAX_SECONDS 2.0  /* budget of moves that can be saved up */
+#define SPLIT_SHARE 0.5         /* of the mean load: heavy enough to split */
+#define SPLIT_KEY_MIN 0.3       /* of the shard's load, of its hottest key */
+#define SPLIT_KEY_MAX 0.9
+#define COOL_SHARE 0.01           /* of the mean load: a key is merged below */
+#define COOL_US INT64_C(60000000) /* cool for so long */
+
+/* Gives all shards away, those that serve first. */
+static void
+evacuate(struct placer *placer, const char *why)
+{
+    size_t moving = ownedset_moving(placer->owned);
+
+    for (struct owned *owned = ownedset_first(placer->owned);
+         owned != NULL && moving < EVACUATION_MOVES;
+         owned = ownedset_next(placer->owned, owned)) {
+        const struct peer *peer;
+        if (owned->state != OWNED_SERVING ||
+            placer->now_us < owned->move_after_us) {
+            continue;
+        }
+        peer = peers_pick_least(placer->peers, &placer->random,
+                                EVACUATION_CHOICES, owned->load,
+                                placer->instance);
+        if (peer == NULL) {
+            return;
+        }
+        placer_start_move(placer, owned, peer->info.name, why);
+        moving++;
+    }
+}
+
+void
+placer_plan(struct placer *placer)
+{
+    if (pagewriter_troubled(placer->writer, placer->now_us)) {
+        return;
+    }
+    if (placer->leaving) {
+        evacuate(placer, "leaving");
+    }
+    else if (placer->zone_out) {
+        evacuate(placer, "zone out");
+    }
+}
+
+static void
+refill_tokens(struct placer *placer)
+{
+    double rate = placer->limits.moves_per_second;
+    double seconds = (double)(placer->now_us - placer->tokens_us) / 1e6;
+
+    placer->tokens_us = placer->now_us;
+    placer->move_tokens += rate * seconds;
+    if (placer->move_tokens > rate * TOKENS_MAX_SECONDS) {
+        placer->move_tokens = rate * TOKENS_MAX_SECONDS;
+    }
+}
+
+static struct change *
+new_key_change(const struct placer *placer, enum change_kind kind,
+               uint32_t key, uint32_t base, uint32_t epoch)
+{
+    struct change *change = calloc(1, sizeof(*change));
+
+    if (change == NULL) {
+        abort();
+    }
+    change->kind = kind;
+    change->shard = key;
+    change->base = base;
+    change->from_epoch = epoch;
+    change->why = kind == CHANGE_SPLIT ? "hot key" : "key cooled down";
+    (void)snprintf(change->from, sizeof(change->from), "%s", placer->instance);
+    (void)snprintf(change->to, sizeof(change->to), "%s", placer->instance);
+    return change;
+}
+
+/* Splits a hot key out of a shard that is too heavy for one member to have
+ * besides its other shards. */
+static void
+split_hot_key(struct placer *placer, const struct balance_view *view)
+{
+    double heavy = SPLIT_SHARE * view->mean * view->capacity;
+
+    for (struct owned *owned = ownedset_first(placer->owned); owned != NULL;
+         owned = ownedset_next(placer->owned, owned)) {
+        uint32_t key = shardmap_key_of(owned->hot_hash);
+        uint32_t page = owned->shard / SHARDPAGE_SHARDS;
+        if ((owned->shard & SHARD_KEY_FLAG) != 0 || owned->load < heavy ||
+            owned->state != OWNED_SERVING ||
+            owned->hot_load < SPLIT_KEY_MIN * owned->load ||
+            owned->hot_load > SPLIT_KEY_MAX * owned->load ||
+            pagewriter_has(placer->writer, page, key)) {
+            continue;
+        }
+        pagewriter_add(placer->writer, page,
+                       new_key_change(placer, CHANGE_SPLIT, key, owned->shard,
+                                      owned->epoch));
+        return;
+    }
+}
+
+/* Brings a key that cooled down back: to the owner of its shard, where it is
+ * merged. */
+static void
+return_key(struct placer *placer, struct owned *owned)
+{
+    uint32_t base = shardmap_base(placer->map, placer->service, owned->shard);
+    struct shardmap_location location;
+    struct owned *own = ownedset_find(placer->owned, base);
+    const struct peer *peer;
+
+    if (own != NULL && own->state == OWNED_SERVING) {
+        if (!pagewriter_has(placer->writer, base / SHARDPAGE_SHARDS,
+                            owned->shard)) {
+            pagewriter_add(placer->writer, base / SHARDPAGE_SHARDS,
+                           new_key_change(placer, CHANGE_MERGE, owned->shard,
+                                          base, owned->epoch));
+        }
+        return;
+    }
+    if (!shardmap_find(placer->map, placer->service, base, &location) ||
+        location.owner == NULL) {
+        return;
+    }
+    peer = peers_find(placer->peers, location.owner);
+    if (peer != NULL && peer_is_eligible(peer)) {
+        placer_start_move(placer, owned, peer->info.name, "key cooled down");
+    }
+}
+
+static void
+return_cool_keys(struct placer *placer, const struct balance_view *view)
+{
+    double cool = COOL_SHARE * view->mean * view->capacity;
+
+    for (struct owned *owned = ownedset_first(placer->owned); owned != NULL;
+         owned = ownedset_next(placer->owned, owned)) {
+        if ((owned->shard & SHARD_KEY_FLAG) == 0 ||
+            owned->state != OWNED_SERVING) {
+            continue;
+        }
+        if (owned->load >= cool) {
+            owned->cool_since_us = 0;
+        }
+        else if (owned->cool_since_us == 0) {
+            owned->cool_since_us = placer->now_us;
+        }
+        else if (placer->now_us - owned->cool_since_us > COOL_US) {
+            return_key(placer, owned);
+        }
+    }
+}
+
+/* A receiver that asked for its share, if this instance has more. */
+static struct peer *
+asking_receiver(struct placer *placer, const struct balance_view *view)
+{
+    for (size_t i = 0; i < peers_count(placer->peers); i++) {
+        struct peer *peer = peers_at(placer->peers, i);
+        if (peer->wants && peer_is_eligible(peer) &&
+            peer_ratio(peer) < BALANCE_WANTS * view->mean &&
+            strcmp(peer->info.name, placer->instance) != 0) {
+            return peer;
+        }
+    }
+    return NULL;
+}
+
+static bool
+move_one(struct placer *placer, struct balance_view *view)
+{
+    struct peer *peer = NULL;
+    struct owned *owned;
+    const char *why = "overloaded";
+
+    if (balance_is_high(view)) {
+        peer = balance_receiver(placer->peers, placer->instance, view,
+                                &placer->random, placer->now_us);
+    }
+    else {
+        peer = asking_receiver(placer, view);
+        why = "receiver asked for its share";
+    }
+    if (peer == NULL) {
+        return false;
+    }
+    owned = balance_shard(placer->owned, view, peer, placer->now_us);
+    if (owned == NULL) {
+        return false;
+    }
+    placer_start_move(placer, owned, peer->info.name, why);
+    placer->move_tokens -= 1;
+    placer->counts.load_moved += owned->load;
+    view->load -= owned->weight;
+    return true;
+}
+
+void
+placer_balance(struct placer *placer)
+{
+    struct balance_view view;
+    size_t moving = ownedset_moving(placer->owned);
+
+    refill_tokens(placer);
+    if (placer->leaving || placer->zone_out ||
+        pagewriter_troubled(placer->writer, placer->now_us)) {
+        return;
+    }
+    view = placer_view(placer);
+    return_cool_keys(placer, &view);
+    if (balance_is_high(&view)) {
+        split_hot_key(placer, &view);
+    }
+    while (placer->move_tokens >= 1 && moving < BALANCE_MOVES_AT_ONCE &&
+           move_one(placer, &view)) {
+        moving++;
+    }
+}
--- a/packages/placement/shardmap.c
+++ b/packages/placement/shardmap.c
@@ -15,7 +15,8 @@
 struct slot {
     uint32_t epoch;
     uint16_t owner;
-    uint16_t wait;
+    uint8_t wait;
+    uint8_t taken;
 };
 
 /* A single key that was split out of its shard. */
@@ -264,6 +265,7 @@
 {
     entry->epoch = slot->epoch;
     entry->wait = slot->wait != 0;
+    entry->taken = slot->taken != 0;
     (void)snprintf(entry->owner, sizeof(entry->owner), "%s",
                    ownertable_name(map->owners, slot->owner));
 }
@@ -316,6 +318,7 @@
     slot->owner = owner;
     slot->epoch = entry->epoch;
     slot->wait = entry->wait ? 1 : 0;
+    slot->taken = entry->taken ? 1 : 0;
 }
 
 /* An epoch may not fall, and an owner may not change within an epoch. */
@@ -462,11 +465,51 @@
 }
 
 void
-shardmap_owners(const struct shardmap *map,
-                void (*visit)(void *ctx, const char *owner, uint32_t shards),
-                void *ctx)
+shardmap_service_owners(const struct shardmap *map, const char *name,
+                        void (*visit)(void *ctx, const char *owner), void *ctx)
 {
-    ownertable_visit(map->owners, visit, ctx);
+    const struct map_service *service = find_service(map, name);
+    uint8_t *seen;
+
+    if (service == NULL) {
+        return;
+    }
+    seen = calloc(OWNERTABLE_MAX + 1, 1);
+    if (seen == NULL) {
+        abort();
+    }
+    for (uint32_t i = 0; i < service->shards; i++) {
+        seen[service->slots[i].owner] = 1;
+    }
+    for (uint32_t i = 0; i < shardpage_count(service->shards); i++) {
+        const struct map_page *page = &service->pages[i];
+        for (size_t j = 0; j < page->key_count; j++) {
+            seen[page->keys[j].slot.owner] = 1;
+        }
+    }
+    for (uint32_t i = 1; i <= OWNERTABLE_MAX; i++) {
+        if (seen[i] != 0) {
+            visit(ctx, ownertable_name(map->owners, (uint16_t)i));
+        }
+    }
+    free(seen);
+}
+
+uint32_t
+shardmap_base(const struct shardmap *map, const char *name, uint32_t shard)
+{
+    const struct map_service *service = find_service(map, name);
+
+    if (service == NULL || (shard & SHARD_KEY_FLAG) == 0) {
+        return shard;
+    }
+    for (uint32_t i = 0; i < shardpage_count(service->shards); i++) {
+        const struct key_slot *single = find_key(&service->pages[i], shard);
+        if (single != NULL) {
+            return single->base;
+        }
+    }
+    return shard;
 }
 
 size_t
--- a/packages/placement/shardmap.h
+++ b/packages/placement/shardmap.h
@@ -86,11 +86,15 @@
 /** Number of shards that the map shows as owned by an instance. */
 uint32_t shardmap_owned(const struct shardmap *map, const char *instance);
 
-/** Calls visit for each known owner with at least one shard. */
-void shardmap_owners(const struct shardmap *map,
-                     void (*visit)(void *ctx, const char *owner,
-                                   uint32_t shards),
-                     void *ctx);
+/** Calls visit for each owner of shards of a service. */
+void shardmap_service_owners(const struct shardmap *map, const char *service,
+                             void (*visit)(void *ctx, const char *owner),
+                             void *ctx);
+
+/** Shard that a single key was split out of; the number itself for a shard
+ * or if the key is not known. */
+uint32_t shardmap_base(const struct shardmap *map, const char *service,
+                       uint32_t shard);
 
 /** Bytes in use. */
 size_t shardmap_memory(const struct shardmap *map);
--- a/packages/placement/shardpage.c
+++ b/packages/placement/shardpage.c
@@ -3,7 +3,9 @@
 #include <stdio.h>
 #include <string.h>
 
-#define FLAG_WAIT 1 /* of the third number of an entry */
+/* Bits of the third number of an entry. */
+#define FLAG_WAIT 1
+#define FLAG_TAKEN 2
 
 uint32_t
 shardpage_count(uint32_t shards)
@@ -87,6 +89,7 @@
     base->epoch =
         (base->epoch > entry->epoch ? base->epoch : entry->epoch) + 1;
     base->wait = base->wait || entry->wait;
+    base->taken = base->taken || entry->taken;
     page->key_count--;
     *entry = page->entries[page->shard_count + page->key_count];
     return true;
@@ -118,7 +121,8 @@
         const struct shardpage_entry *entry = &page->entries[i];
         json_int_t owner = (json_int_t)owner_index(owners, entry->owner);
         json_int_t epoch = entry->epoch;
-        int flags = entry->wait ? FLAG_WAIT : 0;
+        int flags =
+            (entry->wait ? FLAG_WAIT : 0) | (entry->taken ? FLAG_TAKEN : 0);
         if (i < page->shard_count) {
             json_array_append_new(shards,
                                   json_pack("[I,I,i]", owner, epoch, flags));
@@ -160,6 +164,7 @@
     entry->shard = (uint32_t)shard;
     entry->base = (uint32_t)base;
     entry->wait = (flags & FLAG_WAIT) != 0;
+    entry->taken = (flags & FLAG_TAKEN) != 0;
     (void)snprintf(entry->owner, sizeof(entry->owner), "%s", name);
     return true;
 }
--- a/packages/placement/shardpage.h
+++ b/packages/placement/shardpage.h
@@ -37,6 +37,8 @@
     /** The former owner was fenced and its target does not check grants: the
      * owner waits for the service's longest request before it serves. */
     bool wait;
+    /** The former owner did not hand it over. */
+    bool taken;
 };
 
 /** A page as read from the store or about to be written. */
