--- a/packages/http/httpheaders.c
+++ b/packages/http/httpheaders.c
@@ -6,6 +6,7 @@
 #include <strings.h>
 
 #define CAPACITY_MIN 16
+#define CASE_BIT 0x20 /* between letters that differ in case */
 
 /* Fields of one connection, and fields that the next hop gets afresh. */
 static const char *const connection_fields[] = {
@@ -33,6 +34,13 @@
     *headers = (struct http_headers){0};
 }
 
+bool
+http_name_equal(const char *a, const char *b)
+{
+    /* Most names differ in the first letter already. */
+    return ((a[0] ^ b[0]) & ~CASE_BIT) == 0 && strcasecmp(a, b) == 0;
+}
+
 static bool
 is_token_char(unsigned char c)
 {
@@ -116,7 +124,7 @@
 http_headers_find(const struct http_headers *headers, const char *name)
 {
     for (size_t i = 0; i < headers->count; i++) {
-        if (strcasecmp(headers->items[i].name, name) == 0) {
+        if (http_name_equal(headers->items[i].name, name)) {
             return headers->items[i].value;
         }
     }
@@ -143,7 +151,7 @@
                         const char *token)
 {
     for (size_t i = 0; i < headers->count; i++) {
-        if (strcasecmp(headers->items[i].name, name) == 0 &&
+        if (http_name_equal(headers->items[i].name, name) &&
             http_value_has_token(headers->items[i].value, token)) {
             return true;
         }
@@ -157,7 +165,7 @@
     const size_t count =
         sizeof(connection_fields) / sizeof(connection_fields[0]);
     for (size_t i = 0; i < count; i++) {
-        if (strcasecmp(connection_fields[i], name) == 0) {
+        if (http_name_equal(connection_fields[i], name)) {
             return true;
         }
     }
@@ -168,7 +176,7 @@
 is_passed(const struct http_headers *received, const char *name,
           enum http_direction direction)
 {
-    if (strcasecmp(name, "Content-Length") == 0) {
+    if (http_name_equal(name, "Content-Length")) {
         return direction == HTTP_ANSWER_FORWARD_NO_BODY;
     }
     return !is_connection_field(name) &&
--- a/packages/http/httpheaders.h
+++ b/packages/http/httpheaders.h
@@ -51,6 +51,9 @@
                             size_t name_size, const char *value,
                             size_t value_size);
 
+/** True if the names are the same in any case. */
+bool http_name_equal(const char *a, const char *b);
+
 /** Value of the first field of that name (in any case), or NULL. */
 const char *http_headers_find(const struct http_headers *headers,
                               const char *name);
--- a/packages/http/httpwriter.c
+++ b/packages/http/httpwriter.c
@@ -2,7 +2,6 @@
 
 #include <stdio.h>
 #include <string.h>
-#include <strings.h>
 #include <time.h>
 
 #include <event2/buffer.h>
@@ -37,7 +36,7 @@
 static bool
 is_field(const struct http_header *header, const char *name)
 {
-    return strcasecmp(header->name, name) == 0;
+    return http_name_equal(header->name, name);
 }
 
 static bool
