--- a/packages/ctl/test/ctl_test.cc
+++ b/packages/ctl/test/ctl_test.cc
@@ -1,5 +1,9 @@
 #include "session.h"
 
+#include <unistd.h>
+
+#include <regex>
+
 namespace {
 
 const char *const powys = "examples/powys/state.json";
@@ -190,7 +194,7 @@
     expect_golden("daemons.txt");
 }
 
-TEST_F(Ctl, RunningDaemonsPutInForceLeaveAndLeaveTheirTotals)
+TEST_F(Ctl, RunningDaemonsThroughAnOutageOfTheStore)
 {
     const std::vector<std::string> zones = {"llanidloes", "rhayader",
                                             "machynlleth"};
@@ -205,14 +209,36 @@
     EXPECT_NE(std::string::npos,
               applied.output.find("revision 1 in force on 3 of 3 members"))
         << applied.output;
+
+    std::vector<std::string> addresses;
+    const std::string members = run("members --json").output;
+    const std::regex http("\"http\": \"([^\"]+)\"");
+    for (std::sregex_iterator i(members.begin(), members.end(), http), end;
+         i != end; ++i) {
+        addresses.push_back((*i)[1]);
+    }
+    ASSERT_EQ(zones.size(), addresses.size());
     const std::string out =
         example("powys/state.json", "\"out\": false", "\"out\": true");
+    store_post("/v1/faults", R"({"down": true})");
+    usleep(1700000); /* more than two leases */
+    EXPECT_EQ(4, run("apply --base 1 " + out).code);
+    for (const std::string &address : addresses) {
+        const RunResult status = run("status --json --daemon " + address);
+        EXPECT_EQ(0, status.code);
+        EXPECT_NE(std::string::npos,
+                  status.output.find("\"lease_held\": true"));
+        EXPECT_EQ(0, run("promises --daemon " + address).code);
+    }
+    store_post("/v1/faults", "{}");
+
     EXPECT_EQ(0, run("apply --wait --base 1 " + out).code);
     const RunResult status = run("status");
     EXPECT_NE(std::string::npos,
               status.output.find("revision 2 by operator, in force on 3 of 3"))
         << status.output;
     EXPECT_EQ(0, run("promises").code);
+    EXPECT_EQ(std::string::npos, run("audit").output.find("fence"));
     EXPECT_EQ(0, run("suspects list").code);
     EXPECT_EQ(1, run("suspects lift 00000000000000ab").code);
     for (const pid_t daemon : daemons) {
@@ -221,6 +247,15 @@
     wait_for("members", " left ", zones.size());
 }
 
+TEST_F(Ctl, StandingStillStoreIsUnavailableInTime)
+{
+    pause_store(true);
+    const RunResult result = run("get --timeout 300");
+    pause_store(false);
+    EXPECT_EQ(4, result.code);
+    EXPECT_EQ(1, run("get").code);
+}
+
 TEST_F(Ctl, OwnersSession)
 {
     put_member("patrymau-1", "llanidloes", "patrymau", "active", 10001);
--- a/packages/ctl/test/session.cc
+++ b/packages/ctl/test/session.cc
@@ -129,6 +129,12 @@
     ASSERT_NE(0, store_port);
 }
 
+void
+Session::pause_store(bool pause) const
+{
+    kill(store_pid, pause ? SIGSTOP : SIGCONT);
+}
+
 pid_t
 Session::start_daemon(const std::string &instance, const std::string &zone)
 {
--- a/packages/ctl/test/session.h
+++ b/packages/ctl/test/session.h
@@ -88,6 +88,9 @@
     void wait_for(const std::string &arguments, const std::string &text,
                   size_t count);
 
+    /** Stops the store's process as it is, or lets it go on. */
+    void pause_store(bool pause) const;
+
     struct runtime *runtime;
     std::string directory;
     int store_port = 0;
