--- a/packages/daemon/daemon.c
+++ b/packages/daemon/daemon.c
@@ -149,6 +149,7 @@
         .transport = member_transport_rpc(daemon->node),
         .counters = daemon->counters,
         .seed = random_u64(&daemon->random),
+        .poll_us = daemon->settings.members_poll_us,
         .self = daemon->self,
         .callbacks = daemonevents_membership,
     };
--- /dev/null
+++ b/packages/membership/bench/bench_member.c
@@ -0,0 +1,166 @@
+/**
+ * @file
+ * Measures whole members over sockets on 127.0.0.1: processor time, messages
+ * and store operations a second and member, for several numbers of members.
+ * The clock is manual, so everything but the processor time repeats.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <time.h>
+
+#include "base/counter.h"
+#include "base/runtime.h"
+#include "membership/membertask.h"
+#include "store/storememory.h"
+
+#define LOG_MODULE "bench"
+#include "base/log.h"
+
+#define JOIN_S 8
+#define RUN_S 60
+#define STEP_US (5 * US_PER_MS)
+#define ZONES 3
+#define STORE_LATENCY_US (8 * US_PER_MS)
+#define CPU_GOAL_PERCENT 1.1 /* of a core, for all control */
+#define WRITES_GOAL 0.05     /* a second and member */
+#define READS_GOAL 200.0     /* a second, a tenth of what the store bears */
+#define NS_PER_S 1e9
+#define PERCENT 100.0
+
+struct process {
+    struct counter_registry *counters;
+    struct rpc_node *node;
+    struct membertask *task;
+};
+
+struct bench {
+    struct runtime *runtime;
+    struct store_memory *memory;
+    struct store store;
+    struct process *processes;
+    size_t count;
+};
+
+static void
+start_process(struct bench *bench, size_t number)
+{
+    struct process *process = &bench->processes[number];
+    struct address address;
+    address_parse("127.0.0.1:0", &address, NULL);
+    process->counters = counter_registry_create();
+    process->node =
+        rpc_node_create(bench->runtime, &address, process->counters, NULL);
+    if (process->node == NULL) {
+        fprintf(stderr, "bench_member: no socket\n");
+        exit(1);
+    }
+    struct membertask_config config = {
+        .runtime = bench->runtime,
+        .store = &bench->store,
+        .transport = member_transport_rpc(process->node),
+        .counters = process->counters,
+        .seed = number + 1,
+    };
+    struct member *self = &config.self;
+    snprintf(self->self.instance, sizeof(self->self.instance), "i-%zu",
+             number);
+    snprintf(self->zone, sizeof(self->zone), "zone-%zu", number % ZONES);
+    member_copy_name(self->region, "powys");
+    self->rpc = *rpc_node_address(process->node);
+    self->http = self->rpc;
+    self->lease_us = 750 * US_PER_MS;
+    self->renewal_max_us = 3600 * US_PER_SECOND;
+    process->task = membertask_create(&config, NULL);
+    member_transport_serve(process->node, process->task);
+}
+
+static void
+run(struct bench *bench, int64_t seconds)
+{
+    for (int64_t us = 0; us < seconds * US_PER_SECOND; us += STEP_US) {
+        runtime_advance(bench->runtime, STEP_US);
+    }
+}
+
+static double
+cpu_seconds(void)
+{
+    struct timespec now;
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &now);
+    return (double)now.tv_sec + (double)now.tv_nsec / NS_PER_S;
+}
+
+static double
+total(const struct bench *bench, const char *name)
+{
+    int64_t sum = 0;
+    for (size_t i = 0; i < bench->count; i++) {
+        sum += counter_add(bench->processes[i].counters, name, "")->value;
+    }
+    return (double)sum;
+}
+
+static void
+print_figure(const char *name, size_t count, double value, const char *unit,
+             double goal)
+{
+    printf("{\"figure\": \"%s_%zu\", \"value\": %.6g, \"unit\": \"%s\", "
+           "\"goal\": %.6g, \"better\": \"lower\"}\n",
+           name, count, value, unit, goal);
+}
+
+static void
+measure(size_t count)
+{
+    struct bench bench = {.count = count};
+    const struct store_faults faults = {.latency_us = STORE_LATENCY_US};
+    const double member_seconds = (double)count * RUN_S;
+    bench.runtime = runtime_create_manual(US_PER_SECOND, NULL);
+    bench.memory = store_memory_create(bench.runtime, 1);
+    bench.store = store_memory_store(bench.memory);
+    bench.processes = calloc(count, sizeof(*bench.processes));
+    store_memory_set_faults(bench.memory, &faults);
+    for (size_t i = 0; i < count; i++) {
+        start_process(&bench, i);
+    }
+    run(&bench, JOIN_S);
+    double joins = total(&bench, "member_store_writes");
+    double reads = total(&bench, "member_store_reads");
+    double start = cpu_seconds();
+    run(&bench, RUN_S);
+    double cpu = cpu_seconds() - start;
+    print_figure("member_cpu", count, cpu / member_seconds * PERCENT,
+                 "% of a core", CPU_GOAL_PERCENT);
+    print_figure("member_store_writes_to_join", count, joins / (double)count,
+                 "writes", 5);
+    print_figure("member_store_writes", count,
+                 (total(&bench, "member_store_writes") - joins) /
+                     member_seconds,
+                 "writes/s/member", WRITES_GOAL);
+    print_figure("member_store_reads", count,
+                 (total(&bench, "member_store_reads") - reads) / RUN_S,
+                 "reads/s", READS_GOAL);
+    print_figure("member_lapses", count, total(&bench, "member_lease_lapses"),
+                 "in 60 s", 0);
+    print_figure("member_false_fences", count, total(&bench, "member_fences"),
+                 "in 60 s", 0);
+    store_memory_destroy(bench.memory);
+    for (size_t i = 0; i < count; i++) {
+        membertask_destroy(bench.processes[i].task);
+        rpc_node_destroy(bench.processes[i].node);
+        counter_registry_destroy(bench.processes[i].counters);
+    }
+    free(bench.processes);
+    runtime_destroy(bench.runtime);
+}
+
+int
+main(void)
+{
+    static const size_t counts[] = {12, 48, 192};
+    log_init(stderr, LOG_LEVEL_OFF);
+    for (size_t i = 0; i < sizeof(counts) / sizeof(counts[0]); i++) {
+        measure(counts[i]);
+    }
+    return 0;
+}
--- a/packages/membership/memberpoll.c
+++ b/packages/membership/memberpoll.c
@@ -43,12 +43,18 @@
     return rank.before < POLLERS_PER_ZONE;
 }
 
+static int64_t
+poll_interval_us(const struct membertask *task)
+{
+    return task->config.poll_us > 0 ? task->config.poll_us : POLL_INTERVAL_US;
+}
+
 static void
 finish_scan(struct membertask *task, int64_t now_us)
 {
     struct member_poll *poll = &task->poll;
     int64_t interval_us =
-        is_poller(task) ? POLL_INTERVAL_US : POLL_IDLE_INTERVAL_US;
+        is_poller(task) ? poll_interval_us(task) : POLL_IDLE_INTERVAL_US;
     poll->since = poll->next_since;
     poll->after[0] = '\0';
     poll->complete = true;
@@ -118,7 +124,7 @@
 member_poll_soon(struct membertask *task)
 {
     int64_t now_us = member_now_us(task);
-    int64_t earliest_us = task->poll.started_us + POLL_INTERVAL_US;
+    int64_t earliest_us = task->poll.started_us + poll_interval_us(task);
     int64_t soon_us = now_us + POLL_SOON_US;
     int64_t next_us = earliest_us > soon_us ? earliest_us : soon_us;
     if (next_us < task->poll.next_us) {
--- a/packages/membership/membertask.h
+++ b/packages/membership/membertask.h
@@ -50,6 +50,9 @@
      * CLOCK_REALTIME. */
     int64_t (*wall_clock_us)(void *ctx);
     void *wall_clock_ctx;
+    /** Between polls of the members table, for a member that polls often.
+     * 0 for 1 s. */
+    int64_t poll_us;
     uint64_t seed; /**< of random numbers, for example random_entropy() */
     /** This instance. The incarnation, state, guardians and version are set
      * by the task; lease_us and renewal_max_us must be positive. */
