--- a/packages/http/httpconnection.c
+++ b/packages/http/httpconnection.c
@@ -46,7 +46,7 @@
     connection_count_body(connection, 0);
     LIST_REMOVE(connection, link);
     bufferevent_free(connection->bev);
-    http_reader_destroy(connection->reader);
+    http_server_give_reader(server, connection->reader);
     free(connection);
     http_server_connection_closed(server);
 }
@@ -189,7 +189,14 @@
     connection->in_feed = true;
     while (connection->state == HTTP_CONNECTION_READING &&
            evbuffer_get_length(input) > 0) {
+        if (connection->reader == NULL) {
+            connection->reader = http_server_take_reader(connection->server);
+        }
         struct http_reader *reader = connection->reader;
+        if (reader == NULL) {
+            connection_refuse(connection, 503);
+            break;
+        }
         http_reader_feed(reader, input);
         connection_count_body(connection,
                               http_reader_message(reader)->body_capacity);
@@ -230,7 +237,8 @@
                           .close = close,
                           .keep_alive = message->http_1_0,
                       });
-    http_reader_reset(connection->reader);
+    http_server_give_reader(connection->server, connection->reader);
+    connection->reader = NULL;
     connection_count_body(connection, 0);
     connection->receiving = false;
     connection->continue_sent = false;
@@ -286,13 +294,10 @@
     const int on = 1;
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
     struct http_connection *connection = calloc(1, sizeof(*connection));
-    struct http_reader *reader =
-        http_reader_create(HTTP_MESSAGE_REQUEST, server->config.body_max);
     struct bufferevent *bev = bufferevent_socket_new(
         runtime_event_base(server->runtime), fd, BEV_OPT_CLOSE_ON_FREE);
-    if (connection == NULL || reader == NULL || bev == NULL) {
+    if (connection == NULL || bev == NULL) {
         free(connection);
-        http_reader_destroy(reader);
         if (bev != NULL) {
             bufferevent_free(bev);
         }
@@ -304,7 +309,6 @@
     connection->server = server;
     connection->bev = bev;
     connection->peer = *peer;
-    connection->reader = reader;
     connection_start_reading(connection, server->config.idle_timeout_us);
     LIST_INSERT_HEAD(&server->connections, connection, link);
     server->connection_count++;
--- a/packages/http/httpserver.c
+++ b/packages/http/httpserver.c
@@ -32,6 +32,15 @@
     }
 }
 
+/** Waits for the next sweep, as when all descriptors are in use. */
+static void
+server_on_accept_error(struct evconnlistener *listener, void *ctx)
+{
+    struct http_server *server = ctx;
+    server->counters.accept_errors->value++;
+    evconnlistener_disable(listener);
+}
+
 static void
 server_on_sweep(void *ctx)
 {
@@ -43,6 +52,10 @@
         http_connection_check(connection, now_us);
         connection = next;
     }
+    if (server->listener != NULL &&
+        server->connection_count < server->config.connections_max) {
+        evconnlistener_enable(server->listener);
+    }
     timer_start(&server->sweep_timer, SWEEP_US);
 }
 
@@ -84,6 +97,7 @@
         return error_set_system(err, "listen on %s",
                                 address_format(&server->address, text));
     }
+    evconnlistener_set_error_cb(server->listener, server_on_accept_error);
     socklen_t size = sizeof(server->address.storage);
     if (getsockname(evconnlistener_get_fd(server->listener), bound, &size) <
         0) {
@@ -183,12 +197,35 @@
     }
 }
 
+struct http_reader *
+http_server_take_reader(struct http_server *server)
+{
+    if (server->spare_reader_count > 0) {
+        return server->spare_readers[--server->spare_reader_count];
+    }
+    return http_reader_create(HTTP_MESSAGE_REQUEST, server->config.body_max);
+}
+
+void
+http_server_give_reader(struct http_server *server, struct http_reader *reader)
+{
+    if (reader == NULL) {
+        return;
+    }
+    if (server->spare_reader_count == HTTP_SPARE_READERS_MAX) {
+        http_reader_destroy(reader);
+        return;
+    }
+    http_reader_reset(reader);
+    server->spare_readers[server->spare_reader_count++] = reader;
+}
+
 static void
 request_free(struct http_request *request)
 {
     LIST_REMOVE(request, link);
     if (request->connection == NULL) {
-        http_reader_destroy(request->reader);
+        http_server_give_reader(request->server, request->reader);
     }
     free(request);
 }
@@ -214,6 +251,9 @@
     while ((connection = LIST_FIRST(&server->connections)) != NULL) {
         http_connection_free(connection);
     }
+    while (server->spare_reader_count > 0) {
+        http_reader_destroy(http_server_take_reader(server));
+    }
     if (server->listener != NULL) {
         evconnlistener_free(server->listener);
     }
--- a/packages/http/httpserver_internal.h
+++ b/packages/http/httpserver_internal.h
@@ -26,6 +26,7 @@
     X(connections, "connections accepted")                                    \
     X(connections_open, "connections open now")                               \
     X(accept_pauses, "times that accepting stopped at the limit")             \
+    X(accept_errors, "times that accepting a connection failed")              \
     X(receive_timeouts, "connections closed amid a slow request")             \
     X(send_timeouts, "connections closed since the caller did not read")
 /* clang-format on */
@@ -36,6 +37,8 @@
 #undef HTTP_COUNTER_FIELD
 };
 
+#define HTTP_SPARE_READERS_MAX 64
+
 LIST_HEAD(http_connection_list, http_connection);
 LIST_HEAD(http_request_list, http_request);
 
@@ -46,6 +49,8 @@
     struct evconnlistener *listener;
     struct http_connection_list connections;
     struct http_request_list requests; /* handled, not answered */
+    struct http_reader *spare_readers[HTTP_SPARE_READERS_MAX];
+    size_t spare_reader_count;
     unsigned connection_count;
     size_t body_bytes; /* held by requests */
     bool stopping;
@@ -69,7 +74,7 @@
     struct http_server *server;
     struct bufferevent *bev;
     struct address peer;
-    struct http_reader *reader;
+    struct http_reader *reader; /* NULL while no request has begun */
     enum http_connection_state state;
     bool in_feed;   /* requests are being read: no nested reading */
     bool receiving; /* a request has begun */
@@ -108,6 +113,14 @@
 void http_connection_reply(struct http_connection *connection,
                            const struct http_reply *reply);
 
+/** A reader for one connection; NULL when memory is short. Idle connections
+ * need none, which saves most of their memory. */
+struct http_reader *http_server_take_reader(struct http_server *server);
+
+/** reader may be NULL. */
+void http_server_give_reader(struct http_server *server,
+                             struct http_reader *reader);
+
 /** Called after a connection has been freed. */
 void http_server_connection_closed(struct http_server *server);
 
--- a/packages/protocol/rpc_internal.h
+++ b/packages/protocol/rpc_internal.h
@@ -26,7 +26,7 @@
 #define RPC_UNACKNOWLEDGED_MAX_MS 3000 /* then TCP counts as cut */
 #define RPC_IDLE_OUTGOING_US (60 * US_PER_SECOND)
 #define RPC_IDLE_ACCEPTED_US (300 * US_PER_SECOND)
-#define RPC_SWEEP_US (10 * US_PER_SECOND)
+#define RPC_SWEEP_US (1 * US_PER_SECOND)
 #define RPC_OUTPUT_HIGH (32u << 20) /* bytes; then reading stops */
 #define RPC_OUTPUT_LOW (4u << 20)   /* bytes; then reading goes on */
 #define RPC_OUTPUT_MAX (64u << 20)  /* bytes; then calls fail unsent */
@@ -60,6 +60,7 @@
     X(held_back, "times that too much of one peer was in work")               \
     X(connects, "connections opened")                                         \
     X(accepts, "connections accepted")                                        \
+    X(accept_errors, "times that accepting a connection failed")              \
     X(idle_closed, "idle connections closed")                                 \
     X(bytes_sent, "bytes handed to sockets")                                  \
     X(bytes_received, "bytes of messages received")
--- a/packages/protocol/rpcnode.c
+++ b/packages/protocol/rpcnode.c
@@ -43,6 +43,15 @@
     rpc_connection_accept(ctx, fd, &address);
 }
 
+/** Waits for the next sweep, as when all descriptors are in use. */
+static void
+node_on_accept_error(struct evconnlistener *listener, void *ctx)
+{
+    struct rpc_node *node = ctx;
+    node->counters.accept_errors->value++;
+    evconnlistener_disable(listener);
+}
+
 static bool
 connection_is_idle(const struct rpc_connection *connection, int64_t now_us)
 {
@@ -77,6 +86,7 @@
         sweep_list(node, &node->outgoing[i]);
     }
     sweep_list(node, &node->accepted);
+    evconnlistener_enable(node->listener);
     timer_start(&node->sweep_timer, RPC_SWEEP_US);
 }
 
@@ -93,6 +103,7 @@
         return error_set_system(err, "listen on %s",
                                 address_format(&node->address, text));
     }
+    evconnlistener_set_error_cb(node->listener, node_on_accept_error);
     socklen_t size = sizeof(node->address.storage);
     if (getsockname(evconnlistener_get_fd(node->listener), bound, &size) < 0) {
         return error_set_system(err, "getsockname");
