--- a/packages/entry/bench/bench_requests.c
+++ b/packages/entry/bench/bench_requests.c
@@ -11,6 +11,8 @@
 
 #include "base/invariant.h"
 #include "base/log.h"
+#include "base/random.h"
+#include "entry/choice.h"
 #include "entry/model.h"
 
 #define MS INT64_C(1000)
@@ -422,6 +424,54 @@
                 0, "lower");
 }
 
+static int64_t
+cpu_ns(void)
+{
+    struct timespec now;
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &now);
+    return now.tv_sec * INT64_C(1000000000) + now.tv_nsec;
+}
+
+#define CHOICE_ROUNDS 300000
+#define CHOICE_FEW 4
+#define CHOICE_MANY 1000
+
+/* One choice with the start and the end of its try, in nanoseconds. */
+static double
+choice_cost(unsigned members)
+{
+    struct random_state random;
+    random_seed(&random, SEED);
+    struct choice *choice = choice_create("z0", &random);
+    for (unsigned i = 0; i < members; i++) {
+        char name[16];
+        char zone[16];
+        snprintf(name, sizeof(name), "i%u", i);
+        snprintf(zone, sizeof(zone), "z%u", i % 3);
+        choice_add(choice, name, zone);
+    }
+    const struct forward_load load = {.in_flight = 1, .limit = 20};
+    int64_t now_us = SECOND;
+    const int64_t begin_ns = cpu_ns();
+    for (int i = 0; i < CHOICE_ROUNDS; i++) {
+        struct choice_try attempt = {0};
+        const uint32_t member = choice_pick(choice, NULL, 0, true, now_us);
+        choice_start(choice, &attempt, member, now_us);
+        now_us += 50;
+        choice_finish(choice, &attempt, now_us, CHOICE_ANSWERED, &load);
+    }
+    const double ns = (double)(cpu_ns() - begin_ns) / CHOICE_ROUNDS;
+    choice_destroy(choice);
+    return ns;
+}
+
+static void
+bench_choice(void)
+{
+    print_compared("choice", "cpu_1000_members", choice_cost(CHOICE_MANY),
+                   "ns", 1000, "lower", choice_cost(CHOICE_FEW), "4_members");
+}
+
 static void
 on_violation(void *ctx, enum invariant id, const char *subject)
 {
@@ -435,6 +485,7 @@
 {
     log_init(stderr, LOG_LEVEL_OFF);
     invariant_set_handler(on_violation, NULL);
+    bench_choice();
     for (size_t i = 0; i < PLACE_COUNT; i++) {
         bench_stragglers(&places[i]);
         bench_cold(&places[i]);
