--- a/packages/entry/model.c
+++ b/packages/entry/model.c
@@ -203,6 +203,9 @@
 void
 model_destroy(struct model *model)
 {
+    for (size_t i = 1; i <= model->heap_count; i++) {
+        model_drop_event(&model->heap[i]);
+    }
     for (size_t i = 0; i < model->arrival_count; i++) {
         if (model->arrivals[i] != NULL) {
             request_destroy(model->arrivals[i]->request);
--- a/packages/entry/model_internal.h
+++ b/packages/entry/model_internal.h
@@ -183,6 +183,8 @@
 void model_gate_cancel(struct model *model, void *ctx, uint64_t number);
 void model_gate_ended(struct model *model, struct model_work *work,
                       enum gate_end end);
+/** Frees what an event that will not happen holds. */
+void model_drop_event(const struct model_event *event);
 uint32_t model_shard_of(const struct model_order *order);
 
 /* modelentry.c */
--- a/packages/entry/modelgate.c
+++ b/packages/entry/modelgate.c
@@ -198,6 +198,14 @@
     free(message);
 }
 
+void
+model_drop_event(const struct model_event *event)
+{
+    if (event->callback == reply_arrives) {
+        free(event->ctx);
+    }
+}
+
 /* The delegating gate's view of the other one's load. */
 static void
 delegated_finish(struct model *model, struct model_work *work,
