--- a/packages/gate/bench/bench_gate.c
+++ b/packages/gate/bench/bench_gate.c
@@ -3,6 +3,7 @@
  * Measures what the gate's decisions cost: processor time per admission and
  * per duplicate lookup, memory per remembered id, and how they grow.
  */
+#include <malloc.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -13,6 +14,7 @@
 #include "gate/gate.h"
 
 #define MS INT64_C(1000)
+#define RETENTION_US (INT64_C(3600) * 1000 * MS)
 #define ROUNDS 1000000
 #define IDS_SMALL 1000
 #define IDS_LARGE 100000
@@ -97,9 +99,10 @@
 }
 
 struct dedup_cost {
-    double begin_ns;  /* of a new id, until it is finished */
-    double replay_ns; /* of a known one */
-    double bytes;     /* per id, as the table counts them */
+    double begin_ns;   /* of a new id, until it is finished */
+    double replay_ns;  /* of a known one */
+    double bytes;      /* per id, as the table counts them */
+    double heap_bytes; /* per id, as the allocator counts them */
 };
 
 static void
@@ -132,7 +135,7 @@
 measure_dedup(size_t ids)
 {
     const struct dedup_config config = {
-        .retention_us = 3600 * 1000 * MS,
+        .retention_us = RETENTION_US,
         .clock_margin_us = 1000 * MS,
         .bytes_max = (size_t)1 << 30,
     };
@@ -141,6 +144,7 @@
         .wall_ms = INT64_C(1800000000000),
     };
     static const char answer[ANSWER_SIZE];
+    const size_t heap_before = mallinfo2().uordblks;
     struct dedup *dedup = dedup_create(&config);
     dedup_gain(dedup, 1, DEDUP_GAIN_FIRST, &time);
     char id[ID_SIZE];
@@ -159,6 +163,8 @@
     struct dedup_cost cost = {
         .begin_ns = (double)(cpu_ns() - begin_ns) / (double)ids,
         .bytes = (double)dedup_bytes(dedup) / (double)ids,
+        .heap_bytes =
+            (double)(mallinfo2().uordblks - heap_before) / (double)ids,
     };
     cost.replay_ns = measure_replays(dedup, ids, &time);
     dedup_destroy(dedup);
@@ -169,7 +175,7 @@
 bench_handover(void)
 {
     const struct dedup_config config = {
-        .retention_us = 3600 * 1000 * MS,
+        .retention_us = RETENTION_US,
         .clock_margin_us = 1000 * MS,
         .bytes_max = (size_t)1 << 30,
     };
@@ -221,6 +227,8 @@
                    2000, small.replay_ns, "1000_ids");
     print_compared("duplicate_memory_per_id", large.bytes, "bytes", 600,
                    ANSWER_SIZE, "answer_alone");
+    print_compared("duplicate_heap_per_id", large.heap_bytes, "bytes", 600,
+                   large.bytes, "as_the_table_counts");
     bench_handover();
     return 0;
 }
