--- a/packages/protocol/bench/bench_rpc.c
+++ b/packages/protocol/bench/bench_rpc.c
@@ -18,6 +18,7 @@
 #define CALLS 200000
 #define SINGLE_CALLS 20000
 #define OUTSTANDING 128
+#define MANY_OUTSTANDING 20000
 #define HEADERS 8
 #define BODY_SIZE 200 /* bytes */
 #define BIG_BODY_SIZE (8u << 20)
@@ -155,7 +156,10 @@
 static double
 run_calls(struct bench *bench, size_t total, size_t outstanding)
 {
-    struct slot slots[OUTSTANDING];
+    struct slot *slots = calloc(outstanding, sizeof(*slots));
+    if (slots == NULL) {
+        abort();
+    }
     bench->started = 0;
     bench->ended = 0;
     bench->total = total;
@@ -166,6 +170,7 @@
     }
     runtime_run(bench->runtime);
     const double used = cpu_seconds() - before;
+    free(slots);
     qsort(bench->latencies_us, total, sizeof(*bench->latencies_us), compare);
     return used;
 }
@@ -194,6 +199,9 @@
     const double used = run_calls(bench, CALLS, OUTSTANDING);
     print_figure("rpc_forwards_per_core_second", CALLS / used, "calls/s",
                  60000, "higher");
+    const double used_many = run_calls(bench, CALLS, MANY_OUTSTANDING);
+    print_figure("rpc_forwards_per_core_second_20000_outstanding",
+                 CALLS / used_many, "calls/s", 60000, "higher");
     const int64_t before =
         counter_add(bench->counters, "rpc_bytes_sent", "")->value;
     run_calls(bench, SINGLE_CALLS, 1);
--- a/packages/protocol/test/rpc_test.cc
+++ b/packages/protocol/test/rpc_test.cc
@@ -4,6 +4,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <fstream>
 #include <string>
 #include <vector>
 
@@ -376,6 +377,59 @@
     EXPECT_LT(10000U, whole);
 }
 
+std::string
+Hex(const std::string &bytes)
+{
+    std::string text;
+    char digits[4];
+    for (size_t i = 0; i < bytes.size(); i++) {
+        snprintf(digits, sizeof(digits), "%02x",
+                 static_cast<unsigned char>(bytes[i]));
+        text += digits;
+        text += i % 32 == 31 || i + 1 == bytes.size() ? "\n" : "";
+    }
+    return text + "\n";
+}
+
+/** The bytes on the wire may not change without a new version. */
+TEST(RpcMessage, WireFormatIsThatOfTheGoldenFile)
+{
+    static char text[] = "text";
+    struct forward_header header = {text, text};
+    forward_reply reply = {};
+    reply.outcome = FORWARD_NOT_RUN;
+    reply.reason = FORWARD_REASON_COLD;
+    reply.owner = text;
+    reply.owner_epoch = 0x0102030405060708;
+    reply.load.limit = 20;
+    reply.load.cold = TRUE;
+    reply.status = 503;
+    reply.headers.headers_len = 1;
+    reply.headers.headers_val = &header;
+    reply.body.body_len = 3;
+    reply.body.body_val = text;
+    const auto encode = reinterpret_cast<xdrproc_t>(xdr_forward_reply);
+    std::string message(rpc_reply_size(encode, &reply), '\0');
+    ASSERT_TRUE(
+        rpc_reply_encode(message.data(), message.size(), 9, encode, &reply));
+    std::string session =
+        Hex(EncodedCall(9, PROCEDURE_FORWARD)) + Hex(message);
+    for (int i = RPC_VERDICT_GARBAGE; i < RPC_VERDICT_COUNT; i++) {
+        char refusal[64];
+        const size_t size = rpc_refusal_encode(
+            refusal, sizeof(refusal), 9, static_cast<enum rpc_verdict>(i));
+        session += Hex(std::string(refusal, size));
+    }
+    const char *path = SOURCE_DIR "/packages/protocol/test/golden/wire.txt";
+    if (getenv("CHESTNUTGAP_UPDATE_GOLDEN") != nullptr) {
+        std::ofstream(path) << session;
+    }
+    std::ifstream file(path);
+    const std::string golden((std::istreambuf_iterator<char>(file)),
+                             std::istreambuf_iterator<char>());
+    EXPECT_EQ(golden, session);
+}
+
 TEST_F(RpcTest, RandomBytesOnLiveSocketsDoNoHarm)
 {
     struct random_state random;
