--- a/packages/placement/model.c
+++ b/packages/placement/placemodel.c
@@ -1,14 +1,14 @@
-#include "placement/model_internal.h"
+#include "placement/placemodel_internal.h"
 
 #include <stdlib.h>
 #include <string.h>
 
 #define KEY_SLOTS 256 /* shards of split keys, by their number */
 
-struct model_options
-model_defaults(void)
+struct placemodel_options
+placemodel_defaults(void)
 {
-    return (struct model_options){
+    return (struct placemodel_options){
         .members = 12,
         .zones = 3,
         .shards = 256,
@@ -24,13 +24,13 @@
 }
 
 static bool
-is_before(const struct model_event *a, const struct model_event *b)
+is_before(const struct placemodel_event *a, const struct placemodel_event *b)
 {
     return a->at_us != b->at_us ? a->at_us < b->at_us : a->order < b->order;
 }
 
 static void
-heap_push(struct model *model, struct model_event *event)
+heap_push(struct placemodel *model, struct placemodel_event *event)
 {
     size_t i = model->heap_count++;
 
@@ -49,11 +49,11 @@
     model->heap[i] = event;
 }
 
-static struct model_event *
-heap_pop(struct model *model)
+static struct placemodel_event *
+heap_pop(struct placemodel *model)
 {
-    struct model_event *first = model->heap[0];
-    struct model_event *last = model->heap[--model->heap_count];
+    struct placemodel_event *first = model->heap[0];
+    struct placemodel_event *last = model->heap[--model->heap_count];
     size_t i = 0;
 
     for (;;) {
@@ -76,18 +76,18 @@
 }
 
 static void
-event_destroy(struct model_event *event)
+event_destroy(struct placemodel_event *event)
 {
     place_action_destroy(event->action);
     free(event->content);
     free(event);
 }
 
-struct model_event *
-model_event_add(struct model *model, unsigned member, int64_t delay_us,
-                model_event_cb handle)
+struct placemodel_event *
+placemodel_event_add(struct placemodel *model, unsigned member,
+                     int64_t delay_us, placemodel_event_cb handle)
 {
-    struct model_event *event = calloc(1, sizeof(*event));
+    struct placemodel_event *event = calloc(1, sizeof(*event));
 
     if (event == NULL) {
         abort();
@@ -102,15 +102,15 @@
 }
 
 int64_t
-model_latency(struct model *model, int64_t mean_us)
+placemodel_latency(struct placemodel *model, int64_t mean_us)
 {
     return mean_us * 3 / 4 +
            (int64_t)random_exponential(&model->random, (double)mean_us / 4);
 }
 
 void
-model_trace(struct model *model, const char *member, const char *what,
-            const char *detail)
+placemodel_trace(struct placemodel *model, const char *member,
+                 const char *what, const char *detail)
 {
     if (model->options.trace != NULL) {
         (void)fprintf(model->options.trace, "%9.4f %-8s %-9s %s\n",
@@ -119,8 +119,8 @@
 }
 
 void
-model_violation(struct model *model, const char *what, uint32_t shard,
-                const char *member)
+placemodel_violation(struct placemodel *model, const char *what,
+                     uint32_t shard, const char *member)
 {
     if (model->result.violations++ == 0) {
         (void)snprintf(model->result.first_violation,
@@ -128,11 +128,11 @@
                        "%s: shard %u, %s, at %.4f s", what, shard, member,
                        (double)model->now_us / 1e6);
     }
-    model_trace(model, member, "VIOLATION", what);
+    placemodel_trace(model, member, "VIOLATION", what);
 }
 
-struct model_shard *
-model_shard_at(struct model *model, uint32_t shard)
+struct placemodel_shard *
+placemodel_shard_at(struct placemodel *model, uint32_t shard)
 {
     if ((shard & SHARD_KEY_FLAG) == 0) {
         return &model->shards[shard];
@@ -141,7 +141,7 @@
 }
 
 int
-model_member_index(const struct model *model, const char *name)
+placemodel_member_index(const struct placemodel *model, const char *name)
 {
     for (unsigned i = 0; i < model->options.members; i++) {
         if (strcmp(model->members[i].name, name) == 0) {
@@ -152,10 +152,10 @@
 }
 
 static void
-init_members(struct model *model)
+init_members(struct placemodel *model)
 {
     for (unsigned i = 0; i < model->options.members; i++) {
-        struct model_member *member = &model->members[i];
+        struct placemodel_member *member = &model->members[i];
         member->zone_index = i % model->options.zones;
         (void)snprintf(member->name, sizeof(member->name), "m%04u", i);
         (void)snprintf(member->zone, sizeof(member->zone), "zone-%u",
@@ -163,10 +163,10 @@
     }
 }
 
-struct model *
-model_create(const struct model_options *options)
+struct placemodel *
+placemodel_create(const struct placemodel_options *options)
 {
-    struct model *model = calloc(1, sizeof(*model));
+    struct placemodel *model = calloc(1, sizeof(*model));
 
     if (model == NULL) {
         return NULL;
@@ -195,7 +195,7 @@
 }
 
 void
-model_destroy(struct model *model)
+placemodel_destroy(struct placemodel *model)
 {
     if (model == NULL) {
         return;
@@ -220,17 +220,17 @@
 
 /* An event of an earlier life of its member is lost with it. */
 static bool
-is_lost(const struct model *model, const struct model_event *event)
+is_lost(const struct placemodel *model, const struct placemodel_event *event)
 {
-    const struct model_member *member = &model->members[event->member];
+    const struct placemodel_member *member = &model->members[event->member];
 
     return event->life != member->life || !member->running;
 }
 
 static void
-handle_event(struct model *model, struct model_event *event)
+handle_event(struct placemodel *model, struct placemodel_event *event)
 {
-    struct model_member *member = &model->members[event->member];
+    struct placemodel_member *member = &model->members[event->member];
 
     model->now_us = event->at_us;
     if (is_lost(model, event)) {
@@ -238,35 +238,35 @@
         return;
     }
     if (member->paused) {
-        event->at_us = model->now_us + MODEL_TICK_US;
+        event->at_us = model->now_us + PLACEMODEL_TICK_US;
         event->order = ++model->order;
         heap_push(model, event);
         return;
     }
     model->result.events++;
     event->handle(model, event);
-    model_member_drain(model, event->member);
+    placemodel_member_drain(model, event->member);
     event_destroy(event);
 }
 
 static void
-tick(struct model *model)
+tick(struct placemodel *model)
 {
     if (!model->quiet) {
-        model_random_faults(model);
+        placemodel_random_faults(model);
     }
-    model_leases(model);
+    placemodel_leases(model);
     for (unsigned i = 0; i < model->options.members; i++) {
         if (model->members[i].running && !model->members[i].paused) {
-            model_member_tick(model, i);
-            model_member_drain(model, i);
-            model_check_serving(model, i);
+            placemodel_member_tick(model, i);
+            placemodel_member_drain(model, i);
+            placemodel_check_serving(model, i);
         }
     }
 }
 
 void
-model_run(struct model *model, int64_t duration_us)
+placemodel_run(struct placemodel *model, int64_t duration_us)
 {
     int64_t end_us = model->now_us + duration_us;
 
@@ -279,7 +279,7 @@
             model->now_us = model->next_check_us;
         }
         tick(model);
-        model->next_check_us = model->now_us + MODEL_TICK_US;
+        model->next_check_us = model->now_us + PLACEMODEL_TICK_US;
     }
     while (model->heap_count > 0 && model->heap[0]->at_us <= end_us) {
         handle_event(model, heap_pop(model));
@@ -288,15 +288,15 @@
 }
 
 int64_t
-model_now_us(const struct model *model)
+placemodel_now_us(const struct placemodel *model)
 {
     return model->now_us;
 }
 
-struct model_result
-model_result(const struct model *model)
+struct placemodel_result
+placemodel_result(const struct placemodel *model)
 {
-    struct model_result result = model->result;
+    struct placemodel_result result = model->result;
 
     for (unsigned i = 0; i < model->options.members; i++) {
         if (model->members[i].placer != NULL) {
@@ -312,41 +312,42 @@
 }
 
 void
-model_set_faults(struct model *model, const struct model_faults *faults)
+placemodel_set_faults(struct placemodel *model,
+                      const struct placemodel_faults *faults)
 {
     model->options.faults = *faults;
 }
 
 void
-model_set_store_down(struct model *model, bool down)
+placemodel_set_store_down(struct placemodel *model, bool down)
 {
     model->store_down = down;
-    model_trace(model, "store", down ? "down" : "up", "");
+    placemodel_trace(model, "store", down ? "down" : "up", "");
 }
 
 void
-model_lose_next_answer(struct model *model)
+placemodel_lose_next_answer(struct placemodel *model)
 {
     model->lose_next = true;
 }
 
 void
-model_conflict_next(struct model *model)
+placemodel_conflict_next(struct placemodel *model)
 {
     model->conflict_next = true;
 }
 
 void
-model_set_load(struct model *model, uint32_t shard, double load)
+placemodel_set_load(struct placemodel *model, uint32_t shard, double load)
 {
-    model_shard_at(model, shard)->load = load;
+    placemodel_shard_at(model, shard)->load = load;
 }
 
 int
-model_server_of(struct model *model, uint32_t shard)
+placemodel_server_of(struct placemodel *model, uint32_t shard)
 {
     for (unsigned i = 0; i < model->options.members; i++) {
-        const struct model_member *member = &model->members[i];
+        const struct placemodel_member *member = &model->members[i];
         uint32_t epoch;
         if (member->running && !member->paused && member->placer != NULL &&
             placer_serves(member->placer, shard, model->now_us, &epoch)) {
@@ -357,9 +358,9 @@
 }
 
 unsigned
-model_served_by(struct model *model, unsigned index)
+placemodel_served_by(struct placemodel *model, unsigned index)
 {
-    const struct model_member *member = &model->members[index];
+    const struct placemodel_member *member = &model->members[index];
     unsigned served = 0;
     uint32_t epoch;
 
@@ -373,9 +374,9 @@
 }
 
 double
-model_load_of(struct model *model, unsigned index)
+placemodel_load_of(struct placemodel *model, unsigned index)
 {
-    const struct model_member *member = &model->members[index];
+    const struct placemodel_member *member = &model->members[index];
     double load = 0;
     uint32_t epoch;
 
@@ -389,43 +390,43 @@
 }
 
 const struct placer *
-model_placer(const struct model *model, unsigned index)
+placemodel_placer(const struct placemodel *model, unsigned index)
 {
     return model->members[index].placer;
 }
 
 size_t
-model_gaps(const struct model *model, const int64_t **gaps_us)
+placemodel_gaps(const struct placemodel *model, const int64_t **gaps_us)
 {
     *gaps_us = model->gaps_us;
     return model->gap_count;
 }
 
 double
-model_load_moved(const struct model *model)
+placemodel_load_moved(const struct placemodel *model)
 {
     return model->load_moved;
 }
 
 int64_t
-model_shards_moved(const struct model *model)
+placemodel_shards_moved(const struct placemodel *model)
 {
     return model->shards_moved;
 }
 
 static bool
-zone_may_serve(const struct model *model, unsigned index)
+zone_may_serve(const struct placemodel *model, unsigned index)
 {
-    const struct model_member *member = &model->members[index];
+    const struct placemodel_member *member = &model->members[index];
 
     return !model->zones_out[member->zone_index] && !member->leaving;
 }
 
 bool
-model_is_whole(struct model *model)
+placemodel_is_whole(struct placemodel *model)
 {
     for (uint32_t i = 0; i < model->options.shards; i++) {
-        int server = model_server_of(model, i);
+        int server = placemodel_server_of(model, i);
         if (server < 0 || !zone_may_serve(model, (unsigned)server)) {
             return false;
         }
--- a/packages/placement/model.h
+++ b/packages/placement/placemodel.h
@@ -6,8 +6,8 @@
  * serves it at any time, that its epoch rises, that what is handed over is
  * complete, and, once the faults end, that each shard is served again.
  */
-#ifndef CHESTNUTGAP_PLACEMENT_MODEL_H
-#define CHESTNUTGAP_PLACEMENT_MODEL_H
+#ifndef CHESTNUTGAP_PLACEMENT_PLACEMODEL_H
+#define CHESTNUTGAP_PLACEMENT_PLACEMODEL_H
 
 #include <stdbool.h>
 #include <stddef.h>
@@ -17,7 +17,7 @@
 #include "placement/placer.h"
 
 /** Faults that occur at random, each with its own rate. */
-struct model_faults {
+struct placemodel_faults {
     double loss;              /**< of messages, 0 to 1 */
     double lost_answers;      /**< of commits: done, but answered UNKNOWN */
     double late_writes;       /**< of commits: answered UNKNOWN, done later */
@@ -31,7 +31,7 @@
     double split_every;       /**< mean seconds between hot keys */
 };
 
-struct model_options {
+struct placemodel_options {
     unsigned members;
     unsigned zones;
     uint32_t shards;
@@ -42,13 +42,13 @@
     int64_t drain_mean_us;      /**< mean duration of a drain */
     unsigned moves_per_second;
     double capacity;
-    struct model_faults faults;
+    struct placemodel_faults faults;
     uint64_t seed;
     FILE *trace; /**< session text, or NULL */
 };
 
 /** What a run found and counted. */
-struct model_result {
+struct placemodel_result {
     int64_t violations;
     char first_violation[160];
     int64_t checks;
@@ -66,57 +66,62 @@
     int64_t splits;
 };
 
-struct model;
+struct placemodel;
 
 /** Options of an ordinary run without faults: Powys' latencies. */
-struct model_options model_defaults(void);
+struct placemodel_options placemodel_defaults(void);
 
 /** NULL when memory is short. */
-struct model *model_create(const struct model_options *options);
-void model_destroy(struct model *model);
+struct placemodel *placemodel_create(const struct placemodel_options *options);
+void placemodel_destroy(struct placemodel *model);
 
 /** Runs the model for a duration. */
-void model_run(struct model *model, int64_t duration_us);
+void placemodel_run(struct placemodel *model, int64_t duration_us);
 
-int64_t model_now_us(const struct model *model);
+int64_t placemodel_now_us(const struct placemodel *model);
 
 /** Stops random faults and heals everything that is broken. */
-void model_heal(struct model *model);
+void placemodel_heal(struct placemodel *model);
 
 /** True if each shard is served by exactly one member in a zone that is in. */
-bool model_is_whole(struct model *model);
+bool placemodel_is_whole(struct placemodel *model);
 
-struct model_result model_result(const struct model *model);
+struct placemodel_result placemodel_result(const struct placemodel *model);
 
 /** @name Events made by hand */
 /**@{*/
-void model_start(struct model *model, unsigned member);
-void model_crash(struct model *model, unsigned member);
-void model_leave(struct model *model, unsigned member);
-void model_set_zone_out(struct model *model, unsigned zone, bool out);
-void model_set_store_down(struct model *model, bool down);
-void model_set_faults(struct model *model, const struct model_faults *faults);
+void placemodel_start(struct placemodel *model, unsigned member);
+void placemodel_crash(struct placemodel *model, unsigned member);
+void placemodel_leave(struct placemodel *model, unsigned member);
+void placemodel_set_zone_out(struct placemodel *model, unsigned zone,
+                             bool out);
+void placemodel_set_store_down(struct placemodel *model, bool down);
+void placemodel_set_faults(struct placemodel *model,
+                           const struct placemodel_faults *faults);
 /** The next commit is done, but its answer is lost. */
-void model_lose_next_answer(struct model *model);
+void placemodel_lose_next_answer(struct placemodel *model);
 /** The next commit conflicts with another write of the same page. */
-void model_conflict_next(struct model *model);
-void model_set_load(struct model *model, uint32_t shard, double load);
+void placemodel_conflict_next(struct placemodel *model);
+void placemodel_set_load(struct placemodel *model, uint32_t shard,
+                         double load);
 /**@}*/
 
 /** @name What can be seen */
 /**@{*/
 /** Member that serves the shard, or -1. */
-int model_server_of(struct model *model, uint32_t shard);
+int placemodel_server_of(struct placemodel *model, uint32_t shard);
 /** Number of shards that a member serves. */
-unsigned model_served_by(struct model *model, unsigned member);
+unsigned placemodel_served_by(struct placemodel *model, unsigned member);
 /** Load of the shards that a member owns, from its own placer. */
-double model_load_of(struct model *model, unsigned member);
-const struct placer *model_placer(const struct model *model, unsigned member);
+double placemodel_load_of(struct placemodel *model, unsigned member);
+const struct placer *placemodel_placer(const struct placemodel *model,
+                                       unsigned member);
 /** Durations for which a shard was not served during planned moves. */
-size_t model_gaps(const struct model *model, const int64_t **gaps_us);
+size_t placemodel_gaps(const struct placemodel *model,
+                       const int64_t **gaps_us);
 /** Load moved so far. */
-double model_load_moved(const struct model *model);
-int64_t model_shards_moved(const struct model *model);
+double placemodel_load_moved(const struct placemodel *model);
+int64_t placemodel_shards_moved(const struct placemodel *model);
 /**@}*/
 
 #endif
--- /dev/null
+++ b/packages/placement/placemodel_internal.h
@@ -0,0 +1,170 @@
+/**
+ * @file
+ * State of the placement model, shared by the files that implement it.
+ */
+#ifndef CHESTNUTGAP_PLACEMENT_PLACEMODEL_INTERNAL_H
+#define CHESTNUTGAP_PLACEMENT_PLACEMODEL_INTERNAL_H
+
+#include <sys/queue.h>
+
+#include "base/random.h"
+#include "base/runtime.h"
+#include "placement/placemodel.h"
+
+#define PLACEMODEL_TICK_US INT64_C(20000)         /* placer_run() and checks */
+#define PLACEMODEL_LEASE_US INT64_C(750000)       /* length of a lease */
+#define PLACEMODEL_RENEW_US INT64_C(250000)       /* between renewals */
+#define PLACEMODEL_ANSWER_LOST_US INT64_C(500000) /* time limit of the store  \
+                                                   */
+#define PLACEMODEL_SERVICE "archebion"
+
+struct placemodel;
+struct placemodel_event;
+
+typedef void (*placemodel_event_cb)(struct placemodel *model,
+                                    struct placemodel_event *event);
+
+/** Something that happens at a time. */
+struct placemodel_event {
+    int64_t at_us;
+    uint64_t order;
+    placemodel_event_cb handle;
+    unsigned member;
+    unsigned life; /* of member; the event is dropped in another life */
+    unsigned from; /* member that sent it */
+    unsigned from_life;
+    uint32_t shard;
+    uint32_t page;
+    uint64_t number;  /* txn id, attempt or version of a page */
+    uint64_t version; /* of committed rows */
+    enum store_outcome outcome;
+    bool flag;
+    double load;
+    struct place_action *action; /* owned */
+    struct shardpage *content;   /* owned */
+};
+
+/** A row of the members table. */
+struct placemodel_row {
+    uint64_t version;
+    uint64_t incarnation;
+    enum peer_state state;
+};
+
+/** What the model knows of a shard, whoever owns it. */
+struct placemodel_shard {
+    double load;
+    uint32_t epoch; /* highest at which it was served */
+    int server;     /* member that served it last, or -1 */
+    unsigned server_life;
+    int64_t served_us;  /* time at which it was last seen served */
+    int64_t drained_us; /* a planned move stopped it, 0: none */
+    uint64_t token;     /* state that a handover must carry */
+};
+
+struct placemodel_member {
+    char name[STATE_NAME_MAX + 1];
+    char zone[STATE_NAME_MAX + 1];
+    unsigned zone_index;
+    unsigned life; /* counts starts; messages of earlier lives are lost */
+    bool running;
+    bool paused;
+    bool isolated;
+    bool leaving;
+    bool registering;
+    bool registered; /* in this life */
+    int64_t resume_us;
+    int64_t lease_until_us;
+    int64_t renewed_us;
+    int64_t synced_us;
+    int64_t loaded_us;
+    uint64_t incarnation;
+    struct shardmap *map;
+    struct placer *placer;
+};
+
+struct placemodel_page {
+    uint64_t version;
+    struct shardpage page;
+};
+
+struct placemodel {
+    struct placemodel_options options;
+    struct random_state random;
+    int64_t now_us;
+    uint64_t order;
+    struct placemodel_event **heap;
+    size_t heap_count;
+    size_t heap_capacity;
+
+    uint64_t store_version;
+    bool store_down;
+    int64_t store_up_us;
+    bool lose_next;
+    bool conflict_next;
+    struct placemodel_row *rows;
+    struct placemodel_page *pages;
+    uint32_t page_count;
+
+    struct placemodel_member *members;
+    struct placemodel_shard *shards; /* with room for split keys at the end */
+    bool *zones_out;
+    int64_t *zone_back_us;
+    bool quiet; /* no random faults */
+    int64_t next_check_us;
+
+    int64_t *gaps_us;
+    size_t gap_count;
+    size_t gap_capacity;
+    double load_moved;
+    int64_t shards_moved;
+    struct placemodel_result result;
+};
+
+/** @name placemodel.c */
+/**@{*/
+/** Creates an event for a member's present life at a delay. */
+struct placemodel_event *placemodel_event_add(struct placemodel *model,
+                                              unsigned member,
+                                              int64_t delay_us,
+                                              placemodel_event_cb handle);
+int64_t placemodel_latency(struct placemodel *model, int64_t mean_us);
+void placemodel_violation(struct placemodel *model, const char *what,
+                          uint32_t shard, const char *member);
+void placemodel_trace(struct placemodel *model, const char *member,
+                      const char *what, const char *detail);
+struct placemodel_shard *placemodel_shard_at(struct placemodel *model,
+                                             uint32_t shard);
+int placemodel_member_index(const struct placemodel *model, const char *name);
+/**@}*/
+
+/** @name placemodelmember.c: members, their messages and their gates */
+/**@{*/
+void placemodel_member_start(struct placemodel *model, unsigned index);
+void placemodel_member_stop(struct placemodel *model, unsigned index);
+void placemodel_member_tick(struct placemodel *model, unsigned index);
+void placemodel_member_drain(struct placemodel *model, unsigned index);
+void placemodel_check_serving(struct placemodel *model, unsigned index);
+/**@}*/
+
+/** @name placemodelstore.c: the store and the leases */
+/**@{*/
+void placemodel_store_commit(struct placemodel *model, unsigned member,
+                             struct place_action *action);
+void placemodel_store_read(struct placemodel *model, unsigned member,
+                           uint32_t page);
+void placemodel_store_scan(struct placemodel *model, unsigned member,
+                           uint64_t since, bool answer);
+void placemodel_register(struct placemodel *model, unsigned member);
+void placemodel_leases(struct placemodel *model);
+void placemodel_tell_members(struct placemodel *model, unsigned about);
+void placemodel_tell_one(struct placemodel *model, unsigned member,
+                         unsigned about, bool fenced_here);
+/**@}*/
+
+/** @name placemodelfaults.c: random faults */
+/**@{*/
+void placemodel_random_faults(struct placemodel *model);
+/**@}*/
+
+#endif
--- a/packages/placement/modelmember.c
+++ b/packages/placement/placemodelmember.c
@@ -1,4 +1,4 @@
-#include "placement/model_internal.h"
+#include "placement/placemodel_internal.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -9,7 +9,7 @@
 #define LOAD_PERIOD_US INT64_C(1000000)
 
 static bool
-message_is_lost(struct model *model, unsigned from, unsigned to)
+message_is_lost(struct placemodel *model, unsigned from, unsigned to)
 {
     return model->members[from].isolated || model->members[to].isolated ||
            !model->members[to].running ||
@@ -17,29 +17,30 @@
 }
 
 static struct shardpage *
-page_of(const struct model_member *member, uint32_t number, uint64_t *version)
+page_of(const struct placemodel_member *member, uint32_t number,
+        uint64_t *version)
 {
     struct shardpage *page = malloc(sizeof(*page));
 
     if (page == NULL) {
         abort();
     }
-    *version = shardmap_page(member->map, MODEL_SERVICE, number, page);
+    *version = shardmap_page(member->map, PLACEMODEL_SERVICE, number, page);
     return page;
 }
 
 static void
-page_arrives(struct model *model, struct model_event *event)
+page_arrives(struct placemodel *model, struct placemodel_event *event)
 {
     placer_page(model->members[event->member].placer, event->content,
                 event->number, model->now_us);
 }
 
 static void
-send_page(struct model *model, unsigned from, unsigned to, uint32_t number,
-          int64_t delay_us)
+send_page(struct placemodel *model, unsigned from, unsigned to,
+          uint32_t number, int64_t delay_us)
 {
-    struct model_event *event;
+    struct placemodel_event *event;
     uint64_t version;
     struct shardpage *page;
 
@@ -47,26 +48,28 @@
         return;
     }
     page = page_of(&model->members[from], number, &version);
-    event = model_event_add(
-        model, to, delay_us + model_latency(model, model->options.one_way_us),
+    event = placemodel_event_add(
+        model, to,
+        delay_us + placemodel_latency(model, model->options.one_way_us),
         page_arrives);
     event->content = page;
     event->number = version;
 }
 
 static void
-handed(struct model *model, struct model_event *event)
+handed(struct placemodel *model, struct placemodel_event *event)
 {
     placer_handed(model->members[event->member].placer, event->shard,
                   event->number, event->flag, model->now_us);
 }
 
 static void
-answer_handed(struct model *model, unsigned to, unsigned from,
+answer_handed(struct placemodel *model, unsigned to, unsigned from,
               const struct place_action *action, bool accepted,
               int64_t delay_us)
 {
-    struct model_event *event = model_event_add(model, to, delay_us, handed);
+    struct placemodel_event *event =
+        placemodel_event_add(model, to, delay_us, handed);
 
     event->from = from;
     event->shard = action->shard;
@@ -75,9 +78,9 @@
 }
 
 static void
-call_arrives(struct model *model, struct model_event *event)
+call_arrives(struct placemodel *model, struct placemodel_event *event)
 {
-    struct model_member *member = &model->members[event->member];
+    struct placemodel_member *member = &model->members[event->member];
     const struct place_action *action = event->action;
     struct offer_info info = {
         .shard = action->shard,
@@ -104,23 +107,23 @@
         return;
     }
     answer_handed(model, event->from, event->member, action, accepted,
-                  model_latency(model, model->options.one_way_us));
+                  placemodel_latency(model, model->options.one_way_us));
 }
 
 static void
-send_call(struct model *model, unsigned from, struct place_action *action)
+send_call(struct placemodel *model, unsigned from, struct place_action *action)
 {
-    int to = model_member_index(model, action->peer);
-    struct model_event *event;
+    int to = placemodel_member_index(model, action->peer);
+    struct placemodel_event *event;
 
     if (to < 0 || message_is_lost(model, from, (unsigned)to)) {
         answer_handed(model, from, from, action, false, RPC_LOST_US);
         place_action_destroy(action);
         return;
     }
-    event = model_event_add(model, (unsigned)to,
-                            model_latency(model, model->options.one_way_us),
-                            call_arrives);
+    event = placemodel_event_add(
+        model, (unsigned)to,
+        placemodel_latency(model, model->options.one_way_us), call_arrives);
     event->action = action;
     event->from = from;
     event->from_life = model->members[from].life;
@@ -128,18 +131,18 @@
 }
 
 static void
-load_arrives(struct model *model, struct model_event *event)
+load_arrives(struct placemodel *model, struct placemodel_event *event)
 {
-    struct model_member *from = &model->members[event->from];
+    struct placemodel_member *from = &model->members[event->from];
 
     placer_peer_load(model->members[event->member].placer, from->name,
                      event->load, false, 0, event->flag, model->now_us);
 }
 
 static void
-send_load(struct model *model, unsigned from, unsigned to)
+send_load(struct placemodel *model, unsigned from, unsigned to)
 {
-    struct model_event *event;
+    struct placemodel_event *event;
     double load;
     double limit;
     bool cold;
@@ -150,41 +153,41 @@
     }
     placer_report(model->members[from].placer, model->now_us, &load, &cold,
                   &limit, &wants);
-    event = model_event_add(model, to,
-                            model_latency(model, model->options.one_way_us),
-                            load_arrives);
+    event = placemodel_event_add(
+        model, to, placemodel_latency(model, model->options.one_way_us),
+        load_arrives);
     event->from = from;
     event->load = load;
     event->flag = wants;
 }
 
 static void
-drain_finished(struct model *model, struct model_event *event)
+drain_finished(struct placemodel *model, struct placemodel_event *event)
 {
-    uint64_t token = model_shard_at(model, event->shard)->token;
+    uint64_t token = placemodel_shard_at(model, event->shard)->token;
 
     placer_drained(model->members[event->member].placer, event->shard, &token,
                    sizeof(token), model->now_us);
 }
 
 static void
-start_drain(struct model *model, unsigned index, uint32_t shard)
+start_drain(struct placemodel *model, unsigned index, uint32_t shard)
 {
-    struct model_shard *known = model_shard_at(model, shard);
+    struct placemodel_shard *known = placemodel_shard_at(model, shard);
     double mean = (double)model->options.drain_mean_us;
     int64_t delay_us = (int64_t)random_exponential(&model->random, mean);
-    struct model_event *event;
+    struct placemodel_event *event;
 
     if (delay_us > model->options.longest_request_us) {
         delay_us = model->options.longest_request_us;
     }
     known->drained_us = model->now_us;
-    event = model_event_add(model, index, delay_us, drain_finished);
+    event = placemodel_event_add(model, index, delay_us, drain_finished);
     event->shard = shard;
 }
 
 static void
-add_gap(struct model *model, int64_t gap_us)
+add_gap(struct placemodel *model, int64_t gap_us)
 {
     if (model->gap_count == model->gap_capacity) {
         model->gap_capacity = 2 * model->gap_capacity + 256;
@@ -198,10 +201,10 @@
 }
 
 static void
-check_handover(struct model *model, unsigned index,
+check_handover(struct placemodel *model, unsigned index,
                const struct place_action *action)
 {
-    struct model_shard *known = model_shard_at(model, action->shard);
+    struct placemodel_shard *known = placemodel_shard_at(model, action->shard);
     uint64_t token = 0;
 
     if (!action->planned) {
@@ -212,8 +215,8 @@
         memcpy(&token, action->blob, sizeof(token));
     }
     if (token != known->token) {
-        model_violation(model, "handover is not complete", action->shard,
-                        model->members[index].name);
+        placemodel_violation(model, "handover is not complete", action->shard,
+                             model->members[index].name);
     }
     if (known->drained_us != 0) {
         add_gap(model, model->now_us - known->drained_us);
@@ -222,27 +225,27 @@
 }
 
 static void
-check_one_server(struct model *model, unsigned index, uint32_t shard)
+check_one_server(struct placemodel *model, unsigned index, uint32_t shard)
 {
     uint32_t epoch;
 
     for (unsigned i = 0; i < model->options.members; i++) {
-        const struct model_member *other = &model->members[i];
+        const struct placemodel_member *other = &model->members[i];
         if (i != index && other->running && !other->paused &&
             placer_serves(other->placer, shard, model->now_us, &epoch)) {
-            model_violation(model, "two owners", shard,
-                            model->members[index].name);
+            placemodel_violation(model, "two owners", shard,
+                                 model->members[index].name);
         }
     }
 }
 
 /* The shard is served by this member now: checks all promises about it. */
 static void
-check_shard(struct model *model, unsigned index, uint32_t shard,
+check_shard(struct placemodel *model, unsigned index, uint32_t shard,
             uint32_t epoch)
 {
-    struct model_shard *known = model_shard_at(model, shard);
-    const struct model_member *member = &model->members[index];
+    struct placemodel_shard *known = placemodel_shard_at(model, shard);
+    const struct placemodel_member *member = &model->members[index];
     bool same =
         known->server == (int)index && known->server_life == member->life;
 
@@ -250,12 +253,13 @@
     if (epoch < known->epoch ||
         (epoch == known->epoch && known->server != (int)index &&
          known->server >= 0)) {
-        model_violation(model, "epoch does not rise", shard, member->name);
+        placemodel_violation(model, "epoch does not rise", shard,
+                             member->name);
     }
     if (known->server != (int)index && !model->options.targets_check_grants &&
         model->now_us < known->served_us + model->options.longest_request_us) {
-        model_violation(model, "served before old requests ended", shard,
-                        member->name);
+        placemodel_violation(model, "served before old requests ended", shard,
+                             member->name);
     }
     if (!same) {
         check_one_server(model, index, shard);
@@ -268,9 +272,9 @@
 }
 
 void
-model_check_serving(struct model *model, unsigned index)
+placemodel_check_serving(struct placemodel *model, unsigned index)
 {
-    const struct model_member *member = &model->members[index];
+    const struct placemodel_member *member = &model->members[index];
     uint32_t epoch;
 
     for (uint32_t i = 0; i < model->options.shards; i++) {
@@ -281,7 +285,7 @@
 }
 
 static void
-publish(struct model *model, unsigned from, uint32_t page)
+publish(struct placemodel *model, unsigned from, uint32_t page)
 {
     for (unsigned i = 0; i < model->options.members; i++) {
         if (i != from) {
@@ -291,9 +295,10 @@
 }
 
 static void
-assign(struct model *model, unsigned from, const struct place_action *action)
+assign(struct placemodel *model, unsigned from,
+       const struct place_action *action)
 {
-    int to = model_member_index(model, action->peer);
+    int to = placemodel_member_index(model, action->peer);
 
     for (int i = 0; to >= 0 && i < ASSIGN_TRIES; i++) {
         send_page(model, from, (unsigned)to, action->page, i * RPC_LOST_US);
@@ -301,9 +306,10 @@
 }
 
 static void
-gained(struct model *model, unsigned index, const struct place_action *action)
+gained(struct placemodel *model, unsigned index,
+       const struct place_action *action)
 {
-    struct model_shard *known = model_shard_at(model, action->shard);
+    struct placemodel_shard *known = placemodel_shard_at(model, action->shard);
     uint32_t epoch;
 
     check_handover(model, index, action);
@@ -320,7 +326,7 @@
 }
 
 static void
-trace_action(struct model *model, unsigned index,
+trace_action(struct placemodel *model, unsigned index,
              const struct place_action *action)
 {
     char detail[160];
@@ -342,29 +348,30 @@
                        action->planned ? "planned" : "");
         break;
     }
-    model_trace(model, model->members[index].name,
-                place_action_name(action->type), detail);
+    placemodel_trace(model, model->members[index].name,
+                     place_action_name(action->type), detail);
 }
 
 /* @return true if the action was taken over. */
 static bool
-carry_out(struct model *model, unsigned index, struct place_action *action)
+carry_out(struct placemodel *model, unsigned index,
+          struct place_action *action)
 {
-    int peer = model_member_index(model, action->peer);
+    int peer = placemodel_member_index(model, action->peer);
 
     switch (action->type) {
     case PLACE_COMMIT:
-        model_store_commit(model, index, action);
+        placemodel_store_commit(model, index, action);
         return true;
     case PLACE_RESERVE:
     case PLACE_HANDOVER:
         send_call(model, index, action);
         return true;
     case PLACE_READ:
-        model_store_read(model, index, action->page);
+        placemodel_store_read(model, index, action->page);
         return false;
     case PLACE_SCAN:
-        model_store_scan(model, index, 0, true);
+        placemodel_store_scan(model, index, 0, true);
         return false;
     case PLACE_GAINED:
         gained(model, index, action);
@@ -373,7 +380,7 @@
         start_drain(model, index, action->shard);
         return false;
     case PLACE_RESUME:
-        model_shard_at(model, action->shard)->drained_us = 0;
+        placemodel_shard_at(model, action->shard)->drained_us = 0;
         return false;
     case PLACE_ASSIGN:
         assign(model, index, action);
@@ -389,7 +396,7 @@
         return false;
     case PLACE_REFRESH:
         if (peer >= 0) {
-            model_tell_one(model, index, (unsigned)peer, false);
+            placemodel_tell_one(model, index, (unsigned)peer, false);
         }
         return false;
     default:
@@ -398,9 +405,9 @@
 }
 
 void
-model_member_drain(struct model *model, unsigned index)
+placemodel_member_drain(struct placemodel *model, unsigned index)
 {
-    struct model_member *member = &model->members[index];
+    struct placemodel_member *member = &model->members[index];
     struct place_action *action;
 
     while (member->placer != NULL &&
@@ -413,7 +420,7 @@
 }
 
 static void
-set_loads(struct model *model, struct model_member *member)
+set_loads(struct placemodel *model, struct placemodel_member *member)
 {
     for (uint32_t i = 0; i < model->options.shards; i++) {
         placer_set_load(member->placer, i, model->shards[i].load, 0, 0);
@@ -422,27 +429,27 @@
 
 /* What the member would learn anyway, by and by. */
 static void
-synchronise(struct model *model, unsigned index)
+synchronise(struct placemodel *model, unsigned index)
 {
-    struct model_member *member = &model->members[index];
+    struct placemodel_member *member = &model->members[index];
 
     if (member->isolated ||
         model->now_us - member->synced_us < SCAN_PERIOD_US) {
         return;
     }
     member->synced_us = model->now_us;
-    model_store_scan(model, index, 0, false);
+    placemodel_store_scan(model, index, 0, false);
     for (unsigned i = 0; i < model->options.members; i++) {
         if (model->rows[i].version != 0) {
-            model_tell_one(model, index, i, false);
+            placemodel_tell_one(model, index, i, false);
         }
     }
 }
 
 void
-model_member_tick(struct model *model, unsigned index)
+placemodel_member_tick(struct placemodel *model, unsigned index)
 {
-    struct model_member *member = &model->members[index];
+    struct placemodel_member *member = &model->members[index];
 
     placer_set_lease(member->placer, member->lease_until_us);
     for (unsigned i = 0; i < model->options.zones; i++) {
@@ -459,13 +466,13 @@
 }
 
 void
-model_member_start(struct model *model, unsigned index)
+placemodel_member_start(struct placemodel *model, unsigned index)
 {
-    struct model_member *member = &model->members[index];
+    struct placemodel_member *member = &model->members[index];
     struct placer_spec spec = {
         .instance = member->name,
         .zone = member->zone,
-        .service = MODEL_SERVICE,
+        .service = PLACEMODEL_SERVICE,
         .shards = model->options.shards,
         .seed = random_u64(&model->random),
     };
@@ -483,7 +490,7 @@
     if (member->map == NULL || random_chance(&model->random, 0.5)) {
         shardmap_destroy(member->map);
         member->map = shardmap_create();
-        (void)shardmap_add_service(member->map, MODEL_SERVICE,
+        (void)shardmap_add_service(member->map, PLACEMODEL_SERVICE,
                                    model->options.shards, NULL);
     }
     spec.map = member->map;
@@ -498,18 +505,18 @@
     member->synced_us = model->now_us - SCAN_PERIOD_US;
     member->loaded_us = model->now_us - LOAD_PERIOD_US;
     member->lease_until_us = model->now_us;
-    model_trace(model, member->name, "starts", "");
-    model_register(model, index);
+    placemodel_trace(model, member->name, "starts", "");
+    placemodel_register(model, index);
 }
 
 void
-model_member_stop(struct model *model, unsigned index)
+placemodel_member_stop(struct placemodel *model, unsigned index)
 {
-    struct model_member *member = &model->members[index];
+    struct placemodel_member *member = &model->members[index];
 
     if (member->running) {
         member->running = false;
         member->life++;
-        model_trace(model, member->name, "stops", "");
+        placemodel_trace(model, member->name, "stops", "");
     }
 }
--- a/packages/placement/modelruns.c
+++ b/packages/placement/placemodelruns.c
@@ -1,4 +1,4 @@
-#include "placement/modelruns.h"
+#include "placement/placemodelruns.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -18,11 +18,11 @@
     return random_chance(random, chance) ? value : 0;
 }
 
-static struct model_options
+static struct placemodel_options
 random_options(uint64_t seed, FILE *trace)
 {
-    struct model_options options = model_defaults();
-    struct model_faults *faults = &options.faults;
+    struct placemodel_options options = placemodel_defaults();
+    struct placemodel_faults *faults = &options.faults;
     struct random_state random;
 
     random_seed(&random, seed);
@@ -47,50 +47,50 @@
 }
 
 static void
-shake_loads(struct model *model, const struct model_options *options,
+shake_loads(struct placemodel *model, const struct placemodel_options *options,
             struct random_state *random)
 {
     for (uint32_t i = 0; i < options->shards; i++) {
         double mean =
             options->capacity * options->members / 2.0 / options->shards;
-        model_set_load(model, i, random_exponential(random, mean));
+        placemodel_set_load(model, i, random_exponential(random, mean));
     }
 }
 
 /* A shard in the midst of a planned move is not served for a moment. */
 static bool
-becomes_whole(struct model *model)
+becomes_whole(struct placemodel *model)
 {
     for (int i = 0; i < WHOLE_TRIES; i++) {
-        if (model_is_whole(model)) {
+        if (placemodel_is_whole(model)) {
             return true;
         }
-        model_run(model, WHOLE_PAUSE_US);
+        placemodel_run(model, WHOLE_PAUSE_US);
     }
     return false;
 }
 
-struct model_result
-model_random_run(uint64_t seed, FILE *trace)
+struct placemodel_result
+placemodel_random_run(uint64_t seed, FILE *trace)
 {
-    struct model_options options = random_options(seed, trace);
-    struct model *model = model_create(&options);
+    struct placemodel_options options = random_options(seed, trace);
+    struct placemodel *model = placemodel_create(&options);
     struct random_state random;
-    struct model_result result;
+    struct placemodel_result result;
     int64_t broken = invariant_violations(INVARIANT_ONE_OWNER) +
                      invariant_violations(INVARIANT_EPOCH_RISES);
 
     random_seed(&random, seed + 1);
     for (unsigned i = 0; i < options.members; i++) {
-        model_start(model, i);
+        placemodel_start(model, i);
     }
     for (int i = 0; i < 4; i++) {
         shake_loads(model, &options, &random);
-        model_run(model, FAULTS_US / 4);
+        placemodel_run(model, FAULTS_US / 4);
     }
-    model_heal(model);
-    model_run(model, QUIET_US);
-    result = model_result(model);
+    placemodel_heal(model);
+    placemodel_run(model, QUIET_US);
+    result = placemodel_result(model);
     if (!becomes_whole(model)) {
         result.violations++;
         if (result.first_violation[0] == '\0') {
@@ -101,12 +101,13 @@
     }
     result.violations += invariant_violations(INVARIANT_ONE_OWNER) +
                          invariant_violations(INVARIANT_EPOCH_RISES) - broken;
-    model_destroy(model);
+    placemodel_destroy(model);
     return result;
 }
 
 void
-model_result_add(struct model_result *total, const struct model_result *result)
+placemodel_result_add(struct placemodel_result *total,
+                      const struct placemodel_result *result)
 {
     total->violations += result->violations;
     total->checks += result->checks;
@@ -125,7 +126,7 @@
 }
 
 void
-model_result_print(const struct model_result *result, FILE *stream)
+placemodel_result_print(const struct placemodel_result *result, FILE *stream)
 {
     (void)fprintf(stream,
                   "checks %lld, events %lld, shards moved %lld, moves given "
--- a/packages/placement/modelstore.c
+++ b/packages/placement/placemodelstore.c
@@ -1,4 +1,4 @@
-#include "placement/model_internal.h"
+#include "placement/placemodel_internal.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -9,15 +9,15 @@
 #define LATE_WRITE_MAX_US INT64_C(5000000)
 
 static bool
-conditions_hold(struct model *model, const struct page_write *write)
+conditions_hold(struct placemodel *model, const struct page_write *write)
 {
-    const struct model_page *page = &model->pages[write->page.page];
+    const struct placemodel_page *page = &model->pages[write->page.page];
 
     if (page->version != write->base_version) {
         return false;
     }
     for (size_t i = 0; i < write->expect_count; i++) {
-        int index = model_member_index(model, write->expects[i].instance);
+        int index = placemodel_member_index(model, write->expects[i].instance);
         if (index < 0 ||
             model->rows[index].version != write->expects[i].version) {
             return false;
@@ -27,28 +27,28 @@
 }
 
 static void
-note_moves(struct model *model, const struct page_write *write)
+note_moves(struct placemodel *model, const struct page_write *write)
 {
     for (size_t i = 0; i < write->change_count; i++) {
         char detail[200];
         const struct page_change *change = &write->changes[i];
-        model->load_moved += model_shard_at(model, change->shard)->load;
+        model->load_moved += placemodel_shard_at(model, change->shard)->load;
         model->shards_moved +=
             change->kind == CHANGE_MOVE || change->kind == CHANGE_REPLACE;
         if (change->kind == CHANGE_MOVE) {
             /* What was drained has finished: no wait is due. */
-            model_shard_at(model, change->shard)->served_us = 0;
+            placemodel_shard_at(model, change->shard)->served_us = 0;
         }
         (void)snprintf(detail, sizeof(detail), "%s %u: %s -> %s epoch %u (%s)",
                        change_kind_name(change->kind), change->shard,
                        change->from[0] == '\0' ? "-" : change->from,
                        change->to, change->epoch, change->why);
-        model_trace(model, "store", "write", detail);
+        placemodel_trace(model, "store", "write", detail);
     }
 }
 
 static void
-check_epochs(struct model *model, const struct page_write *write)
+check_epochs(struct placemodel *model, const struct page_write *write)
 {
     struct shardpage before = model->pages[write->page.page].page;
 
@@ -56,18 +56,18 @@
         const struct shardpage_entry *entry = &write->page.entries[i];
         if (model->pages[write->page.page].version != 0 &&
             entry->epoch < before.entries[i].epoch) {
-            model_violation(model, "epoch falls in the store", entry->shard,
-                            entry->owner);
+            placemodel_violation(model, "epoch falls in the store",
+                                 entry->shard, entry->owner);
         }
     }
 }
 
 /* @return the outcome; *version is set if committed. */
 static enum store_outcome
-apply_write(struct model *model, const struct page_write *write,
+apply_write(struct placemodel *model, const struct page_write *write,
             uint64_t *version)
 {
-    struct model_page *page = &model->pages[write->page.page];
+    struct placemodel_page *page = &model->pages[write->page.page];
 
     if (model->conflict_next) {
         model->conflict_next = false;
@@ -77,7 +77,7 @@
     }
     if (!conditions_hold(model, write)) {
         model->result.conflicts++;
-        model_trace(model, "store", "conflict", "");
+        placemodel_trace(model, "store", "conflict", "");
         return STORE_CONFLICT;
     }
     check_epochs(model, write);
@@ -90,7 +90,7 @@
 }
 
 static void
-commit_answered(struct model *model, struct model_event *event)
+commit_answered(struct placemodel *model, struct placemodel_event *event)
 {
     placer_committed(model->members[event->member].placer, event->number,
                      event->outcome, event->version, model->now_us);
@@ -102,11 +102,11 @@
 };
 
 static void
-answer_commit(struct model *model, unsigned member, int64_t delay_us,
+answer_commit(struct placemodel *model, unsigned member, int64_t delay_us,
               const struct commit_answer *answer, enum store_outcome outcome)
 {
-    struct model_event *event =
-        model_event_add(model, member, delay_us, commit_answered);
+    struct placemodel_event *event =
+        placemodel_event_add(model, member, delay_us, commit_answered);
 
     event->number = answer->txn_id;
     event->outcome = outcome;
@@ -115,26 +115,26 @@
 
 /* A write that reached the store applies whether or not its sender lives. */
 static void
-late_write(struct model *model, struct model_event *event)
+late_write(struct placemodel *model, struct placemodel_event *event)
 {
     uint64_t version;
 
-    model_trace(model, "store", "late", "a delayed write arrives");
+    placemodel_trace(model, "store", "late", "a delayed write arrives");
     (void)apply_write(model, event->action->write, &version);
 }
 
 static bool
-is_reachable(const struct model *model, unsigned member)
+is_reachable(const struct placemodel *model, unsigned member)
 {
     return !model->store_down && !model->members[member].isolated;
 }
 
 static void
-commit_arrives(struct model *model, struct model_event *event)
+commit_arrives(struct placemodel *model, struct placemodel_event *event)
 {
-    const struct model_faults *faults = &model->options.faults;
+    const struct placemodel_faults *faults = &model->options.faults;
     struct commit_answer answer = {.txn_id = event->action->write->txn_id};
-    int64_t back_us = model_latency(model, model->options.store_us / 2);
+    int64_t back_us = placemodel_latency(model, model->options.store_us / 2);
     enum store_outcome outcome;
     bool lost = model->lose_next ||
                 random_chance(&model->random, faults->lost_answers);
@@ -145,13 +145,13 @@
         return;
     }
     if (random_chance(&model->random, faults->late_writes)) {
-        struct model_event *late = model_event_add(
+        struct placemodel_event *late = placemodel_event_add(
             model, event->member,
             random_range(&model->random, 0, LATE_WRITE_MAX_US), late_write);
         late->action = event->action;
         event->action = NULL;
         model->result.unknown++;
-        answer_commit(model, event->member, MODEL_ANSWER_LOST_US, &answer,
+        answer_commit(model, event->member, PLACEMODEL_ANSWER_LOST_US, &answer,
                       STORE_UNKNOWN);
         return;
     }
@@ -159,8 +159,8 @@
     if (lost) {
         model->lose_next = false;
         model->result.unknown++;
-        model_trace(model, "store", "lost", "answer");
-        answer_commit(model, event->member, MODEL_ANSWER_LOST_US, &answer,
+        placemodel_trace(model, "store", "lost", "answer");
+        answer_commit(model, event->member, PLACEMODEL_ANSWER_LOST_US, &answer,
                       STORE_UNKNOWN);
         return;
     }
@@ -168,18 +168,18 @@
 }
 
 void
-model_store_commit(struct model *model, unsigned member,
-                   struct place_action *action)
+placemodel_store_commit(struct placemodel *model, unsigned member,
+                        struct place_action *action)
 {
-    struct model_event *event = model_event_add(
-        model, member, model_latency(model, model->options.store_us / 2),
+    struct placemodel_event *event = placemodel_event_add(
+        model, member, placemodel_latency(model, model->options.store_us / 2),
         commit_arrives);
 
     event->action = action;
 }
 
 static void
-read_answered(struct model *model, struct model_event *event)
+read_answered(struct placemodel *model, struct placemodel_event *event)
 {
     placer_read(model->members[event->member].placer, event->page, event->flag,
                 event->content, event->number, model->now_us);
@@ -198,12 +198,12 @@
 }
 
 static void
-read_arrives(struct model *model, struct model_event *event)
+read_arrives(struct placemodel *model, struct placemodel_event *event)
 {
-    const struct model_page *page = &model->pages[event->page];
-    struct model_event *answer = model_event_add(
+    const struct placemodel_page *page = &model->pages[event->page];
+    struct placemodel_event *answer = placemodel_event_add(
         model, event->member,
-        model_latency(model, model->options.store_us / 2), read_answered);
+        placemodel_latency(model, model->options.store_us / 2), read_answered);
 
     answer->page = event->page;
     answer->flag = is_reachable(model, event->member);
@@ -212,57 +212,59 @@
 }
 
 void
-model_store_read(struct model *model, unsigned member, uint32_t page)
+placemodel_store_read(struct placemodel *model, unsigned member, uint32_t page)
 {
-    struct model_event *event = model_event_add(
-        model, member, model_latency(model, model->options.store_us / 2),
+    struct placemodel_event *event = placemodel_event_add(
+        model, member, placemodel_latency(model, model->options.store_us / 2),
         read_arrives);
 
     event->page = page;
 }
 
 static void
-page_read(struct model *model, struct model_event *event)
+page_read(struct placemodel *model, struct placemodel_event *event)
 {
     placer_page(model->members[event->member].placer, event->content,
                 event->number, model->now_us);
 }
 
 static void
-scan_answered(struct model *model, struct model_event *event)
+scan_answered(struct placemodel *model, struct placemodel_event *event)
 {
     placer_scanned(model->members[event->member].placer, event->flag,
                    event->number, model->now_us);
 }
 
 static void
-scan_arrives(struct model *model, struct model_event *event)
+scan_arrives(struct placemodel *model, struct placemodel_event *event)
 {
     bool ok = is_reachable(model, event->member);
-    int64_t back_us = model_latency(model, model->options.store_us / 2);
-    struct model_event *answer;
+    int64_t back_us = placemodel_latency(model, model->options.store_us / 2);
+    struct placemodel_event *answer;
 
     for (uint32_t i = 0; ok && i < model->page_count; i++) {
         if (model->pages[i].version <= event->number) {
             continue;
         }
-        answer = model_event_add(model, event->member, back_us, page_read);
+        answer =
+            placemodel_event_add(model, event->member, back_us, page_read);
         answer->number = model->pages[i].version;
         answer->content = copy_page(&model->pages[i].page);
     }
     if (event->flag) {
-        answer = model_event_add(model, event->member, back_us, scan_answered);
+        answer =
+            placemodel_event_add(model, event->member, back_us, scan_answered);
         answer->flag = ok;
         answer->number = model->store_version;
     }
 }
 
 void
-model_store_scan(struct model *model, unsigned member, uint64_t since,
-                 bool answer)
+placemodel_store_scan(struct placemodel *model, unsigned member,
+                      uint64_t since, bool answer)
 {
-    struct model_event *event = model_event_add(
-        model, member, model_latency(model, model->options.store_us / 2),
+    struct placemodel_event *event = placemodel_event_add(
+        model, member, placemodel_latency(model, model->options.store_us / 2),
         scan_arrives);
 
     event->number = since;
@@ -270,10 +272,10 @@
 }
 
 static void
-member_told(struct model *model, struct model_event *event)
+member_told(struct placemodel *model, struct placemodel_event *event)
 {
-    const struct model_member *about = &model->members[event->from];
-    const struct model_row *row = &model->rows[event->from];
+    const struct placemodel_member *about = &model->members[event->from];
+    const struct placemodel_row *row = &model->rows[event->from];
     struct peer_info info = {
         .state = row->state,
         .incarnation = row->incarnation,
@@ -291,31 +293,31 @@
 }
 
 void
-model_tell_one(struct model *model, unsigned member, unsigned about,
-               bool fenced_here)
+placemodel_tell_one(struct placemodel *model, unsigned member, unsigned about,
+                    bool fenced_here)
 {
-    struct model_event *event = model_event_add(
-        model, member, model_latency(model, TELL_DELAY_US), member_told);
+    struct placemodel_event *event = placemodel_event_add(
+        model, member, placemodel_latency(model, TELL_DELAY_US), member_told);
 
     event->from = about;
     event->flag = fenced_here;
 }
 
 void
-model_tell_members(struct model *model, unsigned about)
+placemodel_tell_members(struct placemodel *model, unsigned about)
 {
     for (unsigned i = 0; i < model->options.members; i++) {
         if (model->members[i].running && !model->members[i].isolated) {
-            model_tell_one(model, i, about, false);
+            placemodel_tell_one(model, i, about, false);
         }
     }
 }
 
 static void
-registered(struct model *model, struct model_event *event)
+registered(struct placemodel *model, struct placemodel_event *event)
 {
-    struct model_member *member = &model->members[event->member];
-    struct model_row *row = &model->rows[event->member];
+    struct placemodel_member *member = &model->members[event->member];
+    struct placemodel_row *row = &model->rows[event->member];
 
     member->registering = false;
     if (!is_reachable(model, event->member)) {
@@ -324,79 +326,80 @@
     row->version = ++model->store_version;
     row->incarnation = ++member->incarnation;
     row->state = PEER_ACTIVE;
-    member->lease_until_us = model->now_us + MODEL_LEASE_US;
+    member->lease_until_us = model->now_us + PLACEMODEL_LEASE_US;
     member->leaving = false;
     member->registered = true;
     placer_set_self(member->placer, row->incarnation, row->version,
                     model->now_us);
     placer_set_leaving(member->placer, false);
-    model_trace(model, member->name, "registers", "");
-    model_tell_members(model, event->member);
+    placemodel_trace(model, member->name, "registers", "");
+    placemodel_tell_members(model, event->member);
 }
 
 void
-model_register(struct model *model, unsigned index)
+placemodel_register(struct placemodel *model, unsigned index)
 {
-    struct model_member *member = &model->members[index];
+    struct placemodel_member *member = &model->members[index];
 
     if (!member->registering) {
         member->registering = true;
-        (void)model_event_add(model, index,
-                              model_latency(model, model->options.store_us),
-                              registered);
+        (void)placemodel_event_add(
+            model, index, placemodel_latency(model, model->options.store_us),
+            registered);
     }
 }
 
 static void
-fence(struct model *model, unsigned index)
+fence(struct placemodel *model, unsigned index)
 {
-    struct model_row *row = &model->rows[index];
+    struct placemodel_row *row = &model->rows[index];
     unsigned by =
         (unsigned)random_below(&model->random, model->options.members);
 
     row->version = ++model->store_version;
     row->state = PEER_GONE;
     model->result.fences++;
-    model_trace(model, model->members[index].name, "fenced", "");
-    model_tell_members(model, index);
+    placemodel_trace(model, model->members[index].name, "fenced", "");
+    placemodel_tell_members(model, index);
     if (model->members[by].running && !model->members[by].isolated) {
-        struct model_event *event = model_event_add(model, by, 0, member_told);
+        struct placemodel_event *event =
+            placemodel_event_add(model, by, 0, member_told);
         event->from = index;
         event->flag = true;
     }
 }
 
 static void
-renew(struct model *model, unsigned index)
+renew(struct placemodel *model, unsigned index)
 {
-    struct model_member *member = &model->members[index];
-    struct model_row *row = &model->rows[index];
+    struct placemodel_member *member = &model->members[index];
+    struct placemodel_row *row = &model->rows[index];
 
     if (member->isolated || !member->running || member->paused ||
-        model->now_us - member->renewed_us < MODEL_RENEW_US) {
+        model->now_us - member->renewed_us < PLACEMODEL_RENEW_US) {
         return;
     }
     member->renewed_us = model->now_us;
     if (!member->registered || row->state == PEER_GONE) {
-        model_register(model, index);
+        placemodel_register(model, index);
         return;
     }
-    member->lease_until_us = model->now_us + MODEL_LEASE_US;
+    member->lease_until_us = model->now_us + PLACEMODEL_LEASE_US;
     /* The row is renewed in the store now and then. */
     if (!model->store_down && random_chance(&model->random, 0.01)) {
         row->version = ++model->store_version;
         placer_set_self(member->placer, row->incarnation, row->version,
                         model->now_us);
-        model_tell_members(model, index);
+        placemodel_tell_members(model, index);
     }
 }
 
 void
-model_leases(struct model *model)
+placemodel_leases(struct placemodel *model)
 {
     for (unsigned i = 0; i < model->options.members; i++) {
-        struct model_member *member = &model->members[i];
-        struct model_row *row = &model->rows[i];
+        struct placemodel_member *member = &model->members[i];
+        struct placemodel_row *row = &model->rows[i];
         int64_t lapsed_us;
         renew(model, i);
         lapsed_us = model->now_us - member->lease_until_us;
--- a/packages/placement/programs/placement_soak.c
+++ b/packages/placement/programs/placement_soak.c
@@ -11,8 +11,8 @@
 #include "base/invariant.h"
 #include "base/log.h"
 #include "base/runtime.h"
-#include "placement/model.h"
-#include "placement/modelruns.h"
+#include "placement/placemodel.h"
+#include "placement/placemodelruns.h"
 
 struct arguments {
     uint64_t seeds;
@@ -57,7 +57,7 @@
 main(int argc, char **argv)
 {
     struct arguments arguments = {.seeds = 1000, .first = 1};
-    struct model_result total = {0};
+    struct placemodel_result total = {0};
     int64_t failed = 0;
     int64_t broken;
 
@@ -67,9 +67,9 @@
     log_init(stderr, LOG_LEVEL_ERROR);
     for (uint64_t i = 0; i < arguments.seeds; i++) {
         uint64_t seed = arguments.first + i;
-        struct model_result result =
-            model_random_run(seed, arguments.trace ? stdout : NULL);
-        model_result_add(&total, &result);
+        struct placemodel_result result =
+            placemodel_random_run(seed, arguments.trace ? stdout : NULL);
+        placemodel_result_add(&total, &result);
         if (result.violations > 0) {
             failed++;
             printf("seed %llu: %lld violations, first: %s\n",
@@ -82,6 +82,6 @@
     printf("runs %llu, failed %lld, invariants broken %lld\n",
            (unsigned long long)arguments.seeds, (long long)failed,
            (long long)broken);
-    model_result_print(&total, stdout);
+    placemodel_result_print(&total, stdout);
     return failed == 0 ? 0 : 1;
 }
--- /dev/null
+++ b/packages/spread/spread.c
@@ -0,0 +1,472 @@
+#include "spread/spread_internal.h"
+
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/runtime.h"
+
+#define PUSHES_EXTRA 6          /* pushes of an item beyond the logarithm */
+#define BURST_SECONDS 3.0       /* budget that can be saved up */
+#define SPREAD_MESSAGE_MAX 1200 /* bytes of items in one message */
+#define ITEMS_PER_BUCKET 8      /* that a section is made for */
+#define FETCH_RETRY_US INT64_C(1000000)
+
+struct spread *
+spread_create(const struct spread_spec *spec, int64_t now_us)
+{
+    struct spread *spread = calloc(1, sizeof(*spread));
+
+    if (spread == NULL) {
+        return NULL;
+    }
+    (void)snprintf(spread->instance, sizeof(spread->instance), "%s",
+                   spec->instance);
+    spread->ops = spec->ops;
+    spread->ctx = spec->ctx;
+    spread->rate = spec->bytes_per_second;
+    spread->tokens = spec->bytes_per_second * BURST_SECONDS;
+    spread->tokens_us = now_us;
+    random_seed(&spread->random, spec->seed);
+    for (int i = 0; i < SPREAD_KINDS; i++) {
+        TAILQ_INIT(&spread->hot[i]);
+    }
+    spread->round_us = now_us;
+    spread->digest_us =
+        now_us + (int64_t)random_below(&spread->random, SPREAD_DIGEST_US);
+    spread->peers = spreadpeers_create(spec->zone, spec->region, spec->choice);
+    spread->store = spreadstore_create();
+    if (spread->peers == NULL || spread->store == NULL) {
+        spread_destroy(spread);
+        return NULL;
+    }
+    return spread;
+}
+
+void
+spread_destroy(struct spread *spread)
+{
+    if (spread != NULL) {
+        spreadstore_destroy(spread->store);
+        spreadpeers_destroy(spread->peers);
+        free(spread);
+    }
+}
+
+struct spreadpeers *
+spread_peers(struct spread *spread)
+{
+    return spread->peers;
+}
+
+void
+spread_set_revision(struct spread *spread, uint64_t revision)
+{
+    spread->revision = revision;
+}
+
+/* Pushes after which an item has reached everyone but for a small chance. */
+static unsigned
+pushes_needed(const struct spread *spread)
+{
+    double members = (double)spreadpeers_count(spread->peers) + 1;
+
+    return (unsigned)ceil(log(members)) + PUSHES_EXTRA;
+}
+
+static void
+heat(struct spread *spread, struct stored_item *item)
+{
+    item->pushes = pushes_needed(spread);
+    if (!item->hot) {
+        item->hot = true;
+        TAILQ_INSERT_TAIL(&spread->hot[item->kind], item, hot_link);
+    }
+}
+
+static void
+cool(struct spread *spread, struct stored_item *item)
+{
+    if (item->hot) {
+        item->hot = false;
+        TAILQ_REMOVE(&spread->hot[item->kind], item, hot_link);
+    }
+}
+
+bool
+spread_put(struct spread *spread, const struct spread_item *item,
+           int64_t now_us)
+{
+    struct stored_item *stored =
+        spreadstore_add(spread->store, item->kind, item->name);
+
+    if (item->version <= stored->version) {
+        return false;
+    }
+    spreadstore_set(spread->store, stored, item->version, item->payload,
+                    item->size);
+    heat(spread, stored);
+    if (spread->round_us < now_us) {
+        spread->round_us = now_us;
+    }
+    return true;
+}
+
+static struct spread_item
+item_of(const struct stored_item *stored)
+{
+    return (struct spread_item){
+        .kind = stored->kind,
+        .name = stored->name,
+        .version = stored->version,
+        .payload = stored->payload,
+        .size = stored->size,
+    };
+}
+
+bool
+spread_find(const struct spread *spread, enum spread_kind kind,
+            const char *name, struct spread_item *item)
+{
+    const struct stored_item *stored =
+        spreadstore_find(spread->store, spreadstore_hash(kind, name));
+
+    if (stored == NULL || !stored->whole) {
+        return false;
+    }
+    *item = item_of(stored);
+    return true;
+}
+
+void
+spread_forget(struct spread *spread, enum spread_kind kind, const char *name)
+{
+    struct stored_item *stored =
+        spreadstore_find(spread->store, spreadstore_hash(kind, name));
+
+    if (stored != NULL) {
+        cool(spread, stored);
+        spreadstore_set(spread->store, stored, stored->version, NULL, 0);
+    }
+}
+
+/* Takes over a whole item from a peer. @return true if it was new. */
+static bool
+accept_item(struct spread *spread, const struct spread_item *item)
+{
+    struct stored_item *stored =
+        spreadstore_add(spread->store, item->kind, item->name);
+    struct spread_item whole;
+
+    if (item->version <= stored->version) {
+        spread->counts.duplicate++;
+        return false;
+    }
+    spreadstore_set(spread->store, stored, item->version, item->payload,
+                    item->size);
+    spread->counts.fresh++;
+    heat(spread, stored);
+    whole = item_of(stored);
+    spread->ops->deliver(spread->ctx, &whole);
+    return true;
+}
+
+static void
+start_fetch(struct spread *spread, struct stored_item *stored,
+            const char *peer, int64_t now_us)
+{
+    if (stored->fetching && now_us - stored->fetch_us < FETCH_RETRY_US) {
+        return;
+    }
+    stored->fetching = true;
+    stored->fetch_us = now_us;
+    spread->counts.fetches++;
+    spread->ops->fetch(spread->ctx, peer, stored->kind, stored->name);
+}
+
+/* @return true if the item or its announcement was new. */
+static bool
+receive_entry(struct spread *spread, const struct spread_entry *entry,
+              const char *peer, int64_t now_us)
+{
+    struct stored_item *stored;
+    struct spread_item item = {
+        .kind = entry->kind,
+        .name = entry->name,
+        .version = entry->item_version,
+        .payload = entry->payload.payload_val,
+        .size = entry->payload.payload_len,
+    };
+
+    if ((unsigned)entry->kind >= SPREAD_KINDS) {
+        return false;
+    }
+    if (entry->size == entry->payload.payload_len) {
+        return accept_item(spread, &item);
+    }
+    stored = spreadstore_add(spread->store, entry->kind, entry->name);
+    if (entry->item_version <= stored->version) {
+        spread->counts.duplicate++;
+        return false;
+    }
+    if (entry->item_version > stored->announced) {
+        stored->announced = entry->item_version;
+    }
+    start_fetch(spread, stored, peer, now_us);
+    return true;
+}
+
+void
+spread_arrived(struct spread *spread, const char *peer, enum spread_kind kind,
+               const char *name, const struct spread_item *item,
+               int64_t now_us)
+{
+    struct stored_item *stored =
+        spreadstore_find(spread->store, spreadstore_hash(kind, name));
+
+    (void)peer;
+    (void)now_us;
+    if (stored != NULL) {
+        stored->fetching = false;
+    }
+    if (item != NULL) {
+        (void)accept_item(spread, item);
+    }
+}
+
+size_t
+spread_entry_bytes(const struct stored_item *stored)
+{
+    size_t payload = stored->size <= SPREAD_INLINE_MAX ? stored->size : 0;
+
+    return SPREAD_ENTRY_BYTES + strlen(stored->name) + payload;
+}
+
+void
+spread_fill_entry(const struct stored_item *stored, struct spread_entry *entry)
+{
+    entry->kind = stored->kind;
+    entry->name = stored->name;
+    entry->item_version = stored->version;
+    entry->size = stored->size;
+    entry->payload.payload_len = 0;
+    entry->payload.payload_val = stored->payload;
+    if (stored->size <= SPREAD_INLINE_MAX) {
+        entry->payload.payload_len = stored->size;
+    }
+}
+
+/* Fills entries with what is hot, most urgent kind first. */
+static u_int
+collect_hot(struct spread *spread, size_t budget)
+{
+    u_int count = 0;
+
+    for (int kind = 0; kind < SPREAD_KINDS; kind++) {
+        struct stored_item *stored = TAILQ_FIRST(&spread->hot[kind]);
+        while (stored != NULL && count < SPREAD_ITEMS_MAX) {
+            struct stored_item *next = TAILQ_NEXT(stored, hot_link);
+            size_t bytes = spread_entry_bytes(stored);
+            if (bytes > budget) {
+                break;
+            }
+            budget -= bytes;
+            spread_fill_entry(stored, &spread->entries[count++]);
+            if (--stored->pushes == 0) {
+                cool(spread, stored);
+            }
+            stored = next;
+        }
+    }
+    return count;
+}
+
+size_t
+spread_message_bytes(const struct spread_message *message)
+{
+    size_t bytes = SPREAD_HEADER_BYTES + 40 + strlen(message->from);
+
+    for (u_int i = 0; i < message->items.items_len; i++) {
+        const struct spread_entry *entry = &message->items.items_val[i];
+        bytes += SPREAD_ENTRY_BYTES + strlen(entry->name) +
+                 entry->payload.payload_len;
+    }
+    return bytes + 4 * (size_t)message->sums.sums_len +
+           8 * (size_t)message->wanted.wanted_len;
+}
+
+size_t
+spread_reply_bytes(const struct spread_reply *reply)
+{
+    size_t bytes = SPREAD_HEADER_BYTES + 24;
+
+    for (u_int i = 0; i < reply->items.items_len; i++) {
+        const struct spread_entry *entry = &reply->items.items_val[i];
+        bytes += SPREAD_ENTRY_BYTES + strlen(entry->name) +
+                 entry->payload.payload_len;
+    }
+    return bytes + 4 * (size_t)reply->buckets.buckets_len +
+           16 * (size_t)reply->known.known_len;
+}
+
+void
+spread_send(struct spread *spread, const char *peer,
+            struct spread_message *message)
+{
+    size_t bytes = spread_message_bytes(message);
+
+    message->from = spread->instance;
+    message->revision = spread->revision;
+    spread->tokens -= (double)bytes;
+    spread->counts.messages++;
+    spread->counts.bytes += (int64_t)bytes;
+    spread->ops->send(spread->ctx, peer, message);
+}
+
+static void
+push(struct spread *spread)
+{
+    for (int i = 0; i < SPREAD_FANOUT; i++) {
+        struct spread_message message = {.from = spread->instance};
+        const char *peer = spreadpeers_choose(spread->peers, &spread->random);
+        if (peer == NULL) {
+            return;
+        }
+        if (spread->tokens < SPREAD_HEADER_BYTES) {
+            spread->counts.throttled++;
+            return;
+        }
+        message.items.items_val = spread->entries;
+        message.items.items_len = collect_hot(spread, SPREAD_MESSAGE_MAX);
+        if (message.items.items_len == 0) {
+            return;
+        }
+        spread_send(spread, peer, &message);
+    }
+}
+
+static void
+refill(struct spread *spread, int64_t now_us)
+{
+    double seconds =
+        (double)(now_us - spread->tokens_us) / (double)US_PER_SECOND;
+
+    spread->tokens_us = now_us;
+    spread->tokens += spread->rate * seconds;
+    if (spread->tokens > spread->rate * BURST_SECONDS) {
+        spread->tokens = spread->rate * BURST_SECONDS;
+    }
+}
+
+void
+spread_run(struct spread *spread, int64_t now_us)
+{
+    refill(spread, now_us);
+    if (now_us >= spread->round_us) {
+        spread->round_us = now_us + SPREAD_ROUND_US;
+        push(spread);
+    }
+    if (now_us >= spread->digest_us) {
+        spread->digest_us =
+            now_us + SPREAD_DIGEST_US / 2 +
+            (int64_t)random_below(&spread->random, SPREAD_DIGEST_US);
+        spread_send_digest(spread);
+    }
+}
+
+int64_t
+spread_due_us(const struct spread *spread)
+{
+    return spread->round_us < spread->digest_us ? spread->round_us
+                                                : spread->digest_us;
+}
+
+static void
+answer_wanted(struct spread *spread, const struct spread_message *message)
+{
+    size_t budget = SPREAD_MESSAGE_MAX;
+    u_int count = 0;
+
+    for (u_int i = 0; i < message->wanted.wanted_len; i++) {
+        const struct stored_item *stored =
+            spreadstore_find(spread->store, message->wanted.wanted_val[i]);
+        if (stored == NULL || !stored->whole || count == SPREAD_ITEMS_MAX ||
+            spread_entry_bytes(stored) > budget) {
+            continue;
+        }
+        budget -= spread_entry_bytes(stored);
+        spread_fill_entry(stored, &spread->entries[count++]);
+    }
+    spread->reply.items.items_val = spread->entries;
+    spread->reply.items.items_len = count;
+}
+
+/* A peer has a revision in force: fetches it if it is not known here. */
+static void
+hear_revision(struct spread *spread, const char *peer, uint64_t revision,
+              int64_t now_us)
+{
+    struct stored_item *stored;
+
+    if (revision == 0) {
+        return;
+    }
+    spread->ops->acknowledged(spread->ctx, peer, revision);
+    stored = spreadstore_add(spread->store, SPREAD_CONFIG, SPREAD_CONFIG_NAME);
+    if (revision > stored->version && revision > spread->revision) {
+        start_fetch(spread, stored, peer, now_us);
+    }
+}
+
+const struct spread_reply *
+spread_received(struct spread *spread, const struct spread_message *message,
+                int64_t now_us)
+{
+    memset(&spread->reply, 0, sizeof(spread->reply));
+    hear_revision(spread, message->from, message->revision, now_us);
+    for (u_int i = 0; i < message->items.items_len; i++) {
+        if (receive_entry(spread, &message->items.items_val[i], message->from,
+                          now_us)) {
+            spread->reply.fresh++;
+        }
+    }
+    spread_answer_digest(spread, message);
+    answer_wanted(spread, message);
+    spread->reply.revision = spread->revision;
+    spread->counts.replies++;
+    return &spread->reply;
+}
+
+void
+spread_answered(struct spread *spread, const char *peer,
+                const struct spread_reply *reply, int64_t now_us)
+{
+    if (reply == NULL) {
+        return;
+    }
+    hear_revision(spread, peer, reply->revision, now_us);
+    for (u_int i = 0; i < reply->items.items_len; i++) {
+        (void)receive_entry(spread, &reply->items.items_val[i], peer, now_us);
+    }
+    spread_compare_digest(spread, peer, reply);
+}
+
+struct spread_counts
+spread_counts(const struct spread *spread)
+{
+    return spread->counts;
+}
+
+size_t
+spread_items(const struct spread *spread)
+{
+    return spreadstore_count(spread->store);
+}
+
+size_t
+spread_memory(const struct spread *spread)
+{
+    return sizeof(*spread) + spreadstore_memory(spread->store) +
+           spreadpeers_memory(spread->peers);
+}
--- /dev/null
+++ b/packages/spread/spreadstore.c
@@ -0,0 +1,133 @@
+#include "spread/spreadstore.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/hash.h"
+
+#define BUCKETS 1024
+
+struct spreadstore {
+    struct stored_list buckets[BUCKETS];
+    size_t count;
+    size_t bytes;
+};
+
+struct spreadstore *
+spreadstore_create(void)
+{
+    return calloc(1, sizeof(struct spreadstore));
+}
+
+void
+spreadstore_destroy(struct spreadstore *store)
+{
+    if (store == NULL) {
+        return;
+    }
+    for (size_t i = 0; i < BUCKETS; i++) {
+        struct stored_item *item = SLIST_FIRST(&store->buckets[i]);
+        while (item != NULL) {
+            struct stored_item *next = SLIST_NEXT(item, link);
+            free(item->payload);
+            free(item->name);
+            free(item);
+            item = next;
+        }
+    }
+    free(store);
+}
+
+uint64_t
+spreadstore_hash(enum spread_kind kind, const char *name)
+{
+    return hash_bytes(name, strlen(name), (uint64_t)kind + 1);
+}
+
+struct stored_item *
+spreadstore_find(const struct spreadstore *store, uint64_t hash)
+{
+    struct stored_item *item;
+
+    SLIST_FOREACH (item, &store->buckets[hash % BUCKETS], link) {
+        if (item->hash == hash) {
+            return item;
+        }
+    }
+    return NULL;
+}
+
+struct stored_item *
+spreadstore_add(struct spreadstore *store, enum spread_kind kind,
+                const char *name)
+{
+    uint64_t hash = spreadstore_hash(kind, name);
+    struct stored_item *item = spreadstore_find(store, hash);
+
+    if (item != NULL) {
+        return item;
+    }
+    item = calloc(1, sizeof(*item));
+    if (item == NULL) {
+        abort();
+    }
+    item->hash = hash;
+    item->kind = kind;
+    item->name = strdup(name);
+    if (item->name == NULL) {
+        abort();
+    }
+    SLIST_INSERT_HEAD(&store->buckets[hash % BUCKETS], item, link);
+    store->count++;
+    store->bytes += sizeof(*item) + strlen(name) + 1;
+    return item;
+}
+
+void
+spreadstore_set(struct spreadstore *store, struct stored_item *item,
+                uint64_t version, const void *payload, size_t size)
+{
+    void *copy = malloc(size + 1);
+
+    if (copy == NULL) {
+        abort();
+    }
+    if (size > 0) {
+        memcpy(copy, payload, size);
+    }
+    store->bytes += size;
+    store->bytes -= item->size;
+    free(item->payload);
+    item->payload = copy;
+    item->size = (uint32_t)size;
+    item->version = version;
+    item->whole = true;
+    if (version > item->announced) {
+        item->announced = version;
+    }
+}
+
+size_t
+spreadstore_count(const struct spreadstore *store)
+{
+    return store->count;
+}
+
+size_t
+spreadstore_memory(const struct spreadstore *store)
+{
+    return sizeof(*store) + store->bytes;
+}
+
+void
+spreadstore_visit(const struct spreadstore *store,
+                  void (*visit)(void *ctx, struct stored_item *item),
+                  void *ctx)
+{
+    for (size_t i = 0; i < BUCKETS; i++) {
+        struct stored_item *item;
+        SLIST_FOREACH (item, &store->buckets[i], link) {
+            visit(ctx, item);
+        }
+    }
+}
