--- a/packages/placement/placemodel_internal.h
+++ b/packages/placement/placemodel_internal.h
@@ -11,11 +11,12 @@
 #include "base/runtime.h"
 #include "placement/placemodel.h"
 
-#define PLACEMODEL_TICK_US INT64_C(20000)         /* placer_run() and checks */
-#define PLACEMODEL_LEASE_US INT64_C(750000)       /* length of a lease */
-#define PLACEMODEL_RENEW_US INT64_C(250000)       /* between renewals */
-#define PLACEMODEL_ANSWER_LOST_US INT64_C(500000) /* time limit of the store  \
-                                                   */
+#define PLACEMODEL_TICK_US INT64_C(20000)   /* placer_run() and checks */
+#define PLACEMODEL_LEASE_US INT64_C(750000) /* length of a lease */
+#define PLACEMODEL_RENEW_US INT64_C(250000) /* between renewals */
+#define PLACEMODEL_ANSWER_LOST_US                                             \
+    INT64_C(500000) /* time limit of the store                                \
+                     */
 #define PLACEMODEL_SERVICE "archebion"
 
 struct placemodel;
