membership: bounded load on the store and on guardians after big faults

Cause: each attempt to fence read a store that is down 10 times a second; all 4,600 members would try at once to fence an instance that is declared lost or overdue; each refused request of an entry sent three alerts. Change: attempts back off up to 2 s; members take turns over 20 ms each for what anyone may do, and not while their polls fail; at most one alert in 100 ms for an address.

--- a/packages/membership/fence.c
+++ b/packages/membership/fence.c
@@ -4,7 +4,8 @@
 
 #define GUARDIANS_MAX (2 * MEMBER_GUARDIANS_MAX)
 #define ASK_INTERVAL_US INT64_C(100000)
-#define RETRY_INTERVAL_US INT64_C(100000) /* of store operations */
+#define RETRY_MIN_US INT64_C(100000) /* after a failed store operation */
+#define RETRY_MAX_US INT64_C(2000000)
 
 /**
  * Longest life of an attempt. Certificates are used only while guardians
@@ -45,6 +46,7 @@
     int64_t first_seen_us;
     int64_t started_us;
     int64_t retry_us;
+    int64_t backoff_us;
 };
 
 struct fence *
@@ -234,6 +236,20 @@
     return gather(fence, now_us);
 }
 
+/** Delays the next store operation after one that failed. */
+static void
+back_off(struct fence *fence, int64_t now_us)
+{
+    fence->backoff_us =
+        fence->backoff_us == 0 ? RETRY_MIN_US : fence->backoff_us * 2;
+    if (fence->backoff_us > RETRY_MAX_US) {
+        fence->backoff_us = RETRY_MAX_US;
+    }
+    fence->retry_us =
+        now_us + random_range(fence->config.random, fence->backoff_us / 2,
+                              fence->backoff_us);
+}
+
 static void
 take_row(struct fence *fence, const struct member *row, int64_t first_seen_us,
          int64_t now_us)
@@ -258,7 +274,7 @@
     }
     if (outcome != STORE_COMMITTED) {
         fence->step = STEP_READ;
-        fence->retry_us = now_us + RETRY_INTERVAL_US;
+        back_off(fence, now_us);
         return;
     }
     if (row == NULL || row->self.incarnation != fence->holder.incarnation ||
@@ -348,7 +364,7 @@
     }
     else if (outcome == STORE_UNAVAILABLE) {
         fence->step = STEP_GATHER;
-        fence->retry_us = now_us + RETRY_INTERVAL_US;
+        back_off(fence, now_us);
     }
     else {
         fence->step = STEP_READ;
--- a/packages/membership/memberpoll.c
+++ b/packages/membership/memberpoll.c
@@ -71,7 +71,8 @@
     int64_t now_us = member_now_us(task);
     member_operation_end(operation);
     poll->busy = false;
-    if (result->outcome != STORE_COMMITTED) {
+    poll->failing = result->outcome != STORE_COMMITTED;
+    if (poll->failing) {
         poll->next_us = now_us + POLL_RETRY_US;
         member_update(task);
         return;
--- a/packages/membership/membertask.c
+++ b/packages/membership/membertask.c
@@ -8,6 +8,7 @@
 #include "base/log.h"
 
 #define SPREAD_PER_MEMBER_US INT64_C(2000)
+#define ALERT_INTERVAL_US INT64_C(100000)
 
 int64_t
 member_now_us(const struct membertask *task)
@@ -361,12 +362,32 @@
     }
 }
 
+/** True at most once in ALERT_INTERVAL_US for an address, since each of many
+ * requests may be refused. */
+static bool
+alert_is_due(struct membertask *task, const struct address *address)
+{
+    struct endpoint endpoint = endpoint_from_address(address);
+    int64_t now_us = member_now_us(task);
+    for (size_t i = 0; i < MEMBER_ALERTS; i++) {
+        const struct member_alert *alert = &task->alerts[i];
+        if (memcmp(&alert->endpoint, &endpoint, sizeof(endpoint)) == 0 &&
+            now_us - alert->at_us < ALERT_INTERVAL_US) {
+            return false;
+        }
+    }
+    task->alerts[task->next_alert++ % MEMBER_ALERTS] =
+        (struct member_alert){endpoint, now_us};
+    return true;
+}
+
 void
 membertask_on_refused_connection(struct membertask *task,
                                  const struct address *address)
 {
     struct member row;
-    if (directory_row_by_address(task->directory, address, &row) &&
+    if (alert_is_due(task, address) &&
+        directory_row_by_address(task->directory, address, &row) &&
         row.self.incarnation != task->self.self.incarnation) {
         alert_guardians(task, &row);
     }
--- a/packages/membership/membertask_internal.h
+++ b/packages/membership/membertask_internal.h
@@ -70,6 +70,7 @@
 struct member_poll {
     bool busy;
     bool complete;       /**< all rows were read once */
+    bool failing;        /**< the latest read failed */
     uint64_t since;      /**< rows up to this version are known */
     uint64_t next_since; /**< the store's version at the first page */
     char after[STORE_NAME_MAX + 1];
@@ -77,6 +78,14 @@
     int64_t next_us;
 };
 
+/** An address whose refusal was told to guardians. */
+struct member_alert {
+    struct endpoint endpoint;
+    int64_t at_us;
+};
+
+#define MEMBER_ALERTS 8
+
 struct member_counters {
     struct counter *renewals_sent;
     struct counter *renewals_answered;
@@ -126,6 +135,8 @@
     struct member_fence_list fences;
     struct member_contact *contacts;
     size_t contact_count;
+    struct member_alert alerts[MEMBER_ALERTS];
+    size_t next_alert;
     int64_t watched_us; /**< latest look at the wards */
     int64_t overdue_us; /**< next look for overdue rows */
     char (*lost)[STATE_NAME_MAX + 1];
--- a/packages/membership/memberwatch.c
+++ b/packages/membership/memberwatch.c
@@ -13,9 +13,10 @@
 #define PROBE_INTERVAL_US INT64_C(100000)
 #define RANK_DELAY_US INT64_C(100000) /* between guardians that fence */
 #define OVERDUE_INTERVAL_US INT64_C(10000000)
-#define OVERDUE_SPREAD_US INT64_C(30000000)
-#define LOST_DELAY_MAX_US INT64_C(5000000) /* of members that don't guard */
+#define SPREAD_MIN_US INT64_C(5000000) /* of what any member may do */
+#define SPREAD_PER_MEMBER_US INT64_C(20000)
 #define LOST_INTERVAL_US INT64_C(1000000)
+#define LOST_TURN_US INT64_C(1500000) /* has at least one look in it */
 
 /**
  * A refused connection proves that the incarnation is gone only if it was
@@ -194,6 +195,15 @@
     return (int64_t)(hash % (uint64_t)bound_us);
 }
 
+/** Over this time members take their turns, so that few act at once. */
+static int64_t
+spread_us(const struct membertask *task)
+{
+    int64_t all_us =
+        (int64_t)directory_live_count(task->directory) * SPREAD_PER_MEMBER_US;
+    return all_us > SPREAD_MIN_US ? all_us : SPREAD_MIN_US;
+}
+
 static void
 check_overdue(void *ctx, const struct directory_view *view)
 {
@@ -201,7 +211,7 @@
     struct member_ref holder = {.incarnation = view->incarnation};
     int64_t limit_us =
         lease_rules_wait_us(&task->rules, view->renewal_max_us) +
-        own_delay_us(task, view->instance, OVERDUE_SPREAD_US);
+        own_delay_us(task, view->instance, spread_us(task));
     if (view->incarnation == task->self.self.incarnation ||
         member_now_us(task) - view->first_seen_us < limit_us ||
         member_fence_find(task, view->incarnation) != NULL) {
@@ -211,6 +221,17 @@
     member_fence_start(task, &holder);
 }
 
+/** True for a while in each spread_us(), for a member that does not guard. */
+static bool
+is_own_turn(const struct membertask *task, const char *instance)
+{
+    int64_t period_us = spread_us(task);
+    int64_t since_us = member_now_us(task) - task->lost_since_us;
+    int64_t turn_us = own_delay_us(task, instance, period_us);
+    return since_us >= turn_us &&
+           (since_us - turn_us) % period_us < LOST_TURN_US;
+}
+
 static void
 check_lost_instance(struct membertask *task, const char *instance)
 {
@@ -222,11 +243,9 @@
         return;
     }
     bool guards = guardian_set_contains(&row.guardians, &task->self.self);
-    int64_t delay_us =
-        guards ? 0 : own_delay_us(task, instance, LOST_DELAY_MAX_US);
     struct member_fence *attempt =
         member_fence_find(task, row.self.incarnation);
-    if (attempt == NULL && now_us >= task->lost_since_us + delay_us) {
+    if (attempt == NULL && (guards || is_own_turn(task, instance))) {
         attempt = member_fence_start(task, &row.self);
     }
     if (attempt != NULL) {
@@ -240,10 +259,12 @@
     if (now_us >= task->overdue_us) {
         const struct directory_filter filter = {.live_only = true};
         task->overdue_us = now_us + OVERDUE_INTERVAL_US;
-        directory_visit(task->directory, &filter, check_overdue, task);
+        if (!task->poll.failing) {
+            directory_visit(task->directory, &filter, check_overdue, task);
+        }
         expire_contacts(task, now_us);
     }
-    if (task->lost_count == 0) {
+    if (task->lost_count == 0 || task->poll.failing) {
         return task->overdue_us;
     }
     if (now_us >= task->lost_us) {
