--- a/packages/gate/gate.h
+++ b/packages/gate/gate.h
@@ -22,6 +22,7 @@
     GATE_END_SHED,     /**< the target refused it unrun (503 with its mark) */
     GATE_END_CONNECT,  /**< no connection; no byte was sent */
     GATE_END_CUT,      /**< the connection closed before the whole answer */
+    GATE_END_STOPPED,  /**< this side gave up: timeout, or lease lost */
 };
 
 enum gate_state {
--- a/packages/gate/gateend.c
+++ b/packages/gate/gateend.c
@@ -96,6 +96,8 @@
         return LIMIT_SAMPLE_ANSWERED;
     case GATE_END_SHED:
         return LIMIT_SAMPLE_SHED;
+    case GATE_END_STOPPED:
+        return LIMIT_SAMPLE_ABANDONED;
     case GATE_END_CONNECT:
     case GATE_END_CUT:
         break;
@@ -155,6 +157,9 @@
         }
         gate_lose(gate, request, FORWARD_REASON_TARGET_CUT);
         break;
+    case GATE_END_STOPPED:
+        gate_lose(gate, request, FORWARD_REASON_CANCELLED);
+        break;
     }
     gate_pump(gate, now_us);
 }
--- a/packages/gate/test/gate_test.cc
+++ b/packages/gate/test/gate_test.cc
@@ -335,6 +335,10 @@
     EXPECT_EQ(FORWARD_UNKNOWN, told_[request].outcome);
     EXPECT_EQ(FORWARD_REASON_TARGET_CUT, told_[request].reason);
     EXPECT_EQ(FORWARD_REASON_ID_UNKNOWN, told_[Arrive("a")].reason);
+    gate_request *stopped = Arrive("c");
+    Finish(SendNext(), GATE_END_STOPPED);
+    EXPECT_EQ(FORWARD_REASON_CANCELLED, told_[stopped].reason);
+    EXPECT_EQ(FORWARD_UNKNOWN, told_[stopped].outcome);
     gate_request *unsent = Arrive("b");
     Finish(unsent, GATE_END_CONNECT);
     EXPECT_EQ(FORWARD_NOT_RUN, told_[unsent].outcome);
