--- a/packages/entry/bench/bench_requests.c
+++ b/packages/entry/bench/bench_requests.c
@@ -62,6 +62,31 @@
     return config;
 }
 
+/* Loads that the other targets can bear while two, or one, are slow. */
+static struct model_config
+powys_half_load(uint64_t seed)
+{
+    struct model_config config = model_powys(seed);
+    config.rate *= 0.5;
+    return config;
+}
+
+static struct model_config
+lagos_half_load(uint64_t seed)
+{
+    struct model_config config = model_lagos(seed);
+    config.rate *= 0.5;
+    return config;
+}
+
+static const struct place half_load_places[] = {
+    {"powys_half_load", powys_half_load},
+    {"lagos_half_load", lagos_half_load},
+};
+
+#define HALF_LOAD_PLACE_COUNT                                                 \
+    (sizeof(half_load_places) / sizeof(half_load_places[0]))
+
 static const struct place places[] = {
     {"powys", model_powys},
     {"lagos", model_lagos},
@@ -486,6 +511,9 @@
     log_init(stderr, LOG_LEVEL_OFF);
     invariant_set_handler(on_violation, NULL);
     bench_choice();
+    for (size_t i = 0; i < HALF_LOAD_PLACE_COUNT; i++) {
+        bench_stragglers(&half_load_places[i]);
+    }
     for (size_t i = 0; i < PLACE_COUNT; i++) {
         bench_stragglers(&places[i]);
         bench_cold(&places[i]);
--- a/packages/gate/admission.c
+++ b/packages/gate/admission.c
@@ -262,7 +262,8 @@
     if (request->hedge) {
         return false;
     }
-    return request->keyed || limit_phase(admission->limit) == LIMIT_WARM;
+    return !request->entry.movable ||
+           limit_phase(admission->limit) == LIMIT_WARM;
 }
 
 struct admission_decision
@@ -445,6 +446,10 @@
     }
     const struct queue_rate rate = admission_rate(admission, now_us);
     struct queue_entry *late = queue_expire(&admission->queue, &rate, now_us);
+    if (late == NULL && limit_phase(admission->limit) != LIMIT_WARM) {
+        /* What another target can run does not wait for this one. */
+        late = queue_pop_movable(&admission->queue);
+    }
     if (late != NULL) {
         request = admission_of(late);
         request->state = ADMISSION_STATE_NONE;
--- a/packages/gate/admission.h
+++ b/packages/gate/admission.h
@@ -56,7 +56,7 @@
 
 /** A request, embedded in its owner. Set the fields above state. */
 struct admission_request {
-    struct queue_entry entry; /**< deadline_us and idempotent are set */
+    struct queue_entry entry; /**< its first three fields are set */
     bool keyed;               /**< this instance must own the shard */
     bool suspect;             /**< the entry asks for it to run alone */
     bool hedge;               /**< an extra try; it never waits */
--- a/packages/gate/gate.c
+++ b/packages/gate/gate.c
@@ -200,7 +200,10 @@
             const struct dedup_time *time)
 {
     gate->now_us = time->now_us;
-    const struct admission_request *admission = &request->admission;
+    struct admission_request *admission = &request->admission;
+    admission->entry.movable =
+        !admission->keyed ||
+        (request->may_delegate && gate->ops.delegate != NULL);
     if (admission->keyed && !admission->entry.idempotent &&
         request->id[0] != '\0') {
         gate_arrive_id(gate, request, time);
--- a/packages/gate/queue.c
+++ b/packages/gate/queue.c
@@ -140,6 +140,22 @@
     return late;
 }
 
+struct queue_entry *
+queue_pop_movable(struct queue *queue)
+{
+    struct queue_list *lists[] = {&queue->orders, &queue->reads};
+    for (size_t i = 0; i < sizeof(lists) / sizeof(lists[0]); i++) {
+        struct queue_entry *entry;
+        TAILQ_FOREACH (entry, lists[i], link) {
+            if (entry->movable) {
+                queue_remove(queue, entry);
+                return entry;
+            }
+        }
+    }
+    return NULL;
+}
+
 void
 queue_remove(struct queue *queue, struct queue_entry *entry)
 {
--- a/packages/gate/queue.h
+++ b/packages/gate/queue.h
@@ -12,11 +12,12 @@
 #include <stdint.h>
 #include <sys/queue.h>
 
-/** A waiting request, embedded in its owner. Set the first two fields. */
+/** A waiting request, embedded in its owner. Set the first three fields. */
 struct queue_entry {
     int64_t deadline_us;
     bool idempotent;
-    bool queued; /**< private */
+    bool movable; /**< another target may run it instead */
+    bool queued;  /**< private */
     int64_t queued_us;
     TAILQ_ENTRY(queue_entry) link;
 };
@@ -67,6 +68,9 @@
                                  const struct queue_rate *rate,
                                  int64_t now_us);
 
+/** Takes an entry that another target may run instead, or NULL. */
+struct queue_entry *queue_pop_movable(struct queue *queue);
+
 void queue_remove(struct queue *queue, struct queue_entry *entry);
 
 /** When a refused request should come back, rounded up to milliseconds. */
