standin: ids of orders begin with the time of their making

The gate lets an id run after an unplanned change of owner only if it was made after the new ownership began; ids without a time were all unknown.

--- a/packages/standin/loadrun.c
+++ b/packages/standin/loadrun.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/queue.h>
+#include <time.h>
 
 #include <event2/buffer.h>
 #include <event2/http.h>
@@ -14,7 +15,7 @@
 #include "standin/loadkeys.h"
 #include "standin/loadresult.h"
 
-#define ID_SIZE 40
+#define ID_SIZE 64
 #define PATH_SIZE 256
 #define WAITING_MAX 100000 /* requests without a connection; then dropped */
 #define RESEND_DELAY_US (100 * US_PER_MS)
@@ -303,6 +304,16 @@
     }
 }
 
+/** An id that begins with the time of its making lets a new owner tell that
+ * no earlier one can have run it. */
+static int64_t
+wall_ms(void)
+{
+    struct timespec now;
+    clock_gettime(CLOCK_REALTIME, &now);
+    return now.tv_sec * INT64_C(1000) + now.tv_nsec / 1000000;
+}
+
 static struct load_item *
 item_create(struct load_run *run)
 {
@@ -319,7 +330,8 @@
     snprintf(item->path, sizeof(item->path), "%s/%s", run->config.prefix,
              item->key);
     if (item->is_order) {
-        snprintf(item->id, sizeof(item->id), "%016" PRIx64 "-%" PRIu64,
+        snprintf(item->id, sizeof(item->id),
+                 "%013" PRId64 "-%016" PRIx64 "-%" PRIu64, wall_ms(),
                  run->run_id, run->next_id++);
     }
     return item;
