--- /dev/null
+++ b/packages/base/memory.c
@@ -0,0 +1,41 @@
+#include "base/memory.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+static void *
+checked(void *memory)
+{
+    if (memory == NULL) {
+        abort();
+    }
+    return memory;
+}
+
+void *
+memory_zeroed(size_t count, size_t size)
+{
+    return checked(calloc(count > 0 ? count : 1, size));
+}
+
+void *
+memory_resized(void *memory, size_t count, size_t size)
+{
+    return checked(reallocarray(memory, count > 0 ? count : 1, size));
+}
+
+void *
+memory_copy(const void *data, size_t size)
+{
+    void *copy = checked(malloc(size > 0 ? size : 1));
+    if (size > 0) {
+        memcpy(copy, data, size);
+    }
+    return copy;
+}
+
+char *
+memory_text(const char *text)
+{
+    return text != NULL ? checked(strdup(text)) : NULL;
+}
--- a/packages/ctl/ctlstore.c
+++ b/packages/ctl/ctlstore.c
@@ -1,6 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/memory.h"
 #include "ctl/ctl.h"
 #include "store/storeresolve.h"
 
@@ -12,20 +13,11 @@
     bool more;
 };
 
-static void *
-must(void *memory)
-{
-    if (memory == NULL) {
-        abort();
-    }
-    return memory;
-}
-
 static void
 append_row(struct ctl_rows *rows, const struct store_row *row)
 {
     rows->rows =
-        must(realloc(rows->rows, (rows->count + 1) * sizeof(rows->rows[0])));
+        memory_resized(rows->rows, rows->count + 1, sizeof(rows->rows[0]));
     struct ctl_row *copy = &rows->rows[rows->count++];
     snprintf(copy->name, sizeof(copy->name), "%s", row->name);
     copy->version = row->version;
--- a/packages/ctl/table.c
+++ b/packages/ctl/table.c
@@ -5,6 +5,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/memory.h"
+
 #define COLUMN_GAP 2 /* spaces between columns */
 
 struct table {
@@ -14,19 +16,10 @@
     size_t cell_count;
 };
 
-static void *
-must(void *memory)
-{
-    if (memory == NULL) {
-        abort();
-    }
-    return memory;
-}
-
 struct table *
 table_create(const char *const *headings, size_t column_count)
 {
-    struct table *table = must(calloc(1, sizeof(*table)));
+    struct table *table = memory_zeroed(1, sizeof(*table));
     table->headings = headings;
     table->column_count = column_count;
     return table;
@@ -52,8 +45,8 @@
         abort();
     }
     va_end(args);
-    table->cells = must(realloc(table->cells, (table->cell_count + 1) *
-                                                  sizeof(table->cells[0])));
+    table->cells = memory_resized(table->cells, table->cell_count + 1,
+                                  sizeof(table->cells[0]));
     table->cells[table->cell_count++] = text;
 }
 
@@ -70,6 +63,17 @@
     return (int)width + COLUMN_GAP;
 }
 
+static void
+print_row(const struct table *table, const int *widths,
+          const char *const *cells)
+{
+    const size_t last = table->column_count - 1;
+    for (size_t i = 0; i < last; i++) {
+        printf("%-*s", widths[i], cells[i]);
+    }
+    printf("%s\n", cells[last]);
+}
+
 void
 table_print(const struct table *table)
 {
@@ -78,19 +82,13 @@
         return;
     }
     const size_t columns = table->column_count;
-    int *widths = must(calloc(columns, sizeof(widths[0])));
+    int *widths = memory_zeroed(columns, sizeof(widths[0]));
     for (size_t i = 0; i < columns; i++) {
         widths[i] = column_width(table, i);
     }
-    for (size_t i = 0; i < columns + table->cell_count; i++) {
-        const size_t column = i % columns;
-        const char *text =
-            i < columns ? table->headings[i] : table->cells[i - columns];
-        if (column + 1 == columns) {
-            printf("%s\n", text);
-            continue;
-        }
-        printf("%-*s", widths[column], text);
+    print_row(table, widths, table->headings);
+    for (size_t i = 0; i < table->cell_count; i += columns) {
+        print_row(table, widths, (const char *const *)&table->cells[i]);
     }
     free(widths);
 }
--- a/packages/state/stateparse.c
+++ b/packages/state/stateparse.c
@@ -1,6 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/memory.h"
 #include "base/runtime.h"
 #include "state/state.h"
 
@@ -88,10 +89,7 @@
         range_problem(top, "zones", "at least one");
         return;
     }
-    state->zones = calloc(count, sizeof(state->zones[0]));
-    if (state->zones == NULL) {
-        abort();
-    }
+    state->zones = memory_zeroed(count, sizeof(state->zones[0]));
     for (size_t i = 0; i < count; i++) {
         parse_zone(state, &state->zones[i], json_array_get(array, i), i,
                    top->problems);
@@ -327,10 +325,7 @@
         return;
     }
     const size_t count = json_array_size(array);
-    state->services = calloc(count + 1, sizeof(state->services[0]));
-    if (state->services == NULL) {
-        abort();
-    }
+    state->services = memory_zeroed(count + 1, sizeof(state->services[0]));
     for (size_t i = 0; i < count; i++) {
         parse_service(state, &state->services[i], json_array_get(array, i), i,
                       top->problems);
@@ -345,10 +340,7 @@
         top, "lost_instances", DOCUMENT_OPTIONAL, LOST_INSTANCES_MAX);
     const size_t count = json_array_size(array);
     state->lost_instances =
-        calloc(count + 1, sizeof(state->lost_instances[0]));
-    if (state->lost_instances == NULL) {
-        abort();
-    }
+        memory_zeroed(count + 1, sizeof(state->lost_instances[0]));
     for (size_t i = 0; i < count; i++) {
         const char *name = json_string_value(json_array_get(array, i));
         if (name == NULL || !document_name_valid(name, STATE_NAME_MAX + 1)) {
--- a/packages/store/promiselog.c
+++ b/packages/store/promiselog.c
@@ -6,6 +6,7 @@
 #define LOG_MODULE "promises"
 #include "base/invariant.h"
 #include "base/log.h"
+#include "base/memory.h"
 #include "base/random.h"
 #include "store/audit.h"
 
@@ -196,10 +197,7 @@
 promiselog_create(struct runtime *runtime, const struct store *store,
                   const char *instance)
 {
-    struct promiselog *log = calloc(1, sizeof(*log));
-    if (log == NULL) {
-        abort();
-    }
+    struct promiselog *log = memory_zeroed(1, sizeof(*log));
     log->runtime = runtime;
     log->store = *store;
     snprintf(log->instance, sizeof(log->instance), "%s", instance);
--- a/packages/store/storecall.c
+++ b/packages/store/storecall.c
@@ -13,6 +13,7 @@
 
 #define LOG_MODULE "store"
 #include "base/log.h"
+#include "base/memory.h"
 #include "store/storecodec.h"
 
 /* evhttp's own timeout is a backstop behind the timer of each call. */
@@ -50,10 +51,7 @@
 static void
 post(struct store_http *http, enum message_type type, struct http_call *call)
 {
-    struct call_message *message = calloc(1, sizeof(*message));
-    if (message == NULL) {
-        abort();
-    }
+    struct call_message *message = memory_zeroed(1, sizeof(*message));
     message->message.type = type;
     message->call = call;
     task_post(http->task, &message->message);
@@ -423,10 +421,7 @@
 store_call_create(struct store_http *http, enum call_kind kind, char *path,
                   void *ctx)
 {
-    struct http_call *call = calloc(1, sizeof(*call));
-    if (call == NULL) {
-        abort();
-    }
+    struct http_call *call = memory_zeroed(1, sizeof(*call));
     call->http = http;
     call->kind = kind;
     call->path = path;
--- a/packages/store/storehttp.c
+++ b/packages/store/storehttp.c
@@ -3,28 +3,16 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/memory.h"
 #include "store/storecall.h"
 #include "store/storecodec.h"
 
-static char *
-copy_or_null(const char *text)
-{
-    if (text == NULL) {
-        return NULL;
-    }
-    char *copy = strdup(text);
-    if (copy == NULL) {
-        abort();
-    }
-    return copy;
-}
-
 static void
 http_commit(void *impl, const struct store_txn *txn, store_commit_cb callback,
             void *ctx)
 {
     struct http_call *call = store_call_create(
-        impl, CALL_COMMIT, copy_or_null(STORE_PATH_COMMIT), ctx);
+        impl, CALL_COMMIT, memory_text(STORE_PATH_COMMIT), ctx);
     call->callback.commit = callback;
     json_t *document = store_txn_to_json(txn);
     if (document != NULL) {
@@ -42,8 +30,8 @@
     struct http_call *call = store_call_create(
         impl, CALL_READ, store_codec_row_path(table, row), ctx);
     call->callback.read = callback;
-    call->table = copy_or_null(table);
-    call->row = copy_or_null(row);
+    call->table = memory_text(table);
+    call->row = memory_text(row);
     store_call_start(call);
 }
 
@@ -54,8 +42,8 @@
     struct http_call *call =
         store_call_create(impl, CALL_SCAN, store_codec_rows_path(scan), ctx);
     call->callback.read = callback;
-    call->table = copy_or_null(scan->table);
-    call->after = copy_or_null(scan->after);
+    call->table = memory_text(scan->table);
+    call->after = memory_text(scan->after);
     store_call_start(call);
 }
 
--- a/packages/store/storememory.c
+++ b/packages/store/storememory.c
@@ -4,6 +4,7 @@
 #include <string.h>
 #include <sys/queue.h>
 
+#include "base/memory.h"
 #include "base/random.h"
 #include "store/storetxn.h"
 
@@ -69,21 +70,6 @@
     struct delayed_write_list delayed;
 };
 
-static void *
-must(void *memory)
-{
-    if (memory == NULL) {
-        abort();
-    }
-    return memory;
-}
-
-static char *
-copy_or_null(const char *text)
-{
-    return text != NULL ? must(strdup(text)) : NULL;
-}
-
 static bool
 fault_hits(struct store_memory *memory, unsigned percent)
 {
@@ -127,7 +113,7 @@
 delay_write(struct memory_call *call)
 {
     struct store_memory *memory = call->memory;
-    struct delayed_write *delayed = must(calloc(1, sizeof(*delayed)));
+    struct delayed_write *delayed = memory_zeroed(1, sizeof(*delayed));
     delayed->memory = memory;
     delayed->txn = store_txn_copy(call->txn);
     TAILQ_INSERT_TAIL(&memory->delayed, delayed, link);
@@ -167,7 +153,7 @@
     const struct store_tables *tables = call->memory->tables;
     call->version = store_tables_version(tables);
     if (call->kind == CALL_READ) {
-        call->rows = must(calloc(1, sizeof(call->rows[0])));
+        call->rows = memory_zeroed(1, sizeof(call->rows[0]));
         call->row_count = 1;
         store_tables_read(tables, call->table, call->row, &call->rows[0]);
         json_incref(call->rows[0].value);
@@ -183,7 +169,7 @@
     if (max == 0 || max > STORE_SCAN_LIMIT) {
         max = STORE_SCAN_LIMIT;
     }
-    call->rows = must(calloc(max, sizeof(call->rows[0])));
+    call->rows = memory_zeroed(max, sizeof(call->rows[0]));
     call->row_count =
         store_tables_scan(tables, &scan, call->rows, max, &call->more);
     for (size_t i = 0; i < call->row_count; i++) {
@@ -202,8 +188,7 @@
     const void *data =
         store_tables_get_object(tables, call->table, &call->size);
     if (data != NULL) {
-        call->data = must(malloc(call->size > 0 ? call->size : 1));
-        memcpy(call->data, data, call->size);
+        call->data = memory_copy(data, call->size);
     }
 }
 
@@ -281,7 +266,7 @@
 static struct memory_call *
 call_start(struct store_memory *memory, enum call_kind kind, void *ctx)
 {
-    struct memory_call *call = must(calloc(1, sizeof(*call)));
+    struct memory_call *call = memory_zeroed(1, sizeof(*call));
     call->memory = memory;
     call->kind = kind;
     call->ctx = ctx;
@@ -310,8 +295,8 @@
     memory->counts.reads++;
     struct memory_call *call = call_start(memory, CALL_READ, ctx);
     call->callback.read = callback;
-    call->table = copy_or_null(table);
-    call->row = copy_or_null(row);
+    call->table = memory_text(table);
+    call->row = memory_text(row);
 }
 
 static void
@@ -322,9 +307,9 @@
     memory->counts.reads++;
     struct memory_call *call = call_start(memory, CALL_SCAN, ctx);
     call->callback.read = callback;
-    call->table = copy_or_null(scan->table);
-    call->row = copy_or_null(scan->prefix);
-    call->after = copy_or_null(scan->after);
+    call->table = memory_text(scan->table);
+    call->row = memory_text(scan->prefix);
+    call->after = memory_text(scan->after);
     call->since = scan->since;
     call->limit = scan->limit;
 }
@@ -337,12 +322,9 @@
     memory->counts.commits++;
     struct memory_call *call = call_start(memory, CALL_PUT_OBJECT, ctx);
     call->callback.commit = callback;
-    call->table = copy_or_null(name);
-    call->data = must(malloc(size > 0 ? size : 1));
+    call->table = memory_text(name);
+    call->data = memory_copy(data, size);
     call->size = size;
-    if (size > 0) {
-        memcpy(call->data, data, size);
-    }
 }
 
 static void
@@ -353,7 +335,7 @@
     memory->counts.reads++;
     struct memory_call *call = call_start(memory, CALL_GET_OBJECT, ctx);
     call->callback.object = callback;
-    call->table = copy_or_null(name);
+    call->table = memory_text(name);
 }
 
 static const struct store_ops memory_ops = {
--- a/packages/store/storeresolve.c
+++ b/packages/store/storeresolve.c
@@ -6,6 +6,7 @@
 
 #define LOG_MODULE "store"
 #include "base/log.h"
+#include "base/memory.h"
 #include "store/storetxn.h"
 
 /** One commit until its outcome is settled. */
@@ -196,10 +197,7 @@
 store_resolver_create(struct runtime *runtime, const struct store *store,
                       const struct store_resolve_options *options)
 {
-    struct store_resolver *resolver = calloc(1, sizeof(*resolver));
-    if (resolver == NULL) {
-        abort();
-    }
+    struct store_resolver *resolver = memory_zeroed(1, sizeof(*resolver));
     resolver->runtime = runtime;
     resolver->store = *store;
     resolver->options = *options;
@@ -248,10 +246,7 @@
         LOG_ERR("commit_without_guard", LOG_UINT("txn", store_txn_id(txn)));
         abort();
     }
-    struct resolving *resolving = calloc(1, sizeof(*resolving));
-    if (resolving == NULL) {
-        abort();
-    }
+    struct resolving *resolving = memory_zeroed(1, sizeof(*resolving));
     resolving->resolver = resolver;
     resolving->txn = store_txn_copy(txn);
     resolving->callback = callback;
--- a/packages/store/storetables.c
+++ b/packages/store/storetables.c
@@ -4,6 +4,7 @@
 #include <string.h>
 #include <sys/queue.h>
 
+#include "base/memory.h"
 #include "store/storetxn.h"
 
 struct table_row {
@@ -38,19 +39,10 @@
     size_t row_count;
 };
 
-static void *
-must(void *memory)
-{
-    if (memory == NULL) {
-        abort();
-    }
-    return memory;
-}
-
 struct store_tables *
 store_tables_create(void)
 {
-    struct store_tables *tables = must(calloc(1, sizeof(*tables)));
+    struct store_tables *tables = memory_zeroed(1, sizeof(*tables));
     STAILQ_INIT(&tables->tables);
     STAILQ_INIT(&tables->objects);
     return tables;
@@ -153,14 +145,14 @@
 {
     if (table->count == table->capacity) {
         table->capacity = table->capacity == 0 ? 16 : table->capacity * 2;
-        table->rows = must(realloc(
-            table->rows, table->capacity * sizeof(struct table_row *)));
+        table->rows = memory_resized(table->rows, table->capacity,
+                                     sizeof(struct table_row *));
     }
     const size_t index = lower_bound(table, name);
     memmove(&table->rows[index + 1], &table->rows[index],
             (table->count - index) * sizeof(struct table_row *));
-    struct table_row *row = must(calloc(1, sizeof(*row)));
-    row->name = must(strdup(name));
+    struct table_row *row = memory_zeroed(1, sizeof(*row));
+    row->name = memory_text(name);
     table->rows[index] = row;
     table->count++;
     return row;
@@ -176,8 +168,8 @@
     }
     struct table *table = find_table(tables, table_name);
     if (table == NULL) {
-        table = must(calloc(1, sizeof(*table)));
-        table->name = must(strdup(table_name));
+        table = memory_zeroed(1, sizeof(*table));
+        table->name = memory_text(table_name);
         STAILQ_INSERT_TAIL(&tables->tables, table, link);
     }
     tables->row_count++;
@@ -300,16 +292,12 @@
 {
     struct object *object = find_object(tables, name);
     if (object == NULL) {
-        object = must(calloc(1, sizeof(*object)));
-        object->name = must(strdup(name));
+        object = memory_zeroed(1, sizeof(*object));
+        object->name = memory_text(name);
         STAILQ_INSERT_TAIL(&tables->objects, object, link);
     }
-    void *copy = must(malloc(size > 0 ? size : 1));
-    if (size > 0) {
-        memcpy(copy, data, size);
-    }
     free(object->data);
-    object->data = copy;
+    object->data = memory_copy(data, size);
     object->size = size;
 }
 
--- a/packages/store/storetxn.c
+++ b/packages/store/storetxn.c
@@ -5,30 +5,12 @@
 #include <stdlib.h>
 #include <string.h>
 
-static void *
-allocate(size_t size)
-{
-    void *memory = calloc(1, size);
-    if (memory == NULL) {
-        abort();
-    }
-    return memory;
-}
-
-static char *
-copy_text(const char *text)
-{
-    char *copy = strdup(text);
-    if (copy == NULL) {
-        abort();
-    }
-    return copy;
-}
+#include "base/memory.h"
 
 struct store_txn *
 store_txn_create(uint64_t id)
 {
-    struct store_txn *txn = allocate(sizeof(*txn));
+    struct store_txn *txn = memory_zeroed(1, sizeof(*txn));
     txn->id = id;
     STAILQ_INIT(&txn->conditions);
     STAILQ_INIT(&txn->writes);
@@ -63,9 +45,9 @@
 store_txn_expect(struct store_txn *txn, const char *table, const char *row,
                  uint64_t version)
 {
-    struct store_condition *condition = allocate(sizeof(*condition));
-    condition->table = copy_text(table);
-    condition->row = copy_text(row);
+    struct store_condition *condition = memory_zeroed(1, sizeof(*condition));
+    condition->table = memory_text(table);
+    condition->row = memory_text(row);
     condition->version = version;
     STAILQ_INSERT_TAIL(&txn->conditions, condition, link);
 }
@@ -74,9 +56,9 @@
 store_txn_put(struct store_txn *txn, const char *table, const char *row,
               json_t *value)
 {
-    struct store_write *write = allocate(sizeof(*write));
-    write->table = copy_text(table);
-    write->row = copy_text(row);
+    struct store_write *write = memory_zeroed(1, sizeof(*write));
+    write->table = memory_text(table);
+    write->row = memory_text(row);
     write->value = value;
     STAILQ_INSERT_TAIL(&txn->writes, write, link);
 }
