protocol: bound what waits for a connection and how many are accepted

Calls that wait for a connection take at most 64 MiB, then they fail as not sent; at most 16,384 connections are accepted. Tests: a peer that does not read, a stop with a request on its way, another incarnation of a target amid requests.

--- a/packages/http/test/httpserver_test.cc
+++ b/packages/http/test/httpserver_test.cc
@@ -70,6 +70,24 @@
     EXPECT_TRUE(Until([&] { return stopped; }));
 }
 
+TEST_F(HttpTest, StopStillAnswersARequestThatIsOnItsWay)
+{
+    const int fd = ConnectRaw("GET /1 HTTP/1.1\r\n\r\n");
+    EXPECT_NE(std::string::npos, ReadRaw(fd, "\r\n\r\n").find("X-Path: /1"));
+    bool stopped = false;
+    http_server_stop(
+        server, [](void *ctx) { *static_cast<bool *>(ctx) = true; }, &stopped);
+    Until([] { return false; }, 20);
+    const std::string late = "GET /2 HTTP/1.1\r\n\r\n";
+    send(fd, late.data(), late.size(), MSG_NOSIGNAL);
+    const std::string got = ReadRaw(fd, "\r\n\r\n");
+    EXPECT_NE(std::string::npos, got.find("X-Path: /2"));
+    EXPECT_NE(std::string::npos, got.find("Connection: close"));
+    close(fd);
+    sockets.pop_back();
+    EXPECT_TRUE(Until([&] { return stopped; }));
+}
+
 TEST_F(HttpTest, SlowCallersAreClosedInTime)
 {
     struct http_server_config config = {};
--- a/packages/protocol/rpc_internal.h
+++ b/packages/protocol/rpc_internal.h
@@ -32,6 +32,7 @@
 #define RPC_OUTPUT_MAX (64u << 20)  /* bytes; then calls fail unsent */
 #define RPC_HELD_HIGH (64u << 20)   /* bytes of a peer's calls in work; then */
                                     /* reading stops until half are answered */
+#define RPC_ACCEPTED_MAX 16384      /* connections from peers */
 #define RPC_BULK_MIN (64u << 10)    /* bytes; such calls use their own lane */
 #define RPC_READ_MAX (256u << 10)   /* bytes taken from a socket at once */
 #define RPC_MARK_SIZE 4             /* bytes of a record mark */
@@ -90,6 +91,7 @@
     struct rpc_call_queue failed; /* calls to end in the next iteration */
     struct rpc_request_list requests;
     struct rpc_connection_list accepted;
+    size_t accepted_count;
     struct rpc_connection_list outgoing[RPC_PEER_BUCKETS];
     uint32_t next_xid;
     struct rpc_counters counters;
@@ -107,6 +109,7 @@
     bool holding_much; /* reading stops: too much of the peer is in work */
     struct timer connect_timer;
     struct rpc_call_queue waiting; /* not written: no connection yet */
+    size_t waiting_bytes;          /* of the calls that wait */
     struct rpc_call_queue sent;
     struct xid_table requests;
     size_t held_bytes;          /* of the peer's calls in work */
--- a/packages/protocol/rpccall.c
+++ b/packages/protocol/rpccall.c
@@ -30,6 +30,10 @@
         call->queue = NULL;
     }
     if (call->unsent != NULL) {
+        if (call->connection != NULL) {
+            call->connection->waiting_bytes -=
+                evbuffer_get_length(call->unsent);
+        }
         evbuffer_free(call->unsent);
         call->unsent = NULL;
     }
@@ -170,38 +174,58 @@
     call_enqueue(call, &call->node->datagram_calls);
 }
 
-static void
-call_start_stream(struct rpc_call *call, const struct rpc_call_spec *spec,
-                  size_t size)
+/** Keeps the message until the connection is open. */
+static bool
+call_wait(struct rpc_call *call, struct rpc_connection *connection,
+          const struct rpc_call_spec *spec, size_t size)
 {
-    struct rpc_connection *connection =
-        rpc_connection_get(call->node, spec->peer, size >= RPC_BULK_MIN);
-    if (connection == NULL) {
-        call_fail_later(call, RPC_NOT_SENT);
-        return;
+    if (connection->waiting_bytes + size > RPC_OUTPUT_MAX) {
+        return false;
     }
-    if (!connection->connected) {
-        call->unsent = evbuffer_new();
-        if (call->unsent == NULL ||
-            !call_encode(call, call->unsent, size, spec)) {
-            call_fail_later(call, RPC_NOT_SENT);
-            return;
-        }
-        call->connection = connection;
-        call_enqueue(call, &connection->waiting);
-        return;
+    call->unsent = evbuffer_new();
+    if (call->unsent == NULL || !call_encode(call, call->unsent, size, spec)) {
+        return false;
     }
+    call->connection = connection;
+    connection->waiting_bytes += evbuffer_get_length(call->unsent);
+    call_enqueue(call, &connection->waiting);
+    return true;
+}
+
+static bool
+call_write(struct rpc_call *call, struct rpc_connection *connection,
+           const struct rpc_call_spec *spec, size_t size)
+{
     call->start_offset = connection->queued_bytes;
-    if (rpc_connection_backlog(connection) + size > RPC_OUTPUT_MAX ||
-        !call_encode(call, bufferevent_get_output(connection->bev), size,
-                     spec)) {
+    if (rpc_connection_backlog(connection) + size > RPC_OUTPUT_MAX) {
         call->node->counters.slow_readers->value++;
-        call_fail_later(call, RPC_NOT_SENT);
-        return;
+        return false;
+    }
+    if (!call_encode(call, bufferevent_get_output(connection->bev), size,
+                     spec)) {
+        return false;
     }
     call->connection = connection;
     call_enqueue(call, &connection->sent);
     rpc_connection_appended(connection, RPC_MARK_SIZE + size);
+    return true;
+}
+
+static void
+call_start_stream(struct rpc_call *call, const struct rpc_call_spec *spec,
+                  size_t size)
+{
+    struct rpc_connection *connection =
+        rpc_connection_get(call->node, spec->peer, size >= RPC_BULK_MIN);
+    bool started = false;
+    if (connection != NULL) {
+        started = connection->connected
+                      ? call_write(call, connection, spec, size)
+                      : call_wait(call, connection, spec, size);
+    }
+    if (!started) {
+        call_fail_later(call, RPC_NOT_SENT);
+    }
 }
 
 struct rpc_call *
@@ -251,6 +275,7 @@
         call_enqueue(call, &connection->sent);
         call->start_offset = connection->queued_bytes;
         const size_t size = evbuffer_get_length(call->unsent);
+        connection->waiting_bytes -= size;
         evbuffer_add_buffer(output, call->unsent);
         evbuffer_free(call->unsent);
         call->unsent = NULL;
--- a/packages/protocol/rpcconnection.c
+++ b/packages/protocol/rpcconnection.c
@@ -265,11 +265,15 @@
                       const struct address *peer)
 {
     connection_set_options(fd);
-    struct rpc_connection *connection = connection_create(node, fd, peer);
+    struct rpc_connection *connection = node->accepted_count < RPC_ACCEPTED_MAX
+                                            ? connection_create(node, fd, peer)
+                                            : NULL;
     if (connection == NULL) {
+        node->counters.accept_errors->value++;
         close(fd);
         return;
     }
+    node->accepted_count++;
     node->counters.accepts->value++;
     connection->connected = true;
     LIST_INSERT_HEAD(&node->accepted, connection, link);
@@ -313,6 +317,9 @@
 {
     timer_stop(&connection->connect_timer);
     LIST_REMOVE(connection, link);
+    if (!connection->outgoing) {
+        connection->node->accepted_count--;
+    }
     bufferevent_free(connection->bev);
     evbuffer_free(connection->fragments);
     xid_table_clear(&connection->requests);
--- a/packages/protocol/test/rpcwire_test.cc
+++ b/packages/protocol/test/rpcwire_test.cc
@@ -4,6 +4,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <fstream>
 
 extern "C" {
@@ -278,4 +279,27 @@
     EXPECT_GT(64U, sent);
 }
 
+TEST_F(RpcTest, CallsToAPeerThatDoesNotReadAreBounded)
+{
+    struct address address;
+    address_parse("127.0.0.1:0", &address, nullptr);
+    auto *sa = reinterpret_cast<struct sockaddr *>(&address.storage);
+    const int listener = socket(AF_INET, SOCK_STREAM, 0);
+    ASSERT_EQ(0, bind(listener, sa, address.length));
+    ASSERT_EQ(0, listen(listener, 16));
+    getsockname(listener, sa, &address.length);
+    const std::string body(16U << 20, 'x');
+    for (int i = 0; i < 6; i++) {
+        Call("k", body, &address, US_PER_SECOND / 5);
+        if (i == 4) {
+            /* Those that waited for the connection were written. */
+            Until([] { return false; }, 20);
+        }
+    }
+    ASSERT_TRUE(Until([&] { return statuses.size() == 6; }));
+    EXPECT_EQ(2, std::count(statuses.begin(), statuses.end(), RPC_NOT_SENT));
+    EXPECT_EQ(4, std::count(statuses.begin(), statuses.end(), RPC_TIMED_OUT));
+    close(listener);
+}
+
 } // namespace
--- a/packages/target/test/target_test.cc
+++ b/packages/target/test/target_test.cc
@@ -277,6 +277,22 @@
     EXPECT_EQ(TARGET_ANNOUNCED, changes.back());
 }
 
+TEST_F(TargetTest, AnotherIncarnationEndsWhatTheFormerOneWasAsked)
+{
+    Post("/v1/announce", Announcement("a", 2));
+    Forward("/hold");
+    ASSERT_TRUE(Until([&] { return held.size() == 1; }));
+    Forward("/hold"); /* waits for the only connection */
+    EXPECT_EQ(200U, Post("/v1/announce", Announcement("b", 2)));
+    ASSERT_TRUE(Results(2));
+    EXPECT_EQ(TARGET_UNKNOWN, results[0].outcome);
+    EXPECT_EQ(TARGET_NOT_RUN, results[1].outcome);
+    EXPECT_EQ(TARGET_RESTARTED, changes.back());
+    Forward("/echo-epoch");
+    ASSERT_TRUE(Results(3));
+    EXPECT_EQ(TARGET_ANSWERED, results[2].outcome);
+}
+
 TEST_F(TargetTest, ProbeReadsHealthAndLoad)
 {
     Post("/v1/announce", Announcement("a", 2));
