demo: sessions with loads, faults and a verdict for each promise

Cause: the demonstration only got an answer from each service. Change: loads run beside a killed daemon, a zone out and back and a planned stop; what callers were told is compared with what targets executed.

--- /dev/null
+++ b/demo/checks.py
@@ -0,0 +1,253 @@
+"""Compares what callers were told with what targets executed, and asks the
+system itself: one verdict, with its evidence, for each promise."""
+
+import collections
+import json
+
+import cluster as c
+
+SHARDS_OF_A_PAGE = 64
+ZONE_GRACE_US = 3_000_000  # "no new work after a few seconds"
+
+
+class Verdicts:
+    """Promises with kept or broken and the counts behind it."""
+
+    def __init__(self):
+        self.rows = []
+
+    def add(self, promise, kept, evidence):
+        self.rows.append((promise, bool(kept), evidence))
+
+    def kept(self):
+        return all(kept for _, kept, _ in self.rows)
+
+    def print(self):
+        for promise, kept, evidence in self.rows:
+            print(f"{'kept  ' if kept else 'BROKEN'}  {promise}")
+            print(f"        {evidence}")
+
+
+class Session:
+    """What happened in a run: loads, executions, zones taken out."""
+
+    def __init__(self, cluster):
+        self.cluster = cluster
+        self.loads = []       # results of finished load programs
+        self.told_files = []
+        self.zones_out = []   # (zone, from_us, until_us or None), BOOTTIME
+        self.leaving = []     # (instance, from_us)
+        self.stats = []       # targets' statistics, taken before they stop
+        self.owners_before = {}
+
+    def note_target(self, instance):
+        if instance.target is not None and instance.target.is_running():
+            self.stats.append(c.http_json("GET", instance.target_address,
+                                          "/standin/stats"))
+
+    def executions(self):
+        """All executions with the instance that ran them, by start."""
+        rows = []
+        for instance in self.cluster.instances:
+            for row in instance.ledger():
+                if "end_us" not in row:
+                    row["instance"] = instance
+                    rows.append(row)
+        return sorted(rows, key=lambda row: row["start_us"])
+
+    def orders_told(self):
+        """The last thing that the caller of each order was told, and all."""
+        last = {}
+        every = collections.defaultdict(list)
+        for name in self.told_files:
+            for line in c.read_file(name).splitlines():
+                row = json.loads(line)
+                last[row["id"]] = row
+                every[row["id"]].append(row["told"])
+        return last, every
+
+
+def check_at_most_once(session, verdicts, rows):
+    last, every = session.orders_told()
+    runs = collections.Counter(
+        row["id"] for row in rows if row["method"] == "POST")
+    doubled = [i for i, count in runs.items() if count > 1]
+    lost = [i for i, row in last.items()
+            if row["told"] == "answered" and row["status"] == 200
+            and runs[i] == 0]
+    verdicts.add(
+        "A non-idempotent request runs at most once.",
+        not doubled and not lost,
+        f"{len(last)} orders, {sum(runs.values())} executions, "
+        f"{len(doubled)} run twice, {len(lost)} answered but never run; "
+        f"told in the end: "
+        f"{dict(collections.Counter(r['told'] for r in last.values()))}")
+    false = [i for i, told in every.items()
+             if set(told) == {"not-run"} and runs[i] > 0]
+    refusals = sum(told.count("not-run") for told in every.values())
+    verdicts.add(
+        'A refusal that says "not run" is true.', not false,
+        f"{refusals} refusals of orders as not run, {len(false)} orders "
+        f"that only heard not-run were run")
+
+
+def check_one_owner(session, verdicts, rows):
+    newest = {}
+    late = 0
+    keyed = 0
+    for row in rows:
+        if "shard" not in row:
+            continue
+        keyed += 1
+        place = (row["instance"].service, row["shard"])
+        late += row["epoch"] < newest.get(place, 0)
+        newest[place] = max(newest.get(place, 0), row["epoch"])
+    holders = collections.defaultdict(set)
+    for row in rows:
+        if "shard" in row:
+            holders[(row["instance"].service, row["shard"],
+                     row["epoch"])].add(row["instance"].name)
+    shared = [place for place, names in holders.items() if len(names) > 1]
+    verdicts.add(
+        "A key has at most one owner at any time.", not late and not shared,
+        f"{keyed} executions for {len(newest)} shards; {late} started under "
+        f"an owner after its successor had run one; {len(shared)} epochs "
+        f"with two owners")
+
+
+def check_zones(session, verdicts, rows):
+    late = 0
+    windows = 0
+    for zone, from_us, until_us in session.zones_out:
+        windows += 1
+        for row in rows:
+            inside = row["start_us"] > from_us + ZONE_GRACE_US and (
+                until_us is None or row["start_us"] < until_us)
+            late += inside and row["instance"].zone == zone
+    verdicts.add(
+        "An availability zone that was taken out gets no new work after a "
+        "few seconds.", windows > 0 and late == 0,
+        f"{windows} times a zone was out; {late} executions started there "
+        f"more than {ZONE_GRACE_US / 1e6:.0f} s after the apply")
+
+
+def check_leaving(session, verdicts, rows):
+    late = 0
+    for name, from_us in session.leaving:
+        late += sum(row["instance"].name == name
+                    and row["start_us"] > from_us + ZONE_GRACE_US
+                    for row in rows)
+    verdicts.add(
+        "A leaving target gets no new work after a few seconds.",
+        session.leaving and late == 0,
+        f"{len(session.leaving)} instances left; {late} executions started "
+        f"there more than {ZONE_GRACE_US / 1e6:.0f} s later")
+
+
+def check_answers(session, verdicts):
+    faults = collections.Counter()
+    ends = collections.Counter()
+    for load in session.loads:
+        faults.update(load.get("faults", {}))
+        ends.update(load.get("outcome", {}))
+    verdicts.add(
+        "A caller gets the whole answer to its own request.",
+        sum(ends.values()) > 0 and not faults,
+        f"{ends['answered']} answers compared with their requests; "
+        f"faults: {dict(faults) or 'none'}")
+    cut = sum(load.get("outcome", {}).get("lost", 0)
+              for load in session.loads if load["during_stop"])
+    stops = sum(load["during_stop"] for load in session.loads)
+    verdicts.add(
+        "Every planned stop is a graceful shutdown that cuts no request.",
+        stops > 0 and cut == 0,
+        f"{stops} loads ran while an instance was stopped as planned; {cut} "
+        f"of their connections were cut")
+
+
+def check_cold(session, verdicts):
+    over = [s for s in session.stats if s["peak_cold"] > s["cold_limit"]]
+    peak = max((s["peak_cold"] for s in session.stats), default=0)
+    verdicts.add(
+        "A target in cold start gets no more than it bears.",
+        session.stats and not over,
+        f"{len(session.stats)} targets, most requests at once while cold: "
+        f"{peak}; above the limit on {len(over)}")
+
+
+def check_assignments(session, verdicts):
+    now = owners(session.cluster)
+    before = session.owners_before
+    unowned = [s for s in before if s not in now or not now[s]["owner"]]
+    fallen = [s for s in before
+              if s in now and now[s]["epoch"] < before[s]["epoch"]]
+    live = {i.name for i in session.cluster.live()}
+    dead = [s for s, row in now.items() if row["owner"] not in live]
+    verdicts.add(
+        "An acknowledged assignment survives any tolerated loss.",
+        before and not unowned and not fallen and not dead,
+        f"{len(before)} shards before, {len(unowned)} without an owner now, "
+        f"{len(fallen)} with a lower epoch, {len(dead)} owned by an instance "
+        f"that is gone")
+
+
+def check_configuration(session, verdicts):
+    revisions = {}
+    for instance in session.cluster.live():
+        revisions[instance.name] = instance.page("status")["revision"]
+    _, text = session.cluster.ctl("--json", "status", check=False)
+    accepted = json.loads(text).get("revision") if text else None
+    behind = [n for n, r in revisions.items() if r != accepted]
+    verdicts.add(
+        "An accepted configuration is in force everywhere and never "
+        "reverts.", accepted and not behind,
+        f"revision {accepted} is in force on "
+        f"{len(revisions) - len(behind)} of {len(revisions)} instances")
+
+
+def check_invariants(session, verdicts):
+    checks = 0
+    broken = collections.Counter()
+    for instance in session.cluster.live():
+        for row in instance.page("promises"):
+            checks += row["checks"]
+            broken[row["name"]] += row["violations"]
+    broken = {name: count for name, count in broken.items() if count}
+    verdicts.add("The program's own invariants hold.",
+                 checks > 0 and not broken,
+                 f"{checks} checks by daemons that run now; broken: "
+                 f"{broken or 'none'}")
+
+
+def owners(cluster):
+    """Owner and epoch of each shard, as the store has them."""
+    result = {}
+    rows = c.http_json("GET", cluster.store_address,
+                       "/v1/rows?table=shards&prefix=")["rows"]
+    for row in rows:
+        page = row["value"]
+        if not page:
+            continue
+        first = page["page"] * SHARDS_OF_A_PAGE
+        for offset, (owner, epoch, _) in enumerate(page["shards"]):
+            result[(page["service"], first + offset)] = {
+                "owner": page["owners"][owner],
+                "epoch": epoch}
+    return result
+
+
+def check_all(session):
+    for instance in session.cluster.instances:
+        session.note_target(instance)
+    rows = session.executions()
+    verdicts = Verdicts()
+    check_one_owner(session, verdicts, rows)
+    check_assignments(session, verdicts)
+    check_cold(session, verdicts)
+    check_zones(session, verdicts, rows)
+    check_answers(session, verdicts)
+    check_at_most_once(session, verdicts, rows)
+    check_leaving(session, verdicts, rows)
+    check_configuration(session, verdicts)
+    check_invariants(session, verdicts)
+    return verdicts
--- a/demo/demo.py
+++ b/demo/demo.py
@@ -1,50 +1,78 @@
-"""Runs a Powys on loopback, sends requests and reports what was kept."""
+"""Runs a Powys on loopback: load, a killed daemon, a zone out and back, a
+planned stop. Then reports each promise with the counts behind it."""
 
 import argparse
 import sys
 import time
 
+import checks
 import cluster as c
+import session as s
 
-ZONES = ("llanidloes", "rhayader", "machynlleth")
-SERVICES = (("patrymau", 4), ("hanes-ffit", 4), ("archebion", 3))
 
+def say(started, text):
+    print(f"{time.monotonic() - started:5.1f} s  {text}", flush=True)
 
-def build_powys(build):
-    powys = c.Cluster(build, "examples/powys/state.json", "powys")
-    for service, count in SERVICES:
-        for number in range(count):
-            zone = ZONES[len(powys.instances) % len(ZONES)]
-            powys.add_instance(f"{service}-{number + 1}", zone, service)
-    return powys
+
+def run_steps(session, started):
+    cluster = session.cluster
+    s.start(cluster)
+    say(started, f"{len(cluster.instances)} instances run, revision 1 is in "
+                 f"force, every shard has an owner")
+    session.owners_before = checks.owners(cluster)
+    loads = [
+        s.Load(session, "load-patterns", "patrymau", 400, 22, orders=10),
+        s.Load(session, "load-fittings", "hanes-ffit", 400, 22),
+        s.Load(session, "load-orders", "archebion", 120, 22, orders=50),
+    ]
+    time.sleep(2)
+    s.kill_daemon(session, "patrymau-2")
+    say(started, "killed the daemon of patrymau-2")
+    s.wait_until_placed(cluster)
+    say(started, "its shards have other owners")
+    s.restart_daemon(session, "patrymau-2")
+    say(started, "started it again")
+    s.take_zone_out(session, "rhayader", 6)
+    say(started, "the zone rhayader was out for 6 s and is back")
+    planned = s.Load(session, "load-planned", "hanes-ffit", 200, 4,
+                     entries=[cluster.instance("hanes-ffit-1")
+                              .addresses["http"]], during_stop=True)
+    time.sleep(1)
+    s.stop_instance(session, "archebion-3")
+    say(started, "stopped archebion-3 as planned")
+    for load in [planned] + loads:
+        load.finish()
+    s.wait_until_placed(cluster)
+    say(started, "the loads are over")
 
 
 def run(build):
-    powys = build_powys(build)
+    started = time.monotonic()
+    cluster = s.powys(build)
+    session = checks.Session(cluster)
     try:
-        powys.start_store()
-        powys.start_instances()
-        powys.apply()
-        entry = powys.instances[0].addresses["http"]
-        answered = 0
-        for service, _ in SERVICES:
-            path = f"/{service}/demo-key"
-            c.wait_for(f"{path} is answered",
-                       lambda: c.http("GET", entry, path)[0] == 200, 10.0)
-            answered += 1
-            print(f"{path}: answered")
-        return answered == len(SERVICES)
+        run_steps(session, started)
+        verdicts = checks.check_all(session)
+    except c.Failure as failure:
+        print(f"the session failed: {failure}; logs: {cluster.directory}")
+        return False
     finally:
-        powys.stop()
+        cluster.stop()
+    for load in session.loads:
+        print(f"load: {load['requests']} requests, "
+              f"p50 {load['p50_us'] / 1000:.1f} ms, "
+              f"p99 {load['p99_us'] / 1000:.1f} ms, told: "
+              f"{load['outcome']}")
+    verdicts.print()
+    say(started, "every promise kept" if verdicts.kept()
+        else f"promises were broken; logs: {cluster.directory}")
+    return verdicts.kept()
 
 
 def main():
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--build", default="build")
-    started = time.monotonic()
-    kept = run(parser.parse_args().build)
-    print(f"took {time.monotonic() - started:.1f} s")
-    return 0 if kept else 1
+    return 0 if run(parser.parse_args().build) else 1
 
 
 if __name__ == "__main__":
