--- a/cmake/package.cmake
+++ b/cmake/package.cmake
@@ -2,7 +2,7 @@
 # program for each programs/*.c, one test program of test/*.cc, and one
 # measurement program for each bench/*.c (its name is the file's name).
 function(chestnutgap_package name)
-  cmake_parse_arguments(ARG "" "" "DEPS;LIBS" ${ARGN})
+  cmake_parse_arguments(ARG "" "" "DEPS;LIBS;TEST_DEPS" ${ARGN})
   set(dir ${CMAKE_SOURCE_DIR}/packages/${name})
   file(GLOB sources CONFIGURE_DEPENDS ${dir}/*.c ${dir}/generated/*.c)
   if(NOT sources)
@@ -30,7 +30,9 @@
   file(GLOB tests CONFIGURE_DEPENDS ${dir}/test/*.cc)
   if(tests)
     add_executable(${name}_test ${tests})
-    target_link_libraries(${name}_test PRIVATE cg_${name} GTest::gtest_main)
+    list(TRANSFORM ARG_TEST_DEPS PREPEND cg_)
+    target_link_libraries(${name}_test PRIVATE cg_${name} ${ARG_TEST_DEPS}
+                                               GTest::gtest_main)
     target_compile_options(${name}_test PRIVATE
       -Wno-missing-field-initializers)
     target_compile_definitions(${name}_test PRIVATE
--- /dev/null
+++ b/packages/daemon/test/daemon_test.cc
@@ -0,0 +1,180 @@
+#include <gtest/gtest.h>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include "deployment.h"
+
+extern "C" {
+#include "base/invariant.h"
+#include "base/random.h"
+}
+
+namespace {
+
+const char *const STATE = R"({
+  "zones": [{"name": "llanidloes", "region": "powys"},
+            {"name": "rhayader", "region": "powys"}],
+  "services": [
+    {"name": "patterns", "path_prefix": "/patterns",
+     "key": {"source": "path", "segment": 1}, "shards": 16,
+     "idempotent_methods": ["GET", "HEAD"], "slots": 20, "connections": 64,
+     "cold_limit": 2, "cold_start_ms": 0, "deadline_ms": 4000,
+     "deadline_max_ms": 8000, "targets_check_grants": false}]
+})";
+
+class DaemonTest : public ::testing::Test {
+  protected:
+    void SetUp() override
+    {
+        invariant_reset();
+        deployment.Add("one", "llanidloes", "patterns");
+        deployment.Add("two", "rhayader", "patterns");
+        ASSERT_EQ(200U, deployment.announced);
+        deployment.Apply(1, STATE);
+        ASSERT_TRUE(deployment.Serves(0, "/patterns/key"));
+        ASSERT_TRUE(deployment.Serves(1, "/patterns/key"));
+    }
+
+    void TearDown() override
+    {
+        for (int id = 0; id < INVARIANT_COUNT; id++) {
+            const auto invariant = static_cast<enum invariant>(id);
+            EXPECT_EQ(0, invariant_violations(invariant))
+                << invariant_name(invariant);
+        }
+    }
+
+    /** Sends bytes to a port and waits until the peer closed or 200 ms. */
+    void SendGarbage(const struct address &address, const std::string &bytes)
+    {
+        const int fd = socket(AF_INET, SOCK_STREAM, 0);
+        ASSERT_EQ(0, connect(fd,
+                             reinterpret_cast<const struct sockaddr *>(
+                                 &address.storage),
+                             address.length));
+        send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+        deployment.Until([] { return false; }, 20);
+        close(fd);
+        deployment.Until([] { return false; }, 5);
+    }
+
+    Deployment deployment;
+};
+
+TEST_F(DaemonTest, AnyEntryReachesTheOwnerOfAKey)
+{
+    for (int key = 0; key < 20; key++) {
+        const std::string path = "/patterns/" + std::to_string(key);
+        const Answer first = deployment.Ask(0, "GET", path);
+        const Answer second = deployment.Ask(1, "GET", path);
+        EXPECT_EQ(200U, first.status);
+        EXPECT_EQ(200U, second.status);
+        EXPECT_EQ("answered", first.said);
+    }
+}
+
+TEST_F(DaemonTest, BigBodiesPassWholeInBothDirections)
+{
+    const size_t size = 8U << 20;
+    const Answer sent = deployment.Ask(
+        0, "POST", "/patterns/big", std::string(size, 'x'), deployment.Id());
+    EXPECT_EQ(200U, sent.status);
+    EXPECT_NE(std::string::npos,
+              sent.body.find("\"received\":" + std::to_string(size)));
+    const Answer got =
+        deployment.Ask(1, "GET", "/patterns/big?size=" + std::to_string(size));
+    EXPECT_EQ(200U, got.status);
+    EXPECT_EQ(size, got.body.size());
+}
+
+TEST_F(DaemonTest, ResentOrderGetsTheAnswerOfItsOnlyExecution)
+{
+    const std::string id = deployment.Id();
+    const Answer first =
+        deployment.Ask(0, "POST", "/patterns/order", "two saddles", id);
+    const Answer second =
+        deployment.Ask(1, "POST", "/patterns/order", "two saddles", id);
+    EXPECT_EQ(200U, first.status) << first.body;
+    EXPECT_EQ(200U, second.status) << second.body;
+    EXPECT_EQ(first.body, second.body);
+    EXPECT_FALSE(first.replayed);
+    EXPECT_TRUE(second.replayed);
+    const Answer other =
+        deployment.Ask(0, "POST", "/patterns/order", "ten saddles", id);
+    EXPECT_EQ(422U, other.status);
+    EXPECT_EQ("not-run", other.said);
+}
+
+TEST_F(DaemonTest, CallersMistakesAreToldAsNotRun)
+{
+    const Answer unknown = deployment.Ask(0, "GET", "/nobody/x");
+    EXPECT_EQ(404U, unknown.status);
+    EXPECT_EQ("not-run", unknown.said);
+    const Answer no_key = deployment.Ask(0, "GET", "/patterns");
+    EXPECT_EQ(400U, no_key.status);
+    EXPECT_EQ("not-run", no_key.said);
+}
+
+TEST_F(DaemonTest, GarbageOnEveryPortHarmsNobody)
+{
+    struct random_state random;
+    random_seed(&random, 20261204);
+    const struct daemon *daemon = deployment.instances[0]->daemon;
+    for (int round = 0; round < 30; round++) {
+        std::string bytes(random_below(&random, 600), '\0');
+        for (auto &byte : bytes) {
+            byte = static_cast<char>(random_u64(&random));
+        }
+        SendGarbage(*http_server_address(daemon->http), bytes);
+        SendGarbage(*rpc_node_address(daemon->node), bytes);
+        SendGarbage(*target_announce_address(daemon->target), bytes);
+    }
+    EXPECT_EQ(200U, deployment.Ask(0, "GET", "/patterns/key").status);
+}
+
+TEST_F(DaemonTest, PlannedStopAnswersWhatRunsAndLeaves)
+{
+    std::vector<std::unique_ptr<Answer>> answers;
+    struct daemon *leaving = deployment.instances[0]->daemon;
+    for (int i = 0; i < 20; i++) {
+        answers.push_back(std::make_unique<Answer>());
+        deployment.Start(*http_server_address(leaving->http), "GET",
+                         "/patterns/" + std::to_string(i), "", "",
+                         answers.back().get());
+    }
+    deployment.Until([&] { return entrytask_count(leaving->entry) > 0; });
+    daemon_shut_down(leaving);
+    deployment.Until([&] {
+        bool all = true;
+        for (const auto &answer : answers) {
+            all = all && answer->done;
+        }
+        return all && leaving->phase == DAEMON_FINISHING;
+    });
+    for (const auto &answer : answers) {
+        EXPECT_EQ(HTTP_ANSWERED, answer->outcome);
+        EXPECT_EQ(200U, answer->status) << answer->body;
+    }
+    EXPECT_EQ(DAEMON_FINISHING, leaving->phase);
+}
+
+TEST_F(DaemonTest, HigherRevisionComesIntoForceAndALowerOneDoesNot)
+{
+    std::string changed = STATE;
+    changed.replace(changed.find("4000"), 4, "3000");
+    deployment.Apply(3, changed);
+    struct daemon *daemon = deployment.instances[0]->daemon;
+    const struct config *config = configtask_config(daemon->config);
+    ASSERT_TRUE(
+        deployment.Until([&] { return config_revision(config) == 3; }));
+    json_t *old = json_loads(STATE, 0, nullptr);
+    configtask_offer(daemon->config, 2, old);
+    json_decref(old);
+    EXPECT_EQ(3U, config_revision(config));
+    EXPECT_EQ(3000 * US_PER_MS,
+              configtask_state(daemon->config)->services[0].deadline_us);
+}
+
+} // namespace
