gate: latencies below the scheduler's noise are no sign of trouble

Cause: against a target that takes 100 us, pauses of the machine's scheduler of a few milliseconds counted as stalls and sudden slowness, so the limit fell to 2 while the target was well. Change: latencies are compared with at least 4 ms, and a stall needs 10 ms without any answer.

--- a/packages/gate/limit.c
+++ b/packages/gate/limit.c
@@ -8,6 +8,9 @@
 #define US_PER_MS INT64_C(1000)
 
 #define BASELINE_DEFAULT_US (10 * US_PER_MS)
+/* Waits up to this are the machine's scheduling, not the target's state. */
+#define BASELINE_FLOOR_US (4 * US_PER_MS)
+#define STALL_MIN_US (10 * US_PER_MS)
 #define BASELINE_FIRST_SAMPLES 32
 #define SHORT_WEIGHT (1.0 / 8)
 #define BASELINE_WEIGHT (1.0 / 512)
@@ -55,6 +58,7 @@
     double stall_expected;
     unsigned starts_since_finish;
     int64_t stall_at_us;
+    int64_t finished_us; /* latest answer */
     int64_t shed_us;
     unsigned sheds;    /* in the current window */
     unsigned shed_cap; /* 0: none */
@@ -111,6 +115,7 @@
     limit->guard_us = GUARD_MIN_US;
     limit->shed_us = now_us - SHED_WINDOW_US;
     limit->stall_at_us = now_us;
+    limit->finished_us = now_us;
     limit->traffic_us = now_us;
     limit->probe_us = now_us - PROBE_INTERVAL_US;
     limit_restarted(limit, now_us);
@@ -167,6 +172,13 @@
     return limit->baseline_us < 1 ? 1 : (int64_t)limit->baseline_us;
 }
 
+/* The latency that present ones are compared with. */
+static double
+limit_reference_us(const struct limit *limit)
+{
+    return fmax((double)limit_baseline_us(limit), BASELINE_FLOOR_US);
+}
+
 void
 limit_restarted(struct limit *limit, int64_t now_us)
 {
@@ -234,12 +246,13 @@
     if (step_us > STALL_STEP_MAX_US) {
         step_us = STALL_STEP_MAX_US; /* this process itself was paused */
     }
-    limit->stall_expected += (double)limit->in_flight * (double)step_us /
-                             (double)limit_baseline_us(limit);
+    limit->stall_expected +=
+        (double)limit->in_flight * (double)step_us / limit_reference_us(limit);
     const bool loaded = limit->starts_since_finish >= 2 ||
                         limit->in_flight * 2 >= limit->value;
-    if (limit->stall_expected >= STALL_EXPECTED && limit->in_flight >= 2 &&
-        loaded) {
+    const bool stalled = limit->stall_expected >= STALL_EXPECTED &&
+                         now_us - limit->finished_us >= STALL_MIN_US;
+    if (stalled && limit->in_flight >= 2 && loaded) {
         limit->stall_expected = 0;
         limit_guard(limit, now_us);
     }
@@ -328,7 +341,7 @@
 static void
 limit_adapt(struct limit *limit, int64_t now_us)
 {
-    const double ratio = limit->short_us / (double)limit_baseline_us(limit);
+    const double ratio = limit->short_us / limit_reference_us(limit);
     const bool sudden =
         ratio > SUDDEN_RATIO && limit->phase_samples >= SUDDEN_SAMPLES;
     limit->good_samples = ratio <= GOOD_RATIO ? limit->good_samples + 1 : 0;
@@ -365,6 +378,7 @@
     }
     limit->stall_expected = 0;
     limit->stall_at_us = now_us;
+    limit->finished_us = now_us;
     limit->starts_since_finish = 0;
     const double failed = sample == LIMIT_SAMPLE_FAILED ? 1 : 0;
     limit->failed_share += FAILED_WEIGHT * (failed - limit->failed_share);
