membership: the loss of a zone measured; silent guardians lead to a poll

Cause: members that don't poll each second chose guardians in a zone that was lost again and again until they learnt of the fences. Change: a guardian that is silent for 1.2 s leads to a read of the changes; bench_member lets a whole zone stand still.

--- a/packages/membership/bench/bench_member.c
+++ b/packages/membership/bench/bench_member.c
@@ -1,11 +1,13 @@
 /**
  * @file
  * Measures whole members over sockets on 127.0.0.1: processor time, messages
- * and store operations a second and member, for several numbers of members.
+ * and store operations a second and member, for several numbers of members;
+ * and the loss of a whole zone, whose processes stand still.
  * The clock is manual, so everything but the processor time repeats.
  */
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 #include <time.h>
 
 #include "base/counter.h"
@@ -24,6 +26,10 @@
 #define CPU_GOAL_PERCENT 1.1 /* of a core, for all control */
 #define WRITES_GOAL 0.05     /* a second and member */
 #define READS_GOAL 200.0     /* a second, a tenth of what the store bears */
+#define LOSS_MAX_US (20 * US_PER_SECOND)
+#define LOSS_SETTLE_S 10
+#define FENCE_GOAL_MS 850.0     /* 1 s without 150 ms for placement */
+#define STORE_WRITES_GOAL 300.0 /* what the store bears at least */
 #define NS_PER_S 1e9
 #define PERCENT 100.0
 
@@ -35,6 +41,8 @@
 
 struct bench {
     struct runtime *runtime;
+    struct runtime *zone_runtime; /* of the first zone's processes */
+    bool zone_lost;
     struct store_memory *memory;
     struct store store;
     struct process *processes;
@@ -45,17 +53,19 @@
 start_process(struct bench *bench, size_t number)
 {
     struct process *process = &bench->processes[number];
+    struct runtime *runtime =
+        number % ZONES == 0 ? bench->zone_runtime : bench->runtime;
     struct address address;
     address_parse("127.0.0.1:0", &address, NULL);
     process->counters = counter_registry_create();
     process->node =
-        rpc_node_create(bench->runtime, &address, process->counters, NULL);
+        rpc_node_create(runtime, &address, process->counters, NULL);
     if (process->node == NULL) {
         fprintf(stderr, "bench_member: no socket\n");
         exit(1);
     }
     struct membertask_config config = {
-        .runtime = bench->runtime,
+        .runtime = runtime,
         .store = &bench->store,
         .transport = member_transport_rpc(process->node),
         .counters = process->counters,
@@ -75,10 +85,13 @@
 }
 
 static void
-run(struct bench *bench, int64_t seconds)
+run(struct bench *bench, int64_t duration_us)
 {
-    for (int64_t us = 0; us < seconds * US_PER_SECOND; us += STEP_US) {
+    for (int64_t us = 0; us < duration_us; us += STEP_US) {
         runtime_advance(bench->runtime, STEP_US);
+        if (!bench->zone_lost) {
+            runtime_advance(bench->zone_runtime, STEP_US);
+        }
     }
 }
 
@@ -109,6 +122,54 @@
            name, count, value, unit, goal);
 }
 
+/** Members of the lost zone whose rows are fenced. */
+static size_t
+fenced(const struct bench *bench)
+{
+    size_t sum = 0;
+    for (size_t i = 0; i < bench->count; i += ZONES) {
+        char name[STATE_NAME_MAX + 1];
+        struct store_row row;
+        snprintf(name, sizeof(name), "i-%zu", i);
+        store_tables_read(store_memory_tables(bench->memory), MEMBER_TABLE,
+                          name, &row);
+        const char *state =
+            json_string_value(json_object_get(row.value, "state"));
+        sum += strcmp(state, "fenced") == 0;
+    }
+    return sum;
+}
+
+/** Stops the processes of a zone without a word. */
+static void
+lose_zone(struct bench *bench)
+{
+    const size_t lost = (bench->count + ZONES - 1) / ZONES;
+    const double before = total(bench, "member_store_writes");
+    double most = 0;
+    double second_start = before;
+    int64_t us = 0;
+    bench->zone_lost = true;
+    while (fenced(bench) < lost && us < LOSS_MAX_US) {
+        run(bench, STEP_US);
+        us += STEP_US;
+    }
+    print_figure("member_zone_lost_until_all_fenced", bench->count,
+                 (double)us / (double)US_PER_MS, "ms", FENCE_GOAL_MS);
+    for (int second = 0; second < LOSS_SETTLE_S; second++) {
+        run(bench, US_PER_SECOND);
+        double now = total(bench, "member_store_writes");
+        most = now - second_start > most ? now - second_start : most;
+        second_start = now;
+    }
+    print_figure("member_zone_lost_store_writes_per_lost", bench->count,
+                 (second_start - before) / (double)lost, "writes", 6);
+    print_figure("member_zone_lost_most_store_writes", bench->count, most,
+                 "writes in 1 s", STORE_WRITES_GOAL);
+    print_figure("member_zone_lost_false_fences", bench->count,
+                 total(bench, "member_lease_losses"), "members", 0);
+}
+
 static void
 measure(size_t count)
 {
@@ -116,6 +177,7 @@
     const struct store_faults faults = {.latency_us = STORE_LATENCY_US};
     const double member_seconds = (double)count * RUN_S;
     bench.runtime = runtime_create_manual(US_PER_SECOND, NULL);
+    bench.zone_runtime = runtime_create_manual(US_PER_SECOND, NULL);
     bench.memory = store_memory_create(bench.runtime, 1);
     bench.store = store_memory_store(bench.memory);
     bench.processes = calloc(count, sizeof(*bench.processes));
@@ -123,11 +185,11 @@
     for (size_t i = 0; i < count; i++) {
         start_process(&bench, i);
     }
-    run(&bench, JOIN_S);
+    run(&bench, JOIN_S * US_PER_SECOND);
     double joins = total(&bench, "member_store_writes");
     double reads = total(&bench, "member_store_reads");
     double start = cpu_seconds();
-    run(&bench, RUN_S);
+    run(&bench, RUN_S * US_PER_SECOND);
     double cpu = cpu_seconds() - start;
     print_figure("member_cpu", count, cpu / member_seconds * PERCENT,
                  "% of a core", CPU_GOAL_PERCENT);
@@ -144,6 +206,7 @@
                  "in 60 s", 0);
     print_figure("member_false_fences", count, total(&bench, "member_fences"),
                  "in 60 s", 0);
+    lose_zone(&bench);
     store_memory_destroy(bench.memory);
     for (size_t i = 0; i < count; i++) {
         membertask_destroy(bench.processes[i].task);
@@ -152,6 +215,7 @@
     }
     free(bench.processes);
     runtime_destroy(bench.runtime);
+    runtime_destroy(bench.zone_runtime);
 }
 
 int
--- a/packages/membership/lease.c
+++ b/packages/membership/lease.c
@@ -178,6 +178,14 @@
     }
 }
 
+int64_t
+lease_silence_us(struct lease *lease, const struct member_ref *guardian,
+                 int64_t now_us)
+{
+    const struct lease_peer *peer = lease_find_peer(lease, guardian);
+    return peer == NULL || !peer->waiting ? 0 : now_us - peer->silent_us;
+}
+
 void
 lease_on_guardian_gone(struct lease *lease, const struct member_ref *guardian)
 {
--- a/packages/membership/lease.h
+++ b/packages/membership/lease.h
@@ -88,6 +88,11 @@
 void lease_on_renewed(struct lease *lease, const struct member_ref *guardian,
                       enum lease_renew_status status, int64_t sent_us);
 
+/** How long renewals sent to the guardian have not been answered; 0 if the
+ * latest was, or if it is no guardian. */
+int64_t lease_silence_us(struct lease *lease,
+                         const struct member_ref *guardian, int64_t now_us);
+
 /** The guardian's process is gone or leaving, so it is replaced. */
 void lease_on_guardian_gone(struct lease *lease,
                             const struct member_ref *guardian);
--- a/packages/membership/memberlease.c
+++ b/packages/membership/memberlease.c
@@ -3,6 +3,8 @@
 #include "membership/choice.h"
 #include "store/audit.h"
 
+#define GUARDIAN_SILENCE_US INT64_C(1200000) /* fences have come by then */
+
 static void
 send_renewal(void *ctx, const struct member_ref *guardian, uint64_t version,
              int64_t sent_us)
@@ -36,6 +38,11 @@
         lease_on_guardian_gone(task->lease, &call->peer);
     }
     if (status != RPC_OK) {
+        /* Others may have fenced it, and more members of its zone. */
+        if (lease_silence_us(task->lease, &call->peer, member_now_us(task)) >=
+            GUARDIAN_SILENCE_US) {
+            member_poll_soon(task);
+        }
         return;
     }
     task->counters.renewals_answered->value++;
