--- a/packages/ctl/cmdaudit.c
+++ b/packages/ctl/cmdaudit.c
@@ -67,11 +67,7 @@
 ctl_read_audit(struct ctl *ctl, int64_t since_s, struct ctl_rows *rows)
 {
     char after[AUDIT_ROW_SIZE];
-    int64_t since_us = 0;
-    if (since_s > 0) {
-        since_us = audit_now_us() - since_s * US_PER_SECOND;
-    }
-    audit_row_name(since_us, 0, after);
+    audit_row_name(audit_now_us() - since_s * US_PER_SECOND, 0, after);
     const struct ctl_scan scan = {.table = AUDIT_TABLE, .after = after};
     return ctl_scan(ctl, &scan, rows);
 }
--- a/packages/ctl/cmdpromises.c
+++ b/packages/ctl/cmdpromises.c
@@ -5,9 +5,6 @@
 #include "ctl/promises.h"
 #include "ctl/table.h"
 
-/* Records of the last day count unless --since says otherwise. */
-#define PROMISES_SINCE_S INT64_C(86400)
-
 static void
 print_table(const struct promises *promises)
 {
@@ -101,9 +98,8 @@
 add_records(struct ctl *ctl, struct promises *promises)
 {
     struct ctl_rows rows;
-    const int64_t since_s =
-        ctl->options.since_s > 0 ? ctl->options.since_s : PROMISES_SINCE_S;
-    const enum ctl_exit code = ctl_read_audit(ctl, since_s, &rows);
+    const enum ctl_exit code =
+        ctl_read_audit(ctl, ctl->options.since_s, &rows);
     for (size_t i = 0; i < rows.count; i++) {
         promises_add_record(promises, rows.rows[i].value);
     }
--- a/packages/ctl/ctl.h
+++ b/packages/ctl/ctl.h
@@ -41,7 +41,7 @@
     int64_t timeout_us; /**< of the whole command */
     uint64_t base;      /**< revision that the author started from */
     uint64_t revision;  /**< 0: the newest */
-    int64_t since_s;    /**< 0: everything */
+    int64_t since_s;    /**< of the audit trail */
     size_t limit;       /**< 0: no limit */
     size_t argument_count;
     char arguments[CTL_ARGUMENTS_MAX][STORE_NAME_MAX + 1];
--- a/packages/ctl/ctlaudit.h
+++ b/packages/ctl/ctlaudit.h
@@ -7,7 +7,7 @@
 
 #include "ctl/ctl.h"
 
-/** Rows of the last since_s seconds, 0: all. A failure is printed. */
+/** Rows of the last since_s seconds. A failure is printed. */
 enum ctl_exit ctl_read_audit(struct ctl *ctl, int64_t since_s,
                              struct ctl_rows *rows);
 
--- a/packages/ctl/ctlmain.c
+++ b/packages/ctl/ctlmain.c
@@ -13,6 +13,7 @@
 #define DEFAULT_TIMEOUT_MS 10000
 #define TIMEOUT_MAX_MS 3600000
 #define SINCE_MAX_S (INT64_C(10) * 365 * 24 * 3600)
+#define SINCE_DEFAULT_S 86400
 #define LIMIT_DEFAULT 100
 #define LIMIT_MAX 1000000
 
@@ -80,7 +81,8 @@
 };
 
 static const struct argp_option audit_options[] = {
-    {"since", OPTION_SINCE, "SECONDS", 0, "Changes of the last seconds", 0},
+    {"since", OPTION_SINCE, "SECONDS", 0,
+     "Changes of the last seconds (a day)", 0},
     {"limit", OPTION_LIMIT, "N", 0, "The newest N changes (100)", 0},
     {0},
 };
@@ -344,6 +346,7 @@
     const char *author = getenv("USER");
     const char *store = getenv("CHESTNUTGAP_STORE");
     options->timeout_us = DEFAULT_TIMEOUT_MS * US_PER_MS;
+    options->since_s = SINCE_DEFAULT_S;
     options->limit = LIMIT_DEFAULT;
     snprintf(options->author, sizeof(options->author), "%s",
              author != NULL && author[0] != '\0' ? author : "unknown");
--- a/packages/standin/storeserver.c
+++ b/packages/standin/storeserver.c
@@ -30,6 +30,7 @@
     struct evhttp_bound_socket *socket;
     struct store_memory *memory;
     struct store store;
+    size_t object_bytes; /* of all objects put so far */
 };
 
 static void
@@ -243,6 +244,21 @@
     evhttp_clear_headers(&parameters);
 }
 
+static void
+put_object(struct store_server *server, struct evhttp_request *request,
+           const char *name)
+{
+    struct evbuffer *body = evhttp_request_get_input_buffer(request);
+    const size_t size = evbuffer_get_length(body);
+    if (size > STORE_SERVER_OBJECTS_MAX - server->object_bytes) {
+        reply_refused(request, STATUS_FULL, "objects");
+        return;
+    }
+    server->object_bytes += size;
+    store_put_object(&server->store, name, evbuffer_pullup(body, -1), size,
+                     on_commit, request);
+}
+
 static void
 serve_object(struct store_server *server, struct evhttp_request *request,
              const char *name)
@@ -255,12 +271,9 @@
     case EVHTTP_REQ_GET:
         store_get_object(&server->store, name, on_object, request);
         return;
-    case EVHTTP_REQ_PUT: {
-        struct evbuffer *body = evhttp_request_get_input_buffer(request);
-        store_put_object(&server->store, name, evbuffer_pullup(body, -1),
-                         evbuffer_get_length(body), on_commit, request);
+    case EVHTTP_REQ_PUT:
+        put_object(server, request, name);
         return;
-    }
     default:
         reply_refused(request, STATUS_BAD_REQUEST, "method");
         return;
--- a/packages/standin/test/storeserver_test.cc
+++ b/packages/standin/test/storeserver_test.cc
@@ -334,6 +334,31 @@
     return answer;
 }
 
+TEST_F(StoreHttp, GarbledRowsAreUnavailableOrTheRowAskedFor)
+{
+    const std::string valid =
+        R"({"version":7,"more":false,"rows":[{"row":"a","version":5,)"
+        R"("txn":"00000000000000aa","value":{"b":1}}]})";
+    struct random_state random;
+    random_seed(&random, 6);
+    size_t whole = 0;
+    for (int i = 0; i < 300; i++) {
+        std::string body = valid;
+        body[random_below(&random, body.size())] =
+            static_cast<char>(' ' + random_below(&random, 95));
+        RawServer raw(runtime, http_answer(body));
+        connect(raw.port);
+        Answer read;
+        store_read(&store, "t", "a", on_read, &read);
+        raw.serve_until(read);
+        EXPECT_EQ(read.outcome == STORE_COMMITTED ? "a;" : "", read.text)
+            << body;
+        whole += read.outcome == STORE_COMMITTED;
+    }
+    EXPECT_GT(whole, 0U);
+    EXPECT_LT(whole, 150U);
+}
+
 TEST_F(StoreHttp, StandinSurvivesRandomBytes)
 {
     const std::vector<std::string> bodies = {
