placement: measurement, fewer needless moves and conflicts

Change: smoothed mean over the capacity that remains, evacuation page by page from a random page, the page read while the shard is still served, evacuations insist only after three refusals.

--- a/packages/placement/balance.c
+++ b/packages/placement/balance.c
@@ -4,7 +4,7 @@
 
 #define FLOOR_SHARE 0.01  /* of the capacity, over a fair share of shards */
 #define WORTH_MOVING 0.95 /* of the higher ratio: above it no move is made */
-#define SHARE_KEPT 0.9    /* of the mean: kept when a member asks for load */
+#define SHARE_KEPT 0.97   /* of the mean: kept when a member asks for load */
 
 double
 balance_floor(double capacity, size_t members, uint32_t shards)
@@ -29,11 +29,12 @@
 {
     for (size_t i = 0; i < peers_count(peers); i++) {
         const struct peer *peer = peers_at(peers, i);
-        if (strcmp(peer->info.name, self) != 0 && peer_is_eligible(peer) &&
-            is_fresh(peer, now_us)) {
-            load += peer->load + peer->pending;
-            capacity += peer_capacity(peer);
+        if (strcmp(peer->info.name, self) == 0 || !is_fresh(peer, now_us) ||
+            peer->info.state == PEER_GONE) {
+            continue;
         }
+        load += peer->load + peer->pending;
+        capacity += peer_is_eligible(peer) ? peer_capacity(peer) : 0;
     }
     return capacity > 0 ? load / capacity : 0;
 }
--- a/packages/placement/balance.h
+++ b/packages/placement/balance.h
@@ -10,10 +10,10 @@
 #include "placement/peers.h"
 
 #define BALANCE_HIGH 1.05   /* of the mean: above it shards are given away */
-#define BALANCE_ROOM 1.02   /* of the mean: a receiver is filled up to it */
+#define BALANCE_ROOM 1.01   /* of the mean: a receiver is filled up to it */
 #define BALANCE_REFUSE 1.08 /* of the mean: a receiver refuses above it */
 #define BALANCE_WANTS 0.75  /* of the mean: below it a member asks for more */
-#define BALANCE_CHOICES 3   /* receivers looked at for each move */
+#define BALANCE_CHOICES 5   /* receivers looked at for each move */
 
 /** This instance's side of a decision. */
 struct balance_view {
@@ -26,7 +26,8 @@
 /** Load that is added to each shard of a service. */
 double balance_floor(double capacity, size_t members, uint32_t shards);
 
-/** Mean ratio of this instance and the eligible peers with fresh reports. */
+/** Load of all members with fresh reports over the capacity of those that
+ * may have shards: the ratio once members that leave have given theirs. */
 double balance_mean(const struct peers *peers, const char *self, double load,
                     double capacity, int64_t now_us);
 
--- a/packages/placement/placer.c
+++ b/packages/placement/placer.c
@@ -4,6 +4,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#define MEAN_WEIGHT 0.3 /* of a new value in the smoothed mean */
+
 static void
 on_commit(void *ctx, const struct page_write *write)
 {
@@ -113,6 +115,7 @@
     placer->limits = *limits;
     placer->now_us = now_us;
     placer->tokens_us = now_us;
+    placer->evacuated_page = UINT32_MAX;
     TAILQ_INIT(&placer->actions);
     random_seed(&placer->random, spec->seed);
     if (!create_parts(placer, random_u64(&placer->random))) {
@@ -372,6 +375,25 @@
 {
     placer->now_us = now_us;
     pagewriter_read(placer->writer, number, ok, page, version, now_us);
+    if (ok && page != NULL) {
+        placer_page(placer, page, version, now_us);
+    }
+}
+
+/* Reports of peers are of different times, so while shards move their sum
+ * counts some twice and some not at all. */
+static void
+update_mean(struct placer *placer)
+{
+    struct balance_view view = placer_view(placer);
+    bool eligible = !placer->leaving && !placer->zone_out;
+    double mean = balance_mean(placer->peers, placer->instance, view.load,
+                               eligible ? view.capacity : 0, placer->now_us);
+
+    if (placer->mean == 0) {
+        placer->mean = mean;
+    }
+    placer->mean += MEAN_WEIGHT * (mean - placer->mean);
 }
 
 static void
@@ -420,6 +442,7 @@
     }
     if (now_us >= placer->balance_due_us) {
         placer->balance_due_us = now_us + BALANCE_PERIOD_US;
+        update_mean(placer);
         placer_balance(placer);
     }
     if (now_us >= placer->probe_due_us) {
@@ -474,8 +497,7 @@
     }
     view.capacity = capacity < 1 ? 1 : capacity;
     view.load = ownedset_load(placer->owned) + (double)owned * view.floor;
-    view.mean = balance_mean(placer->peers, placer->instance, view.load,
-                             view.capacity, placer->now_us);
+    view.mean = placer->mean;
     return view;
 }
 
--- a/packages/placement/placer_internal.h
+++ b/packages/placement/placer_internal.h
@@ -9,7 +9,7 @@
 #include "placement/balance.h"
 #include "placement/placer.h"
 
-#define PLAN_PERIOD_US INT64_C(200000)
+#define PLAN_PERIOD_US INT64_C(20000)
 #define BALANCE_PERIOD_US INT64_C(1000000)
 #define PROBE_PERIOD_US INT64_C(500000)
 #define SCAN_RETRY_US INT64_C(500000)
@@ -45,8 +45,10 @@
     double cold_limit;
 
     uint64_t attempt;
+    double mean; /* smoothed ratio of all members, 0: not known yet */
     double move_tokens;
     int64_t tokens_us;
+    uint32_t evacuated_page; /* the latest, or beyond the last page */
     int64_t plan_due_us;
     int64_t balance_due_us;
     int64_t probe_due_us;
--- a/packages/placement/placermove.c
+++ b/packages/placement/placermove.c
@@ -12,6 +12,7 @@
 #define DRAIN_SLACK_US INT64_C(1000000) /* over the longest request */
 #define HANDOVER_TIMEOUT_US INT64_C(5000000)
 #define MOVE_PAUSE_US INT64_C(1000000) /* after a move that failed */
+#define URGENT_REFUSALS 3              /* after which an evacuation insists */
 
 static void
 enter(struct placer *placer, struct owned *owned, enum owned_state state)
@@ -31,7 +32,8 @@
     action->epoch = owned->epoch + 1;
     action->attempt = owned->attempt;
     action->weight = owned->weight;
-    action->urgent = placer->leaving || placer->zone_out;
+    action->urgent = owned->refusals >= URGENT_REFUSALS &&
+                     (placer->leaving || placer->zone_out);
     (void)snprintf(action->peer, sizeof(action->peer), "%s", owned->receiver);
     return action;
 }
@@ -56,6 +58,10 @@
     placer->counts.moves_started++;
     enter(placer, owned, OWNED_RESERVING);
     add_move_action(placer, owned, PLACE_RESERVE);
+    /* Read while the shard is still served, so that the write compares a
+     * fresh version. */
+    placer_add_page_action(placer, PLACE_READ, "",
+                           placer_page_of(placer, owned->shard));
 }
 
 /* Gives up a move before anything was written: this instance is the owner. */
@@ -146,9 +152,11 @@
     }
     if (owned->state == OWNED_RESERVING) {
         if (!accepted) {
+            owned->refusals++;
             give_up(placer, owned);
             return;
         }
+        owned->refusals = 0;
         enter(placer, owned, OWNED_DRAINING);
         add_move_action(placer, owned, PLACE_DRAIN);
     }
--- a/packages/placement/placerplan.c
+++ b/packages/placement/placerplan.c
@@ -14,28 +14,66 @@
 #define COOL_SHARE 0.01           /* of the mean load: a key is merged below */
 #define COOL_US INT64_C(60000000) /* cool for so long */
 
-/* Gives all shards away, those that serve first. */
-static void
-evacuate(struct placer *placer, const char *why)
+/* Pages with shards of this instance, starting at a place that differs from
+ * member to member, so that members that leave together meet seldom. */
+static uint32_t
+next_page(const struct placer *placer, uint32_t after)
 {
-    size_t moving = ownedset_moving(placer->owned);
+    uint32_t pages = shardpage_count(placer->shards);
+    uint32_t best = UINT32_MAX;
+
+    for (const struct owned *owned = ownedset_first(placer->owned);
+         owned != NULL; owned = ownedset_next(placer->owned, owned)) {
+        uint32_t distance =
+            (placer_page_of(placer, owned->shard) + 2 * pages - after - 1) %
+            pages;
+        if (owned->state == OWNED_SERVING &&
+            placer->now_us >= owned->move_after_us && distance < best) {
+            best = distance;
+        }
+    }
+    return best == UINT32_MAX ? UINT32_MAX : (after + 1 + best) % pages;
+}
 
-    for (struct owned *owned = ownedset_first(placer->owned);
-         owned != NULL && moving < EVACUATION_MOVES;
+/* @return false if there is no receiver. */
+static bool
+evacuate_page(struct placer *placer, uint32_t page, const char *why)
+{
+    for (struct owned *owned = ownedset_first(placer->owned); owned != NULL;
          owned = ownedset_next(placer->owned, owned)) {
         const struct peer *peer;
         if (owned->state != OWNED_SERVING ||
-            placer->now_us < owned->move_after_us) {
+            placer->now_us < owned->move_after_us ||
+            placer_page_of(placer, owned->shard) != page) {
             continue;
         }
         peer = peers_pick_least(placer->peers, &placer->random,
                                 EVACUATION_CHOICES, owned->load,
                                 placer->instance);
         if (peer == NULL) {
-            return;
+            return false;
         }
         placer_start_move(placer, owned, peer->info.name, why);
-        moving++;
+    }
+    return true;
+}
+
+/* Gives all shards away, few pages at a time. */
+static void
+evacuate(struct placer *placer, const char *why)
+{
+    uint32_t pages = shardpage_count(placer->shards);
+
+    if (placer->evacuated_page >= pages) {
+        placer->evacuated_page =
+            (uint32_t)random_below(&placer->random, pages);
+    }
+    while (ownedset_moving(placer->owned) < EVACUATION_MOVES) {
+        uint32_t page = next_page(placer, placer->evacuated_page);
+        if (page == UINT32_MAX || !evacuate_page(placer, page, why)) {
+            return;
+        }
+        placer->evacuated_page = page;
     }
 }
 
--- /dev/null
+++ b/packages/placement/zipfkeys.h
@@ -0,0 +1,54 @@
+/**
+ * @file
+ * Keys whose load follows Zipf's law, and how evenly hashing alone spreads
+ * them: the baselines of the measurements.
+ */
+#ifndef CHESTNUTGAP_PLACEMENT_ZIPFKEYS_H
+#define CHESTNUTGAP_PLACEMENT_ZIPFKEYS_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include "base/random.h"
+
+/** Keys with their shares of the load, which sum up to 1. */
+struct zipfkeys {
+    size_t count;
+    double *share;
+    uint64_t *hash;
+    struct random_state random;
+};
+
+/** How keys are given to members without moving shards. */
+enum zipf_baseline {
+    ZIPF_RING,       /**< consistent hashing, 100 virtual nodes a member */
+    ZIPF_RENDEZVOUS, /**< the member with the highest hash for the key */
+};
+
+/** Aborts when memory is short. */
+struct zipfkeys *zipfkeys_create(size_t count, double exponent, uint64_t seed);
+void zipfkeys_destroy(struct zipfkeys *keys);
+
+/** The hottest keys swap their loads with random other keys. */
+void zipfkeys_move_hot(struct zipfkeys *keys, size_t hot);
+
+/** Sums the shares by shard. */
+void zipfkeys_by_shard(const struct zipfkeys *keys, uint32_t shards,
+                       double *loads);
+
+/** Owner of each key among members with alive[i] != 0. */
+void zipfkeys_owners(const struct zipfkeys *keys, enum zipf_baseline baseline,
+                     const char *alive, unsigned members, unsigned *owners);
+
+/** Highest load of a member over the mean of those alive. */
+double zipfkeys_imbalance(const struct zipfkeys *keys, const unsigned *owners,
+                          const char *alive, unsigned members);
+
+/** Load of the keys whose owners differ. */
+double zipfkeys_moved(const struct zipfkeys *keys, const unsigned *before,
+                      const unsigned *after);
+
+/** Share of the hottest key. */
+double zipfkeys_top(const struct zipfkeys *keys);
+
+#endif
