--- a/packages/placement/bench/bench_placement.c
+++ b/packages/placement/bench/bench_placement.c
@@ -357,6 +357,14 @@
     return (*left > *right) - (*left < *right);
 }
 
+static double
+percentile_ms(const int64_t *sorted, size_t count, size_t percent)
+{
+    size_t index = count * percent / 100;
+
+    return (double)sorted[index] / 1e3;
+}
+
 /* Planned moves while zones go out and come back, 2 ms of mean drain. */
 static void
 measure_moves(void)
@@ -380,9 +388,10 @@
     }
     memcpy(sorted, gaps, count * sizeof(*sorted));
     qsort(sorted, count, sizeof(*sorted), compare_times);
-    print_figure("unavailable_p50", (double)sorted[count / 2] / 1e3, "ms", 20);
-    print_figure("unavailable_p99", (double)sorted[count * 99 / 100] / 1e3,
-                 "ms", 20);
+    print_figure("unavailable_p50", percentile_ms(sorted, count, 50), "ms",
+                 20);
+    print_figure("unavailable_p99", percentile_ms(sorted, count, 99), "ms",
+                 20);
     print_figure("unavailable_longest", (double)sorted[count - 1] / 1e3, "ms",
                  100);
     print_figure("moves_measured", (double)count, "moves", 0);
--- a/packages/placement/placer_internal.h
+++ b/packages/placement/placer_internal.h
@@ -20,6 +20,7 @@
     char zone[STATE_NAME_MAX + 1];
     char service[STATE_NAME_MAX + 1];
     uint32_t shards;
+    uint32_t evacuated_page; /* the latest, or beyond the last page */
     struct shardmap *map;
     struct placer_limits limits;
     struct peers *peers;
@@ -30,30 +31,29 @@
     struct random_state random;
     struct placer_counts counts;
 
+    bool confirmed;
+    bool scanning;
+    bool leaving;
+    bool zone_out;
+    bool cold;
+    bool owners_gone; /* some owner was gone at the last look */
     uint64_t incarnation;
     uint64_t self_version;
     uint64_t registered; /* version of this incarnation's first row */
-    bool confirmed;
     int64_t confirmed_us;
     int64_t scan_due_us;
-    bool scanning;
     int64_t lease_until_us;
 
-    bool leaving;
-    bool zone_out;
-    bool cold;
     double cold_limit;
 
     uint64_t attempt;
     double mean; /* smoothed ratio of all members, 0: not known yet */
     double move_tokens;
     int64_t tokens_us;
-    uint32_t evacuated_page; /* the latest, or beyond the last page */
     int64_t plan_due_us;
     int64_t balance_due_us;
     int64_t probe_due_us;
     int64_t owners_due_us; /* owners are looked at again */
-    bool owners_gone;      /* some owner was gone at the last look */
     int64_t now_us;        /* time of the current input */
 };
 
