daemon: gossip of members, pages, configuration and suspects; loads of shards

Cause: each daemon learnt of changes only by polling the store, which a few thousand could not do; the balance saw no load; a broken promise died with its process. Change: spreadwire connects the spreading task; a second's tick hands loads of shards and the cold state to the placer and spreads suspects; promiselog writes broken promises and totals. The state in force is told to the tasks after the unit has taken it over, so the spread revision is the new one.

--- a/packages/daemon/configtask.c
+++ b/packages/daemon/configtask.c
@@ -18,6 +18,7 @@
     struct configtask_options options;
     struct config *config;
     struct state *state;
+    struct state *former; /* until everyone knows the new one */
     struct timer poll_timer;
     bool reading_head;
     uint64_t fetching; /* revision whose document is being read, or 0 */
@@ -38,11 +39,8 @@
                 LOG_STR("subject", problems.problems[0].subject));
         return false;
     }
-    struct state *former = task->state;
+    task->former = task->state;
     task->state = state;
-    task->revision_gauge->value = (int64_t)revision;
-    task->options.in_force(task->options.ctx, revision, state);
-    state_destroy(former);
     return true;
 }
 
@@ -63,7 +61,7 @@
         LOG_ERR("revision_row_malformed", LOG_UINT("revision", revision));
         return;
     }
-    config_offer(task->config, revision, document);
+    configtask_offer(task, revision, document);
 }
 
 static void
@@ -164,7 +162,13 @@
 configtask_offer(struct configtask *task, uint64_t revision,
                  const json_t *document)
 {
-    config_offer(task->config, revision, document);
+    if (config_offer(task->config, revision, document) != CONFIG_IN_FORCE) {
+        return;
+    }
+    task->revision_gauge->value = (int64_t)revision;
+    task->options.in_force(task->options.ctx, revision, task->state);
+    state_destroy(task->former);
+    task->former = NULL;
 }
 
 struct config *
--- a/packages/daemon/daemon.c
+++ b/packages/daemon/daemon.c
@@ -10,6 +10,7 @@
 
 #define LOG_MODULE "daemon"
 #include "base/log.h"
+#include "daemon/spreadwire.h"
 
 #define SUSPECTS_CAPACITY 4096
 #define LEASE_DEFAULT_US (750 * US_PER_MS)
@@ -249,6 +250,10 @@
     create_placement(daemon);
     create_entry(daemon);
     create_config(daemon);
+    spreadwire_create(daemon);
+    daemon->promiselog = promiselog_create(daemon->runtime, &daemon->store,
+                                           daemon->settings.instance);
+    daemonevents_start_second(daemon);
     LOG_INFO("started", LOG_STR("version", CHESTNUTGAP_VERSION));
     return daemon;
 
@@ -266,8 +271,13 @@
     if (daemon->phase != DAEMON_SERVING) {
         timer_stop(&daemon->drain_timer);
     }
+    if (daemon->promiselog != NULL) {
+        timer_stop(&daemon->second_timer);
+    }
     /* From here on the store, the network and the target call nobody. */
     store_http_destroy(daemon->store_http);
+    promiselog_destroy(daemon->promiselog);
+    spreadwire_destroy(daemon);
     configtask_destroy(daemon->config);
     entrytask_destroy(daemon->entry);
     forwarder_destroy(daemon->forwarder);
--- a/packages/daemon/daemon_internal.h
+++ b/packages/daemon/daemon_internal.h
@@ -17,6 +17,8 @@
 #include "membership/membertask.h"
 #include "placement/placetask.h"
 #include "protocol/rpc.h"
+#include "spread/spreadtask.h"
+#include "store/promiselog.h"
 #include "store/storehttp.h"
 #include "target/target.h"
 
@@ -44,6 +46,9 @@
     struct forwarder *forwarder;
     struct entrytask *entry;
     struct placetask *placement;
+    struct spreadtask *spread;
+    struct promiselog *promiselog;
+    struct timer second_timer;
     struct member self; /* as announced to the members */
     enum daemon_phase phase;
     int64_t started_us;
@@ -72,6 +77,9 @@
                         size_t key_size, uint32_t *shard);
 void daemonevents_shard_idle(void *ctx, uint32_t shard);
 
+/** Starts what is done each second: loads of shards, suspects. */
+void daemonevents_start_second(struct daemon *daemon);
+
 /** Starts the graceful shutdown's steps. */
 void shutdown_begin(struct daemon *daemon);
 
--- a/packages/daemon/daemonevents.c
+++ b/packages/daemon/daemonevents.c
@@ -6,6 +6,7 @@
 #define LOG_MODULE "daemon"
 #include "base/hash.h"
 #include "base/log.h"
+#include "daemon/spreadwire.h"
 #include "placement/shardmap.h"
 
 #define HANDOVER_BYTES_MAX ((size_t)4 << 20)
@@ -91,6 +92,7 @@
     struct daemon *daemon = ctx;
     entrytask_member(daemon->entry, row);
     placetask_member(daemon->placement, row);
+    spreadwire_member(daemon, row);
 }
 
 static void
@@ -123,6 +125,7 @@
     entrytask_set_state(daemon->entry, state);
     apply_target(daemon);
     membertask_set_revision(daemon->members, revision);
+    spreadwire_config(daemon);
     membertask_apply_declared_lost(daemon->members,
                                    (const char(*)[STATE_NAME_MAX + 1])
                                        state->lost_instances,
@@ -265,6 +268,38 @@
     membertask_apply_row(daemon->members, row);
 }
 
+static void
+on_published(void *ctx, const char *row, uint64_t version, const char *text)
+{
+    spreadwire_page(ctx, row, version, text);
+}
+
+static void
+set_load(void *ctx, uint32_t shard, double load)
+{
+    const struct daemon *daemon = ctx;
+    placetask_set_load(daemon->placement, shard, load, 0, 0);
+}
+
+static void
+on_second(void *ctx)
+{
+    struct daemon *daemon = ctx;
+    struct forward_load load;
+    timer_start(&daemon->second_timer, US_PER_SECOND);
+    gatetask_load(daemon->gate, &load);
+    placetask_set_cold(daemon->placement, load.cold, load.limit);
+    gatetask_visit_loads(daemon->gate, set_load, daemon);
+    spreadwire_suspects(daemon);
+}
+
+void
+daemonevents_start_second(struct daemon *daemon)
+{
+    timer_init(&daemon->second_timer, daemon->runtime, on_second, daemon);
+    timer_start(&daemon->second_timer, US_PER_SECOND);
+}
+
 const struct placetask_callbacks daemonevents_placement = {
     .gained = on_gained,
     .drain = on_drain,
@@ -273,4 +308,5 @@
     .split = on_split,
     .merged = on_merged,
     .member_read = on_member_read,
+    .published = on_published,
 };
--- a/packages/daemon/gatecall.c
+++ b/packages/daemon/gatecall.c
@@ -65,6 +65,10 @@
     if (!call->ended || call->target_call != NULL || call->dispatching) {
         return;
     }
+    if (call->unit.admission.keyed) {
+        gateload_add(gate->load, call->unit.admission.shard,
+                     now_of(gate) - call->arrived_us);
+    }
     gatecall_free(call);
     if (!LIST_EMPTY(&gate->drains)) {
         gatetask_check_drains(gate);
@@ -397,6 +401,7 @@
         .now_us = now_of(gate),
         .wall_ms = runtime_wall_ms(gate->options.runtime),
     };
+    call->arrived_us = time.now_us;
     call_fill_unit(call, time.now_us);
     gate->options.owned(gate->options.ctx, call->unit.admission.shard,
                         &call->epoch);
--- /dev/null
+++ b/packages/daemon/gateload.c
@@ -0,0 +1,94 @@
+#include "daemon/gateload.h"
+
+#include <stdbool.h>
+#include <stdlib.h>
+#include <sys/queue.h>
+
+#define BUCKETS 64
+#define SMOOTHING 0.2    /* weight of the newest period */
+#define IDLE_LOAD 0.0005 /* requests in progress */
+
+/* One shard. */
+struct shard_load {
+    LIST_ENTRY(shard_load) link;
+    uint32_t shard;
+    int64_t busy_us; /* in this period */
+    double smoothed;
+};
+
+LIST_HEAD(shard_loads, shard_load);
+
+struct gateload {
+    struct shard_loads buckets[BUCKETS];
+    int64_t period_start_us;
+};
+
+struct gateload *
+gateload_create(void)
+{
+    struct gateload *load = calloc(1, sizeof(*load));
+    if (load == NULL) {
+        abort();
+    }
+    return load;
+}
+
+void
+gateload_destroy(struct gateload *load)
+{
+    for (size_t i = 0; i < BUCKETS; i++) {
+        struct shard_load *item = LIST_FIRST(&load->buckets[i]);
+        while (item != NULL) {
+            struct shard_load *next = LIST_NEXT(item, link);
+            free(item);
+            item = next;
+        }
+    }
+    free(load);
+}
+
+void
+gateload_add(struct gateload *load, uint32_t shard, int64_t duration_us)
+{
+    struct shard_loads *bucket = &load->buckets[shard % BUCKETS];
+    struct shard_load *item;
+    LIST_FOREACH (item, bucket, link) {
+        if (item->shard == shard) {
+            item->busy_us += duration_us;
+            return;
+        }
+    }
+    item = calloc(1, sizeof(*item));
+    if (item == NULL) {
+        abort();
+    }
+    item->shard = shard;
+    item->busy_us = duration_us;
+    LIST_INSERT_HEAD(bucket, item, link);
+}
+
+void
+gateload_visit(struct gateload *load, int64_t now_us,
+               void (*visit)(void *ctx, uint32_t shard, double load),
+               void *ctx)
+{
+    const int64_t period_us = now_us - load->period_start_us;
+    load->period_start_us = now_us;
+    for (size_t i = 0; i < BUCKETS; i++) {
+        struct shard_load *item = LIST_FIRST(&load->buckets[i]);
+        while (item != NULL) {
+            struct shard_load *next = LIST_NEXT(item, link);
+            const double current =
+                period_us > 0 ? (double)item->busy_us / (double)period_us : 0;
+            item->busy_us = 0;
+            item->smoothed += SMOOTHING * (current - item->smoothed);
+            const bool idle = item->smoothed < IDLE_LOAD;
+            visit(ctx, item->shard, idle ? 0 : item->smoothed);
+            if (idle) {
+                LIST_REMOVE(item, link);
+                free(item);
+            }
+            item = next;
+        }
+    }
+}
--- a/packages/daemon/gatetask.c
+++ b/packages/daemon/gatetask.c
@@ -91,6 +91,7 @@
              options->instance, options->seed);
     LIST_INIT(&gate->calls);
     LIST_INIT(&gate->drains);
+    gate->load = gateload_create();
     gatetask_add_counters(gate);
     gate->task =
         task_create(options->runtime, "gate", gatetask_on_message, gate);
@@ -126,6 +127,7 @@
         free(drain);
         drain = next;
     }
+    gateload_destroy(gate->load);
     runs_destroy(gate->runs);
     gate_destroy(gate->unit);
     dedup_destroy(gate->dedup);
@@ -437,6 +439,15 @@
     return LIST_EMPTY(&gate->calls);
 }
 
+void
+gatetask_visit_loads(struct gatetask *gate,
+                     void (*visit)(void *ctx, uint32_t shard, double load),
+                     void *ctx)
+{
+    gateload_visit(gate->load, runtime_now_us(gate->options.runtime), visit,
+                   ctx);
+}
+
 void
 gatetask_pump(struct gatetask *gate)
 {
--- a/packages/daemon/gatetask.h
+++ b/packages/daemon/gatetask.h
@@ -96,6 +96,15 @@
 void *gatetask_export(struct gatetask *gate, uint32_t shard, size_t size_max,
                       size_t *size);
 
+/**
+ * Calls visit with the smoothed number of requests in progress of each shard
+ * that had any lately. Call it every second.
+ */
+void gatetask_visit_loads(struct gatetask *gate,
+                          void (*visit)(void *ctx, uint32_t shard,
+                                        double load),
+                          void *ctx);
+
 /** Load as it rides on replies. */
 void gatetask_load(const struct gatetask *gate, struct forward_load *load);
 
--- a/packages/daemon/gatetask_internal.h
+++ b/packages/daemon/gatetask_internal.h
@@ -10,6 +10,7 @@
 #include "base/random.h"
 #include "base/runtime.h"
 #include "base/task.h"
+#include "daemon/gateload.h"
 #include "daemon/gatetask.h"
 #include "gate/gate.h"
 #include "target/target.h"
@@ -31,6 +32,7 @@
     struct forward_request *copy;          /* outlives the entry's interest */
     char id[GATE_NAME_SIZE];
     uint64_t epoch; /* of the shard at arrival */
+    int64_t arrived_us;
     gatetask_reply_cb reply;
     void *ctx;
     bool detached;    /* replied to, or cancelled */
@@ -71,6 +73,7 @@
     uint64_t sequence;
     struct gate_calls calls;
     struct gate_drains drains;
+    struct gateload *load;
     struct timer tick;
     struct timer after_write; /* checks the lease again */
     struct counter *requests;
--- a/packages/daemon/shutdown.c
+++ b/packages/daemon/shutdown.c
@@ -5,13 +5,25 @@
 #include "base/log.h"
 
 #define DRAIN_CHECK_US (20 * US_PER_MS)
+#define TOTALS_LIMIT_US (1 * US_PER_SECOND)
+
+static void
+on_totals_written(void *ctx, bool written)
+{
+    struct daemon *daemon = ctx;
+    if (!written) {
+        LOG_WARN("promises_not_written");
+    }
+    runtime_stop(daemon->runtime);
+}
 
 static void
 on_left(void *ctx)
 {
     struct daemon *daemon = ctx;
     LOG_INFO("left");
-    runtime_stop(daemon->runtime);
+    promiselog_finish(daemon->promiselog, TOTALS_LIMIT_US, on_totals_written,
+                      daemon);
 }
 
 static void
--- a/packages/placement/placerpc.c
+++ b/packages/placement/placerpc.c
@@ -4,8 +4,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define LOG_MODULE "placement"
-#include "base/log.h"
 #include "protocol/generated/move.h"
 #include "protocol/procedures.h"
 
@@ -115,11 +113,39 @@
     (void)result;
 }
 
+/* The page's row as JSON, to be freed. @return its version. */
+static uint64_t
+page_text(const struct placetask *task, uint32_t number, char **text)
+{
+    struct shardpage page;
+    const uint64_t version =
+        shardmap_page(task->map, task->service, number, &page);
+    json_t *value = shardpage_to_json(&page);
+    *text = json_dumps(value, JSON_COMPACT);
+    json_decref(value);
+    if (*text == NULL) {
+        abort();
+    }
+    return version;
+}
+
+void
+placerpc_publish(struct placetask *task, uint32_t number)
+{
+    char row[SHARDPAGE_ROW_SIZE];
+    char *text;
+    const uint64_t version = page_text(task, number, &text);
+    shardpage_row(row, task->service, number);
+    task->options.callbacks.published(task->options.callbacks.ctx, row,
+                                      version, text);
+    free(text);
+}
+
 void
 placerpc_assign(struct placetask *task, const char *peer, uint32_t number)
 {
-    struct shardpage page;
     struct member row;
+    char *text;
     struct rpc_call_spec spec = {
         .procedure = PROCEDURE_ASSIGN,
         .encode_args = (xdrproc_t)xdr_move_assign,
@@ -127,17 +153,10 @@
         .result_size = sizeof(struct move_answer),
         .done = on_ignored,
     };
-    const uint64_t version =
-        shardmap_page(task->map, task->service, number, &page);
     if (!call_prepare(task, peer, &row, &spec)) {
         return;
     }
-    json_t *value = shardpage_to_json(&page);
-    char *text = json_dumps(value, JSON_COMPACT);
-    json_decref(value);
-    if (text == NULL) {
-        abort();
-    }
+    const uint64_t version = page_text(task, number, &text);
     const struct move_assign args = {.page_version = version, .page = text};
     spec.args = &args;
     rpc_call_start(task->options.node, &spec);
@@ -244,25 +263,10 @@
 static void
 handle_assign(void *ctx, struct rpc_request *request, const void *data)
 {
-    struct placetask *task = ctx;
     const struct move_assign *args = data;
-    struct shardpage page;
-    struct error err = {.code = ERROR_NONE};
-    json_t *value = json_loads(args->page, 0, NULL);
     const bool valid =
-        value != NULL && shardpage_from_json(&page, value, &err);
-    const uint64_t version = args->page_version;
-    json_decref(value);
-    reply_accepted(request, valid); /* ends the life of args */
-    if (!valid) {
-        LOG_WARN("assignment_malformed",
-                 LOG_STR("error", error_name(err.code)));
-        return;
-    }
-    if (task->placer != NULL) {
-        placer_page(task->placer, &page, version, now_of(task));
-        placetask_pump(task);
-    }
+        placetask_apply_page(ctx, args->page, args->page_version);
+    reply_accepted(request, valid);
 }
 
 static void
--- a/packages/placement/placetask.c
+++ b/packages/placement/placetask.c
@@ -98,6 +98,7 @@
         placerpc_probe(task, action->peer);
         break;
     case PLACE_PUBLISH:
+        placerpc_publish(task, action->page);
         break;
     default:
         carry_out_for_gate(task, action);
@@ -449,6 +450,30 @@
     return task->map;
 }
 
+bool
+placetask_apply_page(struct placetask *task, const char *text,
+                     uint64_t version)
+{
+    struct shardpage page;
+    struct error err = {.code = ERROR_NONE};
+    json_t *value = json_loads(text, 0, NULL);
+    const bool valid =
+        value != NULL && shardpage_from_json(&page, value, &err);
+    json_decref(value);
+    if (!valid) {
+        LOG_WARN("page_malformed", LOG_STR("error", error_name(err.code)));
+        return false;
+    }
+    if (task->placer != NULL) {
+        placer_page(task->placer, &page, version, now_of(task));
+        placetask_pump(task);
+    }
+    else {
+        shardmap_apply(task->map, &page, version, NULL, NULL);
+    }
+    return true;
+}
+
 void
 placetask_hint(struct placetask *task, const char *service, uint32_t shard,
                const char *owner, uint64_t epoch)
--- a/packages/placement/placetask.h
+++ b/packages/placement/placetask.h
@@ -42,6 +42,9 @@
     void (*merged)(void *ctx, uint32_t base, uint32_t key);
     /** A members row was read, which may be new to membership. */
     void (*member_read)(void *ctx, const struct member *row);
+    /** A page was committed by this instance; text is its row's JSON. */
+    void (*published)(void *ctx, const char *row, uint64_t version,
+                      const char *text);
     void *ctx;
 };
 
@@ -99,6 +102,14 @@
 
 const struct shardmap *placetask_map(const struct placetask *task);
 
+/**
+ * Takes over a page that another instance spread; text is its row's JSON.
+ *
+ * @return false if it is malformed.
+ */
+bool placetask_apply_page(struct placetask *task, const char *text,
+                          uint64_t version);
+
 /** Remembers an owner that a gate named. */
 void placetask_hint(struct placetask *task, const char *service,
                     uint32_t shard, const char *owner, uint64_t epoch);
--- a/packages/placement/placetask_internal.h
+++ b/packages/placement/placetask_internal.h
@@ -84,6 +84,7 @@
 void placerpc_serve(struct placetask *task);
 void placerpc_reserve(struct placetask *task, struct place_action *action);
 void placerpc_handover(struct placetask *task, struct place_action *action);
+void placerpc_publish(struct placetask *task, uint32_t page);
 void placerpc_assign(struct placetask *task, const char *peer, uint32_t page);
 void placerpc_probe(struct placetask *task, const char *peer);
 /**@}*/
