--- a/packages/placement/placemodel.c
+++ b/packages/placement/placemodel.c
@@ -306,6 +306,7 @@
             result.moves_given_up += counts.moves_given_up;
             result.replaced += counts.replaced;
             result.splits += counts.splits;
+            result.merges += counts.merges;
         }
     }
     result.moves = model->shards_moved;
--- a/packages/placement/placemodel.h
+++ b/packages/placement/placemodel.h
@@ -66,6 +66,7 @@
     int64_t zone_outs;
     int64_t restarts_of_all;
     int64_t splits;
+    int64_t merges;
 };
 
 struct placemodel;
--- a/packages/placement/placer.c
+++ b/packages/placement/placer.c
@@ -276,7 +276,7 @@
     placer->now_us = now_us;
     peers_update(placer->peers, info, now_us);
     if (info->state == PEER_GONE) {
-        placer->plan_due_us = 0;
+        placer->claim_due_us = 0;
         placer->owners_due_us = 0;
     }
 }
@@ -438,6 +438,9 @@
     if (now_us >= placer->plan_due_us) {
         placer->plan_due_us = now_us + PLAN_PERIOD_US;
         placer_plan(placer);
+    }
+    if (now_us >= placer->claim_due_us) {
+        placer->claim_due_us = now_us + CLAIM_PERIOD_US;
         placer_claim(placer);
     }
     if (now_us >= placer->balance_due_us) {
--- a/packages/placement/placer_internal.h
+++ b/packages/placement/placer_internal.h
@@ -10,6 +10,7 @@
 #include "placement/placer.h"
 
 #define PLAN_PERIOD_US INT64_C(20000)
+#define CLAIM_PERIOD_US INT64_C(200000)
 #define BALANCE_PERIOD_US INT64_C(1000000)
 #define PROBE_PERIOD_US INT64_C(500000)
 #define SCAN_RETRY_US INT64_C(500000)
@@ -51,6 +52,7 @@
     double move_tokens;
     int64_t tokens_us;
     int64_t plan_due_us;
+    int64_t claim_due_us;
     int64_t balance_due_us;
     int64_t probe_due_us;
     int64_t owners_due_us; /* owners are looked at again */
--- a/packages/placement/test/session_test.cc
+++ b/packages/placement/test/session_test.cc
@@ -12,6 +12,7 @@
 #include "base/runtime.h"
 #include "placement/placemodel.h"
 #include "placement/placemodelruns.h"
+#include "placement/shardmap.h"
 }
 
 namespace {
@@ -184,6 +185,27 @@
     EXPECT_TRUE(placemodel_is_whole(model));
 }
 
+TEST_F(Session, HotKeyIsSplitOutAndMergedBack)
+{
+    uint64_t hash = shardmap_hash("archebion", "hides", 5);
+    uint32_t key = shardmap_key_of(hash);
+
+    Start(3);
+    placemodel_run(model, 6 * US_PER_SECOND);
+    placemodel_set_load(model, 0, 14);
+    placemodel_set_hot(model, 0, hash, 9);
+    placemodel_run(model, 2 * US_PER_SECOND);
+    EXPECT_EQ(placemodel_result(model).splits, 1);
+    placemodel_set_load(model, 0, 5);
+    placemodel_set_hot(model, 0, 0, 0);
+    placemodel_set_load(model, key, 9);
+    placemodel_run(model, 10 * US_PER_SECOND);
+    placemodel_set_load(model, key, 0);
+    placemodel_run(model, 140 * US_PER_SECOND);
+    EXPECT_EQ(placemodel_result(model).merges, 1);
+    Golden("hot_key");
+}
+
 TEST(Soak, FixedSeedsKeepAllPromises)
 {
     log_init(stderr, LOG_LEVEL_ERROR);
