placement: drain only while the page is free

Cause: a shard that was drained while an earlier write of its page was under way waited for it unserved. Change: an accepted move stays served until the page is free.

--- a/packages/placement/owned.h
+++ b/packages/placement/owned.h
@@ -39,6 +39,7 @@
     const char *why;
     uint64_t attempt;
     unsigned refusals;
+    bool accepted;    /**< reserved; drains once the page is not busy */
     int64_t since_us; /**< in this state since */
     double weight;    /**< load given to the receiver */
     void *blob;       /**< state to hand over, owned */
--- a/packages/placement/pagewriter.c
+++ b/packages/placement/pagewriter.c
@@ -159,6 +159,15 @@
     return false;
 }
 
+bool
+pagewriter_busy(const struct pagewriter *writer, uint32_t page)
+{
+    const struct page_work *work = find_work(writer, page);
+
+    return work != NULL &&
+           (work->write != NULL || work->reading || work->must_read);
+}
+
 size_t
 pagewriter_pending(const struct pagewriter *writer)
 {
--- a/packages/placement/pagewriter.h
+++ b/packages/placement/pagewriter.h
@@ -65,6 +65,9 @@
 bool pagewriter_has(const struct pagewriter *writer, uint32_t page,
                     uint32_t shard);
 
+/** True while a write or read of the page is under way or due. */
+bool pagewriter_busy(const struct pagewriter *writer, uint32_t page);
+
 /** Number of changes that have not ended. */
 size_t pagewriter_pending(const struct pagewriter *writer);
 
--- a/packages/placement/placermove.c
+++ b/packages/placement/placermove.c
@@ -56,6 +56,7 @@
     (void)snprintf(owned->receiver, sizeof(owned->receiver), "%s", receiver);
     peers_place(peer, owned->weight, placer->now_us);
     placer->counts.moves_started++;
+    owned->accepted = false;
     enter(placer, owned, OWNED_RESERVING);
     add_move_action(placer, owned, PLACE_RESERVE);
     /* Read while the shard is still served, so that the write compares a
@@ -140,6 +141,18 @@
     pagewriter_add(placer->writer, change->base / SHARDPAGE_SHARDS, change);
 }
 
+/* While an earlier write of the page is under way, the shard would wait for
+ * it unserved. */
+static void
+drain_if_free(struct placer *placer, struct owned *owned)
+{
+    if (!pagewriter_busy(placer->writer,
+                         placer_page_of(placer, owned->shard))) {
+        enter(placer, owned, OWNED_DRAINING);
+        add_move_action(placer, owned, PLACE_DRAIN);
+    }
+}
+
 void
 placer_handed(struct placer *placer, uint32_t shard, uint64_t attempt,
               bool accepted, int64_t now_us)
@@ -157,8 +170,8 @@
             return;
         }
         owned->refusals = 0;
-        enter(placer, owned, OWNED_DRAINING);
-        add_move_action(placer, owned, PLACE_DRAIN);
+        owned->accepted = true;
+        drain_if_free(placer, owned);
     }
     else if (owned->state == OWNED_HANDING) {
         if (!accepted) {
@@ -202,6 +215,9 @@
         if (owned->state == OWNED_RESERVING && age_us > RESERVE_TIMEOUT_US) {
             give_up(placer, owned);
         }
+        else if (owned->state == OWNED_RESERVING && owned->accepted) {
+            drain_if_free(placer, owned);
+        }
         else if ((owned->state == OWNED_DRAINING && age_us > drain_us) ||
                  (owned->state == OWNED_HANDING &&
                   age_us > HANDOVER_TIMEOUT_US)) {
