--- a/packages/gate/admission.c
+++ b/packages/gate/admission.c
@@ -469,19 +469,6 @@
     return request;
 }
 
-void
-admission_visit(struct admission *admission,
-                void (*visit)(void *ctx, struct admission_request *request),
-                void *ctx)
-{
-    struct admission_request *request = TAILQ_FIRST(&admission->in_flight);
-    while (request != NULL) {
-        struct admission_request *next = TAILQ_NEXT(request, link);
-        visit(ctx, request);
-        request = next;
-    }
-}
-
 void
 admission_load(const struct admission *admission, int64_t now_us,
                struct forward_load *load)
--- a/packages/gate/admission.h
+++ b/packages/gate/admission.h
@@ -148,12 +148,6 @@
                                          int64_t now_us,
                                          struct admission_decision *decision);
 
-/** The requests in flight, for a crash or a shutdown. */
-void admission_visit(struct admission *admission,
-                     void (*visit)(void *ctx,
-                                   struct admission_request *request),
-                     void *ctx);
-
 /** Load that rides on every reply. */
 void admission_load(const struct admission *admission, int64_t now_us,
                     struct forward_load *load);
