Truthful expiry of awaited orders; configuration rows by one module

Cause: an order whose deadline passed while it was queued was told not-run although another sending of the same id kept it going. configtask had its own copies of the rows' names and did not check digests; each daemon polled the head at a fixed period, which is 4,600 reads/s at the two-year size.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 JOBS ?= $(shell nproc)
 SEEDS ?= 1000
 BENCHES = $(patsubst packages/%,%,$(wildcard packages/*/bench/bench_*.c))
-BENCH_NAMES = $(patsubst bench_%,%,$(basename $(notdir $(BENCHES)))) path
+BENCH_NAMES = $(patsubst bench_%,%,$(basename $(notdir $(BENCHES)))) daemon
 
 .PHONY: all build deps test check-format lint unit sanitize demo bench soak \
   clean $(addprefix bench-,$(BENCH_NAMES))
@@ -40,11 +40,11 @@
 	@for name in $(BENCH_NAMES); do \
 	  $(MAKE) -s bench-$$name || exit 1; done
 
-$(addprefix bench-,$(filter-out path,$(BENCH_NAMES))): bench-%: build
+$(addprefix bench-,$(filter-out daemon,$(BENCH_NAMES))): bench-%: build
 	@$(BUILD)/bench_$*
 
-bench-path: build
-	@python3 demo/bench_path.py --build $(BUILD)
+bench-daemon: build
+	@python3 demo/bench_daemon.py --build $(BUILD)
 
 soak: build
 	@sh .ci/soak $(BUILD) $(SEEDS)
--- a/packages/daemon/configtask.c
+++ b/packages/daemon/configtask.c
@@ -1,7 +1,5 @@
 #include "daemon/configtask.h"
 
-#include <inttypes.h>
-#include <stdio.h>
 #include <stdlib.h>
 
 #define LOG_MODULE "config"
@@ -9,10 +7,7 @@
 #include "base/document.h"
 #include "base/log.h"
 #include "base/runtime.h"
-
-#define CONFIG_TABLE "config"
-#define CONFIG_HEAD "head"
-#define CONFIG_ROW_SIZE 40
+#include "state/revision.h"
 
 struct configtask {
     struct configtask_options options;
@@ -20,6 +15,7 @@
     struct state *state;
     struct state *former; /* until everyone knows the new one */
     struct timer poll_timer;
+    size_t members;
     bool reading_head;
     uint64_t fetching; /* revision whose document is being read, or 0 */
     struct counter *polls;
@@ -55,10 +51,14 @@
         task->poll_failures->value++;
         return;
     }
+    struct revision_head head;
+    struct error err = {.code = ERROR_NONE};
     const json_t *document =
-        json_object_get(result->rows[0].value, "document");
+        revision_document(result->rows[0].value, &head, &err);
     if (document == NULL) {
-        LOG_ERR("revision_row_malformed", LOG_UINT("revision", revision));
+        LOG_ERR("revision_row_malformed", LOG_UINT("revision", revision),
+                LOG_STR("error", error_name(err.code)),
+                LOG_STR("subject", err.subject));
         return;
     }
     configtask_offer(task, revision, document);
@@ -67,14 +67,14 @@
 static void
 configtask_fetch(struct configtask *task, uint64_t revision)
 {
-    char row[CONFIG_ROW_SIZE];
+    char row[REVISION_ROW_SIZE];
     if (task->fetching != 0) {
         return;
     }
     task->fetching = revision;
-    snprintf(row, sizeof(row), "revision/%020" PRIu64, revision);
-    store_read(task->options.store, CONFIG_TABLE, row, configtask_on_document,
-               task);
+    revision_row(revision, row);
+    store_read(task->options.store, REVISION_TABLE, row,
+               configtask_on_document, task);
 }
 
 static void
@@ -86,30 +86,33 @@
         task->poll_failures->value++;
         return;
     }
-    const json_t *value = result->rows[0].value;
-    if (value == NULL) {
-        config_heard(task->config, 0, runtime_now_us(task->options.runtime));
-        return;
-    }
-    const json_t *revision = json_object_get(value, "revision");
-    if (!json_is_integer(revision)) {
-        LOG_ERR("config_head_malformed");
+    struct revision_head head;
+    struct error err = {.code = ERROR_NONE};
+    if (!revision_head_parse(result->rows[0].value, &head, &err)) {
+        LOG_ERR("config_head_malformed",
+                LOG_STR("error", error_name(err.code)),
+                LOG_STR("subject", err.subject));
         return;
     }
-    configtask_heard(task, (uint64_t)json_integer_value(revision));
+    configtask_heard(task, head.revision);
 }
 
 static void
 configtask_poll(void *ctx)
 {
     struct configtask *task = ctx;
-    timer_start(&task->poll_timer, task->options.poll_us);
+    int64_t period_us =
+        (int64_t)task->members * US_PER_SECOND / CONFIGTASK_POLLS_PER_SECOND;
+    if (period_us < task->options.poll_us) {
+        period_us = task->options.poll_us;
+    }
+    timer_start(&task->poll_timer, period_us);
     if (task->reading_head) {
         return;
     }
     task->reading_head = true;
     task->polls->value++;
-    store_read(task->options.store, CONFIG_TABLE, CONFIG_HEAD,
+    store_read(task->options.store, REVISION_TABLE, REVISION_HEAD_ROW,
                configtask_on_head, task);
 }
 
@@ -149,6 +152,12 @@
     free(task);
 }
 
+void
+configtask_set_members(struct configtask *task, size_t members)
+{
+    task->members = members;
+}
+
 void
 configtask_heard(struct configtask *task, uint64_t revision)
 {
--- a/packages/daemon/configtask.h
+++ b/packages/daemon/configtask.h
@@ -16,6 +16,8 @@
 #include "state/state.h"
 #include "store/store.h"
 
+#define CONFIGTASK_POLLS_PER_SECOND 200
+
 struct counter_registry;
 struct runtime;
 struct configtask;
@@ -40,6 +42,12 @@
 /** The store must not answer after this. */
 void configtask_destroy(struct configtask *task);
 
+/**
+ * Members that are live. All of them together read the head at most
+ * CONFIGTASK_POLLS_PER_SECOND times a second.
+ */
+void configtask_set_members(struct configtask *task, size_t members);
+
 /** Another member has this revision in force. */
 void configtask_heard(struct configtask *task, uint64_t revision);
 
--- a/packages/daemon/daemonevents.c
+++ b/packages/daemon/daemonevents.c
@@ -93,6 +93,9 @@
     entrytask_member(daemon->entry, row);
     placetask_member(daemon->placement, row);
     spreadwire_member(daemon, row);
+    configtask_set_members(
+        daemon->config,
+        directory_live_count(membertask_directory(daemon->members)));
 }
 
 static void
--- a/packages/daemon/test/deployment.h
+++ b/packages/daemon/test/deployment.h
@@ -21,6 +21,7 @@
 #include "http/httpclient.h"
 #include "standin/storeserver.h"
 #include "standin/targetserver.h"
+#include "state/revision.h"
 #include "store/storememory.h"
 }
 
@@ -140,16 +141,19 @@
     /** Writes a declared state as the operators' client does. */
     void Apply(uint64_t revision, const std::string &text)
     {
-        char row[64];
-        snprintf(row, sizeof(row), "revision/%020llu",
-                 static_cast<unsigned long long>(revision));
+        char row[REVISION_ROW_SIZE];
         json_t *document = json_loadb(text.data(), text.size(), 0, nullptr);
+        struct revision_head head = {};
+        head.revision = revision;
+        state_digest_format(state_digest(document), head.digest);
+        snprintf(head.author, sizeof(head.author), "test");
+        revision_row(revision, row);
         struct store_txn *txn = store_txn_create(revision);
-        store_txn_put(txn, "config", row,
-                      json_pack("{s:o}", "document", document));
-        store_txn_put(
-            txn, "config", "head",
-            json_pack("{s:I}", "revision", static_cast<json_int_t>(revision)));
+        store_txn_put(txn, REVISION_TABLE, row,
+                      revision_to_json(&head, document));
+        store_txn_put(txn, REVISION_TABLE, REVISION_HEAD_ROW,
+                      revision_head_to_json(&head));
+        json_decref(document);
         const struct store store_view = store_memory_store(memory);
         bool done = false;
         store_commit(
--- a/packages/gate/gateend.c
+++ b/packages/gate/gateend.c
@@ -235,7 +235,10 @@
 gate_expire(struct gate *gate, struct gate_request *request, int64_t now_us)
 {
     gate->now_us = now_us;
-    const bool may_have_run = request->state == GATE_STATE_SENT ||
+    /* Others that wait for this execution keep it going. */
+    const bool goes_on =
+        request->entry != NULL && dedup_awaited(request->entry);
+    const bool may_have_run = goes_on || request->state == GATE_STATE_SENT ||
                               request->state == GATE_STATE_DELEGATED ||
                               request->state == GATE_STATE_WAITING;
     const struct gate_answer answer = {
--- a/packages/gate/test/gate_test.cc
+++ b/packages/gate/test/gate_test.cc
@@ -328,6 +328,22 @@
     EXPECT_TRUE(told_[Arrive("a")].replayed);
 }
 
+TEST_F(Gate, ExpiredOrderThatOthersWaitForIsUnknown)
+{
+    Arrive("", true);
+    Arrive("", true);
+    gate_request *first = Arrive("order-1");
+    EXPECT_EQ(GATE_STATE_QUEUED, first->state);
+    gate_request *second = Arrive("order-1");
+    EXPECT_EQ(GATE_STATE_WAITING, second->state);
+    gate_expire(gate_, first, now_us_);
+    EXPECT_EQ(FORWARD_UNKNOWN, told_[first].outcome);
+    while (told_.count(second) == 0) {
+        Finish(SendNext());
+    }
+    EXPECT_EQ(FORWARD_ANSWERED, told_[second].outcome);
+}
+
 TEST_F(Gate, CutAnswerIsUnknownAndIsNotRunAgain)
 {
     gate_request *request = Arrive("a");
