daemon: orders that a target can't take run at another instance, once

Cause: the gate unit can delegate an order of an un-keyed service, but the daemon did not carry it out, so a cold or slow owner refused orders that others could run. Change: delegate.c sends the order to another member, chosen as for any request of the service, as neither keyed nor with an id; the own gate goes on to remember the id and replays the answer.

--- a/packages/daemon/daemon.c
+++ b/packages/daemon/daemon.c
@@ -136,6 +136,7 @@
         .owned = daemonevents_owned,
         .owner = daemonevents_owner_of_own_service,
         .shard_idle = daemonevents_shard_idle,
+        .delegate = daemonevents_delegate,
         .ctx = daemon,
     };
     daemon->gate = gatetask_create(&options);
@@ -279,6 +280,7 @@
     promiselog_destroy(daemon->promiselog);
     spreadwire_destroy(daemon);
     configtask_destroy(daemon->config);
+    gatetask_stop(daemon->gate);
     entrytask_destroy(daemon->entry);
     forwarder_destroy(daemon->forwarder);
     gatetask_destroy(daemon->gate);
--- a/packages/daemon/daemonevents.c
+++ b/packages/daemon/daemonevents.c
@@ -219,6 +219,19 @@
     free(blob);
 }
 
+struct delegate *
+daemonevents_delegate(void *ctx, const struct forward_request *request,
+                      int64_t timeout_us, forwarder_done_cb done,
+                      void *done_ctx)
+{
+    const struct daemon *daemon = ctx;
+    struct entryservice *service =
+        entrytask_service(daemon->entry, request->service);
+    return delegate_send(daemon->forwarder, daemon->runtime, service,
+                         daemon->settings.instance, request, timeout_us, done,
+                         done_ctx);
+}
+
 static void
 on_gained(void *ctx, uint32_t shard, uint32_t epoch, bool planned,
           const void *blob, size_t blob_size)
--- a/packages/daemon/entrytask.c
+++ b/packages/daemon/entrytask.c
@@ -60,8 +60,8 @@
     struct counter *in_progress;
 };
 
-static struct entryservice *
-entry_find_service(const struct entrytask *entry, const char *name)
+struct entryservice *
+entrytask_service(const struct entrytask *entry, const char *name)
 {
     struct entryservice *service;
     LIST_FOREACH (service, &entry->services, link) {
@@ -423,7 +423,7 @@
     };
     if (requestkey_read(declared, &source, &key, &err)) {
         struct entryservice *service =
-            entry_find_service(entry, declared->name);
+            entrytask_service(entry, declared->name);
         entry_begin(entry, service, http, &key, target);
     }
     else {
@@ -505,7 +505,7 @@
     for (size_t i = 0; i < state->service_count; i++) {
         const struct state_service *declared = &state->services[i];
         struct entryservice *service =
-            entry_find_service(entry, declared->name);
+            entrytask_service(entry, declared->name);
         if (service == NULL) {
             service = entryservice_create(&options, declared, now_us);
             LIST_INSERT_HEAD(&entry->services, service, link);
--- a/packages/daemon/entrytask.h
+++ b/packages/daemon/entrytask.h
@@ -59,6 +59,10 @@
 /** A member's row became known. */
 void entrytask_member(struct entrytask *entry, const struct member *row);
 
+/** What the entry knows of a declared service, or NULL. */
+struct entryservice *entrytask_service(const struct entrytask *entry,
+                                       const char *name);
+
 /** Requests that are not answered yet. */
 size_t entrytask_count(const struct entrytask *entry);
 
--- a/packages/daemon/gatecall.c
+++ b/packages/daemon/gatecall.c
@@ -37,6 +37,9 @@
     if (call->target_call != NULL) {
         target_call_cancel(call->target_call);
     }
+    if (call->delegate != NULL) {
+        delegate_cancel(call->delegate);
+    }
     timer_stop(&call->deadline);
     gatereply_request_free(call->copy);
     LIST_REMOVE(call, link);
@@ -62,7 +65,8 @@
 call_settle(struct gatetask_call *call)
 {
     struct gatetask *gate = call->gate;
-    if (!call->ended || call->target_call != NULL || call->dispatching) {
+    if (!call->ended || call->target_call != NULL || call->delegate != NULL ||
+        call->dispatching) {
         return;
     }
     if (call->unit.admission.keyed) {
@@ -318,8 +322,51 @@
     call->dispatching = false;
 }
 
+static void
+call_on_delegated(void *ctx, enum rpc_status status,
+                  const struct forward_reply *reply)
+{
+    struct gatetask_call *call = ctx;
+    struct gate_delegated result = {
+        .outcome = FORWARD_UNKNOWN,
+        .reason = FORWARD_REASON_PEER_LOST,
+    };
+    void *data = NULL;
+    call->delegate = NULL;
+    if (reply != NULL) {
+        result.outcome = reply->outcome;
+        result.reason = reply->reason;
+        result.retry_after_ms = reply->retry_after_ms;
+        result.status = reply->status;
+    }
+    else if (status == RPC_NOT_SENT || status == RPC_REFUSED_BY_HOST ||
+             status == RPC_REJECTED) {
+        result.outcome = FORWARD_NOT_RUN;
+    }
+    if (result.outcome == FORWARD_ANSWERED) {
+        data = gatereply_encode((struct forward_reply *)reply, &result.size);
+        result.data = data;
+    }
+    gate_delegated(call->gate->unit, &call->unit, &result, now_of(call->gate));
+    free(data);
+}
+
+static void
+call_on_delegate(void *ctx, struct gate_request *unit)
+{
+    struct gatetask *gate = ctx;
+    struct gatetask_call *call = call_of(unit);
+    const int64_t timeout_us =
+        unit->admission.entry.deadline_us - now_of(gate);
+    gate->delegated->value++;
+    call->delegate = gate->options.delegate(gate->options.ctx, call->request,
+                                            timeout_us > 0 ? timeout_us : 1,
+                                            call_on_delegated, call);
+}
+
 const struct gate_ops gatecall_ops = {
     .dispatch = call_on_dispatch,
+    .delegate = call_on_delegate,
     .stop = call_on_stop,
     .answer = call_on_answer,
     .done = call_on_done,
@@ -345,6 +392,8 @@
         hash_bytes(request->body.body_val, request->body.body_len, 0);
     unit->key = shardmap_key_of(
         shardmap_hash(request->service, request->key, strlen(request->key)));
+    unit->may_delegate =
+        request->keyed && call->gate->service.key_source == STATE_KEY_NONE;
     unit->admission = (struct admission_request){
         .entry =
             {
--- a/packages/daemon/gatetask.c
+++ b/packages/daemon/gatetask.c
@@ -67,6 +67,9 @@
         counter_add(counters, "gate_cancelled_after_write",
                     "requests cancelled as the lease lapsed while they were "
                     "written");
+    gate->delegated =
+        counter_add(counters, "gate_delegated",
+                    "orders handed to another instance's target");
     gate->in_flight =
         counter_add(counters, "gate_in_flight", "requests at the target");
     gate->queued = counter_add(counters, "gate_queued", "requests that wait");
@@ -105,6 +108,21 @@
     return gate;
 }
 
+void
+gatetask_stop(struct gatetask *gate)
+{
+    struct gatetask_call *call;
+    if (gate == NULL) {
+        return;
+    }
+    LIST_FOREACH (call, &gate->calls, link) {
+        if (call->delegate != NULL) {
+            delegate_cancel(call->delegate);
+            call->delegate = NULL;
+        }
+    }
+}
+
 void
 gatetask_destroy(struct gatetask *gate)
 {
--- a/packages/daemon/gatetask.h
+++ b/packages/daemon/gatetask.h
@@ -10,6 +10,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "daemon/delegate.h"
 #include "gate/admission.h"
 #include "gate/dedup.h"
 #include "gate/suspects.h"
@@ -45,12 +46,21 @@
     admission_owner_cb owned; /**< whether this instance owns a shard */
     gatetask_owner_cb owner;  /**< who owns it otherwise */
     void (*shard_idle)(void *ctx, uint32_t shard); /**< a drain is over */
+    /** Hands an order to another instance's gate; see delegate_send(). */
+    struct delegate *(*delegate)(void *ctx,
+                                 const struct forward_request *request,
+                                 int64_t timeout_us, forwarder_done_cb done,
+                                 void *done_ctx);
     void *ctx;
 };
 
 /** Aborts when memory is short. */
 struct gatetask *gatetask_create(const struct gatetask_options *options);
 
+/** Ends what it has at other instances; call it before the forwarder and the
+ * entry are destroyed. */
+void gatetask_stop(struct gatetask *gate);
+
 /** Requests that are not answered get no answer. */
 void gatetask_destroy(struct gatetask *gate);
 
--- a/packages/daemon/gatetask_internal.h
+++ b/packages/daemon/gatetask_internal.h
@@ -40,6 +40,7 @@
     bool dispatching; /* within target_forward() */
     bool unchecked;   /* written since the last check of the lease */
     struct target_call *target_call;
+    struct delegate *delegate;          /* NULL unless another gate runs it */
     const struct target_result *result; /* during its callback */
     struct timer deadline;
 };
@@ -82,6 +83,7 @@
     struct counter *unknown;
     struct counter *replayed;
     struct counter *cancelled_after_write;
+    struct counter *delegated;
     struct counter *in_flight;
     struct counter *queued;
     struct counter *limit;
--- a/packages/daemon/test/daemon_test.cc
+++ b/packages/daemon/test/daemon_test.cc
@@ -160,6 +160,71 @@
     EXPECT_EQ(DAEMON_FINISHING, leaving->phase);
 }
 
+const char *const ORDERS = R"({
+  "zones": [{"name": "llanidloes", "region": "powys"},
+            {"name": "rhayader", "region": "powys"}],
+  "services": [
+    {"name": "orders", "path_prefix": "/orders", "shards": 16,
+     "idempotent_methods": ["GET"], "slots": 20, "connections": 64,
+     "cold_limit": 2, "cold_start_ms": 60000, "deadline_ms": 900,
+     "deadline_max_ms": 8000, "targets_check_grants": false}]
+})";
+
+TEST(Delegation, OrdersThatAColdTargetCannotTakeRunElsewhereOnce)
+{
+    invariant_reset();
+    Deployment deployment;
+    deployment.latency_us = 400 * US_PER_MS;
+    deployment.Add("one", "llanidloes", "orders");
+    deployment.Add("two", "rhayader", "orders");
+    deployment.Add("three", "rhayader", "orders");
+    deployment.Apply(1, ORDERS);
+    size_t owned = 0;
+    ASSERT_TRUE(deployment.Until([&] {
+        owned = 0;
+        for (const auto &instance : deployment.instances) {
+            owned += placetask_owned(instance->daemon->placement);
+        }
+        return owned == 16;
+    }));
+    const struct address entry =
+        *http_server_address(deployment.instances[0]->daemon->http);
+    std::vector<std::unique_ptr<Answer>> answers;
+    std::vector<std::string> ids;
+    for (int i = 0; i < 12; i++) {
+        answers.push_back(std::make_unique<Answer>());
+        ids.push_back(deployment.Id());
+        deployment.Start(entry, "POST", "/orders/x", "one", ids.back(),
+                         answers.back().get());
+    }
+    deployment.Until([&] {
+        bool all = true;
+        for (const auto &answer : answers) {
+            all = all && answer->done;
+        }
+        return all;
+    });
+    int64_t delegated = 0;
+    for (const auto &instance : deployment.instances) {
+        delegated +=
+            counter_add(instance->daemon->counters, "gate_delegated", "")
+                ->value;
+    }
+    EXPECT_GT(delegated, 0);
+    for (size_t i = 0; i < answers.size(); i++) {
+        EXPECT_TRUE(answers[i]->done);
+        if (answers[i]->status == 200) {
+            const Answer again =
+                deployment.Ask(0, "POST", "/orders/x", "one", ids[i]);
+            EXPECT_EQ(answers[i]->body, again.body);
+            EXPECT_TRUE(again.replayed);
+        }
+    }
+    for (int id = 0; id < INVARIANT_COUNT; id++) {
+        EXPECT_EQ(0, invariant_violations(static_cast<enum invariant>(id)));
+    }
+}
+
 TEST_F(DaemonTest, HigherRevisionComesIntoForceAndALowerOneDoesNot)
 {
     std::string changed = STATE;
--- a/packages/daemon/test/deployment.h
+++ b/packages/daemon/test/deployment.h
@@ -119,7 +119,7 @@
         config.incarnation = "one";
         config.slots = 20;
         config.cold_limit = 2;
-        config.latency_us = 500;
+        config.latency_us = latency_us;
         instance.target =
             target_server_create(runtime, &config, counters, nullptr);
         Announce(instance);
@@ -247,6 +247,7 @@
     std::vector<std::unique_ptr<TestInstance>> instances;
     std::vector<struct http_client *> clients;
     unsigned announced = 0;
+    int64_t latency_us = 500; /* of targets that are started */
     int next_id = 0;
 
   private:
