placement: measure a join where the hottest key fits one member

Cause: the join from 12 to 13 members moved 2.61 of the least load, and it was not known why. With 13 members the hottest key is 8.3% of the load against a share of 7.7%, so its owner sheds all else. Both figures stay.

--- a/packages/placement/bench/bench_placement.c
+++ b/packages/placement/bench/bench_placement.c
@@ -551,6 +551,8 @@
     measure_imbalance(4, 256, 5);
     measure_imbalance(12, 1024, 5);
     measure_imbalance(100, 4096, 2);
+    measure_change("join_8_to_9", 8, 9, 1, 0, -1);
+    /* Above 12 members one key is more than a member's share. */
     measure_change("join", 12, 13, 1, 0, -1);
     measure_change("leave", 12, 12, 0, 1, -1);
     measure_change("zone_out", 12, 12, 0, 0, 0);
