placement: the hottest keys in bounded memory

Cause: a key can be split out of its shard only if somebody knows that it is hot; counting all keys is out of the question. Change: space-saving counters with decay (512 keys, half-life 20 s, about 25 KB).

--- /dev/null
+++ b/packages/placement/hotkeys.c
@@ -0,0 +1,219 @@
+#include "placement/hotkeys.h"
+
+#include <stdbool.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define BUCKETS 1024
+#define NONE UINT16_MAX
+
+/* Counters are a heap by weight, lowest first, found by a hash table. */
+struct counted {
+    struct hotkey key;
+    uint16_t next;  /* counter in the same bucket */
+    uint16_t place; /* in the heap */
+};
+
+struct hotkeys {
+    struct counted counters[HOTKEYS_COUNTERS];
+    uint16_t heap[HOTKEYS_COUNTERS];
+    uint16_t buckets[BUCKETS];
+    size_t count;
+    double total;
+    int64_t decayed_us;
+};
+
+struct hotkeys *
+hotkeys_create(int64_t now_us)
+{
+    struct hotkeys *hotkeys = calloc(1, sizeof(*hotkeys));
+
+    if (hotkeys == NULL) {
+        return NULL;
+    }
+    for (size_t i = 0; i < BUCKETS; i++) {
+        hotkeys->buckets[i] = NONE;
+    }
+    hotkeys->decayed_us = now_us;
+    return hotkeys;
+}
+
+void
+hotkeys_destroy(struct hotkeys *hotkeys)
+{
+    free(hotkeys);
+}
+
+static double
+weight_at(const struct hotkeys *hotkeys, size_t place)
+{
+    return hotkeys->counters[hotkeys->heap[place]].key.weight;
+}
+
+static void
+swap_places(struct hotkeys *hotkeys, size_t a, size_t b)
+{
+    uint16_t index = hotkeys->heap[a];
+
+    hotkeys->heap[a] = hotkeys->heap[b];
+    hotkeys->heap[b] = index;
+    hotkeys->counters[hotkeys->heap[a]].place = (uint16_t)a;
+    hotkeys->counters[hotkeys->heap[b]].place = (uint16_t)b;
+}
+
+static void
+sift_up(struct hotkeys *hotkeys, size_t place)
+{
+    while (place > 0 &&
+           weight_at(hotkeys, place) < weight_at(hotkeys, (place - 1) / 2)) {
+        swap_places(hotkeys, place, (place - 1) / 2);
+        place = (place - 1) / 2;
+    }
+}
+
+static void
+sift_down(struct hotkeys *hotkeys, size_t place)
+{
+    for (;;) {
+        size_t lowest = place;
+        for (size_t child = 2 * place + 1;
+             child <= 2 * place + 2 && child < hotkeys->count; child++) {
+            if (weight_at(hotkeys, child) < weight_at(hotkeys, lowest)) {
+                lowest = child;
+            }
+        }
+        if (lowest == place) {
+            return;
+        }
+        swap_places(hotkeys, place, lowest);
+        place = lowest;
+    }
+}
+
+/* Halves all counts; their order stays. */
+static void
+decay(struct hotkeys *hotkeys, int64_t now_us)
+{
+    while (now_us - hotkeys->decayed_us >= HOTKEYS_HALF_LIFE_US) {
+        hotkeys->decayed_us += HOTKEYS_HALF_LIFE_US;
+        hotkeys->total /= 2;
+        for (size_t i = 0; i < hotkeys->count; i++) {
+            hotkeys->counters[i].key.weight /= 2;
+            hotkeys->counters[i].key.error /= 2;
+        }
+        if (hotkeys->total < 1e-9) {
+            hotkeys->decayed_us = now_us;
+        }
+    }
+}
+
+static uint16_t
+find(const struct hotkeys *hotkeys, uint64_t hash)
+{
+    uint16_t index = hotkeys->buckets[hash % BUCKETS];
+
+    while (index != NONE && hotkeys->counters[index].key.hash != hash) {
+        index = hotkeys->counters[index].next;
+    }
+    return index;
+}
+
+static void
+unlink_counter(struct hotkeys *hotkeys, uint16_t index)
+{
+    uint16_t *link =
+        &hotkeys->buckets[hotkeys->counters[index].key.hash % BUCKETS];
+
+    while (*link != index) {
+        link = &hotkeys->counters[*link].next;
+    }
+    *link = hotkeys->counters[index].next;
+}
+
+/* A free counter, or the lowest, whose weight the new key inherits. */
+static uint16_t
+take_counter(struct hotkeys *hotkeys, uint64_t hash, uint32_t shard)
+{
+    struct counted *counted;
+    uint16_t index;
+    double inherited = 0;
+
+    if (hotkeys->count < HOTKEYS_COUNTERS) {
+        index = (uint16_t)hotkeys->count;
+        hotkeys->heap[hotkeys->count] = index;
+        hotkeys->counters[index].place = (uint16_t)hotkeys->count++;
+    }
+    else {
+        index = hotkeys->heap[0];
+        inherited = hotkeys->counters[index].key.weight;
+        unlink_counter(hotkeys, index);
+    }
+    counted = &hotkeys->counters[index];
+    counted->key = (struct hotkey){hash, shard, inherited, inherited};
+    counted->next = hotkeys->buckets[hash % BUCKETS];
+    hotkeys->buckets[hash % BUCKETS] = index;
+    sift_up(hotkeys, counted->place);
+    return index;
+}
+
+void
+hotkeys_add(struct hotkeys *hotkeys, uint64_t hash, uint32_t shard,
+            double weight, int64_t now_us)
+{
+    uint16_t index;
+
+    decay(hotkeys, now_us);
+    index = find(hotkeys, hash);
+    if (index == NONE) {
+        index = take_counter(hotkeys, hash, shard);
+    }
+    hotkeys->total += weight;
+    hotkeys->counters[index].key.shard = shard;
+    hotkeys->counters[index].key.weight += weight;
+    sift_down(hotkeys, hotkeys->counters[index].place);
+}
+
+uint64_t
+hotkeys_of_shard(const struct hotkeys *hotkeys, uint32_t shard, double *share)
+{
+    const struct hotkey *best = NULL;
+
+    *share = 0;
+    for (size_t i = 0; i < hotkeys->count; i++) {
+        const struct hotkey *key = &hotkeys->counters[i].key;
+        if (key->shard == shard &&
+            (best == NULL || key->weight > best->weight)) {
+            best = key;
+        }
+    }
+    if (best == NULL || hotkeys->total <= 0) {
+        return 0;
+    }
+    *share = (best->weight - best->error) / hotkeys->total;
+    return best->hash;
+}
+
+static int
+compare_hotkeys(const void *a, const void *b)
+{
+    const struct hotkey *left = a;
+    const struct hotkey *right = b;
+
+    return (left->weight < right->weight) - (left->weight > right->weight);
+}
+
+size_t
+hotkeys_top(const struct hotkeys *hotkeys, struct hotkey *keys, size_t limit)
+{
+    struct hotkey all[HOTKEYS_COUNTERS];
+
+    for (size_t i = 0; i < hotkeys->count; i++) {
+        all[i] = hotkeys->counters[i].key;
+    }
+    qsort(all, hotkeys->count, sizeof(all[0]), compare_hotkeys);
+    if (limit > hotkeys->count) {
+        limit = hotkeys->count;
+    }
+    memcpy(keys, all, limit * sizeof(all[0]));
+    return limit;
+}
