daemon: suspects spread at once, timeouts accuse nobody, hedges do not queue

Change: timeouts and requests cancelled after the write end as STOPPED; suspects are spread when a target cuts a request or is lost; the hedge mark reaches admission. entrymessage.c is split out of entrytask.c.

--- a/packages/daemon/daemon.c
+++ b/packages/daemon/daemon.c
@@ -135,6 +135,7 @@
         .seed = random_u64(&daemon->random),
         .owned = daemonevents_owned,
         .owner = daemonevents_owner_of_own_service,
+        .cut = daemonevents_cut,
         .shard_idle = daemonevents_shard_idle,
         .delegate = daemonevents_delegate,
         .ctx = daemon,
--- a/packages/daemon/daemonevents.c
+++ b/packages/daemon/daemonevents.c
@@ -155,6 +155,7 @@
     case TARGET_UPDATED:
         break;
     }
+    spreadwire_suspects(daemon);
     apply_target(daemon);
 }
 
@@ -219,6 +220,13 @@
     free(blob);
 }
 
+void
+daemonevents_cut(void *ctx)
+{
+    /* Other members must know a suspect before its caller sends it again. */
+    spreadwire_suspects(ctx);
+}
+
 struct delegate *
 daemonevents_delegate(void *ctx, const struct forward_request *request,
                       int64_t timeout_us, forwarder_done_cb done,
--- a/packages/daemon/entrytask.c
+++ b/packages/daemon/entrytask.c
@@ -1,6 +1,5 @@
 #include "daemon/entrytask.h"
 
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -11,6 +10,7 @@
 #include "base/random.h"
 #include "base/runtime.h"
 #include "daemon/entryanswer.h"
+#include "daemon/entrymessage.h"
 #include "daemon/forwarder.h"
 #include "entry/requestkey.h"
 #include "membership/directory.h"
@@ -36,9 +36,7 @@
     struct http_request *http;
     struct request *unit;
     struct requestkey key;
-    char *target;               /* path and query */
-    struct http_headers passed; /* what message.headers points into */
-    struct forward_request message;
+    struct entrymessage message;
     struct entry_try tries[REQUEST_TRIES_MAX];
     struct timer timer;
     const struct forward_reply *reply; /* during its callback */
@@ -78,9 +76,7 @@
     struct entrytask *entry = er->entry;
     timer_stop(&er->timer);
     request_destroy(er->unit);
-    http_headers_clear(&er->passed);
-    free(er->message.headers.headers_val);
-    free(er->target);
+    entrymessage_clear(&er->message);
     LIST_REMOVE(er, link);
     entry->request_count--;
     entry->in_progress->value = (int64_t)entry->request_count;
@@ -150,14 +146,14 @@
     }
     attempt->request = er;
     attempt->number = send->number;
-    er->message.epoch = send->epoch;
-    er->message.remaining_us = (u_quad_t)send->remaining_us;
-    er->message.hedge = send->hedge;
-    er->message.suspect = send->suspect;
+    er->message.request.epoch = send->epoch;
+    er->message.request.remaining_us = (u_quad_t)send->remaining_us;
+    er->message.request.hedge = send->hedge;
+    er->message.request.suspect = send->suspect;
     entry->tries->value++;
     attempt->sent = forwarder_send(
         entry->options.forwarder,
-        choice_name(er->service->choice, send->member), &er->message,
+        choice_name(er->service->choice, send->member), &er->message.request,
         send->remaining_us + FORWARD_TIMEOUT_MARGIN_US, entry_on_try, attempt);
 }
 
@@ -262,58 +258,10 @@
     return http_request_header(ctx, name);
 }
 
-/* Path and query as the caller sent them. */
-static char *
-entry_target_of(const struct http_request *http)
-{
-    const char *path = http_request_path(http);
-    const char *query = http_request_query(http);
-    char *target;
-    const int length = query != NULL ? asprintf(&target, "%s?%s", path, query)
-                                     : asprintf(&target, "%s", path);
-    if (length < 0) {
-        abort();
-    }
-    return target;
-}
-
-static void
-entry_fill_message(struct entry_request *er)
-{
-    struct http_request *http = er->http;
-    struct forward_request *message = &er->message;
-    size_t body_size;
-    const void *body = http_request_body(http, &body_size);
-    http_headers_forward(&er->passed, http_request_headers(http),
-                         HTTP_REQUEST_FORWARD);
-    const size_t header_count = er->passed.count;
-    message->headers.headers_val =
-        calloc(header_count + 1, sizeof(struct forward_header));
-    if (message->headers.headers_val == NULL) {
-        abort();
-    }
-    for (size_t i = 0; i < header_count; i++) {
-        message->headers.headers_val[i] = (struct forward_header){
-            .name = (char *)er->passed.items[i].name,
-            .value = (char *)er->passed.items[i].value,
-        };
-    }
-    message->headers.headers_len = (u_int)header_count;
-    message->service = er->service->declared.name;
-    message->keyed = er->key.keyed;
-    message->idempotent = er->key.idempotent;
-    message->key = er->key.key;
-    message->request_id = er->key.id;
-    message->method = (char *)http_request_method(http);
-    message->target = er->target;
-    message->body.body_val = (char *)body;
-    message->body.body_len = (u_int)body_size;
-}
-
 static struct request_spec
 entry_spec_of(const struct entry_request *er, int64_t now_us)
 {
-    const struct forward_request *message = &er->message;
+    const struct forward_request *message = &er->message.request;
     const uint64_t body_hash =
         hash_bytes(message->body.body_val, message->body.body_len, 0);
     return (struct request_spec){
@@ -379,9 +327,9 @@
     }
     struct entry_request *er = entry_request_create(entry, service, http);
     er->key = *key;
-    er->target = strdup(target);
-    entry_fill_message(er);
-    er->message.shard = shard;
+    entrymessage_fill(&er->message, service->declared.name, http, &er->key,
+                      target);
+    er->message.request.shard = shard;
     const struct request_spec spec = entry_spec_of(er, now_us);
     er->unit = request_create(&service->env, &spec, er);
     if (er->unit == NULL) {
@@ -413,7 +361,7 @@
         entry_invalid(entry, http, STATUS_NOT_FOUND, &err);
         return;
     }
-    char *target = entry_target_of(http);
+    char *target = entrymessage_target(http);
     struct requestkey key;
     const struct requestkey_source source = {
         .method = http_request_method(http),
--- a/packages/daemon/gatecall.c
+++ b/packages/daemon/gatecall.c
@@ -212,7 +212,8 @@
     case TARGET_UNKNOWN:
         break;
     }
-    return GATE_END_CUT;
+    return result->reason == TARGET_REASON_DEADLINE ? GATE_END_STOPPED
+                                                    : GATE_END_CUT;
 }
 
 static void
@@ -234,6 +235,9 @@
     gate_finish(gate->unit, &call->unit, end, result->status, data, size,
                 now_of(gate));
     free(data);
+    if (end == GATE_END_CUT) {
+        gate->options.cut(gate->options.ctx);
+    }
 }
 
 static void
@@ -278,7 +282,7 @@
             call_on_stop(gate, &call->unit);
             call_finish(call, &(struct target_result){
                                   .outcome = TARGET_UNKNOWN,
-                                  .reason = TARGET_REASON_CUT,
+                                  .reason = TARGET_REASON_DEADLINE,
                               });
         }
         call = next;
@@ -401,6 +405,7 @@
                 .idempotent = request->idempotent,
             },
         .keyed = request->keyed,
+        .hedge = request->hedge,
         .suspect = request->suspect,
         .shard = request->shard,
         .epoch = request->epoch,
--- a/packages/daemon/gatetask.h
+++ b/packages/daemon/gatetask.h
@@ -45,6 +45,7 @@
     uint64_t seed;
     admission_owner_cb owned; /**< whether this instance owns a shard */
     gatetask_owner_cb owner;  /**< who owns it otherwise */
+    void (*cut)(void *ctx);   /**< the target cut a request, maybe a crash */
     void (*shard_idle)(void *ctx, uint32_t shard); /**< a drain is over */
     /** Hands an order to another instance's gate; see delegate_send(). */
     struct delegate *(*delegate)(void *ctx,
