--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 BENCH_NAMES = $(patsubst bench_%,%,$(basename $(notdir $(BENCHES)))) daemon
 
 .PHONY: all build deps test check-format lint unit sanitize demo bench soak \
-  clean $(addprefix bench-,$(BENCH_NAMES))
+  capacity clean $(addprefix bench-,$(BENCH_NAMES))
 
 all: build
 
@@ -31,7 +31,10 @@
 	@cmake --build $(BUILD)-sanitize -j $(JOBS)
 	@sh .ci/unit $(BUILD)-sanitize
 
-test: check-format build lint unit sanitize
+capacity:
+	@python3 docs/capacity.py --check
+
+test: check-format capacity build lint unit sanitize
 
 demo: build
 	@python3 demo/demo.py --build $(BUILD)
--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -89,6 +89,8 @@
 class Instance:
     """One target with the daemon beside it."""
 
+    intervals = {"config_poll_ms": 200, "members_poll_ms": 200}
+
     def __init__(self, cluster, name, zone, service):
         self.cluster = cluster
         self.name = name
@@ -113,7 +115,7 @@
             "store": {"address": self.cluster.store_address},
             "log": {"level": self.cluster.log_level},
             "limits": {"memory_mb": 64, "drain_max_ms": 10000},
-            "intervals": {"config_poll_ms": 200, "members_poll_ms": 200},
+            "intervals": self.intervals,
         }
         with open(self.path("settings.json"), "w", encoding="utf-8") as file:
             json.dump(settings, file)
