--- a/packages/placement/change.h
+++ b/packages/placement/change.h
@@ -8,6 +8,7 @@
 
 #include <sys/queue.h>
 
+#include "placement/peers.h"
 #include "placement/shardpage.h"
 
 #define PAGE_WRITE_EXPECTS 8 /* members rows that one write compares */
@@ -73,6 +74,22 @@
     size_t change_count;
 };
 
+/** What a page says about a change. */
+enum standing {
+    STANDING_WANTED, /**< the entry is as before: to be written */
+    STANDING_DONE,
+    STANDING_OVERTAKEN,
+};
+
 const char *change_kind_name(enum change_kind kind);
 
+/** Compares a change with a page; a replacement also needs its former owner
+ * to be gone at the version that it compares. */
+enum standing change_standing(const struct change *change,
+                              struct shardpage *page,
+                              const struct peers *peers);
+
+/** Makes a wanted change in a page. @return false if it is not possible. */
+bool change_edit(const struct change *change, struct shardpage *page);
+
 #endif
--- a/packages/placement/pagewriter.c
+++ b/packages/placement/pagewriter.c
@@ -31,18 +31,6 @@
     int64_t trouble_until_us;
 };
 
-const char *
-change_kind_name(enum change_kind kind)
-{
-    static const char *const names[] = {
-        [CHANGE_MOVE] = "move",   [CHANGE_REPLACE] = "replace",
-        [CHANGE_CLAIM] = "claim", [CHANGE_SPLIT] = "split",
-        [CHANGE_MERGE] = "merge",
-    };
-
-    return names[kind];
-}
-
 struct pagewriter *
 pagewriter_create(const struct pagewriter_spec *spec, uint64_t seed)
 {
@@ -216,69 +204,6 @@
     return false;
 }
 
-/* What the page says about a change. */
-enum standing {
-    STANDING_WANTED, /* the entry is as before: to be written */
-    STANDING_DONE,
-    STANDING_OVERTAKEN,
-};
-
-static enum standing
-split_standing(const struct change *change, struct shardpage *page)
-{
-    const struct shardpage_entry *key = shardpage_find(page, change->shard);
-    const struct shardpage_entry *base = shardpage_find(page, change->base);
-
-    if (key != NULL) {
-        bool same = strcmp(key->owner, change->to) == 0 &&
-                    key->epoch == change->from_epoch + 1;
-        return same ? STANDING_DONE : STANDING_OVERTAKEN;
-    }
-    if (base == NULL || strcmp(base->owner, change->from) != 0 ||
-        base->epoch != change->from_epoch) {
-        return STANDING_OVERTAKEN;
-    }
-    return STANDING_WANTED;
-}
-
-static enum standing
-standing_of(const struct pagewriter *writer, const struct change *change,
-            struct shardpage *page)
-{
-    const struct shardpage_entry *entry = shardpage_find(page, change->shard);
-    const struct peer *from;
-
-    if (change->kind == CHANGE_SPLIT) {
-        return split_standing(change, page);
-    }
-    if (entry == NULL) {
-        return change->kind == CHANGE_MERGE ? STANDING_DONE
-                                            : STANDING_OVERTAKEN;
-    }
-    if (entry->epoch == change->from_epoch + 1 &&
-        strcmp(entry->owner, change->to) == 0) {
-        return STANDING_DONE;
-    }
-    if (entry->epoch != change->from_epoch ||
-        strcmp(entry->owner, change->from) != 0) {
-        return STANDING_OVERTAKEN;
-    }
-    if (change->kind == CHANGE_MERGE) {
-        const struct shardpage_entry *base = shardpage_find(page, entry->base);
-        bool same = base != NULL && strcmp(base->owner, change->from) == 0;
-        return same ? STANDING_WANTED : STANDING_OVERTAKEN;
-    }
-    if (change->kind != CHANGE_REPLACE) {
-        return STANDING_WANTED;
-    }
-    from = peers_find(writer->spec.peers, change->from);
-    if (from == NULL || from->info.state != PEER_GONE ||
-        from->info.version != change->from_version) {
-        return STANDING_OVERTAKEN;
-    }
-    return STANDING_WANTED;
-}
-
 /* True once no write that was lost can still take effect. */
 static bool
 settle(const struct pagewriter *writer, struct page_work *work)
@@ -315,7 +240,8 @@
     shardmap_page(writer->spec.map, writer->spec.service, work->page, &page);
     while (change != NULL) {
         struct change *next = TAILQ_NEXT(change, link);
-        enum standing standing = standing_of(writer, change, &page);
+        enum standing standing =
+            change_standing(change, &page, writer->spec.peers);
         if (standing == STANDING_DONE) {
             end_change(writer, work, change, CHANGE_DONE);
         }
@@ -360,25 +286,6 @@
     return add_expect(write, writer->spec.instance, writer->self_version);
 }
 
-static bool
-edit_page(const struct change *change, struct shardpage *page)
-{
-    struct shardpage_entry *entry;
-
-    if (change->kind == CHANGE_SPLIT) {
-        return shardpage_split(page, change->base, change->shard) != NULL;
-    }
-    if (change->kind == CHANGE_MERGE) {
-        return shardpage_merge(page, change->shard);
-    }
-    entry = shardpage_find(page, change->shard);
-    (void)snprintf(entry->owner, sizeof(entry->owner), "%s", change->to);
-    entry->epoch = change->from_epoch + 1;
-    entry->wait = change->wait;
-    entry->taken = change->kind == CHANGE_REPLACE;
-    return true;
-}
-
 static void
 record_change(struct page_write *write, const struct change *change)
 {
@@ -407,9 +314,10 @@
     TAILQ_FOREACH (change, &work->changes, link) {
         change->in_write =
             write->change_count < SHARDPAGE_ENTRIES &&
-            standing_of(writer, change, &write->page) == STANDING_WANTED &&
+            change_standing(change, &write->page, writer->spec.peers) ==
+                STANDING_WANTED &&
             add_condition(writer, change, write) &&
-            edit_page(change, &write->page);
+            change_edit(change, &write->page);
         if (change->in_write) {
             change->tries++;
             record_change(write, change);
