--- a/docs/capacity.py
+++ b/docs/capacity.py
@@ -243,7 +243,88 @@
     return table(["part", unit], rows)
 
 
+def most_wards_bytes(f):
+    """More than the mean: renewals of a guardian with the most wards."""
+    message = f["lease_renewal_call"] + f["lease_renewal_reply"]
+    guardians = 3
+    each = f["lease_renewals_sent"] / guardians * message
+    return (slope(f, "guardian_most_wards") - guardians) * each
+
+
+def quiet_bytes(f):
+    return sum(value for _, value in byte_parts(f)[:-2])
+
+
+def roles_table(f):
+    wards = slope(f, "guardian_most_wards")
+    renewals = f["lease_renewals_sent"]
+    memory = dict(memory_parts(f))
+    each = REQUESTS / MEMBERS
+    spread_cpu = slope(f, "spread_cpu_per_revision") * REVISIONS / DAY_S
+    poll = POLLS_PER_SECOND / MEMBERS
+    rows = [
+        ["entry", "map of shards; targets of un-keyed services; requests in "
+         "progress", f"{number(each)} calls/s",
+         f"{number(1e6 / f['path_requests_per_core'])} us a request with "
+         "the gate (data)", f"{number(f['placement_map_memory'])} MB of map; "
+         "connections not measured",
+         "entry/choice, placement/shardmap: maps may be stale"],
+        ["gate", "limit, queue, remembered ids, suspects",
+         f"{number(each)} requests/s to its target",
+         f"{number(f['admission_cpu'])} ns an admission, "
+         f"{number(f['duplicate_new_id_cpu'])} ns a new id (data)",
+         f"{number(f['duplicate_heap_per_id'])} B an id, bound by settings "
+         "(data)", "gate/limit, gate/dedup: decides alone"],
+        ["member", "own row, directory of all",
+         f"{number(renewals)} renewals/s",
+         f"{number(slope(f, 'member_cpu'))}% of a core, with its wards",
+         f"{number(memory['directory'])} MB",
+         "membership/lease: guardians; the store on change only"],
+        ["guardian", f"at most {number(wards)} wards",
+         f"at most {number(wards * renewals / 3)} replies/s",
+         "in the member's", "in the member's",
+         "membership/choice: a bound on wards"],
+        ["placement", "pages, loads of members heard of lately",
+         "2 probes/s sent",
+         f"{number(f['placement_cpu_idle_4600_members_262144_shards'] / 1e4)}"
+         "% of a core", f"{number(memory['map and placement'])} MB",
+         "placement/balance: samples of members, one write a move"],
+        ["gossip relay", "all items with payloads",
+         f"{number(slope(f, 'spread_bytes_per_revision'))} B a revision, "
+         f"{number(slope(f, 'spread_idle'))} B/s at rest, sent",
+         f"{number(spread_cpu / 1e4)}% of a core (model)",
+         number(memory["members rows kept for gossip (computed)"]
+                + memory["pages kept for gossip (computed)"])
+         + " MB (computed)", "spread: a budget of bytes, pages last"],
+        ["config poller", "revision, acknowledgements of all",
+         f"{number(poll)} reads/s",
+         f"{number(poll * f['store_read_cpu'] / 1e4)}% of a core",
+         number(memory["acknowledgements of revisions (computed)"])
+         + " MB (computed)", "daemon/configtask: 200 reads/s by all"],
+        ["operators' client", "none", "`apply --wait` asks daemons",
+         "not measured", "not measured", "ctl/ctlwait"],
+        ["store, as used by us", "4,600 members rows, 4,096 pages, "
+         "revisions, audit rows (never moved away yet)",
+         "see the store below", "not ours",
+         f"{number(f['store_scan_members_bytes'])} and "
+         f"{number(f['store_scan_shards_bytes'])} MB as read whole",
+         "compare-and-swap on versions; periods grow with members"],
+    ]
+    return table(["role", "state", "messages a node", "processor time",
+                  "memory", "carried by"], rows)
+
+
 def bytes_table(f):
+    more = most_wards_bytes(f)
+    total = quiet_bytes(f) + more
+    extra = table(["the same for a guardian with the most wards", "B/s"],
+                  [["more renewals than the mean", number(more)],
+                   ["**sum** without pages",
+                    f"{number(total)}: {verdict(total, BYTES_MAX)}"]])
+    return bytes_of_mean(f) + "\n\n" + extra
+
+
+def bytes_of_mean(f):
     return parts_table(byte_parts(f), "B/s", BYTES_MAX,
                        ("gossip of pages, to its budget",
                         "pages read by scans"))
@@ -384,6 +465,7 @@
 
 
 TABLES = {
+    "roles": roles_table,
     "slopes": slopes_table,
     "cpu": lambda f: parts_table(cpu_parts(f), "% of a core", CPU_MAX),
     "memory": lambda f: parts_table(memory_parts(f), "MB", MEMORY_MAX),
