daemon: hot keys are found at the gate; the gate's own map says a key's shard

Cause: the placer was never told of a hot key, so none became a shard of its own. An entry with an older map could send such a key under the shard that it was split out of, and the gate would have run it there after the key had moved. Change: gateload feeds the sketch of hot keys and hands the hottest key of each shard to the placer; the gate looks the key up in its own map.

--- a/packages/daemon/daemon.c
+++ b/packages/daemon/daemon.c
@@ -133,6 +133,7 @@
         .instance = daemon->settings.instance,
         .memory_bytes = daemon->settings.memory_mb * BYTES_PER_MB,
         .seed = random_u64(&daemon->random),
+        .shard = daemonevents_shard,
         .owned = daemonevents_owned,
         .owner = daemonevents_owner_of_own_service,
         .cut = daemonevents_cut,
--- a/packages/daemon/daemonevents.c
+++ b/packages/daemon/daemonevents.c
@@ -299,10 +299,11 @@
 }
 
 static void
-set_load(void *ctx, uint32_t shard, double load)
+set_load(void *ctx, uint32_t shard, double load, uint64_t hot_hash,
+         double hot_load)
 {
     const struct daemon *daemon = ctx;
-    placetask_set_load(daemon->placement, shard, load, 0, 0);
+    placetask_set_load(daemon->placement, shard, load, hot_hash, hot_load);
 }
 
 static void
--- a/packages/daemon/gatecall.c
+++ b/packages/daemon/gatecall.c
@@ -70,8 +70,8 @@
         return;
     }
     if (call->unit.admission.keyed) {
-        gateload_add(gate->load, call->unit.admission.shard,
-                     now_of(gate) - call->arrived_us);
+        gateload_add(gate->load, call->unit.admission.shard, call->key_hash,
+                     now_of(gate) - call->arrived_us, now_of(gate));
     }
     gatecall_free(call);
     if (!LIST_EMPTY(&gate->drains)) {
@@ -394,8 +394,9 @@
     unit->id = call->id;
     unit->body_hash =
         hash_bytes(request->body.body_val, request->body.body_len, 0);
-    unit->key = shardmap_key_of(
-        shardmap_hash(request->service, request->key, strlen(request->key)));
+    call->key_hash =
+        shardmap_hash(request->service, request->key, strlen(request->key));
+    unit->key = shardmap_key_of(call->key_hash);
     unit->may_delegate =
         request->keyed && call->gate->service.key_source == STATE_KEY_NONE;
     unit->admission = (struct admission_request){
@@ -415,6 +416,23 @@
     };
 }
 
+/* The entry may not know yet that a key became a shard of its own. */
+static void
+call_correct_shard(struct gatetask_call *call)
+{
+    const struct gatetask_options *options = &call->gate->options;
+    const struct forward_request *request = call->request;
+    struct admission_request *admission = &call->unit.admission;
+    uint32_t shard = 0;
+    if (request->keyed &&
+        options->shard(options->ctx, request->service, request->key,
+                       strlen(request->key), &shard) &&
+        shard != admission->shard) {
+        admission->shard = shard;
+        admission->epoch = 0;
+    }
+}
+
 /* Refuses what this gate can't run at all. */
 static bool
 call_is_served(struct gatetask_call *call)
@@ -457,6 +475,7 @@
     };
     call->arrived_us = time.now_us;
     call_fill_unit(call, time.now_us);
+    call_correct_shard(call);
     gate->options.owned(gate->options.ctx, call->unit.admission.shard,
                         &call->epoch);
     timer_start_at(&call->deadline, call->unit.admission.entry.deadline_us);
--- a/packages/daemon/gatetask.c
+++ b/packages/daemon/gatetask.c
@@ -94,7 +94,7 @@
              options->instance, options->seed);
     LIST_INIT(&gate->calls);
     LIST_INIT(&gate->drains);
-    gate->load = gateload_create();
+    gate->load = gateload_create(runtime_now_us(options->runtime));
     gatetask_add_counters(gate);
     gate->task =
         task_create(options->runtime, "gate", gatetask_on_message, gate);
@@ -458,9 +458,7 @@
 }
 
 void
-gatetask_visit_loads(struct gatetask *gate,
-                     void (*visit)(void *ctx, uint32_t shard, double load),
-                     void *ctx)
+gatetask_visit_loads(struct gatetask *gate, gateload_cb visit, void *ctx)
 {
     gateload_visit(gate->load, runtime_now_us(gate->options.runtime), visit,
                    ctx);
--- a/packages/daemon/gatetask.h
+++ b/packages/daemon/gatetask.h
@@ -11,6 +11,7 @@
 #include <stdint.h>
 
 #include "daemon/delegate.h"
+#include "daemon/gateload.h"
 #include "gate/admission.h"
 #include "gate/dedup.h"
 #include "gate/suspects.h"
@@ -43,6 +44,9 @@
     const char *instance;
     size_t memory_bytes; /**< for the duplicate table */
     uint64_t seed;
+    /** Finds the shard of a key. @return false if it is not known. */
+    bool (*shard)(void *ctx, const char *service, const void *key,
+                  size_t key_size, uint32_t *shard);
     admission_owner_cb owned; /**< whether this instance owns a shard */
     gatetask_owner_cb owner;  /**< who owns it otherwise */
     void (*cut)(void *ctx);   /**< the target cut a request, maybe a crash */
@@ -111,10 +115,7 @@
  * Calls visit with the smoothed number of requests in progress of each shard
  * that had any lately. Call it every second.
  */
-void gatetask_visit_loads(struct gatetask *gate,
-                          void (*visit)(void *ctx, uint32_t shard,
-                                        double load),
-                          void *ctx);
+void gatetask_visit_loads(struct gatetask *gate, gateload_cb visit, void *ctx);
 
 /** Load as it rides on replies. */
 void gatetask_load(const struct gatetask *gate, struct forward_load *load);
--- a/packages/daemon/gatetask_internal.h
+++ b/packages/daemon/gatetask_internal.h
@@ -33,6 +33,7 @@
     char id[GATE_NAME_SIZE];
     uint64_t epoch; /* of the shard at arrival */
     int64_t arrived_us;
+    uint64_t key_hash; /* shardmap_hash() */
     gatetask_reply_cb reply;
     void *ctx;
     bool detached;    /* replied to, or cancelled */
