gate: an order whose id is recorded runs before its shard is handed over

An order of a durable service whose id was being recorded in the store when its shard began to drain was refused once it was recorded. The row stayed, so the next owner told unknown to each resend of an order that had never run. The drain waits for such requests anyway, so they are now run: the new state draining admits what has begun, nothing else. The epoch of a draining shard, which the withdrawal of its grant needs, was 0 there and is now the real one.

--- a/packages/daemon/daemonevents.c
+++ b/packages/daemon/daemonevents.c
@@ -169,6 +169,10 @@
         *epoch = number;
         return ADMISSION_OWNED;
     }
+    if (placetask_drains(daemon->placement, shard, &number)) {
+        *epoch = number;
+        return ADMISSION_DRAINING;
+    }
     return placetask_owns(daemon->placement, shard) ? ADMISSION_MOVING
                                                     : ADMISSION_NOT_OWNED;
 }
--- a/packages/gate/admission.c
+++ b/packages/gate/admission.c
@@ -134,6 +134,11 @@
     switch (admission->owner(admission->owner_ctx, request->shard, &epoch)) {
     case ADMISSION_OWNED:
         break;
+    case ADMISSION_DRAINING:
+        if (request->begun) {
+            break;
+        }
+        return admission_refuse(FORWARD_REASON_NOT_OWNER, MOVING_RETRY_MS);
     case ADMISSION_MOVING:
         return admission_refuse(FORWARD_REASON_NOT_OWNER, MOVING_RETRY_MS);
     case ADMISSION_NOT_OWNED:
--- a/packages/gate/admission.h
+++ b/packages/gate/admission.h
@@ -27,7 +27,8 @@
 
 enum admission_ownership {
     ADMISSION_OWNED,
-    ADMISSION_MOVING, /**< being handed over: admits nothing new */
+    ADMISSION_DRAINING, /**< admits only what has begun */
+    ADMISSION_MOVING,   /**< being handed over: admits nothing new */
     ADMISSION_NOT_OWNED,
 };
 
@@ -60,6 +61,7 @@
     bool keyed;               /**< this instance must own the shard */
     bool suspect;             /**< the entry asks for it to run alone */
     bool hedge;               /**< an extra try; it never waits */
+    bool begun;               /**< its id is recorded; a hand-over waits */
     uint32_t shard;
     uint64_t epoch; /**< as the entry knows it, or 0 */
     uint64_t fingerprint;
--- a/packages/gate/gate.c
+++ b/packages/gate/gate.c
@@ -221,6 +221,7 @@
     switch (verdict) {
     case RUNS_RECORDED:
         request->recorded = true;
+        request->admission.begun = true;
         gate_admit(gate, request, gate->now_us);
         return;
     case RUNS_PRESENT:
--- a/packages/gate/test/gate_test.cc
+++ b/packages/gate/test/gate_test.cc
@@ -87,8 +87,8 @@
         return self(ctx)->ownership_;
     }
 
-    gate_request *Arrive(const std::string &id, bool idempotent = false,
-                         uint64_t fingerprint = 0)
+    gate_request *Prepare(const std::string &id, bool idempotent = false,
+                          uint64_t fingerprint = 0)
     {
         auto request = std::make_unique<Request>();
         request->id = id;
@@ -103,6 +103,12 @@
         gate->admission.fingerprint = fingerprint;
         gate->may_delegate = delegate_;
         requests_.push_back(std::move(request));
+        return gate;
+    }
+    gate_request *Arrive(const std::string &id, bool idempotent = false,
+                         uint64_t fingerprint = 0)
+    {
+        gate_request *gate = Prepare(id, idempotent, fingerprint);
         const dedup_time time = {now_us_, 1800000000000 + now_us_ / kMs};
         gate_arrive(gate_, gate, &time);
         return gate;
@@ -185,6 +191,17 @@
     EXPECT_EQ(0U, dedup_count(dedup_));
 }
 
+TEST_F(Gate, OrderWhoseIdIsRecordedIsRunBeforeItsShardIsHandedOver)
+{
+    gate_request *recorded = Prepare("recorded");
+    ownership_ = ADMISSION_DRAINING;
+    EXPECT_EQ(FORWARD_REASON_NOT_OWNER, told_[Arrive("late")].reason);
+    gate_on_recorded(gate_, &recorded->insert, RUNS_RECORDED);
+    ASSERT_EQ(1U, dispatched_.size());
+    Finish(SendNext());
+    EXPECT_EQ(FORWARD_ANSWERED, told_[recorded].outcome);
+}
+
 TEST_F(Gate, LeavingAndZoneOutStopNewWorkWithinSeconds)
 {
     for (int round = 0; round < 2; round++) {
--- a/packages/placement/placer.c
+++ b/packages/placement/placer.c
@@ -474,6 +474,20 @@
     return true;
 }
 
+bool
+placer_drains(const struct placer *placer, uint32_t shard, int64_t now_us,
+              uint32_t *epoch)
+{
+    const struct owned *owned = ownedset_find(placer->owned, shard);
+
+    if (owned == NULL || !placer->confirmed ||
+        now_us >= placer->lease_until_us || owned->state != OWNED_DRAINING) {
+        return false;
+    }
+    *epoch = owned->epoch;
+    return true;
+}
+
 size_t
 placer_owned(const struct placer *placer)
 {
--- a/packages/placement/placer.h
+++ b/packages/placement/placer.h
@@ -156,6 +156,10 @@
 bool placer_serves(const struct placer *placer, uint32_t shard, int64_t now_us,
                    uint32_t *epoch);
 
+/** True if the shard admits nothing, but what has begun may be finished. */
+bool placer_drains(const struct placer *placer, uint32_t shard, int64_t now_us,
+                   uint32_t *epoch);
+
 /** Shards owned, moving ones included. */
 size_t placer_owned(const struct placer *placer);
 
--- a/packages/placement/placetask.c
+++ b/packages/placement/placetask.c
@@ -428,6 +428,13 @@
            placer_serves(task->placer, shard, now_of(task), epoch);
 }
 
+bool
+placetask_drains(const struct placetask *task, uint32_t shard, uint32_t *epoch)
+{
+    return task->placer != NULL &&
+           placer_drains(task->placer, shard, now_of(task), epoch);
+}
+
 bool
 placetask_owns(const struct placetask *task, uint32_t shard)
 {
--- a/packages/placement/placetask.h
+++ b/packages/placement/placetask.h
@@ -94,6 +94,10 @@
 bool placetask_serves(const struct placetask *task, uint32_t shard,
                       uint32_t *epoch);
 
+/** True if what has begun for the shard may be finished, but no more. */
+bool placetask_drains(const struct placetask *task, uint32_t shard,
+                      uint32_t *epoch);
+
 /** True if the own service's shard is owned, though it may be moving. */
 bool placetask_owns(const struct placetask *task, uint32_t shard);
 
