--- a/packages/placement/placer_internal.h
+++ b/packages/placement/placer_internal.h
@@ -70,6 +70,9 @@
 /** Page of an entry: that of its base for a single key. */
 uint32_t placer_page_of(const struct placer *placer, uint32_t shard);
 
+/** True if this instance may be given shards now. */
+bool placer_accepts_shards(const struct placer *placer);
+
 bool placer_lease_held(const struct placer *placer);
 
 /** This instance's loads as the balance sees them. */
--- /dev/null
+++ b/packages/placement/shardmap_internal.h
@@ -0,0 +1,61 @@
+/**
+ * @file
+ * The shard map's memory, shared by its modules.
+ */
+#ifndef CHESTNUTGAP_PLACEMENT_SHARDMAP_INTERNAL_H
+#define CHESTNUTGAP_PLACEMENT_SHARDMAP_INTERNAL_H
+
+#include <stddef.h>
+#include <stdint.h>
+#include <sys/queue.h>
+
+#include "placement/ownertable.h"
+#include "placement/shardmap.h"
+
+#define HINTS 256 /* remembered hints, by hash of their shard */
+
+/* One shard in eight bytes. */
+struct slot {
+    uint32_t epoch;
+    uint16_t owner;
+    uint8_t wait;
+    uint8_t taken;
+};
+
+/* A single key that was split out of its shard. */
+struct key_slot {
+    uint32_t key;
+    uint32_t base;
+    struct slot slot;
+};
+
+struct map_page {
+    uint64_t version;
+    struct key_slot *keys;
+    size_t key_count;
+};
+
+struct map_service {
+    LIST_ENTRY(map_service) link;
+    char name[STATE_NAME_MAX + 1];
+    uint32_t shards;
+    struct slot *slots;
+    struct map_page *pages;
+};
+
+LIST_HEAD(map_services, map_service);
+
+/* What a gate said about a shard, newer than the page that is known. */
+struct hint {
+    uint64_t place; /* hash of service and shard */
+    uint32_t epoch;
+    char owner[STATE_NAME_MAX + 1];
+};
+
+struct shardmap {
+    struct map_services services;
+    struct ownertable *owners;
+    struct hint hints[HINTS];
+};
+
+#endif
