--- a/packages/daemon/daemon.c
+++ b/packages/daemon/daemon.c
@@ -208,6 +208,7 @@
         .seed = random_u64(&daemon->random),
         .shard = daemonevents_shard,
         .owner = daemonevents_owner,
+        .hint = daemonevents_hint,
         .ctx = daemon,
     };
     daemon->entry = entrytask_create(&entry);
--- a/packages/daemon/daemon_internal.h
+++ b/packages/daemon/daemon_internal.h
@@ -77,6 +77,8 @@
                         size_t key_size, uint32_t *shard);
 void daemonevents_shard_idle(void *ctx, uint32_t shard);
 void daemonevents_cut(void *ctx);
+void daemonevents_hint(void *ctx, const char *service, uint32_t shard,
+                       const char *owner, uint64_t epoch);
 struct delegate *daemonevents_delegate(void *ctx,
                                        const struct forward_request *request,
                                        int64_t timeout_us,
--- a/packages/daemon/daemonevents.c
+++ b/packages/daemon/daemonevents.c
@@ -224,6 +224,14 @@
     free(blob);
 }
 
+void
+daemonevents_hint(void *ctx, const char *service, uint32_t shard,
+                  const char *owner, uint64_t epoch)
+{
+    const struct daemon *daemon = ctx;
+    placetask_hint(daemon->placement, service, shard, owner, epoch);
+}
+
 void
 daemonevents_cut(void *ctx)
 {
--- a/packages/daemon/entrytask.c
+++ b/packages/daemon/entrytask.c
@@ -120,6 +120,11 @@
         return;
     }
     const bool names_owner = reply->owner != NULL && reply->owner[0] != '\0';
+    if (names_owner && reply->reason == FORWARD_REASON_NOT_OWNER) {
+        er->entry->options.hint(
+            er->entry->options.ctx, er->service->declared.name,
+            er->message.request.shard, reply->owner, reply->owner_epoch);
+    }
     const struct request_reply unit_reply = {
         .outcome = reply->outcome,
         .reason = reply->reason,
--- a/packages/daemon/entrytask.h
+++ b/packages/daemon/entrytask.h
@@ -37,6 +37,9 @@
     uint64_t seed;
     entrytask_shard_cb shard;
     entryservice_owner_cb owner;
+    /** A gate named the owner of a shard. */
+    void (*hint)(void *ctx, const char *service, uint32_t shard,
+                 const char *owner, uint64_t epoch);
     void *ctx;
 };
 
