One crash counts once; the last instance leaves at once; withdrawn targets drain

Cause, found by hand trials: a request that was alone at a target killed once was condemned, since the entry's report, the gate's and the target's loss counted as crashes of their own. The last instance of a service waited drain_max_ms for a receiver that can't exist, and counted a broken promise though nothing ran. SIGTERM after a target's withdrawal ended the process at once. Withdrawn targets never got the order to drain. Change: reports and crashes that may be the same count once; the target's run identifies its crash; a planned stop waits for receivers only if there are any; only a second signal ends at once; a withdrawn target is told to drain.

--- a/packages/daemon/daemon_internal.h
+++ b/packages/daemon/daemon_internal.h
@@ -51,6 +51,7 @@
     struct timer second_timer;
     struct member self; /* as announced to the members */
     enum daemon_phase phase;
+    bool target_leaves; /* it withdrew, so it is told to drain */
     int64_t started_us;
     struct timer drain_timer;
     int64_t drain_deadline_us;
--- a/packages/daemon/daemonevents.c
+++ b/packages/daemon/daemonevents.c
@@ -147,9 +147,10 @@
                                   hash_string(target->incarnation));
         break;
     case TARGET_LOST:
-        gatetask_target_restarted(daemon->gate, random_u64(&daemon->random));
+        gatetask_target_lost(daemon->gate);
         break;
     case TARGET_WITHDRAWN:
+        daemon->target_leaves = true;
         daemon_shut_down(daemon);
         break;
     case TARGET_UPDATED:
--- a/packages/daemon/gatetask.c
+++ b/packages/daemon/gatetask.c
@@ -189,7 +189,7 @@
         abort();
     }
     admission_set_lease(gate->admission, gate->lease_until_us);
-    gate_set_incarnation(gate->unit, random_u64(&gate->random));
+    gate_set_incarnation(gate->unit, gate->target_run);
 }
 
 static void
@@ -269,17 +269,26 @@
 }
 
 void
-gatetask_target_restarted(struct gatetask *gate, uint64_t incarnation)
+gatetask_target_lost(struct gatetask *gate)
 {
     if (gate->unit == NULL) {
         return;
     }
-    gate_crashed(gate->unit, incarnation,
+    gate_crashed(gate->unit, gate->target_run,
                  runtime_now_us(gate->options.runtime));
-    gate_set_incarnation(gate->unit, incarnation);
     gatetask_pump(gate);
 }
 
+void
+gatetask_target_restarted(struct gatetask *gate, uint64_t incarnation)
+{
+    gatetask_target_lost(gate);
+    gate->target_run = incarnation;
+    if (gate->unit != NULL) {
+        gate_set_incarnation(gate->unit, incarnation);
+    }
+}
+
 void
 gatetask_gained(struct gatetask *gate, uint32_t shard, bool first,
                 const void *blob, size_t blob_size)
--- a/packages/daemon/gatetask.h
+++ b/packages/daemon/gatetask.h
@@ -84,9 +84,12 @@
 void gatetask_set_leaving(struct gatetask *gate, bool leaving);
 void gatetask_set_zone_out(struct gatetask *gate, bool out);
 
-/** The target started anew or stopped. */
+/** The target started anew, as this run. */
 void gatetask_target_restarted(struct gatetask *gate, uint64_t incarnation);
 
+/** The target's process is gone. */
+void gatetask_target_lost(struct gatetask *gate);
+
 /** A shard is owned from now on. blob is the former owner's duplicate table
  * after a planned move, or NULL. */
 void gatetask_gained(struct gatetask *gate, uint32_t shard, bool first,
--- a/packages/daemon/gatetask_internal.h
+++ b/packages/daemon/gatetask_internal.h
@@ -73,6 +73,7 @@
     char holder[STATE_NAME_MAX + 32];
     int64_t lease_until_us;
     uint64_t sequence;
+    uint64_t target_run; /* identifies the target's present run in crashes */
     struct gate_calls calls;
     struct gate_drains drains;
     struct gateload *load;
--- a/packages/daemon/shutdown.c
+++ b/packages/daemon/shutdown.c
@@ -33,17 +33,48 @@
     LOG_INFO("callers_finished");
 }
 
+static void
+find_receiver(void *ctx, const struct directory_view *view)
+{
+    bool *found = ctx;
+    *found = *found || view->state == MEMBER_ACTIVE;
+}
+
+/* Whether anyone could take this instance's shards. Its own row says that it
+ * is leaving. */
+static bool
+has_receiver(const struct daemon *daemon)
+{
+    const struct directory_filter filter = {
+        .service = daemon->self.service,
+        .live_only = true,
+    };
+    bool found = false;
+    directory_visit(membertask_directory(daemon->members), &filter,
+                    find_receiver, &found);
+    return found;
+}
+
+static bool
+has_requests(const struct daemon *daemon)
+{
+    return entrytask_count(daemon->entry) > 0 || !gatetask_idle(daemon->gate);
+}
+
 static bool
 is_drained(const struct daemon *daemon)
 {
-    return placetask_owned(daemon->placement) == 0 &&
-           entrytask_count(daemon->entry) == 0 && gatetask_idle(daemon->gate);
+    return !has_requests(daemon) &&
+           (placetask_owned(daemon->placement) == 0 || !has_receiver(daemon));
 }
 
 static void
 finish(struct daemon *daemon)
 {
     daemon->phase = DAEMON_FINISHING;
+    if (daemon->target_leaves && target_current(daemon->target) != NULL) {
+        target_drain(daemon->target, NULL, NULL);
+    }
     membertask_finish(daemon->members, on_left, daemon);
 }
 
@@ -58,7 +89,7 @@
         finish(daemon);
     }
     else if (daemon->phase == DAEMON_DRAINING && late) {
-        invariant_check(INVARIANT_GRACEFUL_STOP, false,
+        invariant_check(INVARIANT_GRACEFUL_STOP, !has_requests(daemon),
                         "requests still run at the end of drain_max_ms");
         finish(daemon);
     }
--- a/packages/daemon/signals.c
+++ b/packages/daemon/signals.c
@@ -12,6 +12,7 @@
     struct daemon *daemon;
     struct event *terminate;
     struct event *interrupt;
+    bool received; /* a signal came before */
 };
 
 static void
@@ -19,9 +20,10 @@
 {
     struct signals *signals = ctx;
     (void)what;
-    if (signals->daemon->phase != DAEMON_SERVING) {
+    if (signals->received) {
         _exit(128 + (int)number);
     }
+    signals->received = true;
     daemon_shut_down(signals->daemon);
 }
 
--- a/packages/daemon/test/daemon_test.cc
+++ b/packages/daemon/test/daemon_test.cc
@@ -225,6 +225,44 @@
     }
 }
 
+TEST(Crash, OneCrashIsCountedOnce)
+{
+    Deployment deployment;
+    deployment.latency_us = 300 * US_PER_MS;
+    TestInstance &instance = deployment.Add("one", "llanidloes", "orders");
+    deployment.Apply(1, ORDERS);
+    ASSERT_TRUE(deployment.Serves(0, "/orders/x"));
+    Answer answer;
+    deployment.Start(*http_server_address(instance.daemon->http), "GET",
+                     "/orders/crash", "", "", &answer);
+    ASSERT_TRUE(deployment.Until(
+        [&] { return target_server_in_flight(instance.target) > 0; }));
+    target_server_destroy(instance.target);
+    instance.target = nullptr;
+    ASSERT_TRUE(deployment.Until([&] { return answer.done; }));
+    deployment.Until([] { return false; }, 500);
+    struct suspects_item items[4];
+    const int64_t now_us = runtime_now_us(instance.daemon->runtime);
+    ASSERT_EQ(1U,
+              suspects_export(instance.daemon->suspects, now_us, items, 4));
+    EXPECT_EQ(SUSPECTS_SUSPECT, suspects_find(instance.daemon->suspects,
+                                              now_us, items[0].fingerprint));
+}
+
+TEST(PlannedStop, LastInstanceOfAServiceDoesNotWaitForAReceiver)
+{
+    invariant_reset();
+    Deployment deployment;
+    TestInstance &instance = deployment.Add("one", "llanidloes", "orders");
+    deployment.Apply(1, ORDERS);
+    ASSERT_TRUE(deployment.Until(
+        [&] { return placetask_owned(instance.daemon->placement) == 16; }));
+    daemon_shut_down(instance.daemon);
+    EXPECT_TRUE(deployment.Until(
+        [&] { return instance.daemon->phase == DAEMON_FINISHING; }, 2000));
+    EXPECT_EQ(0, invariant_violations(INVARIANT_GRACEFUL_STOP));
+}
+
 TEST_F(DaemonTest, HigherRevisionComesIntoForceAndALowerOneDoesNot)
 {
     std::string changed = STATE;
--- a/packages/gate/suspects.c
+++ b/packages/gate/suspects.c
@@ -128,6 +128,25 @@
            suspects_crash_complete(suspects, b);
 }
 
+/* Id of an entry's report, in place of the crash's own. */
+static uint64_t
+suspects_report_id(uint64_t fingerprint, bool alone)
+{
+    return hash_bytes(&alone, sizeof(alone), fingerprint);
+}
+
+/* Crashes that are known for certain to be different: an entry's report and
+ * a gate's may be about the same one. */
+static uint32_t
+suspects_crashes(const struct suspects_item *item)
+{
+    const uint32_t reports =
+        suspects_in_crash(item, suspects_report_id(item->fingerprint, false)) +
+        suspects_in_crash(item, suspects_report_id(item->fingerprint, true));
+    const uint32_t seen = item->crash_count - reports;
+    return seen > reports ? seen : reports;
+}
+
 /*
  * Two crashes condemn if one of them had no other request in flight, or if
  * no other request was in flight in both.
@@ -136,7 +155,7 @@
 suspects_judge(const struct suspects *suspects,
                const struct suspects_item *item)
 {
-    if (item->crash_count < SUSPECTS_CRASHES_TO_CONDEMN ||
+    if (suspects_crashes(item) < SUSPECTS_CRASHES_TO_CONDEMN ||
         item->forgiven >= item->crash_count) {
         return false;
     }
@@ -198,7 +217,7 @@
                 uint64_t fingerprint, bool alone)
 {
     /* Two ids, so that a report of each kind counts once. */
-    const uint64_t crash_id = hash_bytes(&alone, sizeof(alone), fingerprint);
+    const uint64_t crash_id = suspects_report_id(fingerprint, alone);
     struct suspects_entry *entry = suspects_lookup(suspects, fingerprint);
     if (entry == NULL) {
         entry = suspects_append(suspects, fingerprint);
