Operators' manual: index, start, counters, log events, faults; check-docs

The manual had no index, no list of counters and log events, and no pages on partitions, racing operators, replacements and whole restarts. check-docs compares pages with the code; make test runs it.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BENCHES = $(patsubst packages/%,%,$(wildcard packages/*/bench/bench_*.c))
 BENCH_NAMES = $(patsubst bench_%,%,$(basename $(notdir $(BENCHES)))) daemon
 
-.PHONY: all build deps test check-format lint unit sanitize demo proof bench \
+.PHONY: all build deps test check-format check-docs lint unit sanitize demo proof bench \
   soak capacity clean $(addprefix bench-,$(BENCH_NAMES))
 
 all: build
@@ -19,6 +19,9 @@
 check-format:
 	@sh .ci/check-format
 
+check-docs:
+	@python3 .ci/check-docs
+
 lint: build
 	@sh .ci/lint $(BUILD)
 
@@ -34,7 +37,7 @@
 capacity:
 	@python3 docs/capacity.py --check
 
-test: check-format capacity build lint unit proof sanitize
+test: check-format check-docs capacity build lint unit proof sanitize
 
 demo: build
 	@python3 demo/demo.py --build $(BUILD)
