--- a/demo/bench_daemon.py
+++ b/demo/bench_daemon.py
@@ -91,16 +91,16 @@
             if answered < SERVED_SHARE * result["requests"]:
                 break
             saturating = rate
-        figure("daemon_requests_per_core", best, "requests/s", 20000, "higher")
-        figure("daemon_served_rate", saturating, "requests/s", 20000, "higher")
+        figure("path_requests_per_core", best, "requests/s", 20000, "higher")
+        figure("path_served_rate", saturating, "requests/s", 20000, "higher")
         half = max(saturating // 2, RATES[0] // 2)
         direct = load(cluster, instance.target_address, half)
         through = load(cluster, entry, half)
         for name, goal_ms in (("p50", 1.0), ("p99", 1.0)):
             added = (through[f"{name}_us"] - direct[f"{name}_us"]) / 1000
-            figure(f"daemon_added_{name}", added, "ms", goal_ms, "lower",
+            figure(f"path_added_{name}", added, "ms", goal_ms, "lower",
                    direct[f"{name}_us"] / 1000, "target_called_directly")
-        figure("daemon_memory_after_load", memory_mb(instance.daemon), "MB",
+        figure("path_memory_after_load", memory_mb(instance.daemon), "MB",
                MEMORY_GOAL_MB, "lower")
     finally:
         cluster.stop()
@@ -121,10 +121,10 @@
         names = [n for n in after if "_bytes" in n
                  and n.startswith(("rpc_", "store_"))]
         moved = sum(after[n] - before.get(n, 0) for n in names)
-        figure("daemon_idle_cpu", cpu, "% of a core", CORE_GOAL_PERCENT, "lower")
-        figure("daemon_idle_memory", memory_mb(instance.daemon), "MB",
+        figure("idle_cpu", cpu, "% of a core", CORE_GOAL_PERCENT, "lower")
+        figure("idle_memory", memory_mb(instance.daemon), "MB",
                MEMORY_GOAL_MB, "lower")
-        figure("daemon_idle_control_bytes", moved / IDLE_S / 1000, "KB/s",
+        figure("idle_control_bytes", moved / IDLE_S / 1000, "KB/s",
                CONTROL_GOAL_KB, "lower")
     finally:
         powys.stop()
--- a/demo/bench_idle.py
+++ b/demo/bench_idle.py
@@ -7,7 +7,7 @@
 import sys
 import time
 
-import bench_path as b
+import bench_daemon as b
 import cluster as c
 import session as s
 
