--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 
 build: deps
 	@cmake -S . -B $(BUILD) -G Ninja >/dev/null
-	@cmake --build $(BUILD) -j $(JOBS)
+	@cmake --build $(BUILD) -j $(JOBS) >&2
 
 check-format:
 	@sh .ci/check-format
