daemon: test that assigned pages keep the store's version

Change: AssignedPagesKeepTheStoresVersion compares each daemon's page with the store's newest version.

--- a/packages/daemon/test/daemon_test.cc
+++ b/packages/daemon/test/daemon_test.cc
@@ -249,6 +249,25 @@
                                               now_us, items[0].fingerprint));
 }
 
+TEST_F(DaemonTest, AssignedPagesKeepTheStoresVersion)
+{
+    ASSERT_TRUE(deployment.Until([&] {
+        size_t owned = 0;
+        for (const auto &instance : deployment.instances) {
+            owned += placetask_owned(instance->daemon->placement);
+        }
+        return owned == 16;
+    }));
+    const uint64_t newest =
+        store_tables_version(store_memory_tables(deployment.memory));
+    for (const auto &instance : deployment.instances) {
+        const uint64_t version = shardmap_version(
+            placetask_map(instance->daemon->placement), "patterns", 0);
+        EXPECT_GT(version, 0U);
+        EXPECT_LE(version, newest);
+    }
+}
+
 TEST(PlannedStop, LastInstanceOfAServiceDoesNotWaitForAReceiver)
 {
     invariant_reset();
