daemon: remove a macro and two fields that nothing uses

Cause: reading the whole change: FORWARD_BODY_LIMIT, started_us and probe_timer were left from the first wiring. Change: removed; no behaviour changed.

--- a/packages/daemon/daemon.c
+++ b/packages/daemon/daemon.c
@@ -16,7 +16,6 @@
 #define LEASE_DEFAULT_US (750 * US_PER_MS)
 #define RENEWAL_MAX_DEFAULT_US (14400 * US_PER_SECOND)
 #define BYTES_PER_MB ((size_t)1 << 20)
-#define FORWARD_BODY_LIMIT FORWARD_BODY_MAX
 
 static void
 on_request(void *ctx, struct http_request *request)
--- a/packages/daemon/daemon_internal.h
+++ b/packages/daemon/daemon_internal.h
@@ -52,10 +52,8 @@
     struct member self; /* as announced to the members */
     enum daemon_phase phase;
     bool target_leaves; /* it withdrew, so it is told to drain */
-    int64_t started_us;
     struct timer drain_timer;
     int64_t drain_deadline_us;
-    struct timer probe_timer;
 };
 
 /** Answers requests below DAEMON_PAGES_PREFIX. */
