--- a/packages/daemon/programs/chestnutgapd.c
+++ b/packages/daemon/programs/chestnutgapd.c
@@ -9,9 +9,11 @@
 #define LOG_MODULE "main"
 #include "base/log.h"
 #include "daemon/daemon.h"
+#include "daemon/platformdaemon.h"
 #include "daemon/signals.h"
 
 #define EXIT_USAGE 2
+#define SETTINGS_VARIABLE "CHESTNUTGAP_CONFIG"
 
 /* What the command line says. */
 struct options {
@@ -53,7 +55,11 @@
         return 0;
     case ARGP_KEY_END:
         if (options->settings_file == NULL) {
-            argp_error(state, "--settings is required");
+            options->settings_file = getenv(SETTINGS_VARIABLE);
+        }
+        if (options->settings_file == NULL) {
+            argp_error(state,
+                       "--settings or " SETTINGS_VARIABLE " is required");
         }
         return 0;
     default:
@@ -95,6 +101,33 @@
     return status;
 }
 
+/** Runs on a platform if the settings are for that. @return false if they
+ * are not */
+static bool
+run_on_platform(const struct options *options, int *status)
+{
+    struct document_problems problems = {.count = 0};
+    struct nodesettings settings;
+    struct error err = {.code = ERROR_NONE};
+    json_t *document = document_load(options->settings_file, &problems);
+    const bool matches = document != NULL && nodesettings_match(document);
+    *status = EXIT_SUCCESS;
+    if (matches && !nodesettings_parse(document, &settings, &problems)) {
+        document_print_problems(&problems, options->settings_file, stderr);
+        *status = EXIT_USAGE;
+    }
+    else if (matches && options->check) {
+        printf("%s: valid\n", options->settings_file);
+    }
+    else if (matches &&
+             !platformdaemon_run(options->settings_file, &settings, &err)) {
+        report("chestnutgapd", &err);
+        *status = EXIT_FAILURE;
+    }
+    json_decref(document);
+    return matches;
+}
+
 int
 main(int argc, char **argv)
 {
@@ -108,6 +141,10 @@
     struct settings settings;
     struct document_problems problems = {.count = 0};
     argp_parse(&argp, argc, argv, 0, NULL, &options);
+    int status;
+    if (run_on_platform(&options, &status)) {
+        return status;
+    }
     if (!settings_load(options.settings_file, &settings, &problems)) {
         document_print_problems(&problems, options.settings_file, stderr);
         return EXIT_USAGE;
--- /dev/null
+++ b/packages/fleet/declared.c
@@ -0,0 +1,207 @@
+#include "fleet/declared.h"
+
+#include <ctype.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "base/hash.h"
+#include "base/memory.h"
+
+#define INDEX_SIZE_MIN 16 /* places; always a power of two */
+#define NO_ROUTE SIZE_MAX
+
+struct declared {
+    uint64_t version;
+    struct declared_service *services;
+    size_t service_count;
+    struct declared_route *routes;
+    size_t route_count;
+    size_t *index; /* by host and prefix, open addressing */
+    size_t index_size;
+    size_t prefix_max; /* bytes of the longest prefix */
+};
+
+struct declared *
+declared_create(uint64_t version)
+{
+    struct declared *declared = memory_zeroed(1, sizeof(*declared));
+    declared->version = version;
+    return declared;
+}
+
+void
+declared_destroy(struct declared *declared)
+{
+    if (declared == NULL) {
+        return;
+    }
+    for (size_t i = 0; i < declared->route_count; i++) {
+        free(declared->routes[i].host);
+        free(declared->routes[i].prefix);
+    }
+    free(declared->routes);
+    free(declared->services);
+    free(declared->index);
+    free(declared);
+}
+
+uint64_t
+declared_version(const struct declared *declared)
+{
+    return declared->version;
+}
+
+struct declared_service *
+declared_add_service(struct declared *declared, const char *name)
+{
+    declared->services =
+        memory_resized(declared->services, declared->service_count + 1,
+                       sizeof(*declared->services));
+    struct declared_service *service =
+        &declared->services[declared->service_count++];
+    *service = (struct declared_service){.connections = 1};
+    snprintf(service->name, sizeof(service->name), "%s", name);
+    return service;
+}
+
+struct declared_route *
+declared_add_route(struct declared *declared, const char *host,
+                   const char *prefix)
+{
+    declared->routes =
+        memory_resized(declared->routes, declared->route_count + 1,
+                       sizeof(*declared->routes));
+    struct declared_route *route = &declared->routes[declared->route_count++];
+    *route = (struct declared_route){
+        .host = memory_text(host),
+        .prefix = memory_text(prefix),
+        .attempts = 1,
+    };
+    return route;
+}
+
+/** Hash of a host's name, which is the same in any case. */
+static uint64_t
+hash_host(const char *host, size_t size)
+{
+    char lower[DECLARED_NAME_MAX + 1];
+    const size_t used = size < sizeof(lower) ? size : sizeof(lower);
+    for (size_t i = 0; i < used; i++) {
+        lower[i] = (char)tolower((unsigned char)host[i]);
+    }
+    return hash_bytes(lower, used, 0);
+}
+
+/** Place of a route in the index, or of the first free one. */
+static size_t
+index_place(const struct declared *declared, const char *host,
+            size_t host_size, const char *path, size_t prefix_size)
+{
+    const uint64_t seed = hash_host(host, host_size);
+    size_t place =
+        hash_bytes(path, prefix_size, seed) & (declared->index_size - 1);
+    while (declared->index[place] != NO_ROUTE) {
+        const struct declared_route *route =
+            &declared->routes[declared->index[place]];
+        if (strlen(route->host) == host_size &&
+            strlen(route->prefix) == prefix_size &&
+            strncasecmp(route->host, host, host_size) == 0 &&
+            memcmp(route->prefix, path, prefix_size) == 0) {
+            break;
+        }
+        place = (place + 1) & (declared->index_size - 1);
+    }
+    return place;
+}
+
+bool
+declared_finish(struct declared *declared, struct error *err)
+{
+    declared->index_size = INDEX_SIZE_MIN;
+    while (declared->index_size < declared->route_count * 2) {
+        declared->index_size *= 2;
+    }
+    declared->index =
+        memory_zeroed(declared->index_size, sizeof(*declared->index));
+    for (size_t i = 0; i < declared->index_size; i++) {
+        declared->index[i] = NO_ROUTE;
+    }
+    for (size_t i = 0; i < declared->route_count; i++) {
+        const struct declared_route *route = &declared->routes[i];
+        const size_t size = strlen(route->prefix);
+        const size_t place =
+            index_place(declared, route->host, strlen(route->host),
+                        route->prefix, size);
+        if (declared->index[place] != NO_ROUTE) {
+            return error_set(err, ERROR_FIELD_DUPLICATE, "%s%s", route->host,
+                             route->prefix);
+        }
+        declared->index[place] = i;
+        if (size > declared->prefix_max) {
+            declared->prefix_max = size;
+        }
+    }
+    return true;
+}
+
+const struct declared_route *
+declared_route_of(const struct declared *declared, const char *host,
+                  const char *path)
+{
+    const size_t host_size = strcspn(host, ":");
+    size_t size = strnlen(path, declared->prefix_max);
+    for (; size > 0; size--) {
+        if (path[size - 1] != '/') {
+            continue;
+        }
+        const size_t place =
+            index_place(declared, host, host_size, path, size);
+        if (declared->index[place] != NO_ROUTE) {
+            return &declared->routes[declared->index[place]];
+        }
+    }
+    return NULL;
+}
+
+size_t
+declared_route_count(const struct declared *declared)
+{
+    return declared->route_count;
+}
+
+size_t
+declared_service_count(const struct declared *declared)
+{
+    return declared->service_count;
+}
+
+const struct declared_service *
+declared_service_at(const struct declared *declared, size_t index)
+{
+    return &declared->services[index];
+}
+
+const struct declared_service *
+declared_service_of(const struct declared *declared, const char *name)
+{
+    for (size_t i = 0; i < declared->service_count; i++) {
+        if (strcmp(declared->services[i].name, name) == 0) {
+            return &declared->services[i];
+        }
+    }
+    return NULL;
+}
+
+const struct declared_service *
+declared_draw_service(const struct declared *declared,
+                      const struct declared_route *route, unsigned draw)
+{
+    size_t i = 0;
+    while (i + 1 < route->share_count && draw >= route->shares[i].weight) {
+        draw -= route->shares[i].weight;
+        i++;
+    }
+    return &declared->services[route->shares[i].service];
+}
--- /dev/null
+++ b/packages/fleet/keyload.c
@@ -0,0 +1,189 @@
+#include "fleet/keyload.h"
+
+#include <stdbool.h>
+#include <stdlib.h>
+
+#include "base/memory.h"
+#include "fleet/declared.h"
+
+#define COUNT_MAX UINT16_MAX
+#define BUSY_SHARE 64    /* a key with a 64th of all load has its own step */
+#define STEPS_PER_KEY 2  /* its own, and the one behind it */
+#define IDLE_SHARE 0.05  /* of the load counts as spread over all keys */
+#define IDLE_LOAD_MIN 20 /* requests, likewise */
+
+struct keyload {
+    uint16_t counts[DECLARED_KEYS];
+};
+
+struct keyload_curve {
+    double loads[DECLARED_KEYS];
+    double before[DECLARED_KEYS + 1]; /* load of all lower keys */
+    double total;
+    bool summed;
+};
+
+struct keyload *
+keyload_create(void)
+{
+    return memory_zeroed(1, sizeof(struct keyload));
+}
+
+void
+keyload_destroy(struct keyload *load)
+{
+    free(load);
+}
+
+void
+keyload_count(struct keyload *load, uint32_t key)
+{
+    if (load->counts[key] < COUNT_MAX) {
+        load->counts[key]++;
+    }
+}
+
+void
+keyload_decay(struct keyload *load)
+{
+    for (size_t key = 0; key < DECLARED_KEYS; key++) {
+        load->counts[key] /= 2;
+    }
+}
+
+/** Steps that are being written. */
+struct steps {
+    struct keyload_step *items;
+    size_t count;
+    bool open; /* the last one has load, so the next one must end it */
+};
+
+static void
+steps_add(struct steps *steps, uint32_t first, uint32_t load)
+{
+    if ((load == 0 && !steps->open) || steps->count == KEYLOAD_STEPS_MAX) {
+        return;
+    }
+    steps->items[steps->count++] =
+        (struct keyload_step){.first = first, .load = load};
+    steps->open = load > 0;
+}
+
+/** Writes a bucket's busy keys as steps of their own, the rest between. */
+static void
+add_bucket(const struct keyload *load, uint32_t bucket, uint32_t busy,
+           struct steps *steps)
+{
+    uint32_t first = bucket;
+    uint32_t sum = 0;
+    const uint32_t end = bucket + KEYLOAD_BUCKET;
+    for (uint32_t key = bucket; key < end; key++) {
+        const uint32_t count = load->counts[key];
+        const bool room =
+            steps->count + STEPS_PER_KEY +
+                (DECLARED_KEYS - key) / KEYLOAD_BUCKET <
+            KEYLOAD_STEPS_MAX;
+        if (count < busy || !room) {
+            sum += count;
+            continue;
+        }
+        if (key > first) {
+            steps_add(steps, first, sum);
+        }
+        steps_add(steps, key, count);
+        first = key + 1;
+        sum = 0;
+    }
+    if (first < end) {
+        steps_add(steps, first, sum);
+    }
+}
+
+size_t
+keyload_steps(const struct keyload *load,
+              struct keyload_step steps[KEYLOAD_STEPS_MAX])
+{
+    struct steps written = {.items = steps};
+    uint32_t total = 0;
+    for (size_t key = 0; key < DECLARED_KEYS; key++) {
+        total += load->counts[key];
+    }
+    const uint32_t busy = total / BUSY_SHARE + 2;
+    for (uint32_t bucket = 0; bucket < DECLARED_KEYS;
+         bucket += KEYLOAD_BUCKET) {
+        add_bucket(load, bucket, busy, &written);
+    }
+    return written.count;
+}
+
+struct keyload_curve *
+keyload_curve_create(void)
+{
+    return memory_zeroed(1, sizeof(struct keyload_curve));
+}
+
+void
+keyload_curve_destroy(struct keyload_curve *curve)
+{
+    free(curve);
+}
+
+void
+keyload_curve_add(struct keyload_curve *curve,
+                  const struct keyload_step *steps, size_t count)
+{
+    for (size_t i = 0; i < count; i++) {
+        const uint32_t first = steps[i].first;
+        const uint32_t end =
+            i + 1 < count ? steps[i + 1].first : DECLARED_KEYS;
+        if (first >= end || end > DECLARED_KEYS) {
+            continue;
+        }
+        const double each = (double)steps[i].load / (end - first);
+        for (uint32_t key = first; key < end; key++) {
+            curve->loads[key] += each;
+        }
+        curve->total += steps[i].load;
+    }
+    curve->summed = false;
+}
+
+static void
+curve_sum(struct keyload_curve *curve)
+{
+    const double idle =
+        (curve->total * IDLE_SHARE + IDLE_LOAD_MIN) / DECLARED_KEYS;
+    for (size_t key = 0; key < DECLARED_KEYS; key++) {
+        curve->before[key + 1] =
+            curve->before[key] + curve->loads[key] + idle;
+    }
+    curve->summed = true;
+}
+
+double
+keyload_curve_between(struct keyload_curve *curve, uint32_t first,
+                      uint32_t last)
+{
+    if (!curve->summed) {
+        curve_sum(curve);
+    }
+    return curve->before[last + 1] - curve->before[first];
+}
+
+uint32_t
+keyload_curve_cut(struct keyload_curve *curve, uint32_t first, uint32_t last,
+                  double wanted)
+{
+    uint32_t low = first;
+    uint32_t high = last;
+    while (low < high) {
+        const uint32_t middle = low + (high - low + 1) / 2;
+        if (keyload_curve_between(curve, first, middle) <= wanted) {
+            low = middle;
+        }
+        else {
+            high = middle - 1;
+        }
+    }
+    return low;
+}
--- /dev/null
+++ b/packages/fleet/roster.c
@@ -0,0 +1,202 @@
+#include "fleet/roster.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/memory.h"
+#include "base/runtime.h"
+
+#define SERVICE_DEFAULT_US (200 * US_PER_MS)
+#define SERVICE_WEIGHT 16 /* answers that the smoothed time remembers */
+#define FAILURE_WEIGHT 16 /* requests that the smoothed share remembers */
+#define UNREACHABLE_MIN_US (300 * US_PER_MS)
+#define UNREACHABLE_DOUBLINGS_MAX 2
+#define OTHER_ZONE_FACTOR 1.15 /* bytes between zones are dear */
+#define COLD_FACTOR 1.5
+#define NEARLY_FULL_FACTOR 0.5 /* how much a busy target is slower */
+
+void
+roster_clear(struct roster *roster)
+{
+    struct roster_instance *instance;
+    while ((instance = LIST_FIRST(&roster->instances)) != NULL) {
+        LIST_REMOVE(instance, link);
+        free(instance);
+    }
+}
+
+struct roster_instance *
+roster_find(const struct roster *roster, const char *instance)
+{
+    struct roster_instance *item;
+    LIST_FOREACH (item, &roster->instances, link) {
+        if (strcmp(item->notice.instance, instance) == 0) {
+            return item;
+        }
+    }
+    return NULL;
+}
+
+struct roster_instance *
+roster_update(struct roster *roster, const struct roster_notice *notice,
+              uint64_t version)
+{
+    struct roster_instance *instance =
+        roster_find(roster, notice->instance);
+    if (instance == NULL) {
+        instance = memory_zeroed(1, sizeof(*instance));
+        instance->service_us = SERVICE_DEFAULT_US;
+        LIST_INSERT_HEAD(&roster->instances, instance, link);
+    }
+    else if (version < instance->version) {
+        return instance;
+    }
+    const bool new_target =
+        strcmp(instance->notice.target, notice->target) != 0 ||
+        instance->notice.born_ms != notice->born_ms ||
+        !address_equal(&instance->notice.address, &notice->address);
+    if (new_target) {
+        instance->unreachable_until_us = 0;
+        instance->unreachable_count = 0;
+        instance->failure_rate = 0;
+        instance->service_us = SERVICE_DEFAULT_US;
+    }
+    instance->notice = *notice;
+    instance->version = version;
+    return instance;
+}
+
+void
+roster_remove(struct roster *roster, const char *instance)
+{
+    struct roster_instance *item = roster_find(roster, instance);
+    if (item != NULL) {
+        /* Requests that it has not answered still refer to it. */
+        item->notice.state = ROSTER_ABSENT;
+        item->notice.accused_count = 0;
+    }
+}
+
+static bool
+is_excluded(const struct roster_choice *choice,
+            const struct roster_instance *instance)
+{
+    for (size_t i = 0; i < choice->excluded_count; i++) {
+        if (choice->excluded[i] == instance) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool
+is_eligible(const struct roster_choice *choice,
+            const struct roster_instance *instance)
+{
+    const struct roster_notice *notice = &instance->notice;
+    return notice->state == ROSTER_SERVING &&
+           strcmp(notice->service, choice->service) == 0 &&
+           choice->now_us >= instance->unreachable_until_us &&
+           !is_excluded(choice, instance) &&
+           !choice->zone_is_out(choice->ctx, notice->zone);
+}
+
+/** Time in which an answer is expected. */
+static double
+expected_us(const struct roster_choice *choice,
+            const struct roster_instance *instance)
+{
+    const unsigned slots =
+        instance->notice.slots > 0 ? instance->notice.slots : 1;
+    unsigned load = instance->reported_load + instance->sent_since;
+    load = load > instance->outstanding ? load : instance->outstanding;
+    const double busy = (double)(load + 1) / slots;
+    double time_us = (double)instance->service_us *
+                     (1.0 + NEARLY_FULL_FACTOR * (busy < 1.0 ? busy : 1.0));
+    if (busy > 1.0) {
+        time_us *= busy;
+    }
+    if (strcmp(instance->notice.zone, choice->zone) != 0) {
+        time_us *= OTHER_ZONE_FACTOR;
+    }
+    if (instance->cold) {
+        time_us *= COLD_FACTOR;
+    }
+    const double success = 1.0 - instance->failure_rate;
+    return time_us / (success > 0.05 ? success * success : 0.0025);
+}
+
+struct roster_instance *
+roster_choose(const struct roster *roster, const struct roster_choice *choice,
+              struct random_state *random)
+{
+    struct roster_instance *best = NULL;
+    double best_us = 0;
+    struct roster_instance *instance;
+    LIST_FOREACH (instance, &roster->instances, link) {
+        if (!is_eligible(choice, instance)) {
+            continue;
+        }
+        /* A little chance keeps entries from choosing alike. */
+        const double time_us = expected_us(choice, instance) *
+                               (0.9 + 0.2 * random_unit(random));
+        if (best == NULL || time_us < best_us) {
+            best = instance;
+            best_us = time_us;
+        }
+    }
+    return best;
+}
+
+void
+roster_note_result(struct roster_instance *instance, int64_t took_us,
+                   bool failed)
+{
+    instance->failure_rate +=
+        ((failed ? 1.0 : 0.0) - instance->failure_rate) / FAILURE_WEIGHT;
+    if (!failed) {
+        instance->service_us +=
+            (took_us - instance->service_us) / SERVICE_WEIGHT;
+    }
+}
+
+void
+roster_note_load(struct roster_instance *instance, unsigned load, bool cold)
+{
+    instance->reported_load = load;
+    instance->sent_since = 0;
+    instance->cold = cold;
+}
+
+void
+roster_note_unreachable(struct roster_instance *instance, int64_t now_us)
+{
+    const unsigned doublings =
+        instance->unreachable_count < UNREACHABLE_DOUBLINGS_MAX
+            ? instance->unreachable_count
+            : UNREACHABLE_DOUBLINGS_MAX;
+    instance->unreachable_until_us =
+        now_us + (UNREACHABLE_MIN_US << doublings);
+    instance->unreachable_count++;
+}
+
+void
+roster_note_reached(struct roster_instance *instance)
+{
+    instance->unreachable_until_us = 0;
+    instance->unreachable_count = 0;
+}
+
+unsigned
+roster_accusers(const struct roster *roster, uint64_t fingerprint)
+{
+    unsigned accusers = 0;
+    const struct roster_instance *instance;
+    LIST_FOREACH (instance, &roster->instances, link) {
+        for (size_t i = 0; i < instance->notice.accused_count; i++) {
+            accusers += instance->notice.accused[i] == fingerprint;
+        }
+    }
+    return accusers;
+}
--- a/packages/http/clientconnection.c
+++ b/packages/http/clientconnection.c
@@ -4,11 +4,35 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 
 #define READ_MAX (256u << 10) /* bytes taken from a socket at once */
+#define UNACKNOWLEDGED_MAX_MS 3000 /* then TCP counts as cut */
+#define KEEPALIVE_S 1              /* of silence, and between probes */
+#define KEEPALIVE_PROBES 2
+/* Part of the peer's idle timeout after which a connection is not reused. */
+#define IDLE_SHARE_PERCENT 70
+
+static void
+connection_set_options(evutil_socket_t fd)
+{
+    const int on = 1;
+    const int keepalive_s = KEEPALIVE_S;
+    const int probes = KEEPALIVE_PROBES;
+    const unsigned unacknowledged_ms = UNACKNOWLEDGED_MAX_MS;
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &keepalive_s,
+               sizeof(keepalive_s));
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &keepalive_s,
+               sizeof(keepalive_s));
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledged_ms,
+               sizeof(unacknowledged_ms));
+}
 
 void
 client_connection_close(struct client_connection *connection)
@@ -54,6 +78,20 @@
     LIST_INSERT_HEAD(&client->idle, connection, link);
 }
 
+/** Notes how long the peer keeps an idle connection (Keep-Alive). */
+static void
+connection_note_idle(struct client_connection *connection,
+                     const struct http_headers *headers)
+{
+    const char *value = http_headers_find(headers, "Keep-Alive");
+    const char *timeout = value != NULL ? strstr(value, "timeout=") : NULL;
+    if (timeout != NULL) {
+        const long seconds = strtol(timeout + strlen("timeout="), NULL, 10);
+        connection->idle_max_us =
+            seconds * US_PER_SECOND * IDLE_SHARE_PERCENT / 100;
+    }
+}
+
 static void
 connection_finish_call(struct client_connection *connection)
 {
@@ -68,7 +106,9 @@
         client->counters.unexpected_bytes->value++;
     }
     const bool reusable =
-        message->keep_alive && !extra && evbuffer_get_length(output) == 0;
+        message->keep_alive && !extra && !connection->stray_answer &&
+        evbuffer_get_length(output) == 0;
+    connection_note_idle(connection, &message->headers);
     call->connection = NULL;
     /* The callback may start or cancel other calls of this client. */
     connection->call = NULL;
@@ -83,6 +123,23 @@
     http_client_assign(client);
 }
 
+/** Drops a whole answer that is not the call's. @return true if it did */
+static bool
+connection_drop_stray(struct client_connection *connection)
+{
+    const struct http_call *call = connection->call;
+    struct http_reader *reader = connection->reader;
+    if (call->belongs == NULL ||
+        http_reader_progress(reader) != HTTP_PROGRESS_WHOLE ||
+        call->belongs(call->ctx, &http_reader_message(reader)->headers)) {
+        return false;
+    }
+    connection->client->counters.stray_answers->value++;
+    connection->stray_answer = true;
+    http_reader_reset(reader);
+    return true;
+}
+
 static void
 connection_on_read(struct bufferevent *bev, void *ctx)
 {
@@ -94,6 +151,9 @@
         return;
     }
     http_reader_feed(connection->reader, bufferevent_get_input(bev));
+    while (connection_drop_stray(connection)) {
+        http_reader_feed(connection->reader, bufferevent_get_input(bev));
+    }
     const enum http_progress progress =
         http_reader_progress(connection->reader);
     if (progress == HTTP_PROGRESS_WHOLE) {
@@ -128,9 +188,7 @@
     struct http_client *client = connection->client;
     const int error = EVUTIL_SOCKET_ERROR();
     if ((what & BEV_EVENT_CONNECTED) != 0) {
-        const int on = 1;
-        setsockopt(bufferevent_getfd(bev), IPPROTO_TCP, TCP_NODELAY, &on,
-                   sizeof(on));
+        connection_set_options(bufferevent_getfd(bev));
         connection->connected = true;
         if (connection->call != NULL) {
             connection_write(connection);
@@ -138,6 +196,11 @@
         }
         return;
     }
+    const bool ended = (what & BEV_EVENT_EOF) != 0 && connection->call != NULL;
+    if (ended && http_reader_end(connection->reader)) {
+        connection_finish_call(connection);
+        return;
+    }
     const bool refused = !connection->connected && error == ECONNREFUSED;
     client_connection_fail(connection, refused ? HTTP_REFUSED : HTTP_CUT);
 }
@@ -168,6 +231,9 @@
         free(connection);
         return NULL;
     }
+    if (client->config.answers_to_end) {
+        http_reader_allow_to_end(connection->reader);
+    }
     /* Set after the connect, which may report a failure at once. */
     bufferevent_setcb(connection->bev, connection_on_read, NULL,
                       connection_on_event, connection);
--- a/packages/http/httpcall.c
+++ b/packages/http/httpcall.c
@@ -108,6 +108,7 @@
     }
     call->client = client;
     call->may_send = spec->may_send;
+    call->belongs = spec->belongs;
     call->done = spec->done;
     call->ctx = spec->ctx;
     call->to_head = strcmp(spec->method, "HEAD") == 0;
--- a/packages/http/httpclient.c
+++ b/packages/http/httpclient.c
@@ -10,10 +10,25 @@
 #define IDLE_TIMEOUT_DEFAULT_US (30 * US_PER_SECOND)
 #define SWEEP_US (1 * US_PER_SECOND)
 
+/** Time after which an idle connection is not used any more. */
+static int64_t
+idle_max_us(const struct client_connection *connection)
+{
+    const int64_t own_us = connection->client->config.idle_timeout_us;
+    const int64_t peers_us = connection->idle_max_us;
+    return peers_us > 0 && peers_us < own_us ? peers_us : own_us;
+}
+
 static struct client_connection *
 client_take_connection(struct http_client *client)
 {
+    const int64_t now_us = runtime_now_us(client->runtime);
     struct client_connection *connection = LIST_FIRST(&client->idle);
+    while (connection != NULL &&
+           now_us - connection->idle_since_us >= idle_max_us(connection)) {
+        client_connection_close(connection);
+        connection = LIST_FIRST(&client->idle);
+    }
     if (connection == NULL) {
         return client_connection_open(client);
     }
@@ -50,8 +65,7 @@
     struct client_connection *connection = LIST_FIRST(&client->idle);
     while (connection != NULL) {
         struct client_connection *next = LIST_NEXT(connection, link);
-        if (now_us - connection->idle_since_us >=
-            client->config.idle_timeout_us) {
+        if (now_us - connection->idle_since_us >= idle_max_us(connection)) {
             client_connection_close(connection);
         }
         connection = next;
--- a/packages/http/httpclient.h
+++ b/packages/http/httpclient.h
@@ -40,6 +40,7 @@
     size_t body_max;            /**< bytes of an answer. Default 16 MiB */
     int64_t connect_timeout_us; /**< Default 1 s */
     int64_t idle_timeout_us;    /**< then closed. Default 30 s */
+    bool answers_to_end; /**< an answer may end with its connection */
 };
 
 /** Result of a call, valid during the callback. */
@@ -60,6 +61,12 @@
  */
 typedef bool (*http_may_send_cb)(void *ctx);
 
+/**
+ * Whether an answer belongs to the request. If not, as when it comes late
+ * for an earlier one, it is dropped and the next one is awaited.
+ */
+typedef bool (*http_belongs_cb)(void *ctx, const struct http_headers *headers);
+
 /** What to send; everything is copied. */
 struct http_call_spec {
     const char *method;
@@ -70,6 +77,7 @@
     size_t body_size;
     int64_t deadline_us;       /**< on the runtime's clock */
     http_may_send_cb may_send; /**< may be NULL */
+    http_belongs_cb belongs;   /**< may be NULL */
     http_done_cb done; /**< exactly once, never within http_call_start() */
     void *ctx;
 };
--- a/packages/http/httpclient_internal.h
+++ b/packages/http/httpclient_internal.h
@@ -27,7 +27,8 @@
     X(cancelled, "requests that were cancelled")                              \
     X(connects, "connections opened")                                         \
     X(abandoned, "connections closed since their request was abandoned")      \
-    X(unexpected_bytes, "connections closed since bytes came unasked")
+    X(unexpected_bytes, "connections closed since bytes came unasked")        \
+    X(stray_answers, "answers dropped since they belong to no request")
 /* clang-format on */
 
 struct http_client_counters {
@@ -60,8 +61,10 @@
     struct http_reader *reader;
     struct http_call *call; /* NULL while idle */
     bool connected;
+    bool stray_answer; /* an answer was not its call's: not to be reused */
     int64_t connect_deadline_us;
     int64_t idle_since_us;
+    int64_t idle_max_us; /* as the peer said, 0: nothing said */
 };
 
 struct http_call {
@@ -75,6 +78,7 @@
     enum http_outcome end_with; /* while in the queue of failed calls */
     struct timer deadline;
     http_may_send_cb may_send;
+    http_belongs_cb belongs;
     http_done_cb done;
     void *ctx;
 };
--- a/packages/http/httpconnection.c
+++ b/packages/http/httpconnection.c
@@ -51,29 +51,45 @@
     http_server_connection_closed(server);
 }
 
-/** Frees the connection; the message of a request in work lives on until it
- * is answered. */
-void
-http_connection_abort(struct http_connection *connection)
+/** Takes the requests off the connection; those without an answer live on
+ * until they get one. */
+static void
+connection_abandon(struct http_connection *connection, bool report)
 {
-    struct http_request *request = connection->request;
-    if (request != NULL) {
-        request->reader = connection->reader;
+    struct http_server *server = connection->server;
+    struct http_request *request;
+    while ((request = TAILQ_FIRST(&connection->pipeline)) != NULL) {
+        TAILQ_REMOVE(&connection->pipeline, request, pipeline);
         request->connection = NULL;
-        connection->reader = NULL;
-        connection->request = NULL;
+        if (request->answer != NULL) {
+            http_request_free(request);
+        }
+        else if (report) {
+            request->abandoned = true;
+            TAILQ_INSERT_TAIL(&server->abandoned, request, pipeline);
+        }
     }
+}
+
+void
+http_connection_abort(struct http_connection *connection)
+{
+    connection_abandon(connection, false);
     http_connection_free(connection);
 }
 
-/** The caller went away or is sent away; a request in work is cancelled. */
+/** The caller went away or is sent away; requests in work are cancelled. */
 static void
 connection_drop(struct http_connection *connection)
 {
     struct http_server *server = connection->server;
-    struct http_request *request = connection->request;
-    http_connection_abort(connection);
-    if (request != NULL) {
+    struct http_request *request;
+    connection_abandon(connection, true);
+    http_connection_free(connection);
+    /* A callback may answer, and so free, any of them. */
+    while ((request = TAILQ_FIRST(&server->abandoned)) != NULL) {
+        TAILQ_REMOVE(&server->abandoned, request, pipeline);
+        request->abandoned = false;
         server->counters.cancelled->value++;
         if (server->config.cancelled != NULL) {
             server->config.cancelled(server->config.ctx, request);
@@ -141,12 +157,22 @@
     }
     request->server = server;
     request->connection = connection;
-    request->message = http_reader_message(connection->reader);
+    request->reader = connection->reader;
+    request->message = http_reader_message(request->reader);
+    request->body_bytes = connection->body_bytes;
     request->peer = connection->peer;
-    LIST_INSERT_HEAD(&server->requests, request, link);
-    connection->request = request;
-    connection->state = HTTP_CONNECTION_HANDLING;
+    connection->reader = NULL;
+    connection->body_bytes = 0;
+    connection->receiving = false;
+    connection->continue_sent = false;
     connection->deadline_us = 0;
+    LIST_INSERT_HEAD(&server->requests, request, link);
+    TAILQ_INSERT_TAIL(&connection->pipeline, request, pipeline);
+    connection->pipelined++;
+    if (!request->message->keep_alive ||
+        connection->pipelined >= server->config.pipeline_max) {
+        connection->state = HTTP_CONNECTION_HANDLING;
+    }
     server->counters.requests->value++;
     server->config.handle(server->config.ctx, request);
 }
@@ -219,14 +245,55 @@
     connection->in_feed = false;
 }
 
+/** Writes the answers whose turn it is. @return false if the last one ends
+ * the connection */
+static bool
+connection_flush(struct http_connection *connection)
+{
+    struct evbuffer *output = bufferevent_get_output(connection->bev);
+    struct http_request *request;
+    while ((request = TAILQ_FIRST(&connection->pipeline)) != NULL &&
+           request->answer != NULL) {
+        const bool close = request->close;
+        TAILQ_REMOVE(&connection->pipeline, request, pipeline);
+        connection->pipelined--;
+        evbuffer_add_buffer(output, request->answer);
+        http_request_free(request);
+        if (close) {
+            connection_abandon(connection, true);
+            return false;
+        }
+    }
+    return true;
+}
+
+/** True if the connection closes after the answer to this request. */
+static bool
+connection_closes_after(const struct http_connection *connection,
+                        const struct http_request *request)
+{
+    if (!request->message->keep_alive) {
+        return true;
+    }
+    const bool last = TAILQ_NEXT(request, pipeline) == NULL &&
+                      !connection->receiving;
+    return last &&
+           (connection->server->stopping || connection->server->retiring);
+}
+
 void
-http_connection_reply(struct http_connection *connection,
+http_connection_reply(struct http_request *request,
                       const struct http_reply *reply)
 {
-    const struct http_message *message =
-        http_reader_message(connection->reader);
-    const bool close = !message->keep_alive || connection->server->stopping;
-    http_write_answer(bufferevent_get_output(connection->bev),
+    struct http_connection *connection = request->connection;
+    const struct http_message *message = request->message;
+    request->close = connection_closes_after(connection, request);
+    request->answer = evbuffer_new();
+    if (request->answer == NULL) {
+        connection_drop(connection);
+        return;
+    }
+    http_write_answer(request->answer,
                       &(struct http_answer){
                           .status = reply->status,
                           .headers = reply->headers,
@@ -234,20 +301,24 @@
                           .body = reply->body,
                           .body_size = reply->body_size,
                           .to_head = strcmp(message->method, "HEAD") == 0,
-                          .close = close,
+                          .close = request->close,
                           .keep_alive = message->http_1_0,
                       });
-    http_server_give_reader(connection->server, connection->reader);
-    connection->reader = NULL;
-    connection_count_body(connection, 0);
-    connection->receiving = false;
-    connection->continue_sent = false;
-    if (close) {
+    if (!connection_flush(connection)) {
         connection_finish(connection);
         return;
     }
-    connection_start_reading(connection,
-                             connection->server->config.idle_timeout_us);
+    if (connection->pipelined >= connection->server->config.pipeline_max ||
+        (connection->pipelined > 0 &&
+         !TAILQ_LAST(&connection->pipeline, http_pipeline)
+              ->message->keep_alive)) {
+        return;
+    }
+    if (connection->pipelined == 0 && !connection->receiving) {
+        connection_start_reading(connection,
+                                 connection->server->config.idle_timeout_us);
+    }
+    connection->state = HTTP_CONNECTION_READING;
     connection_feed(connection);
 }
 
@@ -309,6 +380,7 @@
     connection->server = server;
     connection->bev = bev;
     connection->peer = *peer;
+    TAILQ_INIT(&connection->pipeline);
     connection_start_reading(connection, server->config.idle_timeout_us);
     LIST_INSERT_HEAD(&server->connections, connection, link);
     server->connection_count++;
@@ -326,7 +398,7 @@
 http_connection_stop(struct http_connection *connection)
 {
     if (connection->state == HTTP_CONNECTION_READING &&
-        !connection->receiving) {
+        connection->pipelined == 0 && !connection->receiving) {
         connection->deadline_us =
             connection_now_us(connection) + STOP_GRACE_US;
     }
@@ -351,7 +423,7 @@
         return;
     }
     connection->backlog = 0;
-    if (connection->state == HTTP_CONNECTION_HANDLING) {
+    if (connection->pipelined > 0 && !connection->receiving) {
         connection->deadline_us = 0;
         return;
     }
--- a/packages/http/httpheaders.c
+++ b/packages/http/httpheaders.c
@@ -172,6 +172,15 @@
     return false;
 }
 
+bool
+http_header_is_end_to_end(const struct http_headers *received,
+                          const char *name)
+{
+    return !http_name_equal(name, "Content-Length") &&
+           !is_connection_field(name) &&
+           !http_headers_have_token(received, "Connection", name);
+}
+
 static bool
 is_passed(const struct http_headers *received, const char *name,
           enum http_direction direction)
@@ -179,10 +188,9 @@
     if (http_name_equal(name, "Content-Length")) {
         return direction == HTTP_ANSWER_FORWARD_NO_BODY;
     }
-    return !is_connection_field(name) &&
+    return http_header_is_end_to_end(received, name) &&
            strncasecmp(name, HTTP_PRIVATE_PREFIX,
-                       strlen(HTTP_PRIVATE_PREFIX)) != 0 &&
-           !http_headers_have_token(received, "Connection", name);
+                       strlen(HTTP_PRIVATE_PREFIX)) != 0;
 }
 
 bool
--- a/packages/http/httpheaders.h
+++ b/packages/http/httpheaders.h
@@ -65,6 +65,11 @@
 bool http_headers_have_token(const struct http_headers *headers,
                              const char *name, const char *token);
 
+/** True if a received field is not of the connection, so that a proxy passes
+ * it on. Lengths are not. */
+bool http_header_is_end_to_end(const struct http_headers *received,
+                               const char *name);
+
 /**
  * Adds to passed the fields of received that go to the next hop, and Via.
  * Fields of the connection, those that Connection lists, lengths that are
--- a/packages/http/httpmessage.c
+++ b/packages/http/httpmessage.c
@@ -19,11 +19,13 @@
     size_t body_max;
     htparser *parser;
     bool no_body;
+    bool allow_to_end;
     enum http_progress progress;
     unsigned failure;
     bool has_length;
     uint64_t length;
     bool chunked;
+    bool to_end; /* the body ends with the connection */
     char name[FIELD_NAME_MAX]; /* of the field whose value comes next */
     size_t name_size;
     struct http_message message;
@@ -238,7 +240,15 @@
         return -1;
     }
     if (!answer_is_delimited(reader)) {
-        return reader_fail(reader, 502);
+        if (!reader->allow_to_end) {
+            return reader_fail(reader, 502);
+        }
+        /* RFC 9112, section 6.3: the body ends with the connection. The
+         * bytes are taken without the parser from here on. */
+        reader->to_end = true;
+        message->keep_alive = false;
+        reader->progress = HTTP_PROGRESS_BODY;
+        return -1;
     }
     if (reader->has_length && reader->length > reader->body_max) {
         return reader_fail(reader, 413);
@@ -315,6 +325,7 @@
     reader->has_length = false;
     reader->length = 0;
     reader->chunked = false;
+    reader->to_end = false;
 }
 
 struct http_reader *
@@ -428,6 +439,40 @@
     return true;
 }
 
+/** Takes all bytes as the body of an answer that ends with the connection. */
+static void
+reader_feed_to_end(struct http_reader *reader, struct evbuffer *input)
+{
+    struct http_message *message = &reader->message;
+    const size_t size = evbuffer_get_length(input);
+    if (size > reader->body_max - message->body_size) {
+        reader_fail(reader, 413);
+        return;
+    }
+    if (!reserve_body(reader, message->body_size + size)) {
+        reader_fail(reader, 503);
+        return;
+    }
+    evbuffer_remove(input, message->body + message->body_size, size);
+    message->body_size += size;
+}
+
+void
+http_reader_allow_to_end(struct http_reader *reader)
+{
+    reader->allow_to_end = true;
+}
+
+bool
+http_reader_end(struct http_reader *reader)
+{
+    if (!reader->to_end || reader->progress != HTTP_PROGRESS_BODY) {
+        return false;
+    }
+    reader->progress = HTTP_PROGRESS_WHOLE;
+    return true;
+}
+
 void
 http_reader_feed(struct http_reader *reader, struct evbuffer *input)
 {
@@ -436,6 +481,12 @@
             return;
         }
     }
+    if (reader->to_end && reader->progress == HTTP_PROGRESS_BODY) {
+        if (evbuffer_get_length(input) > 0) {
+            reader_feed_to_end(reader, input);
+        }
+        return;
+    }
     struct evbuffer_iovec piece;
     while (reader->progress == HTTP_PROGRESS_BODY &&
            evbuffer_peek(input, -1, NULL, &piece, 1) > 0) {
--- a/packages/http/httpmessage.h
+++ b/packages/http/httpmessage.h
@@ -66,6 +66,16 @@
  */
 void http_reader_feed(struct http_reader *reader, struct evbuffer *input);
 
+/** From now on an answer may have no length and end with its connection. */
+void http_reader_allow_to_end(struct http_reader *reader);
+
+/**
+ * The connection was closed in order: an answer without a length is whole.
+ *
+ * @return false if the message was cut instead.
+ */
+bool http_reader_end(struct http_reader *reader);
+
 enum http_progress http_reader_progress(const struct http_reader *reader);
 
 /** Status that tells the sender of a failed request why: 400, 413, ... */
--- a/packages/http/httpserver.c
+++ b/packages/http/httpserver.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <event2/buffer.h>
 #include <event2/listener.h>
 
 #include "http/httpproblem.h"
@@ -12,6 +13,7 @@
 #define BODY_MAX_DEFAULT (16u << 20)    /* bytes */
 #define BODIES_MAX_DEFAULT (256u << 20) /* bytes */
 #define CONNECTIONS_MAX_DEFAULT 4096
+#define PIPELINE_MAX_DEFAULT 1
 #define RECEIVE_TIMEOUT_DEFAULT_US (60 * US_PER_SECOND)
 #define SEND_TIMEOUT_DEFAULT_US (30 * US_PER_SECOND)
 #define IDLE_TIMEOUT_DEFAULT_US (120 * US_PER_SECOND)
@@ -119,6 +121,9 @@
     if (config->connections_max == 0) {
         config->connections_max = CONNECTIONS_MAX_DEFAULT;
     }
+    if (config->pipeline_max == 0) {
+        config->pipeline_max = PIPELINE_MAX_DEFAULT;
+    }
     if (config->receive_timeout_us == 0) {
         config->receive_timeout_us = RECEIVE_TIMEOUT_DEFAULT_US;
     }
@@ -152,6 +157,7 @@
         return NULL;
     }
     server->runtime = runtime;
+    TAILQ_INIT(&server->abandoned);
     server->config = *config;
     set_defaults(&server->config);
     server_add_counters(server, counters);
@@ -220,16 +226,29 @@
     server->spare_readers[server->spare_reader_count++] = reader;
 }
 
-static void
-request_free(struct http_request *request)
+void
+http_request_free(struct http_request *request)
 {
-    LIST_REMOVE(request, link);
-    if (request->connection == NULL) {
-        http_server_give_reader(request->server, request->reader);
+    struct http_server *server = request->server;
+    server->body_bytes -= request->body_bytes;
+    server->counters.body_bytes->value = (int64_t)server->body_bytes;
+    if (request->abandoned) {
+        TAILQ_REMOVE(&server->abandoned, request, pipeline);
+    }
+    if (request->answer != NULL) {
+        evbuffer_free(request->answer);
     }
+    LIST_REMOVE(request, link);
+    http_server_give_reader(server, request->reader);
     free(request);
 }
 
+void
+http_server_retire(struct http_server *server)
+{
+    server->retiring = true;
+}
+
 void
 http_server_destroy(struct http_server *server)
 {
@@ -241,9 +260,9 @@
     while (request != NULL) {
         struct http_request *next = LIST_NEXT(request, link);
         if (request->connection != NULL) {
-            request->connection->request = NULL;
+            TAILQ_REMOVE(&request->connection->pipeline, request, pipeline);
         }
-        request_free(request);
+        http_request_free(request);
         request = next;
     }
     server->stopping = true;
@@ -322,15 +341,12 @@
 http_request_reply(struct http_request *request,
                    const struct http_reply *reply)
 {
-    struct http_connection *connection = request->connection;
-    if (connection == NULL) {
-        request_free(request);
+    if (request->connection == NULL) {
+        http_request_free(request);
         return;
     }
     request->server->counters.answers->value++;
-    request_free(request);
-    connection->request = NULL;
-    http_connection_reply(connection, reply);
+    http_connection_reply(request, reply);
 }
 
 void
--- a/packages/http/httpserver.h
+++ b/packages/http/httpserver.h
@@ -28,6 +28,7 @@
     size_t body_max;        /**< bytes; larger get 413. Default 16 MiB */
     size_t bodies_max;      /**< bytes of all bodies held; then 503. 256 MiB */
     unsigned connections_max;   /**< then accepting stops. Default 4096 */
+    unsigned pipeline_max; /**< requests of a connection in work. Default 1 */
     int64_t receive_timeout_us; /**< for a whole request. Default 60 s */
     int64_t send_timeout_us;    /**< without progress. Default 30 s */
     int64_t idle_timeout_us;    /**< between requests. Default 120 s */
@@ -55,6 +56,10 @@
 void http_server_stop(struct http_server *server, void (*done)(void *ctx),
                       void *ctx);
 
+/** From now on each connection closes after an answer behind which no further
+ * request was read. New connections are still accepted. */
+void http_server_retire(struct http_server *server);
+
 /** Closes everything at once and frees requests that are not answered. */
 void http_server_destroy(struct http_server *server);
 
--- a/packages/http/httpserver_internal.h
+++ b/packages/http/httpserver_internal.h
@@ -41,6 +41,7 @@
 
 LIST_HEAD(http_connection_list, http_connection);
 LIST_HEAD(http_request_list, http_request);
+TAILQ_HEAD(http_pipeline, http_request);
 
 struct http_server {
     struct runtime *runtime;
@@ -54,6 +55,8 @@
     unsigned connection_count;
     size_t body_bytes; /* held by requests */
     bool stopping;
+    bool retiring; /* connections close when their requests are answered */
+    struct http_pipeline abandoned; /* to be reported as cancelled */
     void (*stopped)(void *ctx);
     void *stopped_ctx;
     struct event *stopped_event;
@@ -64,7 +67,7 @@
 /** What a connection waits for. */
 enum http_connection_state {
     HTTP_CONNECTION_READING,  /**< for a request */
-    HTTP_CONNECTION_HANDLING, /**< for the handler's answer */
+    HTTP_CONNECTION_HANDLING, /**< for answers; takes no further request */
     HTTP_CONNECTION_CLOSING,  /**< for the last answer to be sent */
     HTTP_CONNECTION_LINGERING /**< for the caller to close */
 };
@@ -79,17 +82,23 @@
     bool in_feed;   /* requests are being read: no nested reading */
     bool receiving; /* a request has begun */
     bool continue_sent;
-    size_t body_bytes;            /* of the server's body_bytes */
-    struct http_request *request; /* being handled */
-    int64_t deadline_us;          /* of the state, 0: none */
-    size_t backlog;               /* output at the last sweep */
+    size_t body_bytes; /* of the server's body_bytes */
+    struct http_pipeline pipeline; /* requests in work, in order */
+    unsigned pipelined;
+    int64_t deadline_us; /* of the state, 0: none */
+    size_t backlog;      /* output at the last sweep */
 };
 
 struct http_request {
     LIST_ENTRY(http_request) link;
     struct http_server *server;
+    TAILQ_ENTRY(http_request) pipeline;
     struct http_connection *connection; /* NULL: the caller is gone */
-    struct http_reader *reader;         /* owned once the connection is gone */
+    bool abandoned;          /* pipeline is the server's list of these */
+    struct evbuffer *answer; /* that waits for those before it */
+    bool close;              /* the connection closes after the answer */
+    size_t body_bytes;       /* of the server's body_bytes */
+    struct http_reader *reader;
     const struct http_message *message;
     struct address peer;
     void *data;
@@ -109,10 +118,14 @@
 /** Closes an idle connection, or one after its answer. */
 void http_connection_stop(struct http_connection *connection);
 
-/** Writes the answer to the request in work and goes on reading. */
-void http_connection_reply(struct http_connection *connection,
+/** Writes the answer once those before it are written, frees the request
+ * then, and goes on reading. */
+void http_connection_reply(struct http_request *request,
                            const struct http_reply *reply);
 
+/** Frees a request, whether it was answered or not. */
+void http_request_free(struct http_request *request);
+
 /** A reader for one connection; NULL when memory is short. Idle connections
  * need none, which saves most of their memory. */
 struct http_reader *http_server_take_reader(struct http_server *server);
--- /dev/null
+++ b/packages/node/ingress.c
@@ -0,0 +1,532 @@
+#include "node/ingress.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define LOG_MODULE "ingress"
+#include "base/log.h"
+#include "base/memory.h"
+#include "node/ingress_internal.h"
+
+/* Part of the declared budget that this instance uses for itself: others
+ * may see other numbers of requests. */
+#define BUDGET_SHARE_PERCENT 60
+#define BUDGET_RESERVE_MIN 3
+/* The gate answers by itself; its answer may come this much later. */
+#define SEND_MARGIN_US (60 * US_PER_MS)
+/* A request waits for room as long as its answer can still count in full:
+ * this part of the objective is left for the target's work. */
+#define QUEUE_PERCENT 50
+#define QUEUE_MIN_PERCENT 10
+/* How long a request waits for an owner of its key. */
+#define OWNER_WAIT_PERCENT 25
+#define OWNER_RECHECK_US (20 * US_PER_MS)
+#define START_RETRY_US (300 * US_PER_MS) /* before anything is declared */
+#define HEDGE_FACTOR 3 /* times the usual time of the instance */
+#define HEDGE_MIN_US (60 * US_PER_MS)
+#define HEDGE_LEFT_PERCENT 25 /* of the time, at least */
+#define CONDEMNED_MIN 3       /* targets that a request has stopped */
+#define REPEAT_LEFT_US (50 * US_PER_MS)
+
+static void call_try(struct ingress_call *call);
+
+struct ingress *
+ingress_create(struct node *node)
+{
+    struct ingress *ingress = memory_zeroed(1, sizeof(*ingress));
+    struct counter_registry *counters = node->options.counters;
+    const struct nodesettings *settings = &node->settings;
+    ingress->node = node;
+    LIST_INIT(&ingress->calls);
+    budget_init(&ingress->budget,
+                settings->retry_share * BUDGET_SHARE_PERCENT / 100,
+                BUDGET_RESERVE_MIN);
+    ingress->requests =
+        counter_add(counters, "ingress_requests", "requests of callers");
+    ingress->answered = counter_add(counters, "ingress_answered",
+                                    "requests answered by a target");
+    ingress->refused = counter_add(counters, "ingress_refused",
+                                   "requests refused that did not run");
+    ingress->unknown = counter_add(counters, "ingress_unknown",
+                                   "requests that may have run, without an "
+                                   "answer");
+    ingress->timeouts = counter_add(counters, "ingress_timeouts",
+                                    "requests that may have run, whose time "
+                                    "was over");
+    ingress->cancelled = counter_add(counters, "ingress_cancelled",
+                                     "requests whose caller left");
+    ingress->retries = counter_add(counters, "ingress_retries",
+                                   "requests sent to one more target");
+    ingress->hedges = counter_add(counters, "ingress_hedges",
+                                  "requests sent to a second target while "
+                                  "the first was at work");
+    return ingress;
+}
+
+static int64_t
+now_of(const struct ingress_call *call)
+{
+    return node_now_us(call->ingress->node);
+}
+
+static void
+send_clear(struct ingress_send *send)
+{
+    if (send->sent != NULL) {
+        relaytask_cancel(send->sent);
+        send->sent = NULL;
+        send->instance->outstanding--;
+    }
+}
+
+static void
+call_free(struct ingress_call *call)
+{
+    for (size_t i = 0; i < INGRESS_SENDS_MAX; i++) {
+        send_clear(&call->sends[i]);
+    }
+    timer_stop(&call->deadline);
+    timer_stop(&call->step);
+    ingressmessage_clear(call);
+    LIST_REMOVE(call, link);
+    call->ingress->count--;
+    free(call);
+}
+
+void
+ingress_destroy(struct ingress *ingress)
+{
+    if (ingress == NULL) {
+        return;
+    }
+    struct ingress_call *call;
+    while ((call = LIST_FIRST(&ingress->calls)) != NULL) {
+        call_free(call);
+    }
+    free(ingress);
+}
+
+size_t
+ingress_count(const struct ingress *ingress)
+{
+    return ingress->count;
+}
+
+static bool
+is_sent(const struct ingress_call *call)
+{
+    for (size_t i = 0; i < INGRESS_SENDS_MAX; i++) {
+        if (call->sends[i].sent != NULL) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/** Gives the request up with what is known of it. */
+static void
+call_give_up(struct ingress_call *call)
+{
+    /* What is under way may run, and answers nobody. */
+    for (size_t i = 0; i < INGRESS_SENDS_MAX; i++) {
+        call->may_have_run = call->may_have_run ||
+                             call->sends[i].sent != NULL;
+        send_clear(&call->sends[i]);
+    }
+    ingressanswer_refuse(call);
+    call_free(call);
+}
+
+static void
+on_deadline(void *ctx)
+{
+    struct ingress_call *call = ctx;
+    call->timed_out = true;
+    call_give_up(call);
+}
+
+/** Waits a moment for an owner or an instance, then gives up. */
+static void
+call_wait(struct ingress_call *call, enum relay_reason reason)
+{
+    const int64_t now_us = now_of(call);
+    call->reason = reason;
+    if (now_us >= call->wait_until_us) {
+        call_give_up(call);
+        return;
+    }
+    call->waits = true;
+    const int64_t recheck_us = now_us + OWNER_RECHECK_US;
+    timer_start_at(&call->step, recheck_us < call->wait_until_us
+                                    ? recheck_us
+                                    : call->wait_until_us);
+}
+
+static void
+exclude(struct ingress_call *call, struct roster_instance *instance)
+{
+    if (call->excluded_count < ROSTER_EXCLUDED_MAX) {
+        call->excluded[call->excluded_count++] = instance;
+    }
+}
+
+static struct roster_instance *
+choose_owner(const struct ingress_call *call)
+{
+    const struct node *node = call->ingress->node;
+    const struct node_keys *keys = node_keys_of(node, call->service);
+    if (keys == NULL) {
+        return NULL;
+    }
+    const struct keymap_segment *segment =
+        keymap_find(&keys->map, call->message.key);
+    struct roster_instance *owner =
+        roster_find(&node->roster, segment->holder.instance);
+    return owner != NULL && now_of(call) >= owner->unreachable_until_us
+               ? owner
+               : NULL;
+}
+
+static struct roster_instance *
+choose_any(const struct ingress_call *call)
+{
+    struct node *node = call->ingress->node;
+    struct roster_choice choice = {
+        .service = call->service,
+        .zone = node->settings.zone,
+        .zone_is_out = node_zone_is_out,
+        .ctx = node,
+        .excluded_count = call->excluded_count,
+        .now_us = now_of(call),
+    };
+    memcpy(choice.excluded, call->excluded, sizeof(choice.excluded));
+    return roster_choose(&node->roster, &choice, &node->random);
+}
+
+static void on_reply(void *ctx, enum rpc_status status,
+                     const struct relay_reply *reply);
+
+/** Longest time that the request may wait at the gate. */
+static int64_t
+queue_us(const struct ingress_call *call, int64_t now_us)
+{
+    const int64_t least_us = call->objective_us * QUEUE_MIN_PERCENT / 100;
+    const int64_t most_us =
+        call->due_us - now_us -
+        call->objective_us * (100 - QUEUE_PERCENT) / 100;
+    return most_us > least_us ? most_us : least_us;
+}
+
+static void
+call_send(struct ingress_call *call, struct roster_instance *instance)
+{
+    struct ingress *ingress = call->ingress;
+    const int64_t now_us = now_of(call);
+    struct ingress_send *send = &call->sends[0];
+    if (send->sent != NULL) {
+        send = &call->sends[1];
+    }
+    const int64_t left_us = call->deadline_us - now_us;
+    call->waits = false;
+    call->tries++;
+    call->instance = instance->notice.instance;
+    call->message.left_us = (u_quad_t)(left_us > 0 ? left_us : 0);
+    call->message.queue_us = (u_quad_t)queue_us(call, now_us);
+    call->message.due_us = call->due_us - now_us;
+    send->call = call;
+    send->instance = instance;
+    send->sent_us = now_us;
+    instance->outstanding++;
+    instance->sent_since++;
+    LOG_DBG("sent", LOG_STR("id", call->id),
+            LOG_STR("to", instance->notice.instance),
+            LOG_UINT("try", call->tries));
+    send->sent = relaytask_send(ingress->node->relay, instance, &call->message,
+                                left_us + SEND_MARGIN_US, on_reply, send);
+}
+
+/** Plans a second sending, should the first take long. */
+static void
+plan_hedge(struct ingress_call *call, const struct roster_instance *instance)
+{
+    int64_t delay_us = instance->service_us * HEDGE_FACTOR;
+    delay_us = delay_us > HEDGE_MIN_US ? delay_us : HEDGE_MIN_US;
+    const bool may = call->message.idempotent && !call->message.keyed &&
+                     !call->hedged && call->reached + 1 < call->attempts_max;
+    if (may) {
+        timer_start(&call->step, delay_us);
+    }
+}
+
+static void
+call_try(struct ingress_call *call)
+{
+    if (call->tries >= INGRESS_TRIES_MAX) {
+        call_give_up(call);
+        return;
+    }
+    struct roster_instance *instance =
+        call->message.keyed ? choose_owner(call) : choose_any(call);
+    if (instance == NULL) {
+        if (!call->message.keyed && call->excluded_count > 0) {
+            call_give_up(call);
+            return;
+        }
+        call_wait(call, RELAY_REASON_NO_TARGET);
+        return;
+    }
+    call_send(call, instance);
+    plan_hedge(call, instance);
+}
+
+static void
+call_hedge(struct ingress_call *call)
+{
+    struct ingress *ingress = call->ingress;
+    const int64_t left_us = call->deadline_us - now_of(call);
+    const int64_t whole_us = call->deadline_us - call->begun_us;
+    exclude(call, call->sends[0].instance);
+    struct roster_instance *instance = choose_any(call);
+    const bool idle =
+        instance != NULL &&
+        instance->reported_load + instance->sent_since <
+            instance->notice.slots;
+    if (!idle || left_us < whole_us * HEDGE_LEFT_PERCENT / 100 ||
+        !budget_spend(&ingress->budget)) {
+        return;
+    }
+    call->hedged = true;
+    ingress->hedges->value++;
+    call_send(call, instance);
+}
+
+static void
+on_step(void *ctx)
+{
+    struct ingress_call *call = ctx;
+    if (call->waits) {
+        call_try(call);
+    }
+    else if (call->sends[0].sent != NULL && call->sends[1].sent == NULL) {
+        call_hedge(call);
+    }
+}
+
+/** Whether the request may be sent to one more target. */
+static bool
+may_repeat(struct ingress_call *call)
+{
+    struct ingress *ingress = call->ingress;
+    if (call->reached >= call->attempts_max ||
+        (call->may_have_run && !call->message.idempotent) ||
+        call->deadline_us - now_of(call) < REPEAT_LEFT_US) {
+        return false;
+    }
+    if (call->reached == 0) {
+        return true;
+    }
+    if (!budget_spend(&ingress->budget)) {
+        return false;
+    }
+    ingress->retries->value++;
+    return true;
+}
+
+/** A sending had no answer of the target. */
+static void
+call_failed(struct ingress_call *call, struct roster_instance *instance)
+{
+    if (is_sent(call)) {
+        return;
+    }
+    const bool owner_changes = call->message.keyed &&
+                               (call->reason == RELAY_REASON_NOT_OWNER ||
+                                call->reason == RELAY_REASON_LEAVING ||
+                                call->reason == RELAY_REASON_NO_TARGET);
+    if (owner_changes && now_of(call) < call->wait_until_us) {
+        call_wait(call, call->reason);
+        return;
+    }
+    const bool full = call->reason == RELAY_REASON_FULL;
+    if ((call->message.keyed && (full || owner_changes)) ||
+        (full && call->tries > 1) || !may_repeat(call)) {
+        call_give_up(call);
+        return;
+    }
+    if (!call->message.keyed) {
+        exclude(call, instance);
+    }
+    call_try(call);
+}
+
+static void
+on_answered(struct ingress_call *call, const struct relay_reply *reply)
+{
+    ingressanswer_pass(call, reply);
+    call_free(call);
+}
+
+/** No reply came: the instance or the way to it is gone. */
+static void
+on_no_reply(struct ingress_call *call, struct roster_instance *instance,
+            enum rpc_status status)
+{
+    const bool not_sent =
+        status == RPC_NOT_SENT || status == RPC_REFUSED_BY_HOST;
+    call->reason = RELAY_REASON_CONNECT;
+    if (status != RPC_TIMED_OUT) {
+        roster_note_unreachable(instance, now_of(call));
+    }
+    if (!not_sent) {
+        call->reached++;
+        call->may_have_run = true;
+        call->reason = RELAY_REASON_CUT;
+    }
+    LOG_INFO("no_reply", LOG_STR("id", call->id),
+             LOG_STR("to", instance->notice.instance),
+             LOG_INT("status", status));
+    call_failed(call, instance);
+}
+
+static void
+on_reply(void *ctx, enum rpc_status status, const struct relay_reply *reply)
+{
+    struct ingress_send *send = ctx;
+    struct ingress_call *call = send->call;
+    struct roster_instance *instance = send->instance;
+    send->sent = NULL;
+    instance->outstanding--;
+    if (status != RPC_OK) {
+        on_no_reply(call, instance, status);
+        return;
+    }
+    const bool failed = reply->outcome == RELAY_UNKNOWN ||
+                        reply->reason == RELAY_REASON_SHED ||
+                        reply->reason == RELAY_REASON_CONNECT;
+    roster_note_reached(instance);
+    roster_note_load(instance, reply->load, reply->cold);
+    if (reply->outcome == RELAY_ANSWERED || failed) {
+        roster_note_result(instance, now_of(call) - send->sent_us, failed);
+    }
+    if (reply->outcome == RELAY_ANSWERED) {
+        on_answered(call, reply);
+        return;
+    }
+    call->reason = reply->reason;
+    call->retry_after_us = (int64_t)reply->retry_after_us;
+    call->reached += reply->reached ? 1 : 0;
+    call->may_have_run =
+        call->may_have_run || reply->outcome == RELAY_UNKNOWN;
+    LOG_INFO("try_failed", LOG_STR("id", call->id),
+             LOG_STR("to", instance->notice.instance),
+             LOG_INT("outcome", reply->outcome),
+             LOG_INT("reason", reply->reason), LOG_UINT("load", reply->load));
+    call_failed(call, instance);
+}
+
+/** Times of the request, from what the caller and the route say. */
+static void
+set_times(struct ingress_call *call, const struct wire_request *read,
+          const struct declared_route *route)
+{
+    const int64_t now_us = now_of(call);
+    int64_t left_us = route->timeout_us;
+    int64_t spent_us = 0;
+    if (read->has_time_left && read->time_left_us < left_us) {
+        /* A caller that has less left than the route allows has tried
+         * before: its answer counts from then. */
+        spent_us = left_us - read->time_left_us;
+        left_us = read->time_left_us;
+    }
+    call->begun_us = now_us;
+    call->deadline_us = now_us + left_us;
+    call->objective_us = route->objective_us;
+    call->due_us = now_us + route->objective_us - spent_us;
+    call->wait_until_us =
+        now_us + route->objective_us * OWNER_WAIT_PERCENT / 100;
+    timer_start(&call->deadline, left_us);
+}
+
+static void
+call_begin(struct ingress *ingress, struct http_request *request,
+           const struct wire_request *read, const struct declared_route *route)
+{
+    struct node *node = ingress->node;
+    const unsigned draw =
+        (unsigned)random_below(&node->random, route->weight_sum);
+    const struct declared_service *service =
+        declared_draw_service(node->declared, route, draw);
+    struct ingress_call *call = memory_zeroed(1, sizeof(*call));
+    call->ingress = ingress;
+    call->http = request;
+    call->id = read->id != NULL ? read->id : "";
+    call->attempts_max = route->attempts;
+    memcpy(call->service, service->name, sizeof(call->service));
+    timer_init(&call->deadline, node->runtime, on_deadline, call);
+    timer_init(&call->step, node->runtime, on_step, call);
+    LIST_INSERT_HEAD(&ingress->calls, call, link);
+    ingress->count++;
+    http_request_set_data(request, call);
+    ingressmessage_fill(call, read, route);
+    call->message.keyed = service->keyed;
+    set_times(call, read, route);
+    budget_earn(&ingress->budget);
+    if (roster_accusers(&node->roster, call->message.fingerprint) >=
+        CONDEMNED_MIN) {
+        call->reason = RELAY_REASON_SUSPECT;
+        call_give_up(call);
+        return;
+    }
+    call_try(call);
+}
+
+void
+ingress_handle(void *ctx, struct http_request *request)
+{
+    struct node *node = ctx;
+    struct ingress *ingress = node->ingress;
+    struct wire_request read;
+    ingress->requests->value++;
+    if (node->declared == NULL) {
+        ingressanswer_reject(ingress, request, WIRE_REFUSED, START_RETRY_US,
+                             "no configuration is known yet");
+        return;
+    }
+    node->wire->read_request(request, &read);
+    const struct declared_route *route = declared_route_of(
+        node->declared, read.host, http_request_path(request));
+    if (route == NULL) {
+        ingressanswer_reject(ingress, request, WIRE_NO_ROUTE, 0, "no route");
+        return;
+    }
+    call_begin(ingress, request, &read, route);
+}
+
+void
+ingress_cancelled(void *ctx, struct http_request *request)
+{
+    struct node *node = ctx;
+    struct ingress_call *call = http_request_data(request);
+    if (call == NULL) {
+        return;
+    }
+    node->ingress->cancelled->value++;
+    LOG_INFO("caller_left", LOG_STR("id", call->id),
+             LOG_INT("after_ms", (now_of(call) - call->begun_us) / US_PER_MS));
+    http_request_reply(request, &(struct http_reply){.status = 503});
+    call_free(call);
+}
+
+void
+ingress_changed(struct ingress *ingress)
+{
+    struct ingress_call *call = LIST_FIRST(&ingress->calls);
+    while (call != NULL) {
+        struct ingress_call *next = LIST_NEXT(call, link);
+        if (call->waits) {
+            timer_start(&call->step, 0);
+        }
+        call = next;
+    }
+}
--- /dev/null
+++ b/packages/node/ingress_internal.h
@@ -0,0 +1,98 @@
+/**
+ * @file
+ * What the modules of the callers' side share: the life of a request
+ * (ingress.c), its message (ingressmessage.c) and its answer
+ * (ingressanswer.c).
+ */
+#ifndef CHESTNUTGAP_NODE_INGRESS_INTERNAL_H
+#define CHESTNUTGAP_NODE_INGRESS_INTERNAL_H
+
+#include <sys/queue.h>
+
+#include "http/httpserver.h"
+#include "node/ingress.h"
+#include "node/node_internal.h"
+#include "node/relaytask.h"
+
+#define INGRESS_SENDS_MAX 2 /* at the same time */
+#define INGRESS_TRIES_MAX 6 /* sendings of one request, most of them unseen
+                               by targets */
+
+struct ingress_call;
+
+/** One sending of a request. */
+struct ingress_send {
+    struct ingress_call *call;
+    struct relay_send *sent; /**< NULL while the place is free */
+    struct roster_instance *instance;
+    int64_t sent_us;
+};
+
+/** A caller's request that is not answered. */
+struct ingress_call {
+    LIST_ENTRY(ingress_call) link;
+    struct ingress *ingress;
+    struct http_request *http;
+    struct relay_request message;
+    char *path; /**< and query */
+    char service[DECLARED_NAME_MAX + 1];
+    const char *id; /**< the caller's, or empty */
+    unsigned attempts_max; /**< targets that it may reach */
+    unsigned reached;      /**< targets that it may have reached */
+    unsigned tries;
+    bool may_have_run;
+    bool hedged;
+    bool waits;      /**< for an owner or an instance */
+    bool timed_out;
+    int64_t begun_us;
+    int64_t deadline_us;
+    int64_t due_us;       /**< an answer by then counts in full */
+    int64_t objective_us; /**< whole, as declared */
+    int64_t wait_until_us;
+    enum relay_reason reason; /**< of the last failure */
+    int64_t retry_after_us;
+    const char *instance; /**< that was tried last */
+    struct ingress_send sends[INGRESS_SENDS_MAX];
+    struct roster_instance *excluded[ROSTER_EXCLUDED_MAX];
+    size_t excluded_count;
+    struct timer deadline;
+    struct timer step; /**< end of a wait, or a hedge */
+};
+
+LIST_HEAD(ingress_calls, ingress_call);
+
+struct ingress {
+    struct node *node;
+    struct ingress_calls calls;
+    size_t count;
+    struct budget budget;
+    struct counter *requests;
+    struct counter *answered;
+    struct counter *refused;
+    struct counter *unknown;
+    struct counter *timeouts;
+    struct counter *cancelled;
+    struct counter *retries;
+    struct counter *hedges;
+};
+
+/** Fills in the message. Texts stay with the caller's request. */
+void ingressmessage_fill(struct ingress_call *call,
+                         const struct wire_request *read,
+                         const struct declared_route *route);
+void ingressmessage_clear(struct ingress_call *call);
+
+/** Answers the caller with the target's answer. */
+void ingressanswer_pass(struct ingress_call *call,
+                        const struct relay_reply *reply);
+
+/** Answers that there is no answer of a target. */
+void ingressanswer_refuse(struct ingress_call *call);
+
+/** Answers a request that never became a call. */
+void ingressanswer_reject(struct ingress *ingress,
+                          struct http_request *request,
+                          enum wire_refusal_kind kind, int64_t retry_after_us,
+                          const char *reason);
+
+#endif
--- /dev/null
+++ b/packages/node/ingressanswer.c
@@ -0,0 +1,134 @@
+#include <string.h>
+
+#define LOG_MODULE "ingress"
+#include "base/log.h"
+#include "node/ingress_internal.h"
+
+/* Advice is given within a third of the time that the caller has left. */
+#define RETRY_LEFT_PERCENT 30
+#define RETRY_MIN_US (40 * US_PER_MS)
+
+static const char *const reason_texts[] = {
+    [RELAY_REASON_NONE] = "none",
+    [RELAY_REASON_NO_TARGET] = "no-target",
+    [RELAY_REASON_LEAVING] = "leaving",
+    [RELAY_REASON_ZONE_OUT] = "zone-out",
+    [RELAY_REASON_NOT_OWNER] = "not-owner",
+    [RELAY_REASON_MOVING] = "moving",
+    [RELAY_REASON_FULL] = "full",
+    [RELAY_REASON_SHED] = "shed",
+    [RELAY_REASON_DEADLINE] = "deadline",
+    [RELAY_REASON_CONNECT] = "connect",
+    [RELAY_REASON_CUT] = "cut",
+    [RELAY_REASON_INVALID] = "invalid-answer",
+    [RELAY_REASON_SUSPECT] = "suspect",
+};
+
+static const char *
+reason_text(enum relay_reason reason)
+{
+    const size_t count = sizeof(reason_texts) / sizeof(reason_texts[0]);
+    return (size_t)reason < count ? reason_texts[reason] : "other";
+}
+
+static void
+log_end(const struct ingress_call *call, const char *outcome, unsigned status)
+{
+    const struct node *node = call->ingress->node;
+    LOG_INFO("request", LOG_STR("id", call->id),
+             LOG_STR("service", call->service), LOG_STR("outcome", outcome),
+             LOG_UINT("status", status),
+             LOG_STR("reason", reason_text(call->reason)),
+             LOG_STR("to", call->instance != NULL ? call->instance : ""),
+             LOG_UINT("tries", call->tries),
+             LOG_UINT("reached", call->reached),
+             LOG_INT("took_ms",
+                     (node_now_us(node) - call->begun_us) / US_PER_MS),
+             LOG_INT("left_ms",
+                     (call->deadline_us - node_now_us(node)) / US_PER_MS),
+             LOG_INT("key", call->message.keyed ? (int64_t)call->message.key
+                                                : -1));
+}
+
+void
+ingressanswer_pass(struct ingress_call *call, const struct relay_reply *reply)
+{
+    struct http_header headers[RELAY_FIELDS_MAX];
+    size_t count = 0;
+    for (u_int i = 0; i < reply->fields.fields_len; i++) {
+        headers[count++] = (struct http_header){
+            reply->fields.fields_val[i].name,
+            reply->fields.fields_val[i].value,
+        };
+    }
+    call->ingress->answered->value++;
+    if (log_enabled(LOG_LEVEL_DEBUG, LOG_MODULE) ||
+        node_now_us(call->ingress->node) > call->due_us) {
+        log_end(call, "answered", reply->status);
+    }
+    http_request_reply(call->http, &(struct http_reply){
+                                       .status = reply->status,
+                                       .headers = headers,
+                                       .header_count = count,
+                                       .body = reply->body.body_val,
+                                       .body_size = reply->body.body_len,
+                                   });
+    call->http = NULL;
+}
+
+/** When the caller may come again, within what it honours. */
+static int64_t
+retry_after_us(const struct ingress_call *call)
+{
+    struct node *node = call->ingress->node;
+    const int64_t left_us = call->deadline_us - node_now_us(node);
+    const int64_t most_us = left_us * RETRY_LEFT_PERCENT / 100;
+    int64_t wait_us = call->retry_after_us;
+    wait_us = wait_us > RETRY_MIN_US ? wait_us : RETRY_MIN_US;
+    wait_us += (int64_t)((double)wait_us * random_unit(&node->random));
+    return wait_us < most_us ? wait_us : most_us;
+}
+
+void
+ingressanswer_refuse(struct ingress_call *call)
+{
+    struct ingress *ingress = call->ingress;
+    struct wire_refusal refusal = {
+        .kind = WIRE_REFUSED,
+        .reason = reason_text(call->reason),
+    };
+    if (call->may_have_run) {
+        refusal.kind = call->timed_out ? WIRE_TIMEOUT : WIRE_UNKNOWN;
+        (call->timed_out ? ingress->timeouts : ingress->unknown)->value++;
+    }
+    else {
+        refusal.retry_after_us = retry_after_us(call);
+        ingress->refused->value++;
+    }
+    log_end(call, call->may_have_run ? "unknown" : "not-run", 0);
+    ingress->node->wire->refuse(call->http, &refusal);
+    call->http = NULL;
+}
+
+void
+ingressanswer_reject(struct ingress *ingress, struct http_request *request,
+                     enum wire_refusal_kind kind, int64_t retry_after,
+                     const char *reason)
+{
+    struct wire_request read;
+    ingress->node->wire->read_request(request, &read);
+    LOG_INFO("rejected", LOG_STR("id", read.id != NULL ? read.id : ""),
+             LOG_STR("host", read.host),
+             LOG_STR("path", http_request_path(request)),
+             LOG_STR("reason", reason),
+             LOG_UINT("config", ingress->node->declared != NULL
+                                    ? declared_version(
+                                          ingress->node->declared)
+                                    : 0));
+    ingress->refused->value++;
+    ingress->node->wire->refuse(request, &(struct wire_refusal){
+                                             .kind = kind,
+                                             .retry_after_us = retry_after,
+                                             .reason = reason,
+                                         });
+}
--- /dev/null
+++ b/packages/node/ingressmessage.c
@@ -0,0 +1,85 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/hash.h"
+#include "base/memory.h"
+#include "node/ingress_internal.h"
+
+/** Path and query as the caller sent them. */
+static char *
+target_of(const struct http_request *request)
+{
+    const char *path = http_request_path(request);
+    const char *query = http_request_query(request);
+    if (query == NULL) {
+        return memory_text(path);
+    }
+    const size_t size = strlen(path) + strlen(query) + 2;
+    char *target = memory_zeroed(size, 1);
+    snprintf(target, size, "%s?%s", path, query);
+    return target;
+}
+
+/** Names what a request is, whoever sends it how often. */
+static uint64_t
+fingerprint_of(const struct relay_request *message)
+{
+    uint64_t hash = hash_string(message->method);
+    hash = hash_bytes(message->path, strlen(message->path), hash);
+    hash = hash_bytes(message->caller, strlen(message->caller), hash);
+    return hash_bytes(message->body.body_val, message->body.body_len, hash);
+}
+
+static void
+fill_fields(const struct node *node, const struct http_request *request,
+            struct relay_request *message)
+{
+    const struct http_headers *headers = http_request_headers(request);
+    struct relay_field *fields =
+        memory_zeroed(headers->count + 1, sizeof(*fields));
+    u_int count = 0;
+    for (size_t i = 0; i < headers->count; i++) {
+        const struct http_header *header = &headers->items[i];
+        if (http_header_is_end_to_end(headers, header->name) &&
+            node->wire->passes(header->name)) {
+            fields[count].name = (char *)header->name;
+            fields[count].value = (char *)header->value;
+            count++;
+        }
+    }
+    message->fields.fields_val = fields;
+    message->fields.fields_len = count;
+}
+
+void
+ingressmessage_fill(struct ingress_call *call, const struct wire_request *read,
+                    const struct declared_route *route)
+{
+    struct node *node = call->ingress->node;
+    struct relay_request *message = &call->message;
+    size_t body_size;
+    const void *body = http_request_body(call->http, &body_size);
+    call->path = target_of(call->http);
+    *message = (struct relay_request){
+        .service = call->service,
+        .caller = node->settings.service,
+        .id = (char *)call->id,
+        .keyed = read->has_key,
+        .key = read->key,
+        .idempotent = route->idempotent,
+        .priority = route->priority,
+        .method = (char *)http_request_method(call->http),
+        .path = call->path,
+        .body = {(u_int)body_size, (char *)body},
+    };
+    fill_fields(node, call->http, message);
+    message->fingerprint = fingerprint_of(message);
+}
+
+void
+ingressmessage_clear(struct ingress_call *call)
+{
+    free(call->path);
+    free(call->message.fields.fields_val);
+}
--- /dev/null
+++ b/packages/node/keeper_internal.h
@@ -0,0 +1,129 @@
+/**
+ * @file
+ * What the modules of the keeper share: the holds of the target (keeper.c),
+ * its grants (keepergrant.c), the lease (keeperlease.c) and the changes of
+ * the map (keepermap.c).
+ */
+#ifndef CHESTNUTGAP_NODE_KEEPER_INTERNAL_H
+#define CHESTNUTGAP_NODE_KEEPER_INTERNAL_H
+
+#include <sys/queue.h>
+
+#include "fleet/keylease.h"
+#include "fleet/keyload.h"
+#include "http/httpclient.h"
+#include "node/keeper.h"
+#include "node/node_internal.h"
+
+#define KEEPER_TICK_US (100 * US_PER_MS)
+#define KEEPER_LOAD_HALF_LIFE_US (2 * US_PER_SECOND)
+
+/** Keys that the target holds or is about to. */
+struct hold {
+    TAILQ_ENTRY(hold) link;
+    struct keeper *keeper;
+    uint32_t first;
+    uint32_t last;
+    uint64_t fence;
+    char token[KEYMAP_NAME_MAX + 1]; /**< for the first grant */
+    bool granted;      /**< the target confirmed the latest grants */
+    bool moving;       /**< released, or about to be */
+    int64_t until_us;  /**< requests may begin until then */
+    int64_t ends_us;   /**< no grant of it can hold any longer */
+    int64_t unsure_us; /**< a grant without an answer may hold until then */
+    int64_t renew_us;
+    int64_t sent_us;  /**< of the call */
+    int64_t asked_us; /**< hold that the call asks for */
+    struct http_call *call;
+};
+
+TAILQ_HEAD(hold_list, hold);
+
+/** Keys on their way to another holder. */
+struct handover {
+    TAILQ_ENTRY(handover) link;
+    struct keeper *keeper;
+    uint32_t first;
+    uint32_t last;
+    struct keymap_holder to;
+    char token[KEYMAP_NAME_MAX + 1];
+    bool released; /**< ready to be written */
+    unsigned calls;
+    bool failed;
+    int64_t begun_us;
+};
+
+TAILQ_HEAD(handover_list, handover);
+
+/** A release that the target has not answered. */
+struct release_call {
+    LIST_ENTRY(release_call) link;
+    struct handover *handover;
+    struct http_call *http;
+};
+
+LIST_HEAD(release_list, release_call);
+
+struct keeper {
+    struct node *node;
+    struct timer tick;
+    struct hold_list holds;
+    struct handover_list handovers;
+    struct release_list releases;
+    struct keyload *load;
+    int64_t decay_us;
+    struct keylease lease;
+    struct rowstore_call *lease_call;
+    int64_t lease_begun_us;
+    char lease_key[KEYMAP_NAME_MAX + 1];
+    char *lease_text;   /**< of the call */
+    char *lease_stored; /**< as the store has it */
+    uint64_t lease_number;
+    unsigned promises_due;
+    bool promises_failed;
+    int64_t promises_begun_us;
+    struct rowstore_call *map_call;
+    char *map_text;      /**< of the call */
+    bool touched;        /**< no earlier process's write can take effect */
+    bool touching;       /**< the call is for that */
+    int64_t map_retry_us;
+    int64_t former_ends_us; /**< a former life may hold keys until then */
+    struct counter *grants;
+    struct counter *grants_failed;
+    struct counter *moves;
+    struct counter *lease_lost;
+};
+
+/** The map of the target's service, or NULL. */
+struct node_keys *keeper_keys(const struct keeper *keeper);
+
+/** True if grants may be given: the lease holds, and the map was read since
+ * it was acquired. */
+bool keeper_may_grant(const struct keeper *keeper);
+
+/** Brings the holds in line with the map. */
+void keeper_sync(struct keeper *keeper);
+
+struct hold *keeper_hold_of(const struct keeper *keeper, uint32_t key);
+
+/* keepergrant.c */
+
+/** Sends grants that are due. */
+void keepergrant_go_on(struct keeper *keeper);
+void keepergrant_release(struct handover *handover);
+void keepergrant_free(struct hold *hold);
+void keepergrant_drop_handover(struct handover *handover);
+
+/* keeperlease.c */
+
+void keeperlease_go_on(struct keeper *keeper);
+
+/* keepermap.c */
+
+/** Ends hand-overs whose keys the map gives to others. */
+void keepermap_finish(struct keeper *keeper);
+
+/** Writes changes of the map that are due. */
+void keepermap_go_on(struct keeper *keeper);
+
+#endif
--- /dev/null
+++ b/packages/node/keepergrant.c
@@ -0,0 +1,257 @@
+/* Grants to the target and releases. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define LOG_MODULE "grant"
+#include "base/log.h"
+#include "base/memory.h"
+#include "node/keeper_internal.h"
+#include "node/localgate.h"
+#include "node/localtarget.h"
+
+#define HOLD_US (3 * US_PER_SECOND)
+#define HOLD_MIN_US (300 * US_PER_MS)
+#define RENEW_US (1 * US_PER_SECOND)
+#define RETRY_US (150 * US_PER_MS)
+#define CALL_TIMEOUT_US (600 * US_PER_MS)
+#define RELEASE_TIMEOUT_US (3 * US_PER_SECOND)
+/* The target may be this much later than the call was sent. */
+#define ARRIVAL_US (100 * US_PER_MS)
+/* Requests begin no later than this before a hold may end. */
+#define START_MARGIN_US (50 * US_PER_MS)
+#define CLOCK_PERCENT 3 /* by which a target's clock may be slow, and more */
+#define STATUS_OK 200
+#define STATUS_CONFLICT 409
+
+static const struct http_header order_headers[] = {
+    {"Content-Type", "application/json"},
+};
+
+void
+keepergrant_free(struct hold *hold)
+{
+    if (hold->call != NULL) {
+        http_call_cancel(hold->call);
+    }
+    TAILQ_REMOVE(&hold->keeper->holds, hold, link);
+    free(hold);
+}
+
+/** A grant that was sent but not confirmed may hold, now or later. */
+static void
+note_unsure(struct hold *hold)
+{
+    const int64_t ends_us = hold->sent_us + ARRIVAL_US +
+                            hold->asked_us * (100 + CLOCK_PERCENT) / 100;
+    if (ends_us > hold->unsure_us) {
+        hold->unsure_us = ends_us;
+    }
+}
+
+static void
+grant_confirmed(struct hold *hold)
+{
+    const bool first = !hold->granted;
+    const int64_t until_us = hold->sent_us + hold->asked_us - START_MARGIN_US;
+    hold->granted = true;
+    hold->token[0] = '\0';
+    if (until_us > hold->until_us) {
+        hold->until_us = until_us;
+    }
+    hold->renew_us = hold->sent_us + RENEW_US;
+    if (first) {
+        LOG_INFO("granted", LOG_UINT("first", hold->first),
+                 LOG_UINT("last", hold->last), LOG_UINT("fence", hold->fence),
+                 LOG_INT("hold_ms", hold->asked_us / US_PER_MS));
+        localgate_keys_changed(hold->keeper->node->gate);
+    }
+}
+
+static void
+on_granted(void *ctx, const struct http_result *result)
+{
+    struct hold *hold = ctx;
+    struct keeper *keeper = hold->keeper;
+    hold->call = NULL;
+    if (result->outcome == HTTP_ANSWERED && result->status == STATUS_OK) {
+        grant_confirmed(hold);
+        return;
+    }
+    keeper->grants_failed->value++;
+    hold->renew_us = node_now_us(keeper->node) + RETRY_US;
+    LOG_WARN("grant_failed", LOG_UINT("first", hold->first),
+             LOG_UINT("last", hold->last), LOG_UINT("fence", hold->fence),
+             LOG_INT("outcome", result->outcome),
+             LOG_UINT("status", result->status));
+    if (result->outcome == HTTP_REFUSED) {
+        localtarget_refused(keeper->node->target);
+        return;
+    }
+    if (result->outcome != HTTP_ANSWERED &&
+        result->outcome != HTTP_NOT_SENT) {
+        note_unsure(hold);
+    }
+}
+
+static void
+send_grant(struct hold *hold)
+{
+    struct keeper *keeper = hold->keeper;
+    struct node *node = keeper->node;
+    char body[WIRE_BODY_MAX];
+    const int64_t now_us = node_now_us(node);
+    const int64_t left_us = keylease_until_us(&keeper->lease) - now_us -
+                            ARRIVAL_US;
+    int64_t hold_us = left_us * 100 / (100 + CLOCK_PERCENT);
+    hold_us = hold_us < HOLD_US ? hold_us : HOLD_US;
+    if (hold_us > node->settings.hold_max_us) {
+        hold_us = node->settings.hold_max_us;
+    }
+    if (hold_us < HOLD_MIN_US) {
+        return;
+    }
+    const struct wire_grant grant = {
+        .first = hold->first,
+        .last = hold->last,
+        .fence = hold->fence,
+        .hold_us = hold_us,
+        .token = hold->token,
+    };
+    const size_t size = node->wire->write_grant(&grant, body);
+    hold->sent_us = now_us;
+    hold->asked_us = hold_us;
+    const int64_t ends_us =
+        now_us + ARRIVAL_US + hold_us * (100 + CLOCK_PERCENT) / 100;
+    hold->ends_us = ends_us > hold->ends_us ? ends_us : hold->ends_us;
+    keeper->grants->value++;
+    hold->call = http_call_start(localtarget_client(node->target),
+                                 &(struct http_call_spec){
+                                     .method = "POST",
+                                     .target = node->wire->grant_path,
+                                     .headers = order_headers,
+                                     .header_count = 1,
+                                     .body = body,
+                                     .body_size = size,
+                                     .deadline_us = now_us + CALL_TIMEOUT_US,
+                                     .done = on_granted,
+                                     .ctx = hold,
+                                 });
+}
+
+void
+keepergrant_go_on(struct keeper *keeper)
+{
+    const int64_t now_us = node_now_us(keeper->node);
+    if (!keeper_may_grant(keeper) ||
+        localtarget_client(keeper->node->target) == NULL) {
+        return;
+    }
+    struct hold *hold;
+    TAILQ_FOREACH (hold, &keeper->holds, link) {
+        if (hold->call == NULL && !hold->moving && now_us >= hold->renew_us) {
+            send_grant(hold);
+        }
+    }
+}
+
+void
+keepergrant_drop_handover(struct handover *handover)
+{
+    struct keeper *keeper = handover->keeper;
+    struct release_call *call = LIST_FIRST(&keeper->releases);
+    while (call != NULL) {
+        struct release_call *next = LIST_NEXT(call, link);
+        if (call->handover == handover) {
+            http_call_cancel(call->http);
+            LIST_REMOVE(call, link);
+            free(call);
+        }
+        call = next;
+    }
+    struct hold *hold;
+    TAILQ_FOREACH (hold, &keeper->holds, link) {
+        if (hold->first >= handover->first && hold->last <= handover->last) {
+            hold->moving = false;
+            hold->granted = false;
+            hold->renew_us = 0;
+        }
+    }
+    TAILQ_REMOVE(&keeper->handovers, handover, link);
+    free(handover);
+}
+
+static void
+on_released(void *ctx, const struct http_result *result)
+{
+    struct release_call *call = ctx;
+    struct handover *handover = call->handover;
+    struct keeper *keeper = handover->keeper;
+    LIST_REMOVE(call, link);
+    free(call);
+    handover->calls--;
+    if (result->outcome == HTTP_ANSWERED && result->status == STATUS_OK) {
+        const char *token = keeper->node->wire->read_token(result->headers);
+        if (token != NULL) {
+            snprintf(handover->token, sizeof(handover->token), "%s", token);
+        }
+    }
+    else {
+        handover->failed = true;
+    }
+    if (handover->calls > 0) {
+        return;
+    }
+    if (handover->failed) {
+        LOG_WARN("release_failed", LOG_UINT("first", handover->first),
+                 LOG_UINT("last", handover->last),
+                 LOG_INT("outcome", result->outcome));
+        keepergrant_drop_handover(handover);
+        keepergrant_go_on(keeper);
+        return;
+    }
+    handover->released = true;
+    keepermap_go_on(keeper);
+}
+
+static void
+send_release(struct handover *handover, const struct hold *hold)
+{
+    struct node *node = handover->keeper->node;
+    struct release_call *call = memory_zeroed(1, sizeof(*call));
+    char body[WIRE_BODY_MAX];
+    const struct wire_grant grant = {
+        .first = hold->first,
+        .last = hold->last,
+        .fence = hold->fence,
+    };
+    const size_t size = node->wire->write_release(&grant, body);
+    call->handover = handover;
+    LIST_INSERT_HEAD(&handover->keeper->releases, call, link);
+    handover->calls++;
+    call->http = http_call_start(
+        localtarget_client(node->target),
+        &(struct http_call_spec){
+            .method = "POST",
+            .target = node->wire->release_path,
+            .headers = order_headers,
+            .header_count = 1,
+            .body = body,
+            .body_size = size,
+            .deadline_us = node_now_us(node) + RELEASE_TIMEOUT_US,
+            .done = on_released,
+            .ctx = call,
+        });
+}
+
+void
+keepergrant_release(struct handover *handover)
+{
+    struct hold *hold;
+    TAILQ_FOREACH (hold, &handover->keeper->holds, link) {
+        if (hold->first >= handover->first && hold->last <= handover->last) {
+            hold->moving = true;
+            send_release(handover, hold);
+        }
+    }
+}
--- /dev/null
+++ b/packages/node/localtarget.c
@@ -0,0 +1,466 @@
+#include "node/localtarget.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define LOG_MODULE "target"
+#include "base/log.h"
+#include "base/memory.h"
+#include "node/keeper.h"
+#include "node/localgate.h"
+#include "node/node_internal.h"
+#include "node/ownrow.h"
+
+#define CONNECT_TIMEOUT_US (400 * US_PER_MS)
+#define IDLE_TIMEOUT_US (8 * US_PER_SECOND)
+#define BODY_MAX ((size_t)64 << 20)
+#define SPARE_CONNECTIONS 8 /* for grants and health, beside the slots */
+#define PROBE_TIMEOUT_US (700 * US_PER_MS)
+#define PROBE_RETRY_US (300 * US_PER_MS)
+#define PROBE_FAILURES_MAX 2 /* then it counts as gone */
+#define SILENT_BEATS 3       /* announcements missed before it is asked */
+#define SLOTS_DEFAULT 8      /* of a target that is known by its health only */
+#define CONTENT_TYPE_TEXT "application/json"
+
+struct localtarget {
+    struct node *node;
+    bool present;
+    struct wire_announcement announced; /* of the present life */
+    bool leaving;
+    int64_t heard_us;
+    int64_t cold_until_us;
+    struct http_client *client;
+    struct http_client *retired; /* of a former life, freed later */
+    struct http_call *probe;
+    unsigned probe_failures;
+    struct timer watch; /* for silence */
+    struct timer reap;
+};
+
+static void
+on_reap(void *ctx)
+{
+    struct localtarget *target = ctx;
+    http_client_destroy(target->retired);
+    target->retired = NULL;
+}
+
+static void on_watch(void *ctx);
+
+struct localtarget *
+localtarget_create(struct node *node)
+{
+    struct localtarget *target = memory_zeroed(1, sizeof(*target));
+    target->node = node;
+    timer_init(&target->watch, node->runtime, on_watch, target);
+    timer_init(&target->reap, node->runtime, on_reap, target);
+    return target;
+}
+
+void
+localtarget_destroy(struct localtarget *target)
+{
+    if (target == NULL) {
+        return;
+    }
+    timer_stop(&target->watch);
+    timer_stop(&target->reap);
+    http_client_destroy(target->client);
+    http_client_destroy(target->retired);
+    free(target);
+}
+
+static int64_t
+now_of(const struct localtarget *target)
+{
+    return node_now_us(target->node);
+}
+
+/** Ends the present life: what it ran is lost. dead: that is proved. */
+static void
+target_end(struct localtarget *target, const char *why, bool dead)
+{
+    if (!target->present) {
+        return;
+    }
+    LOG_WARN("target_gone", LOG_STR("target", target->announced.target),
+             LOG_STR("why", why),
+             LOG_INT("silent_ms",
+                     (now_of(target) - target->heard_us) / US_PER_MS));
+    target->present = false;
+    timer_stop(&target->watch);
+    if (target->probe != NULL) {
+        http_call_cancel(target->probe);
+        target->probe = NULL;
+    }
+    localgate_target_gone(target->node->gate);
+    keeper_target_gone(target->node->keeper, dead);
+    /* The client may be amid a callback of its own. */
+    http_client_destroy(target->retired);
+    target->retired = target->client;
+    target->client = NULL;
+    timer_start(&target->reap, 0);
+    ownrow_update(target->node->ownrow);
+}
+
+static unsigned
+connections_max(const struct localtarget *target)
+{
+    const struct declared_service *service = node_own_service(target->node);
+    const unsigned wanted = target->announced.slots + SPARE_CONNECTIONS;
+    return service != NULL && service->connections < wanted
+               ? service->connections
+               : wanted;
+}
+
+static void
+target_begin(struct localtarget *target)
+{
+    const struct http_client_config config = {
+        .address = target->node->settings.target,
+        .connections_max = connections_max(target),
+        .body_max = BODY_MAX,
+        .connect_timeout_us = CONNECT_TIMEOUT_US,
+        .idle_timeout_us = IDLE_TIMEOUT_US,
+        .answers_to_end = true,
+    };
+    target->present = true;
+    target->probe_failures = 0;
+    target->client = http_client_create(target->node->runtime, &config,
+                                        target->node->options.counters);
+    LOG_INFO("target_present", LOG_STR("target", target->announced.target),
+             LOG_STR("service", target->announced.service),
+             LOG_INT("born_ms", target->announced.born_ms),
+             LOG_UINT("slots", target->announced.slots),
+             LOG_INT("cold_left_ms",
+                     (target->cold_until_us - now_of(target)) / US_PER_MS));
+}
+
+/** The bound that holds now is told to the gate. */
+static void
+target_apply(struct localtarget *target)
+{
+    localgate_target_changed(target->node->gate);
+    keeper_target_changed(target->node->keeper);
+    ownrow_update(target->node->ownrow);
+}
+
+static void
+set_leaving(struct localtarget *target, const char *why)
+{
+    if (target->leaving) {
+        return;
+    }
+    target->leaving = true;
+    LOG_INFO("target_leaving", LOG_STR("target", target->announced.target),
+             LOG_STR("why", why));
+}
+
+static void
+answer(struct http_request *request, unsigned status)
+{
+    static const struct http_header headers[] = {
+        {"Content-Type", CONTENT_TYPE_TEXT},
+    };
+    http_request_reply(request, &(struct http_reply){
+                                    .status = status,
+                                    .headers = headers,
+                                    .header_count = 1,
+                                    .body = "{}",
+                                    .body_size = 2,
+                                });
+}
+
+/** Whether the announcement is of this machine's target and its service. */
+static bool
+is_own(const struct localtarget *target,
+       const struct wire_announcement *announced)
+{
+    const struct node *node = target->node;
+    return address_equal(&announced->address, &node->settings.target) &&
+           strcmp(announced->zone, node->settings.zone) == 0 &&
+           (node->declared == NULL ||
+            declared_service_of(node->declared, announced->service) != NULL);
+}
+
+/** True if the announcement is of the life that was known last. */
+static bool
+is_known_life(const struct localtarget *target,
+              const struct wire_announcement *announced)
+{
+    const struct wire_announcement *known = &target->announced;
+    return strcmp(announced->target, known->target) == 0 &&
+           (announced->born_ms == 0 || known->born_ms == 0 ||
+            announced->born_ms == known->born_ms);
+}
+
+/** True if the announcement is of the present life, whatever its number. */
+static bool
+is_present_life(const struct localtarget *target,
+                const struct wire_announcement *announced)
+{
+    return target->present && is_known_life(target, announced);
+}
+
+/** True if it tells of a life that is over, or less than is known. */
+static bool
+is_stale(const struct localtarget *target,
+         const struct wire_announcement *announced)
+{
+    const struct wire_announcement *known = &target->announced;
+    if (is_known_life(target, announced)) {
+        /* Without the start of a life its numbers may begin anew. */
+        return (target->present || known->born_ms > 0) &&
+               announced->sequence <= known->sequence;
+    }
+    return known->born_ms > 0 && announced->born_ms <= known->born_ms;
+}
+
+static void
+take_announcement(struct localtarget *target,
+                  const struct wire_announcement *announced)
+{
+    const int64_t now_us = now_of(target);
+    const bool same = is_present_life(target, announced);
+    if (!same) {
+        target_end(target, "another life announced itself", true);
+        target->leaving = false;
+    }
+    const bool changed = !same ||
+                         announced->slots != target->announced.slots ||
+                         announced->leaving != target->leaving;
+    target->announced = *announced;
+    target->heard_us = now_us;
+    target->cold_until_us =
+        announced->cold_left_us > 0 ? now_us + announced->cold_left_us : 0;
+    if (!same) {
+        target_begin(target);
+    }
+    if (announced->leaving) {
+        set_leaving(target, "it drains");
+    }
+    timer_start(&target->watch,
+                target->node->settings.heartbeat_us * SILENT_BEATS);
+    localgate_target_changed(target->node->gate);
+    if (changed) {
+        target_apply(target);
+    }
+}
+
+static void
+target_withdrawn(struct localtarget *target,
+                 const struct wire_announcement *announced)
+{
+    if (is_present_life(target, announced)) {
+        set_leaving(target, "it withdrew");
+        target_apply(target);
+    }
+}
+
+void
+localtarget_announced(struct localtarget *target, struct http_request *request)
+{
+    struct wire_announcement announced;
+    struct error err = {.code = ERROR_NONE};
+    if (!target->node->wire->read_announcement(request, &announced, &err)) {
+        char text[ERROR_SUBJECT_SIZE * 2];
+        LOG_WARN("announcement_invalid",
+                 LOG_STR("error", error_describe(&err, text, sizeof(text))));
+        answer(request, 400);
+        return;
+    }
+    if (announced.gone) {
+        target_withdrawn(target, &announced);
+        answer(request, 200);
+        return;
+    }
+    if (!is_own(target, &announced)) {
+        LOG_WARN("announcement_foreign", LOG_STR("target", announced.target),
+                 LOG_STR("service", announced.service),
+                 LOG_STR("zone", announced.zone));
+        answer(request, 400);
+        return;
+    }
+    if (is_stale(target, &announced)) {
+        LOG_INFO("announcement_stale", LOG_STR("target", announced.target),
+                 LOG_INT("sequence", announced.sequence),
+                 LOG_INT("born_ms", announced.born_ms));
+        answer(request, 200);
+        return;
+    }
+    take_announcement(target, &announced);
+    answer(request, 200);
+}
+
+static void
+on_probed(void *ctx, const struct http_result *result)
+{
+    struct localtarget *target = ctx;
+    struct wire_health health;
+    target->probe = NULL;
+    if (result->outcome == HTTP_REFUSED) {
+        target_end(target, "refused", true);
+        return;
+    }
+    if (result->outcome != HTTP_ANSWERED) {
+        target->probe_failures++;
+        if (target->probe_failures >= PROBE_FAILURES_MAX) {
+            target_end(target, "silent", false);
+            return;
+        }
+        timer_start(&target->watch, PROBE_RETRY_US);
+        return;
+    }
+    target->probe_failures = 0;
+    target->node->wire->read_health(result, &health);
+    if (health.target[0] != '\0' &&
+        strcmp(health.target, target->announced.target) != 0) {
+        target_end(target, "another target answers", true);
+        return;
+    }
+    if (health.has_cold_left) {
+        target->cold_until_us = health.cold_left_us > 0
+                                    ? now_of(target) + health.cold_left_us
+                                    : 0;
+        localgate_target_changed(target->node->gate);
+    }
+    timer_start(&target->watch,
+                target->node->settings.heartbeat_us * SILENT_BEATS);
+}
+
+static void
+probe(struct localtarget *target)
+{
+    const struct declared_service *service = node_own_service(target->node);
+    if (!target->present || target->probe != NULL || service == NULL) {
+        return;
+    }
+    target->probe = http_call_start(
+        target->client, &(struct http_call_spec){
+                            .method = "GET",
+                            .target = service->health_path,
+                            .deadline_us = now_of(target) + PROBE_TIMEOUT_US,
+                            .done = on_probed,
+                            .ctx = target,
+                        });
+}
+
+/** No announcement has come for a while. */
+static void
+on_watch(void *ctx)
+{
+    struct localtarget *target = ctx;
+    if (node_own_service(target->node) == NULL) {
+        timer_start(&target->watch, PROBE_RETRY_US);
+        return;
+    }
+    probe(target);
+}
+
+void
+localtarget_refused(struct localtarget *target)
+{
+    target_end(target, "refused", true);
+}
+
+void
+localtarget_cut(struct localtarget *target)
+{
+    probe(target);
+}
+
+void
+localtarget_suspect_cold(struct localtarget *target)
+{
+    const struct declared_service *service = node_own_service(target->node);
+    if (target->present && service != NULL) {
+        target->cold_until_us = now_of(target) + service->cold_start_us;
+        localgate_target_changed(target->node->gate);
+        probe(target);
+    }
+}
+
+void
+localtarget_describe(const struct localtarget *target,
+                     struct roster_notice *notice)
+{
+    const struct nodesettings *settings = &target->node->settings;
+    const struct wire_announcement *announced = &target->announced;
+    const bool known = announced->target[0] != '\0';
+    snprintf(notice->service, sizeof(notice->service), "%s",
+             known ? announced->service : settings->service);
+    snprintf(notice->target, sizeof(notice->target), "%s", announced->target);
+    notice->born_ms = announced->born_ms;
+    notice->slots = announced->slots;
+    notice->state = ROSTER_ABSENT;
+    if (target->present) {
+        notice->state = target->leaving ? ROSTER_LEAVING : ROSTER_SERVING;
+    }
+}
+
+bool
+localtarget_serves(const struct localtarget *target)
+{
+    return target->present && !target->leaving;
+}
+
+bool
+localtarget_leaves(const struct localtarget *target)
+{
+    return target->leaving;
+}
+
+bool
+localtarget_present(const struct localtarget *target)
+{
+    return target->present;
+}
+
+const char *
+localtarget_service(const struct localtarget *target)
+{
+    return target->present ? target->announced.service : "";
+}
+
+struct keymap_holder
+localtarget_holder(const struct localtarget *target)
+{
+    struct keymap_holder holder = {.born_ms = 0};
+    if (target->present) {
+        snprintf(holder.instance, sizeof(holder.instance), "%s",
+                 target->node->settings.instance);
+        snprintf(holder.target, sizeof(holder.target), "%s",
+                 target->announced.target);
+        holder.born_ms = target->announced.born_ms;
+    }
+    return holder;
+}
+
+struct http_client *
+localtarget_client(const struct localtarget *target)
+{
+    return target->present ? target->client : NULL;
+}
+
+unsigned
+localtarget_slots(const struct localtarget *target)
+{
+    return target->announced.slots > 0 ? target->announced.slots
+                                       : SLOTS_DEFAULT;
+}
+
+int64_t
+localtarget_cold_until_us(const struct localtarget *target)
+{
+    return target->cold_until_us;
+}
+
+void
+localtarget_configure(struct localtarget *target)
+{
+    if (target->present) {
+        http_client_set_connections(target->client, connections_max(target));
+    }
+    target_apply(target);
+}
--- /dev/null
+++ b/packages/node/node.c
@@ -0,0 +1,462 @@
+#include "node/node.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define LOG_MODULE "node"
+#include "base/log.h"
+#include "base/memory.h"
+#include "node/ingress.h"
+#include "node/keeper.h"
+#include "node/localgate.h"
+#include "node/localtarget.h"
+#include "node/node_internal.h"
+#include "node/ownrow.h"
+#include "node/planner.h"
+#include "node/relaytask.h"
+
+#define PIPELINE_MAX 16
+#define CALLERS_BODY_MAX ((size_t)64 << 20)
+#define STATUS_OK 200
+#define STATUS_NOT_FOUND 404
+#define STATUS_UNAVAILABLE 503
+
+int64_t
+node_now_us(const struct node *node)
+{
+    return runtime_now_us(node->runtime);
+}
+
+static struct node_zone *
+find_zone_out(const struct node *node, const char *name)
+{
+    struct node_zone *zone;
+    LIST_FOREACH (zone, &node->zones_out, link) {
+        if (strcmp(zone->name, name) == 0) {
+            return zone;
+        }
+    }
+    return NULL;
+}
+
+bool
+node_zone_is_out(void *ctx, const char *zone)
+{
+    return find_zone_out(ctx, zone) != NULL;
+}
+
+struct node_keys *
+node_keys_of(const struct node *node, const char *service)
+{
+    struct node_keys *keys;
+    LIST_FOREACH (keys, &node->keys, link) {
+        if (strcmp(keys->service, service) == 0) {
+            return keys;
+        }
+    }
+    return NULL;
+}
+
+static struct node_keys *
+add_keys(struct node *node, const char *service)
+{
+    struct node_keys *keys = node_keys_of(node, service);
+    if (keys == NULL) {
+        keys = memory_zeroed(1, sizeof(*keys));
+        keymap_init(&keys->map);
+        snprintf(keys->service, sizeof(keys->service), "%s", service);
+        LIST_INSERT_HEAD(&node->keys, keys, link);
+    }
+    return keys;
+}
+
+const struct declared_service *
+node_own_service(const struct node *node)
+{
+    const char *name = localtarget_service(node->target);
+    if (node->declared == NULL) {
+        return NULL;
+    }
+    return declared_service_of(node->declared, name[0] != '\0'
+                                                   ? name
+                                                   : node->settings.service);
+}
+
+void
+node_take_keys(struct node *node, const char *service, const char *text,
+               size_t size, uint64_t version)
+{
+    struct error err = {.code = ERROR_NONE};
+    struct node_keys *keys = add_keys(node, service);
+    if (!keymap_parse(&keys->map, text, size, version, &err)) {
+        char description[ERROR_SUBJECT_SIZE * 2];
+        LOG_ERR("keys_invalid", LOG_STR("service", service),
+                LOG_UINT("version", version),
+                LOG_STR("error", error_describe(&err, description,
+                                                sizeof(description))));
+        return;
+    }
+    LOG_INFO("keys", LOG_STR("service", service), LOG_UINT("version", version),
+             LOG_UINT("segments", keys->map.count),
+             LOG_UINT("next_fence", keys->map.next_fence));
+}
+
+/** What operators declare has changed. */
+static void
+apply_declared(struct node *node)
+{
+    for (size_t i = 0;
+         node->declared != NULL && i < declared_service_count(node->declared);
+         i++) {
+        const struct declared_service *service =
+            declared_service_at(node->declared, i);
+        if (service->keyed) {
+            add_keys(node, service->name);
+        }
+    }
+    localtarget_configure(node->target);
+    localgate_declared_changed(node->gate);
+    ingress_changed(node->ingress);
+}
+
+static void
+set_zone(struct node *node, const char *name, bool out)
+{
+    struct node_zone *zone = find_zone_out(node, name);
+    if (out == (zone != NULL)) {
+        return;
+    }
+    LOG_INFO(out ? "zone_out" : "zone_in", LOG_STR("zone", name));
+    if (out) {
+        zone = memory_zeroed(1, sizeof(*zone));
+        snprintf(zone->name, sizeof(zone->name), "%s", name);
+        LIST_INSERT_HEAD(&node->zones_out, zone, link);
+        return;
+    }
+    LIST_REMOVE(zone, link);
+    free(zone);
+    if (strcmp(name, node->settings.zone) == 0) {
+        localtarget_suspect_cold(node->target);
+    }
+}
+
+static void
+take_config(struct node *node, struct declared *config)
+{
+    if (node->declared != NULL &&
+        declared_version(config) <= declared_version(node->declared)) {
+        LOG_WARN("config_older",
+                 LOG_UINT("version", declared_version(config)));
+        declared_destroy(config);
+        return;
+    }
+    LOG_INFO("config", LOG_UINT("version", declared_version(config)),
+             LOG_UINT("routes", declared_route_count(config)),
+             LOG_UINT("services", declared_service_count(config)));
+    declared_destroy(node->declared);
+    node->declared = config;
+}
+
+static void
+on_declared_row(void *ctx, const struct rowstore_row *row)
+{
+    struct node *node = ctx;
+    struct wire_declaration declaration;
+    struct error err = {.code = ERROR_NONE};
+    if (!node->wire->read_declaration(row, &declaration, &err)) {
+        char text[ERROR_SUBJECT_SIZE * 2];
+        LOG_ERR("declaration_invalid", LOG_STR("row", row->key),
+                LOG_UINT("version", row->version),
+                LOG_STR("error", error_describe(&err, text, sizeof(text))));
+        return;
+    }
+    switch (declaration.kind) {
+    case WIRE_DECLARED_CONFIG:
+        take_config(node, declaration.config);
+        break;
+    case WIRE_DECLARED_ZONE_OUT:
+        set_zone(node, declaration.zone, !row->removed);
+        break;
+    case WIRE_DECLARED_NOTHING:
+        break;
+    }
+}
+
+static void
+on_declared_settled(void *ctx)
+{
+    apply_declared(ctx);
+}
+
+static void
+on_instance_row(struct node *node, const char *instance,
+                const struct rowstore_row *row)
+{
+    struct roster_notice notice;
+    struct error err = {.code = ERROR_NONE};
+    if (row->removed) {
+        roster_remove(&node->roster, instance);
+        return;
+    }
+    if (!roster_parse(&notice, instance, row->value, row->size, &err)) {
+        LOG_ERR("instance_invalid", LOG_STR("peer", instance),
+                LOG_UINT("version", row->version));
+        return;
+    }
+    LOG_INFO("instance", LOG_STR("peer", instance),
+             LOG_STR("service", notice.service),
+             LOG_STR("target", notice.target), LOG_INT("state", notice.state),
+             LOG_UINT("accused", notice.accused_count),
+             LOG_UINT("version", row->version));
+    roster_update(&node->roster, &notice, row->version);
+}
+
+static void
+on_fleet_row(void *ctx, const struct rowstore_row *row)
+{
+    struct node *node = ctx;
+    const size_t instance = strlen(NODE_INSTANCE_KEY);
+    const size_t keys = strlen(NODE_KEYS_KEY);
+    if (strncmp(row->key, NODE_INSTANCE_KEY, instance) == 0) {
+        on_instance_row(node, row->key + instance, row);
+    }
+    else if (strncmp(row->key, NODE_KEYS_KEY, keys) == 0 && !row->removed) {
+        node_take_keys(node, row->key + keys, row->value, row->size,
+                       row->version);
+        keeper_map_changed(node->keeper);
+        ingress_changed(node->ingress);
+    }
+}
+
+static void
+on_fleet_settled(void *ctx)
+{
+    struct node *node = ctx;
+    ownrow_update(node->ownrow);
+    keeper_map_changed(node->keeper);
+    planner_changed(node->planner);
+    ingress_changed(node->ingress);
+}
+
+static void
+on_store_reachable(void *ctx, bool reachable)
+{
+    (void)ctx;
+    if (reachable) {
+        LOG_INFO("store_reachable");
+    }
+    else {
+        LOG_WARN("store_lost");
+    }
+}
+
+static void
+answer_text(struct http_request *request, unsigned status, const char *text,
+            size_t size)
+{
+    static const struct http_header headers[] = {
+        {"Content-Type", "text/plain"},
+    };
+    http_request_reply(request, &(struct http_reply){
+                                    .status = status,
+                                    .headers = headers,
+                                    .header_count = 1,
+                                    .body = text,
+                                    .body_size = size,
+                                });
+}
+
+static bool
+is_ready(const struct node *node)
+{
+    return !node->stopping && node->declared != NULL &&
+           rowwatch_version(node->fleet_watch) > 0;
+}
+
+static void
+on_readiness(void *ctx, struct http_request *request)
+{
+    struct node *node = ctx;
+    unsigned status = STATUS_NOT_FOUND;
+    if (strcmp(http_request_path(request), node->wire->ready_path) == 0) {
+        status = is_ready(node) ? STATUS_OK : STATUS_UNAVAILABLE;
+    }
+    answer_text(request, status, "", 0);
+}
+
+static void
+on_metrics(void *ctx, struct http_request *request)
+{
+    const struct node *node = ctx;
+    char *text = NULL;
+    size_t size = 0;
+    FILE *stream = open_memstream(&text, &size);
+    if (stream == NULL) {
+        answer_text(request, STATUS_UNAVAILABLE, "", 0);
+        return;
+    }
+    counter_print(node->options.counters, stream);
+    fclose(stream);
+    answer_text(request, STATUS_OK, text, size);
+    free(text);
+}
+
+static void
+on_announcement(void *ctx, struct http_request *request)
+{
+    struct node *node = ctx;
+    localtarget_announced(node->target, request);
+}
+
+static struct http_server *
+open_server(struct node *node, const struct address *address,
+            void (*handle)(void *ctx, struct http_request *request),
+            struct error *err)
+{
+    const bool callers = handle == ingress_handle;
+    const struct http_server_config config = {
+        .address = *address,
+        .body_max = callers ? CALLERS_BODY_MAX : 0,
+        .pipeline_max = callers ? PIPELINE_MAX : 0,
+        .handle = handle,
+        .cancelled = callers ? ingress_cancelled : NULL,
+        .ctx = node,
+    };
+    return http_server_create(node->runtime, &config, node->options.counters,
+                              err);
+}
+
+static bool
+open_servers(struct node *node, struct error *err)
+{
+    const struct nodesettings *settings = &node->settings;
+    node->rpc = rpc_node_create(node->runtime, &settings->rpc,
+                                node->options.counters, err);
+    if (node->rpc == NULL) {
+        return false;
+    }
+    node->readiness =
+        open_server(node, &settings->readiness, on_readiness, err);
+    node->metrics = open_server(node, &settings->metrics, on_metrics, err);
+    node->announcements =
+        open_server(node, &settings->announcements, on_announcement, err);
+    node->callers =
+        open_server(node, &settings->callers, ingress_handle, err);
+    return node->readiness != NULL && node->metrics != NULL &&
+           node->announcements != NULL && node->callers != NULL;
+}
+
+static void
+create_watches(struct node *node)
+{
+    struct rowwatch_options options = {
+        .runtime = node->runtime,
+        .store = &node->options.store,
+        .table = node->wire->declared_table,
+        .row = on_declared_row,
+        .settled = on_declared_settled,
+        .ctx = node,
+    };
+    node->declared_watch = rowwatch_create(&options);
+    options.table = NODE_TABLE;
+    options.row = on_fleet_row;
+    options.settled = on_fleet_settled;
+    options.reachable = on_store_reachable;
+    node->fleet_watch = rowwatch_create(&options);
+}
+
+struct node *
+node_create(const struct node_options *options, struct error *err)
+{
+    struct node *node = memory_zeroed(1, sizeof(*node));
+    node->options = *options;
+    node->settings = *options->settings;
+    node->runtime = options->runtime;
+    node->wire = options->wire;
+    random_seed(&node->random, options->seed);
+    LIST_INIT(&node->zones_out);
+    LIST_INIT(&node->keys);
+    LIST_INIT(&node->roster.instances);
+    if (!open_servers(node, err)) {
+        node_destroy(node);
+        return NULL;
+    }
+    node->target = localtarget_create(node);
+    node->gate = localgate_create(node);
+    node->keeper = keeper_create(node);
+    node->relay = relaytask_create(node);
+    node->planner = planner_create(node);
+    node->ingress = ingress_create(node);
+    node->ownrow = ownrow_create(node);
+    create_watches(node);
+    LOG_INFO("started", LOG_STR("version", CHESTNUTGAP_VERSION),
+             LOG_STR("zone", node->settings.zone),
+             LOG_STR("service", node->settings.service));
+    return node;
+}
+
+static void
+free_lists(struct node *node)
+{
+    struct node_zone *zone;
+    while ((zone = LIST_FIRST(&node->zones_out)) != NULL) {
+        LIST_REMOVE(zone, link);
+        free(zone);
+    }
+    struct node_keys *keys;
+    while ((keys = LIST_FIRST(&node->keys)) != NULL) {
+        LIST_REMOVE(keys, link);
+        keymap_clear(&keys->map);
+        free(keys);
+    }
+    roster_clear(&node->roster);
+}
+
+void
+node_destroy(struct node *node)
+{
+    if (node == NULL) {
+        return;
+    }
+    nodestop_destroy(node);
+    rowwatch_destroy(node->declared_watch);
+    rowwatch_destroy(node->fleet_watch);
+    ownrow_destroy(node->ownrow);
+    planner_destroy(node->planner);
+    ingress_destroy(node->ingress);
+    relaytask_destroy(node->relay);
+    http_server_destroy(node->callers);
+    http_server_destroy(node->announcements);
+    http_server_destroy(node->metrics);
+    http_server_destroy(node->readiness);
+    rpc_node_destroy(node->rpc);
+    keeper_destroy(node->keeper);
+    localgate_destroy(node->gate);
+    localtarget_destroy(node->target);
+    declared_destroy(node->declared);
+    free_lists(node);
+    free(node);
+}
+
+void
+node_stop(struct node *node)
+{
+    nodestop_begin(node);
+}
+
+void
+node_reload(struct node *node, const struct nodesettings *settings)
+{
+    const bool moved =
+        !address_equal(&settings->callers, &node->settings.callers) ||
+        !address_equal(&settings->rpc, &node->settings.rpc) ||
+        !address_equal(&settings->store, &node->settings.store);
+    if (moved) {
+        LOG_WARN("settings_need_restart");
+        return;
+    }
+    node->settings = *settings;
+    LOG_INFO("settings_reloaded", LOG_STR("service", settings->service));
+    ownrow_update(node->ownrow);
+}
--- /dev/null
+++ b/packages/node/node.h
@@ -0,0 +1,41 @@
+/**
+ * @file
+ * The daemon on a platform: takes callers' requests, passes them to the
+ * instance beside the right target, and guards the target beside it.
+ */
+#ifndef CHESTNUTGAP_NODE_NODE_H
+#define CHESTNUTGAP_NODE_NODE_H
+
+#include "base/error.h"
+#include "fleet/wire.h"
+#include "node/nodesettings.h"
+#include "store/rowstore.h"
+
+struct counter_registry;
+struct runtime;
+
+struct node;
+
+struct node_options {
+    struct runtime *runtime;
+    struct counter_registry *counters;
+    const struct nodesettings *settings;
+    const struct wire *wire;
+    struct rowstore store;
+    uint64_t seed;
+    void (*stopped)(void *ctx); /**< a graceful stop is over */
+    void *ctx;
+};
+
+/** Opens all sockets. NULL with err set on failure. */
+struct node *node_create(const struct node_options *options,
+                         struct error *err);
+void node_destroy(struct node *node);
+
+/** Begins a graceful stop: no request that was taken is cut. */
+void node_stop(struct node *node);
+
+/** Takes changed settings over, as far as they can change at run time. */
+void node_reload(struct node *node, const struct nodesettings *settings);
+
+#endif
--- /dev/null
+++ b/packages/node/node_internal.h
@@ -0,0 +1,103 @@
+/**
+ * @file
+ * What the modules of the node share: the node itself, and the functions by
+ * which they tell each other what happened.
+ */
+#ifndef CHESTNUTGAP_NODE_NODE_INTERNAL_H
+#define CHESTNUTGAP_NODE_NODE_INTERNAL_H
+
+#include <sys/queue.h>
+
+#include "base/counter.h"
+#include "base/random.h"
+#include "base/runtime.h"
+#include "fleet/budget.h"
+#include "fleet/declared.h"
+#include "fleet/keymap.h"
+#include "fleet/roster.h"
+#include "node/node.h"
+#include "node/rowwatch.h"
+#include "protocol/generated/relay.h"
+#include "protocol/rpc.h"
+
+#define NODE_TABLE "fleet"         /* rows of instances and of keys */
+#define NODE_LEASE_TABLE "leases"  /* rows of leases */
+#define NODE_INSTANCE_KEY "instance/"
+#define NODE_KEYS_KEY "keys/"
+
+struct ingress;
+struct keeper;
+struct localgate;
+struct localtarget;
+struct ownrow;
+struct planner;
+struct relaytask;
+
+/** The map of one service's keys. */
+struct node_keys {
+    LIST_ENTRY(node_keys) link;
+    struct keymap map;
+    char service[DECLARED_NAME_MAX + 1];
+};
+
+LIST_HEAD(node_keys_list, node_keys);
+
+/** A zone that operators have taken out. */
+struct node_zone {
+    LIST_ENTRY(node_zone) link;
+    char name[KEYMAP_NAME_MAX + 1];
+};
+
+LIST_HEAD(node_zone_list, node_zone);
+
+struct node {
+    struct node_options options;
+    struct nodesettings settings;
+    struct runtime *runtime;
+    const struct wire *wire;
+    struct random_state random;
+    struct rpc_node *rpc;
+    struct http_server *callers;
+    struct http_server *announcements;
+    struct http_server *readiness;
+    struct http_server *metrics;
+    struct rowwatch *declared_watch;
+    struct rowwatch *fleet_watch;
+    struct declared *declared; /* NULL until it is known */
+    struct node_zone_list zones_out;
+    struct roster roster;
+    struct node_keys_list keys;
+    struct localtarget *target;
+    struct localgate *gate;
+    struct keeper *keeper;
+    struct planner *planner;
+    struct relaytask *relay;
+    struct ingress *ingress;
+    struct ownrow *ownrow;
+    bool stopping;
+    int64_t stop_us; /* when the stop began */
+    struct timer stop_timer;
+};
+
+/** Current time of the node's runtime. */
+int64_t node_now_us(const struct node *node);
+
+/** ctx is the node. */
+bool node_zone_is_out(void *ctx, const char *zone);
+
+/** The map of a service's keys, or NULL. */
+struct node_keys *node_keys_of(const struct node *node, const char *service);
+
+/** A map that this instance has committed or was shown on a conflict. */
+void node_take_keys(struct node *node, const char *service, const char *text,
+                    size_t size, uint64_t version);
+
+/** The declared service of the target, or NULL. */
+const struct declared_service *node_own_service(const struct node *node);
+
+/* stop.c */
+
+void nodestop_begin(struct node *node);
+void nodestop_destroy(struct node *node);
+
+#endif
--- /dev/null
+++ b/packages/node/nodesettings.h
@@ -0,0 +1,48 @@
+/**
+ * @file
+ * Settings of a daemon that runs on a platform: its addresses, the store's
+ * address and the bounds that operators set.
+ */
+#ifndef CHESTNUTGAP_NODE_NODESETTINGS_H
+#define CHESTNUTGAP_NODE_NODESETTINGS_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <jansson.h>
+
+#include "base/address.h"
+#include "base/document.h"
+#include "base/log.h"
+#include "fleet/keymap.h"
+
+struct nodesettings {
+    char instance[KEYMAP_NAME_MAX + 1];
+    char zone[KEYMAP_NAME_MAX + 1];
+    char service[KEYMAP_NAME_MAX + 1]; /**< of the target beside it */
+    struct address callers;            /**< where callers connect */
+    struct address announcements;      /**< where the target announces */
+    struct address readiness;
+    struct address metrics;
+    struct address rpc;    /**< for other instances */
+    struct address target; /**< of the target */
+    struct address store;
+    int64_t drain_us;     /**< no new work so long after a leave is
+                               acknowledged */
+    int64_t grace_us;     /**< longest time from SIGTERM to the end */
+    int64_t heartbeat_us; /**< between a target's announcements */
+    int64_t hold_max_us;  /**< longest grant */
+    double retry_share;   /**< of requests that may be sent once more */
+    double retry_reserve; /**< and so many more, over all instances */
+    int64_t retry_window_us;
+    enum log_level log_level;
+};
+
+/** Reads and checks a document. False with at least one problem listed. */
+bool nodesettings_parse(const json_t *document, struct nodesettings *settings,
+                        struct document_problems *problems);
+
+/** True if the document is of this kind and not of settings.h. */
+bool nodesettings_match(const json_t *document);
+
+#endif
--- /dev/null
+++ b/packages/node/nodestop.c
@@ -0,0 +1,71 @@
+/* The graceful stop: what was taken is finished, keys go to others. */
+#define LOG_MODULE "stop"
+#include "base/log.h"
+#include "http/httpserver.h"
+#include "node/ingress.h"
+#include "node/keeper.h"
+#include "node/localgate.h"
+#include "node/localtarget.h"
+#include "node/node_internal.h"
+#include "node/ownrow.h"
+
+#define CHECK_US (50 * US_PER_MS)
+/* Callers are told by then that this instance takes no new work. */
+#define NOTICE_US (2300 * US_PER_MS)
+/* Time kept of the grace for the end itself. */
+#define RESERVE_US (700 * US_PER_MS)
+/* Keys stay with a target that lives if nobody takes them by then. */
+#define HANDOVER_US (3500 * US_PER_MS)
+
+static bool
+is_finished(const struct node *node, int64_t elapsed_us)
+{
+    if (elapsed_us >= node->settings.grace_us - RESERVE_US) {
+        return true;
+    }
+    const bool keys_left = localtarget_present(node->target) &&
+                           keeper_owns(node->keeper) &&
+                           elapsed_us < HANDOVER_US;
+    return elapsed_us >= NOTICE_US && !keys_left &&
+           ingress_count(node->ingress) == 0 &&
+           localgate_load(node->gate) == 0;
+}
+
+static void
+on_check(void *ctx)
+{
+    struct node *node = ctx;
+    const int64_t elapsed_us = node_now_us(node) - node->stop_us;
+    if (!is_finished(node, elapsed_us)) {
+        timer_start(&node->stop_timer, CHECK_US);
+        return;
+    }
+    LOG_INFO("stopped", LOG_INT("took_ms", elapsed_us / US_PER_MS),
+             LOG_UINT("unanswered", ingress_count(node->ingress)),
+             LOG_UINT("running", localgate_running(node->gate)));
+    node->options.stopped(node->options.ctx);
+}
+
+void
+nodestop_begin(struct node *node)
+{
+    if (node->stopping) {
+        return;
+    }
+    node->stopping = true;
+    node->stop_us = node_now_us(node);
+    LOG_INFO("stopping", LOG_UINT("unanswered", ingress_count(node->ingress)),
+             LOG_UINT("running", localgate_running(node->gate)));
+    http_server_retire(node->callers);
+    ownrow_update(node->ownrow);
+    timer_init(&node->stop_timer, node->runtime, on_check, node);
+    timer_start(&node->stop_timer, CHECK_US);
+}
+
+void
+nodestop_destroy(struct node *node)
+{
+    if (node->stopping) {
+        timer_stop(&node->stop_timer);
+    }
+}
--- /dev/null
+++ b/packages/node/planner.c
@@ -0,0 +1,514 @@
+#include "node/planner.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define LOG_MODULE "planner"
+#include "base/log.h"
+#include "base/memory.h"
+#include "node/keeper.h"
+#include "node/localgate.h"
+#include "node/localtarget.h"
+#include "node/planner_internal.h"
+#include "node/relaytask.h"
+
+#define TICK_US (100 * US_PER_MS)
+/* Instances that start at the same time are seen by then. */
+#define START_US (1500 * US_PER_MS)
+#define WRITE_TIMEOUT_US (1 * US_PER_SECOND)
+#define ASK_US (1 * US_PER_SECOND)
+#define FAILURES_MAX 2   /* questions without an answer: it is lost */
+#define LEVEL_US (1 * US_PER_SECOND)
+#define QUIET_US (1500 * US_PER_MS) /* for moves to show their effect */
+#define TOLERANCE 1.2
+#define LOAD_AGE_MAX_US (3 * US_PER_SECOND)
+#define WEIGHT_MIN 0.5 /* of the average */
+#define WEIGHT_MAX 2.0
+#define COLD_WEIGHT 0.4
+#define MEMBERS_MAX 512
+
+static void on_tick(void *ctx);
+
+struct planner *
+planner_create(struct node *node)
+{
+    struct planner *planner = memory_zeroed(1, sizeof(*planner));
+    planner->node = node;
+    planner->ready_us = node_now_us(node) + START_US;
+    planner->takes =
+        counter_add(node->options.counters, "planner_takes",
+                    "instances whose keys were taken after their lease");
+    planner->plans = counter_add(node->options.counters, "planner_plans",
+                                 "changes of the map that were planned");
+    timer_init(&planner->tick, node->runtime, on_tick, planner);
+    timer_start(&planner->tick, TICK_US);
+    return planner;
+}
+
+void
+planner_destroy(struct planner *planner)
+{
+    if (planner == NULL) {
+        return;
+    }
+    const struct rowstore *store = &planner->node->options.store;
+    timer_stop(&planner->tick);
+    if (planner->map_call != NULL) {
+        store->ops->cancel(store->impl, planner->map_call);
+    }
+    struct watched_lease *lease;
+    while ((lease = LIST_FIRST(&planner->leases)) != NULL) {
+        plannertake_free(lease);
+    }
+    struct peer_load *peer;
+    while ((peer = LIST_FIRST(&planner->peers)) != NULL) {
+        LIST_REMOVE(peer, link);
+        free(peer->steps);
+        free(peer);
+    }
+    free(planner->map_text);
+    free(planner);
+}
+
+struct node_keys *
+planner_keys(const struct planner *planner)
+{
+    const struct declared_service *service = node_own_service(planner->node);
+    return service != NULL && service->keyed
+               ? node_keys_of(planner->node, service->name)
+               : NULL;
+}
+
+static struct peer_load *
+peer_of(const struct planner *planner, const char *instance)
+{
+    struct peer_load *peer;
+    LIST_FOREACH (peer, &planner->peers, link) {
+        if (strcmp(peer->instance, instance) == 0) {
+            return peer;
+        }
+    }
+    return NULL;
+}
+
+static bool
+is_self(const struct planner *planner, const char *instance)
+{
+    return strcmp(instance, planner->node->settings.instance) == 0;
+}
+
+bool
+planner_is_lost(const struct planner *planner, const char *instance)
+{
+    const struct peer_load *peer = peer_of(planner, instance);
+    return !is_self(planner, instance) && peer != NULL &&
+           peer->failures >= FAILURES_MAX;
+}
+
+/** True if the instance is of the service and has said that it is there. */
+static bool
+is_member(const struct planner *planner, const struct roster_notice *notice)
+{
+    const struct declared_service *service = node_own_service(planner->node);
+    return notice->state != ROSTER_ABSENT &&
+           strcmp(notice->service, service->name) == 0;
+}
+
+static bool
+works(const struct planner *planner, const struct roster_notice *notice)
+{
+    return is_member(planner, notice) && notice->state == ROSTER_SERVING &&
+           !planner_is_lost(planner, notice->instance);
+}
+
+/** True if no working instance of the service comes first by name. */
+static bool
+is_leader(const struct planner *planner)
+{
+    const struct roster_instance *instance;
+    LIST_FOREACH (instance, &planner->node->roster.instances, link) {
+        if (works(planner, &instance->notice) &&
+            strcmp(instance->notice.instance,
+                   planner->node->settings.instance) < 0) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static void
+on_loads(void *ctx, const char *instance, const struct relay_loads *loads)
+{
+    struct planner *planner = ctx;
+    struct peer_load *peer = peer_of(planner, instance);
+    struct roster_instance *known =
+        roster_find(&planner->node->roster, instance);
+    const int64_t now_us = node_now_us(planner->node);
+    if (peer == NULL) {
+        return;
+    }
+    peer->asking = false;
+    if (loads == NULL) {
+        peer->failures++;
+        if (peer->failures == FAILURES_MAX) {
+            LOG_WARN("instance_lost", LOG_STR("peer", instance));
+        }
+        if (known != NULL && peer->failures >= FAILURES_MAX) {
+            roster_note_unreachable(known, now_us);
+        }
+        return;
+    }
+    if (peer->failures >= FAILURES_MAX) {
+        LOG_INFO("instance_found", LOG_STR("peer", instance));
+    }
+    if (known != NULL) {
+        roster_note_reached(known);
+    }
+    peer->failures = 0;
+    peer->at_us = now_us;
+    peer->slots = loads->slots;
+    peer->service_us = (int64_t)loads->service_us;
+    peer->cold = loads->cold;
+    peer->step_count = loads->steps.steps_len;
+    peer->steps = memory_resized(peer->steps, peer->step_count + 1,
+                                 sizeof(*peer->steps));
+    for (size_t i = 0; i < peer->step_count; i++) {
+        peer->steps[i].first = loads->steps.steps_val[i].first;
+        peer->steps[i].load = loads->steps.steps_val[i].load;
+    }
+}
+
+/** Asks instances of the service for their loads; who does not lead asks
+ * only those that come first. */
+static void
+ask_peers(struct planner *planner, bool leads, int64_t now_us)
+{
+    struct roster_instance *instance;
+    LIST_FOREACH (instance, &planner->node->roster.instances, link) {
+        const char *name = instance->notice.instance;
+        if (!is_member(planner, &instance->notice) ||
+            is_self(planner, name) ||
+            (!leads && strcmp(name, planner->node->settings.instance) > 0)) {
+            continue;
+        }
+        struct peer_load *peer = peer_of(planner, name);
+        if (peer == NULL) {
+            peer = memory_zeroed(1, sizeof(*peer));
+            snprintf(peer->instance, sizeof(peer->instance), "%s", name);
+            LIST_INSERT_HEAD(&planner->peers, peer, link);
+        }
+        const int64_t gap_us = peer->failures > 0 ? ASK_US / 4 : ASK_US;
+        if (!peer->asking && now_us - peer->asked_us >= gap_us) {
+            peer->asking = true;
+            peer->asked_us = now_us;
+            relaytask_ask_loads(planner->node->relay, instance, on_loads,
+                                planner);
+        }
+    }
+}
+
+/** Capacity of an instance's target, relative. */
+static double
+capacity_of(const struct planner *planner, const struct roster_notice *notice,
+            bool *cold)
+{
+    double slots = notice->slots > 0 ? notice->slots : 1;
+    double service_us =
+        (double)localgate_service_us(planner->node->gate);
+    *cold = localgate_is_cold(planner->node->gate);
+    if (!is_self(planner, notice->instance)) {
+        const struct peer_load *peer = peer_of(planner, notice->instance);
+        if (peer == NULL || peer->at_us == 0) {
+            *cold = false;
+            return 0;
+        }
+        service_us = (double)peer->service_us;
+        *cold = peer->cold;
+    }
+    return service_us > 0 ? slots / service_us : 0;
+}
+
+/** Brings weights to within bounds around their average, which becomes 1. */
+static void
+normalise(struct keyplan_member *members, size_t count)
+{
+    double sum = 0;
+    size_t known = 0;
+    for (size_t i = 0; i < count; i++) {
+        sum += members[i].weight;
+        known += members[i].weight > 0;
+    }
+    const double average = known > 0 ? sum / (double)known : 1;
+    for (size_t i = 0; i < count; i++) {
+        double weight =
+            members[i].weight > 0 ? members[i].weight / average : 1;
+        weight = weight > WEIGHT_MIN ? weight : WEIGHT_MIN;
+        members[i].weight = weight < WEIGHT_MAX ? weight : WEIGHT_MAX;
+    }
+}
+
+static size_t
+list_members(const struct planner *planner, struct keyplan_member *members)
+{
+    const struct node *node = planner->node;
+    const struct roster_instance *instance;
+    bool cold[MEMBERS_MAX];
+    bool any_warm = false;
+    size_t count = 0;
+    LIST_FOREACH (instance, &node->roster.instances, link) {
+        const struct roster_notice *notice = &instance->notice;
+        if (!is_member(planner, notice) || count == MEMBERS_MAX ||
+            planner_is_lost(planner, notice->instance)) {
+            continue;
+        }
+        const bool out = node_zone_is_out((void *)node, notice->zone) ||
+                         notice->state == ROSTER_LEAVING;
+        struct keyplan_member *member = &members[count];
+        *member = (struct keyplan_member){
+            .weight = capacity_of(planner, notice, &cold[count]),
+            .takes = !out,
+            .leaves = out,
+            .holder = {.born_ms = notice->born_ms},
+        };
+        memcpy(member->holder.instance, notice->instance,
+               sizeof(member->holder.instance));
+        memcpy(member->holder.target, notice->target,
+               sizeof(member->holder.target));
+        any_warm = any_warm || (!out && !cold[count]);
+        count++;
+    }
+    normalise(members, count);
+    for (size_t i = 0; i < count; i++) {
+        if (cold[i] && any_warm) {
+            members[i].weight *= COLD_WEIGHT;
+            members[i].takes = false;
+        }
+    }
+    return count;
+}
+
+static struct keyload_curve *
+make_curve(const struct planner *planner, bool *complete)
+{
+    struct keyload_curve *curve = keyload_curve_create();
+    struct keyload_step steps[KEYLOAD_STEPS_MAX];
+    const int64_t now_us = node_now_us(planner->node);
+    const struct peer_load *peer;
+    keyload_curve_add(curve, steps,
+                      keeper_steps(planner->node->keeper, steps));
+    *complete = true;
+    LIST_FOREACH (peer, &planner->peers, link) {
+        if (peer->at_us > 0 && now_us - peer->at_us < LOAD_AGE_MAX_US) {
+            keyload_curve_add(curve, peer->steps, peer->step_count);
+        }
+        else if (peer->failures == 0) {
+            *complete = false;
+        }
+    }
+    return curve;
+}
+
+static void
+on_written(void *ctx, const struct rowstore_result *result)
+{
+    struct planner *planner = ctx;
+    const struct node_keys *keys = planner_keys(planner);
+    struct watched_lease *lease = planner->map_lease;
+    char key[ROWSTORE_NAME_MAX + 1];
+    planner->map_call = NULL;
+    planner->map_lease = NULL;
+    if (lease != NULL && result->outcome != ROWSTORE_UNKNOWN) {
+        lease->taking = false;
+        lease->read = false;
+    }
+    if (keys == NULL) {
+        return;
+    }
+    snprintf(key, sizeof(key), NODE_KEYS_KEY "%s", keys->service);
+    if (result->outcome == ROWSTORE_DONE) {
+        rowwatch_note(planner->node->fleet_watch,
+                      &(struct rowstore_row){
+                          .key = key,
+                          .version = result->version,
+                          .value = planner->map_text,
+                          .size = strlen(planner->map_text),
+                      });
+    }
+    for (size_t i = 0;
+         result->outcome == ROWSTORE_CONFLICT && i < result->row_count; i++) {
+        if (strcmp(result->rows[i].key, key) == 0) {
+            rowwatch_note(planner->node->fleet_watch, &result->rows[i]);
+        }
+    }
+}
+
+void
+planner_write(struct planner *planner, const struct keymap *map,
+              struct watched_lease *lease)
+{
+    const struct rowstore *store = &planner->node->options.store;
+    const struct node_keys *keys = planner_keys(planner);
+    char key[ROWSTORE_NAME_MAX + 1];
+    struct rowstore_write writes[2];
+    size_t count = 0;
+    snprintf(key, sizeof(key), NODE_KEYS_KEY "%s", keys->service);
+    free(planner->map_text);
+    planner->map_text = keymap_print(map);
+    writes[count++] = (struct rowstore_write){
+        .table = NODE_TABLE,
+        .key = key,
+        .expected = keys->map.version,
+        .value = planner->map_text,
+        .size = strlen(planner->map_text),
+    };
+    if (lease != NULL) {
+        writes[count++] = (struct rowstore_write){
+            .table = NODE_LEASE_TABLE,
+            .key = lease->instance,
+            .expected = lease->version,
+            .only_condition = lease->version == 0,
+        };
+    }
+    planner->map_lease = lease;
+    planner->plans->value++;
+    planner->map_call = store->ops->commit(
+        store->impl, writes, count, WRITE_TIMEOUT_US, on_written, planner);
+}
+
+/** Gives keys without an owner to their new owners. @return true if there
+ * were any */
+static bool
+house_vacant(struct planner *planner, const struct node_keys *keys,
+             const struct keyplan_move *moves, size_t count)
+{
+    struct keymap map;
+    bool changed = false;
+    keymap_copy(&map, &keys->map);
+    for (size_t i = 0; i < count; i++) {
+        if (moves[i].from.instance[0] == '\0') {
+            keymap_assign(&map, moves[i].first, moves[i].last, &moves[i].to,
+                          NULL);
+            changed = true;
+            LOG_INFO("assigned", LOG_UINT("first", moves[i].first),
+                     LOG_UINT("last", moves[i].last),
+                     LOG_STR("to", moves[i].to.instance));
+        }
+    }
+    if (changed) {
+        planner_write(planner, &map, NULL);
+    }
+    keymap_clear(&map);
+    return changed;
+}
+
+/** Has owners hand keys over. */
+static void
+order_moves(struct planner *planner, const struct keyplan_move *moves,
+            size_t count)
+{
+    struct node *node = planner->node;
+    for (size_t i = 0; i < count; i++) {
+        const struct keyplan_move *move = &moves[i];
+        if (is_self(planner, move->from.instance)) {
+            keeper_move(node->keeper, move->first, move->last, &move->to);
+            continue;
+        }
+        const struct roster_instance *owner =
+            roster_find(&node->roster, move->from.instance);
+        if (owner != NULL) {
+            relaytask_order_move(node->relay, owner, move->first, move->last,
+                                 &move->to);
+        }
+    }
+    if (count > 0) {
+        LOG_INFO("moves_ordered", LOG_UINT("count", count));
+        planner->quiet_us = node_now_us(node) + QUIET_US;
+    }
+}
+
+/** True if some keys have no owner, or one who is to give them up. */
+static bool
+needs_owner(const struct keymap *map, const struct keyplan_member *members,
+            size_t count)
+{
+    for (size_t i = 0; i < map->count; i++) {
+        const struct keymap_holder *holder = &map->segments[i].holder;
+        if (holder->instance[0] == '\0') {
+            return true;
+        }
+        for (size_t k = 0; k < count; k++) {
+            if (members[k].leaves &&
+                keymap_holder_equal(&members[k].holder, holder)) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+static void
+make_plan(struct planner *planner, const struct node_keys *keys,
+          int64_t now_us)
+{
+    static struct keyplan_member members[MEMBERS_MAX];
+    static struct keyplan_move moves[KEYPLAN_MOVES_MAX];
+    const size_t count = list_members(planner, members);
+    const bool urgent = needs_owner(&keys->map, members, count);
+    const bool level = now_us >= planner->level_us;
+    if ((!urgent && !level) || now_us < planner->quiet_us) {
+        if (!urgent || keys->map.segments[0].holder.instance[0] != '\0') {
+            return;
+        }
+    }
+    planner->level_us = now_us + LEVEL_US;
+    bool complete;
+    const struct keyplan_input input = {
+        .map = &keys->map,
+        .members = members,
+        .member_count = count,
+        .curve = make_curve(planner, &complete),
+        .tolerance = level && complete && !urgent ? TOLERANCE : 0,
+    };
+    const size_t move_count = keyplan_make(&input, moves);
+    keyload_curve_destroy(input.curve);
+    if (!house_vacant(planner, keys, moves, move_count)) {
+        order_moves(planner, moves, move_count);
+    }
+}
+
+static void
+planner_go_on(struct planner *planner)
+{
+    const struct node *node = planner->node;
+    const struct node_keys *keys = planner_keys(planner);
+    const int64_t now_us = node_now_us(node);
+    if (keys == NULL || rowwatch_version(node->fleet_watch) == 0 ||
+        now_us < planner->ready_us) {
+        return;
+    }
+    const bool leads = localtarget_present(node->target) &&
+                       is_leader(planner);
+    ask_peers(planner, leads, now_us);
+    if (!leads || planner->map_call != NULL) {
+        return;
+    }
+    plannertake_go_on(planner);
+    if (planner->map_call == NULL) {
+        make_plan(planner, keys, now_us);
+    }
+}
+
+void
+planner_changed(struct planner *planner)
+{
+    planner_go_on(planner);
+}
+
+static void
+on_tick(void *ctx)
+{
+    struct planner *planner = ctx;
+    timer_start(&planner->tick, TICK_US);
+    planner_go_on(planner);
+}
--- /dev/null
+++ b/packages/node/planner_internal.h
@@ -0,0 +1,83 @@
+/**
+ * @file
+ * What the modules of the planner share: the plan (planner.c) and the taking
+ * of keys of instances that are gone (plannertake.c).
+ */
+#ifndef CHESTNUTGAP_NODE_PLANNER_INTERNAL_H
+#define CHESTNUTGAP_NODE_PLANNER_INTERNAL_H
+
+#include <sys/queue.h>
+
+#include "fleet/keyload.h"
+#include "fleet/keyplan.h"
+#include "node/node_internal.h"
+#include "node/planner.h"
+
+/** What an instance of the service said of its load. */
+struct peer_load {
+    LIST_ENTRY(peer_load) link;
+    char instance[KEYMAP_NAME_MAX + 1];
+    int64_t at_us;       /**< 0: never */
+    int64_t asked_us;
+    bool asking;
+    unsigned failures;   /**< questions in a row without an answer */
+    unsigned slots;
+    int64_t service_us;
+    bool cold;
+    struct keyload_step *steps;
+    size_t step_count;
+};
+
+LIST_HEAD(peer_loads, peer_load);
+
+/** An instance whose lease is watched, or that asked for a promise. */
+struct watched_lease {
+    LIST_ENTRY(watched_lease) link;
+    struct planner *planner;
+    char instance[KEYMAP_NAME_MAX + 1];
+    struct rowstore_call *call;
+    bool read;           /**< version is known */
+    uint64_t version;    /**< of the row, 0: there is none */
+    bool is_peer;        /**< the holder counts on this instance's promise */
+    int64_t since_us;    /**< unchanged since then, as seen from here */
+    int64_t reads_us;    /**< when the row is read again */
+    int64_t promised_us; /**< its keys are not taken until then */
+    bool taking;         /**< a write that takes its keys may take effect */
+    bool wanted;         /**< the instance seems to be gone */
+};
+
+LIST_HEAD(watched_leases, watched_lease);
+
+struct planner {
+    struct node *node;
+    struct timer tick;
+    struct peer_loads peers;
+    struct watched_leases leases;
+    struct rowstore_call *map_call;
+    char *map_text;
+    struct watched_lease *map_lease; /* that the call deletes, or NULL */
+    int64_t ready_us;  /* not before, after the start */
+    int64_t level_us;  /* next levelling of load */
+    int64_t quiet_us;  /* no new moves until then */
+    struct counter *takes;
+    struct counter *plans;
+};
+
+/** The map of the own service, or NULL. */
+struct node_keys *planner_keys(const struct planner *planner);
+
+/** True if the instance does not answer. */
+bool planner_is_lost(const struct planner *planner, const char *instance);
+
+/** Writes a new map, and deletes the lease if it is not NULL. */
+void planner_write(struct planner *planner, const struct keymap *map,
+                   struct watched_lease *lease);
+
+/* plannertake.c */
+
+/** Watches the leases of owners that seem to be gone, and takes the keys of
+ * those whose lease is over. */
+void plannertake_go_on(struct planner *planner);
+void plannertake_free(struct watched_lease *lease);
+
+#endif
--- /dev/null
+++ b/packages/node/plannertake.c
@@ -0,0 +1,208 @@
+/* Keys of instances that are gone: their lease is watched for its whole
+ * length, then deleted in the transaction that gives up their keys. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#define LOG_MODULE "take"
+#include "base/log.h"
+#include "base/memory.h"
+#include "fleet/keylease.h"
+#include "node/planner_internal.h"
+
+#define READ_TIMEOUT_US (700 * US_PER_MS)
+#define REREAD_US (1 * US_PER_SECOND)
+#define PROMISE_MARGIN_US (100 * US_PER_MS)
+
+void
+plannertake_free(struct watched_lease *lease)
+{
+    const struct rowstore *store = &lease->planner->node->options.store;
+    if (lease->call != NULL) {
+        store->ops->cancel(store->impl, lease->call);
+    }
+    LIST_REMOVE(lease, link);
+    free(lease);
+}
+
+static struct watched_lease *
+lease_of(struct planner *planner, const char *instance)
+{
+    struct watched_lease *lease;
+    LIST_FOREACH (lease, &planner->leases, link) {
+        if (strcmp(lease->instance, instance) == 0) {
+            return lease;
+        }
+    }
+    lease = memory_zeroed(1, sizeof(*lease));
+    lease->planner = planner;
+    snprintf(lease->instance, sizeof(lease->instance), "%s", instance);
+    LIST_INSERT_HEAD(&planner->leases, lease, link);
+    return lease;
+}
+
+bool
+planner_promise(struct planner *planner, const char *instance)
+{
+    struct watched_lease *lease = lease_of(planner, instance);
+    if (lease->taking) {
+        return false;
+    }
+    lease->promised_us = node_now_us(planner->node) + KEYLEASE_PROMISE_US +
+                         PROMISE_MARGIN_US;
+    return true;
+}
+
+/** Whether the holder of the row counts on this instance's promise. */
+static bool
+names_self(const struct planner *planner, const struct rowstore_row *row)
+{
+    bool found = false;
+    json_t *document = json_loadb(row->value, row->size, 0, NULL);
+    const json_t *peers = json_object_get(document, "peers");
+    for (size_t i = 0; i < json_array_size(peers); i++) {
+        const char *name = json_string_value(json_array_get(peers, i));
+        found = found || (name != NULL &&
+                          strcmp(name, planner->node->settings.instance) ==
+                              0);
+    }
+    json_decref(document);
+    return found;
+}
+
+static void
+on_read(void *ctx, const struct rowstore_result *result)
+{
+    struct watched_lease *lease = ctx;
+    struct planner *planner = lease->planner;
+    const int64_t now_us = node_now_us(planner->node);
+    lease->call = NULL;
+    if (result->outcome != ROWSTORE_DONE) {
+        return;
+    }
+    uint64_t version = 0;
+    bool is_peer = false;
+    for (size_t i = 0; i < result->row_count; i++) {
+        if (strcmp(result->rows[i].key, lease->instance) == 0) {
+            version = result->rows[i].version;
+            is_peer = names_self(planner, &result->rows[i]);
+        }
+    }
+    if (!lease->read || version != lease->version) {
+        lease->read = true;
+        lease->version = version;
+        lease->since_us = now_us;
+    }
+    lease->is_peer = is_peer;
+}
+
+static void
+read_lease(struct watched_lease *lease, int64_t now_us)
+{
+    const struct rowstore *store = &lease->planner->node->options.store;
+    char end[KEYMAP_NAME_MAX + 2];
+    if (lease->call != NULL || now_us < lease->reads_us) {
+        return;
+    }
+    snprintf(end, sizeof(end), "%s\x01", lease->instance);
+    const struct rowstore_range range = {
+        .table = NODE_LEASE_TABLE,
+        .from = lease->instance,
+        .to = end,
+    };
+    lease->reads_us = now_us + REREAD_US;
+    lease->call = store->ops->read(store->impl, &range, READ_TIMEOUT_US,
+                                   on_read, lease);
+}
+
+/** Writes the map without the keys of the lease's holder. */
+static void
+take(struct watched_lease *lease, const struct node_keys *keys)
+{
+    static const struct keymap_holder nobody;
+    struct planner *planner = lease->planner;
+    struct keymap map;
+    keymap_copy(&map, &keys->map);
+    for (size_t i = 0; i < map.count; i++) {
+        const struct keymap_segment *segment = &map.segments[i];
+        if (strcmp(segment->holder.instance, lease->instance) == 0) {
+            keymap_assign(&map, segment->first, segment->last, &nobody, NULL);
+        }
+    }
+    LOG_WARN("keys_taken", LOG_STR("peer", lease->instance),
+             LOG_UINT("lease_version", lease->version),
+             LOG_INT("watched_ms",
+                     (node_now_us(planner->node) - lease->since_us) /
+                         US_PER_MS));
+    lease->taking = true;
+    planner->takes->value++;
+    planner_write(planner, &map, lease);
+    keymap_clear(&map);
+}
+
+/** True if the lease is over, whatever its holder believes. */
+static bool
+is_over(const struct watched_lease *lease, int64_t now_us)
+{
+    if (!lease->read || now_us < lease->promised_us) {
+        return false;
+    }
+    if (lease->version == 0) {
+        return true;
+    }
+    /* Who is not asked for promises waits for the time in which they could
+     * stand in for the store. */
+    const int64_t wait_us = lease->is_peer ? KEYLEASE_TAKE_US
+                                           : KEYLEASE_TAKE_US +
+                                                 KEYLEASE_PROMISED_MAX_US;
+    return now_us - lease->since_us >= wait_us;
+}
+
+static void
+watch_owner(struct planner *planner, const struct node_keys *keys,
+            const char *instance, int64_t now_us)
+{
+    struct watched_lease *lease = lease_of(planner, instance);
+    if (!lease->wanted) {
+        lease->wanted = true;
+        lease->read = false;
+        lease->reads_us = 0;
+    }
+    if (is_over(lease, now_us) && planner->map_call == NULL) {
+        take(lease, keys);
+        return;
+    }
+    read_lease(lease, now_us);
+}
+
+void
+plannertake_go_on(struct planner *planner)
+{
+    const struct node *node = planner->node;
+    const struct node_keys *keys = planner_keys(planner);
+    const int64_t now_us = node_now_us(node);
+    struct watched_lease *lease;
+    LIST_FOREACH (lease, &planner->leases, link) {
+        if (!planner_is_lost(planner, lease->instance)) {
+            lease->wanted = false;
+        }
+    }
+    for (size_t i = 0; i < keys->map.count; i++) {
+        const char *owner = keys->map.segments[i].holder.instance;
+        const struct roster_instance *instance =
+            roster_find(&node->roster, owner);
+        const bool lost = owner[0] != '\0' &&
+                          strcmp(owner, node->settings.instance) != 0 &&
+                          (instance == NULL ||
+                           instance->notice.state == ROSTER_ABSENT ||
+                           planner_is_lost(planner, owner));
+        if (lost) {
+            watch_owner(planner, keys, owner, now_us);
+            if (planner->map_call != NULL) {
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/packages/node/relaytask.c
@@ -0,0 +1,388 @@
+#include "node/relaytask.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/queue.h>
+
+#define LOG_MODULE "relay"
+#include "base/log.h"
+#include "base/memory.h"
+#include "fleet/keyload.h"
+#include "node/keeper.h"
+#include "node/localgate.h"
+#include "node/localtarget.h"
+#include "node/node_internal.h"
+#include "node/planner.h"
+#include "protocol/procedures.h"
+
+#define ASK_TIMEOUT_US (600 * US_PER_MS)
+
+struct relay_send {
+    LIST_ENTRY(relay_send) link;
+    struct relaytask *relay;
+    struct localgate_call *local; /* NULL: to another instance */
+    struct rpc_call *remote;
+    relay_send_cb done;
+    void *ctx;
+};
+
+/* A short question to another instance. */
+struct relay_question {
+    LIST_ENTRY(relay_question) link;
+    struct relaytask *relay;
+    struct rpc_call *call;
+    char instance[KEYMAP_NAME_MAX + 1];
+    void (*promised)(void *ctx, bool promised);
+    relay_loads_cb loads;
+    void *ctx;
+};
+
+LIST_HEAD(relay_sends, relay_send);
+LIST_HEAD(relay_questions, relay_question);
+
+struct relaytask {
+    struct node *node;
+    struct relay_sends sends;
+    struct relay_questions questions;
+};
+
+static void
+send_end(struct relay_send *send, enum rpc_status status,
+         const struct relay_reply *reply)
+{
+    const relay_send_cb done = send->done;
+    void *ctx = send->ctx;
+    LIST_REMOVE(send, link);
+    free(send);
+    done(ctx, status, reply);
+}
+
+static void
+on_local(void *ctx, const struct relay_reply *reply)
+{
+    send_end(ctx, RPC_OK, reply);
+}
+
+static void
+on_remote(void *ctx, enum rpc_status status, const void *result)
+{
+    send_end(ctx, status, result);
+}
+
+struct relay_send *
+relaytask_send(struct relaytask *relay,
+               const struct roster_instance *instance,
+               const struct relay_request *request, int64_t timeout_us,
+               relay_send_cb done, void *ctx)
+{
+    struct node *node = relay->node;
+    struct relay_send *send = memory_zeroed(1, sizeof(*send));
+    send->relay = relay;
+    send->done = done;
+    send->ctx = ctx;
+    LIST_INSERT_HEAD(&relay->sends, send, link);
+    if (strcmp(instance->notice.instance, node->settings.instance) == 0) {
+        send->local = localgate_submit(node->gate, request, on_local, send);
+        return send;
+    }
+    const struct rpc_call_spec spec = {
+        .peer = &instance->notice.address,
+        .channel = RPC_TCP,
+        .procedure = PROCEDURE_RELAY,
+        .encode_args = (xdrproc_t)xdr_relay_request,
+        .args = request,
+        .decode_result = (xdrproc_t)xdr_relay_reply,
+        .result_size = sizeof(struct relay_reply),
+        .timeout_us = timeout_us,
+        .done = on_remote,
+        .ctx = send,
+    };
+    send->remote = rpc_call_start(node->rpc, &spec);
+    return send;
+}
+
+void
+relaytask_cancel(struct relay_send *send)
+{
+    if (send->local != NULL) {
+        localgate_cancel(send->local);
+    }
+    else {
+        rpc_call_cancel(send->remote);
+    }
+    LIST_REMOVE(send, link);
+    free(send);
+}
+
+static void
+serve_reply(void *ctx, const struct relay_reply *reply)
+{
+    rpc_request_reply(ctx, reply);
+}
+
+static void
+serve_relay(void *ctx, struct rpc_request *request, const void *args)
+{
+    struct relaytask *relay = ctx;
+    rpc_request_set_data(request, localgate_submit(relay->node->gate, args,
+                                                   serve_reply, request));
+}
+
+static void
+serve_relay_cancelled(void *ctx, struct rpc_request *request)
+{
+    (void)ctx;
+    localgate_cancel(rpc_request_data(request));
+    rpc_request_drop(request);
+}
+
+static void
+serve_loads(void *ctx, struct rpc_request *request, const void *args)
+{
+    struct relaytask *relay = ctx;
+    struct node *node = relay->node;
+    struct keyload_step steps[KEYLOAD_STEPS_MAX];
+    (void)args;
+    const size_t count = keeper_steps(node->keeper, steps);
+    struct relay_loads loads = {
+        .instance = node->settings.instance,
+        .slots = localtarget_slots(node->target),
+        .service_us = (u_quad_t)localgate_service_us(node->gate),
+        .cold = localgate_is_cold(node->gate),
+        .serving = localtarget_serves(node->target),
+        .steps = {(u_int)count, memory_zeroed(count + 1, sizeof(relay_step))},
+    };
+    for (size_t i = 0; i < count; i++) {
+        loads.steps.steps_val[i].first = steps[i].first;
+        loads.steps.steps_val[i].load = steps[i].load;
+    }
+    rpc_request_reply(request, &loads);
+    free(loads.steps.steps_val);
+}
+
+static void
+serve_move(void *ctx, struct rpc_request *request, const void *args)
+{
+    struct relaytask *relay = ctx;
+    const struct relay_move *move = args;
+    struct keymap_holder to = {.born_ms = move->born_ms};
+    snprintf(to.instance, sizeof(to.instance), "%s", move->instance);
+    snprintf(to.target, sizeof(to.target), "%s", move->target);
+    struct relay_promised reply = {.promised = false};
+    if (move->first <= move->last && move->last < DECLARED_KEYS) {
+        reply.promised =
+            keeper_move(relay->node->keeper, move->first, move->last, &to);
+    }
+    rpc_request_reply(request, &reply);
+}
+
+static void
+serve_promise(void *ctx, struct rpc_request *request, const void *args)
+{
+    struct relaytask *relay = ctx;
+    const struct relay_promise *promise = args;
+    struct relay_promised reply = {
+        .promised = planner_promise(relay->node->planner, promise->instance),
+    };
+    rpc_request_reply(request, &reply);
+}
+
+static void
+serve(struct relaytask *relay)
+{
+    const struct rpc_procedure procedures[] = {
+        {
+            .number = PROCEDURE_RELAY,
+            .decode_args = (xdrproc_t)xdr_relay_request,
+            .args_size = sizeof(struct relay_request),
+            .encode_result = (xdrproc_t)xdr_relay_reply,
+            .handle = serve_relay,
+            .cancelled = serve_relay_cancelled,
+        },
+        {
+            .number = PROCEDURE_LOADS,
+            .decode_args = (xdrproc_t)xdr_relay_promise,
+            .args_size = sizeof(struct relay_promise),
+            .encode_result = (xdrproc_t)xdr_relay_loads,
+            .handle = serve_loads,
+        },
+        {
+            .number = PROCEDURE_MOVE,
+            .decode_args = (xdrproc_t)xdr_relay_move,
+            .args_size = sizeof(struct relay_move),
+            .encode_result = (xdrproc_t)xdr_relay_promised,
+            .handle = serve_move,
+        },
+        {
+            .number = PROCEDURE_PROMISE,
+            .decode_args = (xdrproc_t)xdr_relay_promise,
+            .args_size = sizeof(struct relay_promise),
+            .encode_result = (xdrproc_t)xdr_relay_promised,
+            .handle = serve_promise,
+        },
+    };
+    for (size_t i = 0; i < sizeof(procedures) / sizeof(procedures[0]); i++) {
+        struct rpc_procedure procedure = procedures[i];
+        procedure.channel = RPC_TCP;
+        procedure.ctx = relay;
+        rpc_node_serve(relay->node->rpc, &procedure);
+    }
+}
+
+struct relaytask *
+relaytask_create(struct node *node)
+{
+    struct relaytask *relay = memory_zeroed(1, sizeof(*relay));
+    relay->node = node;
+    serve(relay);
+    return relay;
+}
+
+void
+relaytask_destroy(struct relaytask *relay)
+{
+    if (relay == NULL) {
+        return;
+    }
+    struct relay_send *send;
+    while ((send = LIST_FIRST(&relay->sends)) != NULL) {
+        relaytask_cancel(send);
+    }
+    struct relay_question *question;
+    while ((question = LIST_FIRST(&relay->questions)) != NULL) {
+        rpc_call_cancel(question->call);
+        LIST_REMOVE(question, link);
+        free(question);
+    }
+    free(relay);
+}
+
+static struct relay_question *
+question_create(struct relaytask *relay, const char *instance, void *ctx)
+{
+    struct relay_question *question = memory_zeroed(1, sizeof(*question));
+    question->relay = relay;
+    question->ctx = ctx;
+    snprintf(question->instance, sizeof(question->instance), "%s", instance);
+    LIST_INSERT_HEAD(&relay->questions, question, link);
+    return question;
+}
+
+static void
+question_ask(struct relay_question *question, struct rpc_call_spec *spec)
+{
+    spec->channel = RPC_TCP;
+    spec->timeout_us = ASK_TIMEOUT_US;
+    spec->ctx = question;
+    question->call = rpc_call_start(question->relay->node->rpc, spec);
+}
+
+static void
+on_promise(void *ctx, enum rpc_status status, const void *result)
+{
+    struct relay_question *question = ctx;
+    const struct relay_promised *reply = result;
+    LIST_REMOVE(question, link);
+    question->promised(question->ctx, status == RPC_OK && reply->promised);
+    free(question);
+}
+
+void
+relaytask_ask_promise(struct relaytask *relay, const char *instance,
+                      void (*done)(void *ctx, bool promised), void *ctx)
+{
+    const struct roster_instance *peer =
+        roster_find(&relay->node->roster, instance);
+    if (peer == NULL) {
+        done(ctx, false);
+        return;
+    }
+    struct relay_question *question = question_create(relay, instance, ctx);
+    question->promised = done;
+    const struct relay_promise promise = {
+        .instance = relay->node->settings.instance,
+    };
+    struct rpc_call_spec spec = {
+        .peer = &peer->notice.address,
+        .procedure = PROCEDURE_PROMISE,
+        .encode_args = (xdrproc_t)xdr_relay_promise,
+        .args = &promise,
+        .decode_result = (xdrproc_t)xdr_relay_promised,
+        .result_size = sizeof(struct relay_promised),
+        .done = on_promise,
+    };
+    question_ask(question, &spec);
+}
+
+static void
+on_loads(void *ctx, enum rpc_status status, const void *result)
+{
+    struct relay_question *question = ctx;
+    LIST_REMOVE(question, link);
+    question->loads(question->ctx, question->instance,
+                    status == RPC_OK ? result : NULL);
+    free(question);
+}
+
+void
+relaytask_ask_loads(struct relaytask *relay,
+                    const struct roster_instance *instance,
+                    relay_loads_cb done, void *ctx)
+{
+    struct relay_question *question =
+        question_create(relay, instance->notice.instance, ctx);
+    question->loads = done;
+    const struct relay_promise asker = {
+        .instance = relay->node->settings.instance,
+    };
+    struct rpc_call_spec spec = {
+        .peer = &instance->notice.address,
+        .procedure = PROCEDURE_LOADS,
+        .encode_args = (xdrproc_t)xdr_relay_promise,
+        .args = &asker,
+        .decode_result = (xdrproc_t)xdr_relay_loads,
+        .result_size = sizeof(struct relay_loads),
+        .done = on_loads,
+    };
+    question_ask(question, &spec);
+}
+
+static void
+on_move(void *ctx, enum rpc_status status, const void *result)
+{
+    struct relay_question *question = ctx;
+    const struct relay_promised *reply = result;
+    LIST_REMOVE(question, link);
+    if (status != RPC_OK || !reply->promised) {
+        LOG_INFO("move_declined", LOG_STR("instance", question->instance),
+                 LOG_INT("status", status));
+    }
+    free(question);
+}
+
+void
+relaytask_order_move(struct relaytask *relay,
+                     const struct roster_instance *instance, uint32_t first,
+                     uint32_t last, const struct keymap_holder *to)
+{
+    struct relay_question *question =
+        question_create(relay, instance->notice.instance, NULL);
+    const struct relay_move move = {
+        .first = first,
+        .last = last,
+        .instance = (char *)to->instance,
+        .target = (char *)to->target,
+        .born_ms = to->born_ms,
+    };
+    struct rpc_call_spec spec = {
+        .peer = &instance->notice.address,
+        .procedure = PROCEDURE_MOVE,
+        .encode_args = (xdrproc_t)xdr_relay_move,
+        .args = &move,
+        .decode_result = (xdrproc_t)xdr_relay_promised,
+        .result_size = sizeof(struct relay_promised),
+        .done = on_move,
+    };
+    question_ask(question, &spec);
+}
--- /dev/null
+++ b/packages/node/relaytask.h
@@ -0,0 +1,59 @@
+/**
+ * @file
+ * Calls between instances: requests for a target, loads of keys, moves and
+ * promises.
+ */
+#ifndef CHESTNUTGAP_NODE_RELAYTASK_H
+#define CHESTNUTGAP_NODE_RELAYTASK_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "fleet/keymap.h"
+#include "fleet/roster.h"
+#include "protocol/generated/relay.h"
+#include "protocol/rpc.h"
+
+struct node;
+struct relaytask;
+
+/** A request that was passed on and is not answered. */
+struct relay_send;
+
+/** How it ended; reply is NULL unless status is RPC_OK. Never called within
+ * relaytask_send(). */
+typedef void (*relay_send_cb)(void *ctx, enum rpc_status status,
+                              const struct relay_reply *reply);
+
+/** Serves the procedures. Aborts when memory is short. */
+struct relaytask *relaytask_create(struct node *node);
+void relaytask_destroy(struct relaytask *relay);
+
+/** request must stay valid until the end or the cancellation. */
+struct relay_send *relaytask_send(struct relaytask *relay,
+                                  const struct roster_instance *instance,
+                                  const struct relay_request *request,
+                                  int64_t timeout_us, relay_send_cb done,
+                                  void *ctx);
+void relaytask_cancel(struct relay_send *send);
+
+/** Asks an instance not to take this one's keys for a while. */
+void relaytask_ask_promise(struct relaytask *relay, const char *instance,
+                           void (*done)(void *ctx, bool promised), void *ctx);
+
+/** loads is NULL if there was no answer. */
+typedef void (*relay_loads_cb)(void *ctx, const char *instance,
+                               const struct relay_loads *loads);
+
+/** Asks an instance how busy its keys are. */
+void relaytask_ask_loads(struct relaytask *relay,
+                         const struct roster_instance *instance,
+                         relay_loads_cb done, void *ctx);
+
+/** Tells an instance to hand keys over. */
+void relaytask_order_move(struct relaytask *relay,
+                          const struct roster_instance *instance,
+                          uint32_t first, uint32_t last,
+                          const struct keymap_holder *to);
+
+#endif
--- /dev/null
+++ b/packages/node/rowwatch.c
@@ -0,0 +1,311 @@
+#include "node/rowwatch.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <sys/queue.h>
+
+#define LOG_MODULE "rowwatch"
+#include "base/log.h"
+#include "base/memory.h"
+#include "base/runtime.h"
+
+#define READ_TIMEOUT_US (1500 * US_PER_MS)
+#define FEED_WAIT_US (25 * US_PER_SECOND)
+#define FEED_TIMEOUT_US (FEED_WAIT_US + 3 * US_PER_SECOND)
+#define RETRY_MIN_US (50 * US_PER_MS)
+#define RETRY_MAX_US (400 * US_PER_MS)
+#define KEY_AFTER "\x01" /* makes the key that follows one */
+
+/* A row that was reported. */
+struct known_row {
+    LIST_ENTRY(known_row) link;
+    uint64_t version;
+    uint64_t reading; /* the last reading that showed it */
+    bool removed;
+    char key[];
+};
+
+LIST_HEAD(known_rows, known_row);
+
+struct rowwatch {
+    struct rowwatch_options options;
+    struct known_rows rows;
+    struct rowstore_call *call;
+    struct timer retry;
+    int64_t retry_us;
+    uint64_t version;         /* reported up to here */
+    uint64_t reading;         /* number of the present reading */
+    uint64_t reading_version; /* of its first answer */
+    char *next_key;           /* of the reading */
+    bool reading_due;         /* before the feed goes on */
+    bool reachable;
+    bool reachable_known;
+};
+
+static void watch_go_on(struct rowwatch *watch);
+
+static void
+on_retry(void *ctx)
+{
+    watch_go_on(ctx);
+}
+
+struct rowwatch *
+rowwatch_create(const struct rowwatch_options *options)
+{
+    struct rowwatch *watch = memory_zeroed(1, sizeof(*watch));
+    watch->options = *options;
+    watch->retry_us = RETRY_MIN_US;
+    watch->reading_due = true;
+    timer_init(&watch->retry, options->runtime, on_retry, watch);
+    timer_start(&watch->retry, 0);
+    return watch;
+}
+
+static void
+watch_cancel(struct rowwatch *watch)
+{
+    timer_stop(&watch->retry);
+    if (watch->call != NULL) {
+        watch->options.store->ops->cancel(watch->options.store->impl,
+                                          watch->call);
+        watch->call = NULL;
+    }
+}
+
+void
+rowwatch_destroy(struct rowwatch *watch)
+{
+    if (watch == NULL) {
+        return;
+    }
+    watch_cancel(watch);
+    struct known_row *row;
+    while ((row = LIST_FIRST(&watch->rows)) != NULL) {
+        LIST_REMOVE(row, link);
+        free(row);
+    }
+    free(watch->next_key);
+    free(watch);
+}
+
+static struct known_row *
+find_row(const struct rowwatch *watch, const char *key)
+{
+    struct known_row *row;
+    LIST_FOREACH (row, &watch->rows, link) {
+        if (strcmp(row->key, key) == 0) {
+            return row;
+        }
+    }
+    return NULL;
+}
+
+static void
+set_reachable(struct rowwatch *watch, bool reachable)
+{
+    if (watch->reachable_known && watch->reachable == reachable) {
+        return;
+    }
+    watch->reachable_known = true;
+    watch->reachable = reachable;
+    if (watch->options.reachable != NULL) {
+        watch->options.reachable(watch->options.ctx, reachable);
+    }
+}
+
+/** Reports a row if it is newer than what was reported. */
+static void
+report_row(struct rowwatch *watch, const struct rowstore_row *row)
+{
+    struct known_row *known = find_row(watch, row->key);
+    if (known == NULL) {
+        const size_t size = strlen(row->key) + 1;
+        known = memory_zeroed(1, sizeof(*known) + size);
+        memcpy(known->key, row->key, size);
+        known->removed = true;
+        LIST_INSERT_HEAD(&watch->rows, known, link);
+    }
+    known->reading = watch->reading;
+    if (row->version <= known->version) {
+        return;
+    }
+    const bool was_removed = known->removed;
+    known->version = row->version;
+    known->removed = row->removed;
+    if (!was_removed || !row->removed) {
+        watch->options.row(watch->options.ctx, row);
+    }
+}
+
+void
+rowwatch_note(struct rowwatch *watch, const struct rowstore_row *row)
+{
+    report_row(watch, row);
+}
+
+uint64_t
+rowwatch_row_version(const struct rowwatch *watch, const char *key)
+{
+    const struct known_row *row = find_row(watch, key);
+    return row != NULL && !row->removed ? row->version : 0;
+}
+
+/** Reports rows as removed that a whole reading did not show. */
+static void
+report_missing(struct rowwatch *watch)
+{
+    struct known_row *row;
+    LIST_FOREACH (row, &watch->rows, link) {
+        if (row->removed || row->reading == watch->reading ||
+            row->version > watch->reading_version) {
+            continue;
+        }
+        row->removed = true;
+        row->version = watch->reading_version;
+        watch->options.row(watch->options.ctx,
+                           &(struct rowstore_row){
+                               .key = row->key,
+                               .version = watch->reading_version,
+                               .removed = true,
+                               .value = "",
+                           });
+    }
+}
+
+static void
+retry_later(struct rowwatch *watch)
+{
+    timer_start(&watch->retry, watch->retry_us);
+    watch->retry_us *= 2;
+    if (watch->retry_us > RETRY_MAX_US) {
+        watch->retry_us = RETRY_MAX_US;
+    }
+}
+
+static void
+settle(struct rowwatch *watch, uint64_t version)
+{
+    if (version > watch->version) {
+        watch->version = version;
+    }
+    watch->retry_us = RETRY_MIN_US;
+    set_reachable(watch, true);
+    watch->options.settled(watch->options.ctx);
+}
+
+static void
+finish_reading(struct rowwatch *watch)
+{
+    report_missing(watch);
+    free(watch->next_key);
+    watch->next_key = NULL;
+    watch->reading_due = false;
+    settle(watch, watch->reading_version);
+}
+
+static void
+on_read(void *ctx, const struct rowstore_result *result)
+{
+    struct rowwatch *watch = ctx;
+    watch->call = NULL;
+    if (result->outcome != ROWSTORE_DONE) {
+        set_reachable(watch, false);
+        retry_later(watch);
+        return;
+    }
+    if (watch->next_key == NULL) {
+        watch->reading_version = result->version;
+    }
+    if (result->version < watch->version) {
+        /* A stale answer: rows could seem to be gone. */
+        retry_later(watch);
+        return;
+    }
+    for (size_t i = 0; i < result->row_count; i++) {
+        report_row(watch, &result->rows[i]);
+    }
+    free(watch->next_key);
+    watch->next_key = NULL;
+    if (result->more && result->row_count > 0) {
+        const char *last = result->rows[result->row_count - 1].key;
+        const size_t size = strlen(last);
+        watch->next_key = memory_zeroed(size + sizeof(KEY_AFTER), 1);
+        memcpy(watch->next_key, last, size);
+        memcpy(watch->next_key + size, KEY_AFTER, sizeof(KEY_AFTER));
+    }
+    else {
+        finish_reading(watch);
+    }
+    watch_go_on(watch);
+}
+
+static void
+on_feed(void *ctx, const struct rowstore_result *result)
+{
+    struct rowwatch *watch = ctx;
+    watch->call = NULL;
+    switch (result->outcome) {
+    case ROWSTORE_DONE:
+        for (size_t i = 0; i < result->row_count; i++) {
+            report_row(watch, &result->rows[i]);
+        }
+        settle(watch, result->version);
+        watch_go_on(watch);
+        return;
+    case ROWSTORE_HISTORY_GONE:
+        LOG_INFO("history_gone", LOG_STR("table", watch->options.table),
+                 LOG_UINT("version", watch->version));
+        watch->reading_due = true;
+        watch_go_on(watch);
+        return;
+    default:
+        set_reachable(watch, false);
+        retry_later(watch);
+        return;
+    }
+}
+
+static void
+watch_go_on(struct rowwatch *watch)
+{
+    const struct rowstore *store = watch->options.store;
+    if (watch->call != NULL) {
+        return;
+    }
+    if (!watch->reading_due) {
+        /* After a failure the first call is short: it shows whether the
+         * store answers again. */
+        const bool known_good = watch->reachable;
+        const int64_t wait_us = known_good ? FEED_WAIT_US : 0;
+        watch->call = store->ops->feed(
+            store->impl, watch->options.table, watch->version, wait_us,
+            known_good ? FEED_TIMEOUT_US : READ_TIMEOUT_US, on_feed, watch);
+        return;
+    }
+    if (watch->next_key == NULL) {
+        watch->reading++;
+    }
+    const struct rowstore_range range = {
+        .table = watch->options.table,
+        .from = watch->next_key,
+    };
+    watch->call = store->ops->read(store->impl, &range, READ_TIMEOUT_US,
+                                   on_read, watch);
+}
+
+void
+rowwatch_refresh(struct rowwatch *watch)
+{
+    watch_cancel(watch);
+    free(watch->next_key);
+    watch->next_key = NULL;
+    watch->reading_due = true;
+    watch_go_on(watch);
+}
+
+uint64_t
+rowwatch_version(const struct rowwatch *watch)
+{
+    return watch->version;
+}
--- a/packages/protocol/procedures.h
+++ b/packages/protocol/procedures.h
@@ -18,6 +18,10 @@
     PROCEDURE_HANDOVER = 8, /* TCP: move.x, state of a shard that moves */
     PROCEDURE_RESERVE = 9,  /* TCP: move.x, asks a receiver first */
     PROCEDURE_PROBE = 10,   /* UDP: move.x, exchange of load reports */
+    PROCEDURE_RELAY = 11,   /* TCP: relay.x, a request for a target */
+    PROCEDURE_LOADS = 12,   /* TCP: relay.x, loads of keys */
+    PROCEDURE_MOVE = 13,    /* TCP: relay.x, keys to be handed over */
+    PROCEDURE_PROMISE = 14, /* TCP: relay.x, keys that are not taken */
 };
 
 #endif
