Node: deadlines end at the route's timeout; stops refuse what they can't finish

Cause: a request was given up 25 ms before its route's timeout, and one taken 4.8 s after SIGTERM was cut by the end of the process. Moves that began while the store was away left their keys unserved for up to 7 s.

Change: the target gets all the time that is left and the entry answers 8 ms after it; new requests are refused from 2.7 s after SIGTERM; a move begins only while the store answers and is undone when a write is refused. Tests of the decision units.

--- /dev/null
+++ b/packages/fleet/test/keymap_test.cc
@@ -0,0 +1,288 @@
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+#include <cstring>
+#include <map>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "base/random.h"
+#include "fleet/declared.h"
+#include "fleet/keylease.h"
+#include "fleet/keymap.h"
+#include "fleet/keyplan.h"
+}
+
+namespace {
+
+struct keymap_holder
+Holder(const std::string &name)
+{
+    struct keymap_holder holder = {};
+    strncpy(holder.instance, name.c_str(), KEYMAP_NAME_MAX);
+    strncpy(holder.target, ("t-" + name).c_str(), KEYMAP_NAME_MAX);
+    holder.born_ms = 5;
+    return holder;
+}
+
+/** Segments cover all keys once, and fences are below the next one. */
+void
+CheckWhole(const struct keymap &map)
+{
+    uint32_t first = 0;
+    for (size_t i = 0; i < map.count; i++) {
+        ASSERT_EQ(first, map.segments[i].first);
+        ASSERT_LE(map.segments[i].first, map.segments[i].last);
+        ASSERT_LT(map.segments[i].fence, map.next_fence);
+        first = map.segments[i].last + 1;
+    }
+    ASSERT_EQ(static_cast<uint32_t>(DECLARED_KEYS), first);
+}
+
+struct Keymap : testing::Test {
+    struct keymap map;
+    Keymap() { keymap_init(&map); }
+    ~Keymap() override { keymap_clear(&map); }
+};
+
+TEST_F(Keymap, EveryAssignmentHasAHigherFenceThanItsKeysEverHad)
+{
+    struct random_state random;
+    std::vector<uint64_t> fences(DECLARED_KEYS, 0);
+    random_seed(&random, 3);
+    for (int round = 0; round < 500; round++) {
+        const auto first =
+            static_cast<uint32_t>(random_below(&random, DECLARED_KEYS));
+        const uint32_t last =
+            first + static_cast<uint32_t>(
+                        random_below(&random, DECLARED_KEYS - first));
+        const struct keymap_holder to =
+            Holder(std::string(1, static_cast<char>(
+                                      'a' + random_below(&random, 5))));
+        keymap_assign(&map, first, last, &to, "token");
+        CheckWhole(map);
+        for (uint32_t key = first; key <= last; key += 97) {
+            const struct keymap_segment *segment = keymap_find(&map, key);
+            ASSERT_TRUE(keymap_holder_equal(&to, &segment->holder));
+            ASSERT_GT(segment->fence, fences[key]);
+            fences[key] = segment->fence;
+        }
+    }
+}
+
+TEST_F(Keymap, TextIsReadBackAndBadTextChangesNothing)
+{
+    const struct keymap_holder a = Holder("a");
+    keymap_assign(&map, 100, 200, &a, "tok");
+    char *text = keymap_print(&map);
+    struct keymap read;
+    keymap_init(&read);
+    ASSERT_TRUE(keymap_parse(&read, text, strlen(text), 9, nullptr));
+    EXPECT_EQ(9U, read.version);
+    EXPECT_EQ(map.next_fence, read.next_fence);
+    EXPECT_STREQ("tok", keymap_find(&read, 150)->token);
+    struct random_state random;
+    random_seed(&random, 11);
+    const std::string good = text;
+    for (int i = 0; i < 3000; i++) {
+        std::string bad = good;
+        for (int k = 0; k < 3; k++) {
+            bad[random_below(&random, bad.size())] =
+                static_cast<char>(random_below(&random, 256));
+        }
+        if (keymap_parse(&read, bad.data(), bad.size(), 9, nullptr)) {
+            CheckWhole(read);
+        }
+    }
+    EXPECT_FALSE(keymap_parse(&read, "{}", 2, 9, nullptr));
+    CheckWhole(read);
+    keymap_clear(&read);
+    free(text);
+}
+
+TEST_F(Keymap, NeighboursOfOneHolderAreJoinedWithANewFence)
+{
+    const struct keymap_holder a = Holder("a");
+    keymap_assign(&map, 0, 99, &a, "x");
+    keymap_assign(&map, 100, 199, &a, "y");
+    const uint64_t before = map.next_fence;
+    EXPECT_TRUE(keymap_join(&map, &a));
+    EXPECT_EQ(2U, map.count);
+    EXPECT_GE(map.segments[0].fence, before);
+    EXPECT_FALSE(keymap_join(&map, &a));
+    CheckWhole(map);
+}
+
+struct Plan : Keymap {
+    std::vector<struct keyplan_member> members;
+    struct keyload_curve *curve = keyload_curve_create();
+    std::vector<struct keyload_step> steps;
+    ~Plan() override { keyload_curve_destroy(curve); }
+
+    void Member(const std::string &name, bool takes = true,
+                bool leaves = false, double weight = 1)
+    {
+        members.push_back({Holder(name), weight, takes, leaves});
+    }
+
+    std::vector<struct keyplan_move> Make(double tolerance)
+    {
+        const struct keyplan_input input = {&map, members.data(),
+                                            members.size(), curve, tolerance};
+        std::vector<struct keyplan_move> moves(KEYPLAN_MOVES_MAX);
+        moves.resize(keyplan_make(&input, moves.data()));
+        for (const struct keyplan_move &move : moves) {
+            keymap_assign(&map, move.first, move.last, &move.to, nullptr);
+        }
+        CheckWhole(map);
+        return moves;
+    }
+
+    std::map<std::string, double> Loads()
+    {
+        std::map<std::string, double> loads;
+        for (size_t i = 0; i < map.count; i++) {
+            const struct keymap_segment &s = map.segments[i];
+            loads[s.holder.instance] +=
+                keyload_curve_between(curve, s.first, s.last);
+        }
+        return loads;
+    }
+};
+
+TEST_F(Plan, KeysWithoutOwnerAreSpreadByLoad)
+{
+    /* Two hundred neighbours have nearly half of all requests. */
+    const struct keyload_step hot[] = {
+        {0, 500}, {30000, 400}, {30200, 500}};
+    keyload_curve_add(curve, hot, 3);
+    for (const char *name : {"a", "b", "c", "d"}) {
+        Member(name);
+    }
+    EXPECT_GE(Make(0).size(), 4U);
+    const auto loads = Loads();
+    EXPECT_EQ(0U, loads.count(""));
+    for (const auto &load : loads) {
+        EXPECT_NEAR(load.second, 1490.0 / 4, 60) << load.first;
+    }
+}
+
+TEST_F(Plan, ALeavingOwnerGivesUpAllAndAnAbsentOneNothing)
+{
+    const struct keymap_holder a = Holder("a");
+    const struct keymap_holder gone = Holder("gone");
+    keymap_assign(&map, 0, 29999, &a, nullptr);
+    keymap_assign(&map, 30000, 65535, &gone, nullptr);
+    Member("a", false, true);
+    Member("b");
+    const auto moves = Make(0);
+    ASSERT_FALSE(moves.empty());
+    EXPECT_EQ(0.0, keymap_share(&map, "a"));
+    EXPECT_NEAR(30000.0 / 65536, keymap_share(&map, "b"), 1e-9);
+    EXPECT_NEAR(35536.0 / 65536, keymap_share(&map, "gone"), 1e-9);
+}
+
+TEST_F(Plan, LevellingMovesLittleAndOnlyWhenItIsWorthIt)
+{
+    Member("a");
+    Member("b");
+    const struct keyload_step even[] = {{0, 1000}};
+    keyload_curve_add(curve, even, 1);
+    const struct keymap_holder a = Holder("a");
+    const struct keymap_holder b = Holder("b");
+    keymap_assign(&map, 0, 35000, &a, nullptr);
+    keymap_assign(&map, 35001, 65535, &b, nullptr);
+    EXPECT_TRUE(Make(1.2).empty());
+    keymap_assign(&map, 0, 49999, &a, nullptr);
+    EXPECT_EQ(1U, Make(1.2).size());
+    EXPECT_NEAR(0.5, keymap_share(&map, "a"), 0.02);
+}
+
+TEST_F(Plan, AnySituationEndsWithEveryFreeKeyOwned)
+{
+    struct random_state random;
+    for (uint64_t seed = 1; seed <= 200; seed++) {
+        random_seed(&random, seed);
+        members.clear();
+        keymap_clear(&map);
+        keymap_init(&map);
+        const uint64_t count = 1 + random_below(&random, 8);
+        for (uint64_t i = 0; i < count; i++) {
+            Member("m" + std::to_string(i), i == 0 || seed % 3 != 0,
+                   i > 0 && random_chance(&random, 0.2),
+                   0.5 + random_unit(&random));
+            members.back().takes =
+                members.back().takes && !members.back().leaves;
+        }
+        for (int i = 0; i < 12; i++) {
+            const auto first = static_cast<uint32_t>(
+                random_below(&random, DECLARED_KEYS - 5000));
+            keymap_assign(&map, first, first + 4999,
+                          &members[random_below(&random, count)].holder,
+                          nullptr);
+        }
+        Make(1.2);
+        Make(1.2);
+        EXPECT_EQ(0U, Loads().count("")) << seed;
+        for (const auto &member : members) {
+            if (member.leaves) {
+                EXPECT_EQ(0.0, keymap_share(&map, member.holder.instance))
+                    << seed;
+            }
+        }
+    }
+}
+
+TEST(Keyload, StepsAddUpToWhatWasCountedAndHotKeysStandAlone)
+{
+    struct keyload *load = keyload_create();
+    std::vector<struct keyload_step> steps(KEYLOAD_STEPS_MAX);
+    for (int i = 0; i < 300; i++) {
+        keyload_count(load, 1000);
+        keyload_count(load, static_cast<uint32_t>(i * 211));
+    }
+    const size_t count = keyload_steps(load, steps.data());
+    uint32_t sum = 0;
+    bool alone = false;
+    for (size_t i = 0; i < count; i++) {
+        sum += steps[i].load;
+        alone = alone || (steps[i].first == 1000 && steps[i].load >= 300 &&
+                          steps[i + 1].first == 1001);
+    }
+    EXPECT_EQ(600U, sum);
+    EXPECT_TRUE(alone);
+    keyload_destroy(load);
+}
+
+TEST(Keylease, EndsALeaseAfterTheWriteThatBeganIt)
+{
+    struct keylease lease = {};
+    EXPECT_EQ(0, keylease_until_us(&lease));
+    EXPECT_TRUE(keylease_written(&lease, 1000, 5, 5));
+    EXPECT_EQ(1000 + KEYLEASE_US, keylease_until_us(&lease));
+    EXPECT_FALSE(keylease_written(&lease, 2000, 6, 6));
+    EXPECT_EQ(2000 + KEYLEASE_US, keylease_until_us(&lease));
+    EXPECT_EQ(5U, lease.since_version);
+    keylease_lost(&lease, 9);
+    EXPECT_EQ(0, keylease_until_us(&lease));
+    EXPECT_TRUE(keylease_written(&lease, 3000, 10, 10));
+    EXPECT_EQ(10U, lease.since_version);
+}
+
+TEST(Keylease, PromisesStandInForTheStoreOnlyForAWhile)
+{
+    struct keylease lease = {};
+    keylease_promised(&lease, 1000);
+    EXPECT_EQ(0, keylease_until_us(&lease));
+    keylease_written(&lease, 0, 5, 5);
+    keylease_promised(&lease, KEYLEASE_US);
+    EXPECT_EQ(KEYLEASE_US + KEYLEASE_PROMISE_US, keylease_until_us(&lease));
+    keylease_promised(&lease, KEYLEASE_US + KEYLEASE_PROMISED_MAX_US);
+    EXPECT_EQ(KEYLEASE_US + KEYLEASE_PROMISE_US, keylease_until_us(&lease));
+    /* Who takes keys watches the lease for longer than it lasts, also where
+     * the holder's clock is 2 % slow. */
+    EXPECT_GT(KEYLEASE_TAKE_US, KEYLEASE_US * 102 / 100);
+}
+
+} // namespace
--- /dev/null
+++ b/packages/fleet/test/slots_test.cc
@@ -0,0 +1,109 @@
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <deque>
+#include <vector>
+
+extern "C" {
+#include "base/random.h"
+#include "base/runtime.h"
+#include "fleet/slots.h"
+}
+
+namespace {
+
+constexpr int64_t MS = US_PER_MS;
+
+struct Slots : testing::Test {
+    struct slots *slots = slots_create(2);
+    std::deque<struct slots_entry> entries;
+    ~Slots() override { slots_destroy(slots); }
+
+    struct slots_entry *Entry(unsigned priority, int64_t due_us,
+                              int64_t give_up_us)
+    {
+        entries.push_back({});
+        entries.back().priority = priority;
+        entries.back().due_us = due_us;
+        entries.back().give_up_us = give_up_us;
+        return &entries.back();
+    }
+};
+
+TEST_F(Slots, RunsUpToTheLimitThenServesTheUrgentFirst)
+{
+    enum slots_verdict verdict;
+    struct slots_entry *a = Entry(1, 100 * MS, 900 * MS);
+    struct slots_entry *b = Entry(1, 100 * MS, 900 * MS);
+    EXPECT_EQ(SLOTS_START, slots_arrive(slots, a, 0));
+    EXPECT_EQ(SLOTS_START, slots_arrive(slots, b, 0));
+    struct slots_entry *late = Entry(1, 300 * MS, 900 * MS);
+    struct slots_entry *soon = Entry(1, 200 * MS, 900 * MS);
+    struct slots_entry *urgent = Entry(0, 500 * MS, 900 * MS);
+    EXPECT_EQ(SLOTS_WAIT, slots_arrive(slots, late, 0));
+    EXPECT_EQ(SLOTS_WAIT, slots_arrive(slots, soon, 0));
+    EXPECT_EQ(SLOTS_WAIT, slots_arrive(slots, urgent, 0));
+    EXPECT_EQ(nullptr, slots_next(slots, 1, &verdict));
+    for (struct slots_entry *next : {urgent, soon, late}) {
+        slots_leave(slots, a, 50 * MS, true);
+        a = slots_next(slots, 50 * MS, &verdict);
+        EXPECT_EQ(next, a);
+        EXPECT_EQ(SLOTS_START, verdict);
+    }
+}
+
+TEST_F(Slots, RefusesAtOnceWhatCannotStartInTime)
+{
+    slots_arrive(slots, Entry(1, 0, 900 * MS), 0);
+    slots_arrive(slots, Entry(1, 0, 900 * MS), 0);
+    EXPECT_EQ(SLOTS_REFUSE, slots_arrive(slots, Entry(1, 0, 1 * MS), 0));
+    EXPECT_GT(slots_wait_us(slots, 0), 0);
+}
+
+TEST_F(Slots, RefusesWhatHasWaitedTooLong)
+{
+    enum slots_verdict verdict;
+    slots_arrive(slots, Entry(1, 0, 900 * MS), 0);
+    slots_arrive(slots, Entry(1, 0, 900 * MS), 0);
+    struct slots_entry *waiting = Entry(1, 0, 200 * MS);
+    EXPECT_EQ(SLOTS_WAIT, slots_arrive(slots, waiting, 0));
+    EXPECT_EQ(200 * MS, slots_wake_us(slots, 0));
+    EXPECT_EQ(waiting, slots_next(slots, 200 * MS, &verdict));
+    EXPECT_EQ(SLOTS_REFUSE, verdict);
+    EXPECT_EQ(0U, slots_waiting(slots));
+}
+
+/** Whatever comes, no second sees more starts than a cold target bears. */
+TEST_F(Slots, AColdTargetGetsNoMoreThanItBearsInAnySecond)
+{
+    struct random_state random;
+    for (uint64_t seed = 1; seed <= 20; seed++) {
+        struct slots *cold = slots_create(1000);
+        std::vector<int64_t> starts;
+        std::deque<struct slots_entry> requests;
+        random_seed(&random, seed);
+        slots_set_cold(cold, 60 * US_PER_SECOND, 25);
+        int64_t now_us = 0;
+        while (now_us < 5 * US_PER_SECOND) {
+            enum slots_verdict verdict;
+            now_us += random_range(&random, 0, 10 * MS);
+            requests.push_back({});
+            requests.back().give_up_us = now_us + 300 * MS;
+            if (slots_arrive(cold, &requests.back(), now_us) == SLOTS_START) {
+                starts.push_back(now_us);
+            }
+            while (slots_next(cold, now_us, &verdict) != nullptr) {
+                if (verdict == SLOTS_START) {
+                    starts.push_back(now_us);
+                }
+            }
+        }
+        for (size_t i = 0; i + 25 < starts.size(); i++) {
+            EXPECT_GT(starts[i + 25] - starts[i], US_PER_SECOND);
+        }
+        EXPECT_GT(starts.size(), 90U);
+        slots_destroy(cold);
+    }
+}
+
+} // namespace
--- a/packages/node/ingress.c
+++ b/packages/node/ingress.c
@@ -28,6 +28,9 @@
 #define HEDGE_LEFT_PERCENT 25 /* of the time, at least */
 #define CONDEMNED_MIN 3       /* targets that a request has stopped */
 #define REPEAT_LEFT_US (50 * US_PER_MS)
+/* A target answers by itself when the time is over. */
+#define ANSWER_GRACE_US (8 * US_PER_MS)
+#define STOP_RETRY_US (100 * US_PER_MS) /* another instance takes it */
 
 static void call_try(struct ingress_call *call);
 
@@ -414,6 +417,7 @@
         return;
     }
     call->reason = reply->reason;
+    call->timed_out = reply->reason == RELAY_REASON_DEADLINE;
     call->retry_after_us = (int64_t)reply->retry_after_us;
     call->reached += reply->reached ? 1 : 0;
     call->may_have_run =
@@ -445,7 +449,7 @@
     call->due_us = now_us + route->objective_us - spent_us;
     call->wait_until_us =
         now_us + route->objective_us * OWNER_WAIT_PERCENT / 100;
-    timer_start(&call->deadline, left_us);
+    timer_start(&call->deadline, left_us + ANSWER_GRACE_US);
 }
 
 static void
@@ -488,6 +492,11 @@
     struct ingress *ingress = node->ingress;
     struct wire_request read;
     ingress->requests->value++;
+    if (nodestop_refuses(node)) {
+        ingressanswer_reject(ingress, request, WIRE_REFUSED, STOP_RETRY_US,
+                             "the instance is about to stop");
+        return;
+    }
     if (node->declared == NULL) {
         ingressanswer_reject(ingress, request, WIRE_REFUSED, START_RETRY_US,
                              "no configuration is known yet");
--- a/packages/node/keeper.c
+++ b/packages/node/keeper.c
@@ -15,6 +15,7 @@
 #define HANDOVER_MAX_US (4 * US_PER_SECOND)
 /* A process that has just started does not know the grants of an earlier
  * one; none of them is longer. */
+#define STORE_SLACK_US (300 * US_PER_MS)
 #define FORMER_HOLD_US (3500 * US_PER_MS)
 
 static void on_tick(void *ctx);
@@ -91,6 +92,15 @@
     return node_now_us(keeper->node) < keylease_until_us(&keeper->lease);
 }
 
+bool
+keeper_store_answers(const struct keeper *keeper)
+{
+    const int64_t renewed_us = keeper->lease.stored_until_us - KEYLEASE_US;
+    return keeper->lease.held && keeper->lease_fresh &&
+           node_now_us(keeper->node) - renewed_us <
+               KEYLEASE_RENEW_US + STORE_SLACK_US;
+}
+
 bool
 keeper_may_grant(const struct keeper *keeper)
 {
@@ -357,7 +367,7 @@
             const struct keymap_holder *to)
 {
     const int64_t now_us = node_now_us(keeper->node);
-    if (!keeper_may_grant(keeper) ||
+    if (!keeper_may_grant(keeper) || !keeper_store_answers(keeper) ||
         !localtarget_present(keeper->node->target) ||
         !can_move(keeper, first, last, now_us)) {
         return false;
--- a/packages/node/keeper.h
+++ b/packages/node/keeper.h
@@ -53,6 +53,9 @@
 /** True if the target is held to own keys, by the map. */
 bool keeper_owns(const struct keeper *keeper);
 
+/** True if the store answers: a move that is begun now can be ended. */
+bool keeper_store_answers(const struct keeper *keeper);
+
 /** True if the lease was good just now. */
 bool keeper_has_lease(const struct keeper *keeper);
 
--- a/packages/node/keeper_internal.h
+++ b/packages/node/keeper_internal.h
@@ -79,6 +79,7 @@
     char *lease_text;   /**< of the call */
     char *lease_stored; /**< as the store has it */
     uint64_t lease_number;
+    bool lease_fresh; /**< the latest write took effect */
     unsigned promises_due;
     bool promises_failed;
     int64_t promises_begun_us;
@@ -87,6 +88,7 @@
     bool touched;        /**< no earlier process's write can take effect */
     bool touching;       /**< the call is for that */
     int64_t map_retry_us;
+    bool map_unsure; /**< an earlier write may still take effect */
     int64_t former_ends_us; /**< a former life may hold keys until then */
     struct counter *grants;
     struct counter *grants_failed;
--- a/packages/node/keeperlease.c
+++ b/packages/node/keeperlease.c
@@ -102,6 +102,7 @@
 {
     struct keeper *keeper = ctx;
     keeper->lease_call = NULL;
+    keeper->lease_fresh = result->outcome == ROWSTORE_DONE;
     switch (result->outcome) {
     case ROWSTORE_DONE:
         lease_written(keeper, result->version, result->version);
--- a/packages/node/keepermap.c
+++ b/packages/node/keepermap.c
@@ -47,6 +47,23 @@
     }
 }
 
+/** The store does not take the hand-overs: the target keeps the keys. */
+static void
+drop_handovers(struct keeper *keeper)
+{
+    struct handover *handover = TAILQ_FIRST(&keeper->handovers);
+    while (handover != NULL) {
+        struct handover *next = TAILQ_NEXT(handover, link);
+        if (handover->released) {
+            LOG_WARN("handover_dropped", LOG_UINT("first", handover->first),
+                     LOG_UINT("last", handover->last));
+            keepergrant_drop_handover(handover);
+        }
+        handover = next;
+    }
+    keepergrant_go_on(keeper);
+}
+
 static void
 on_written(void *ctx, const struct rowstore_result *result)
 {
@@ -61,6 +78,11 @@
         /* The same is written again under the same condition, until the
          * answer shows what became of it. */
         keeper->map_retry_us = node_now_us(keeper->node) + RETRY_US;
+        keeper->map_unsure =
+            keeper->map_unsure || result->outcome == ROWSTORE_UNKNOWN;
+        if (!keeper->map_unsure) {
+            drop_handovers(keeper);
+        }
         free(text);
         return;
     }
@@ -71,6 +93,7 @@
     row_key(key, keys);
     /* Either way no earlier write can take effect any more. */
     keeper->touched = true;
+    keeper->map_unsure = false;
     if (result->outcome == ROWSTORE_DONE) {
         rowwatch_note(keeper->node->fleet_watch, &(struct rowstore_row){
                                                      .key = key,
--- a/packages/node/localgate.c
+++ b/packages/node/localgate.c
@@ -12,10 +12,8 @@
 #include "node/node_internal.h"
 #include "node/ownrow.h"
 
-/* Time left for the answer's way back to the caller. */
-#define ANSWER_MARGIN_US (25 * US_PER_MS)
 /* The target answers by itself at the deadline that it was given. */
-#define TARGET_GRACE_US (10 * US_PER_MS)
+#define TARGET_GRACE_US (100 * US_PER_MS)
 /* A request that was cut so lately may have stopped the target. */
 #define CUT_ACCUSED_US (1500 * US_PER_MS)
 #define RECENT_CUTS 32
@@ -431,7 +429,7 @@
     call->key = request->key;
     call->keyed = request->keyed;
     call->fingerprint = request->fingerprint;
-    call->deadline_us = now_us + (int64_t)request->left_us - ANSWER_MARGIN_US;
+    call->deadline_us = now_us + (int64_t)request->left_us;
     strncpy(call->id, request->id, sizeof(call->id) - 1);
     call->entry.priority = request->priority;
     call->entry.due_us = now_us + request->due_us;
@@ -453,6 +451,12 @@
     struct localgate *gate = call->gate;
     const bool runs_on =
         call->state == CALL_SENT && !call->request->idempotent;
+    if (call->state == CALL_SENT) {
+        LOG_INFO("cancelled", LOG_STR("id", call->id),
+                 LOG_BOOL("runs_on", runs_on),
+                 LOG_INT("ran_ms", (now_of(gate) - call->entry.started_us) /
+                                       US_PER_MS));
+    }
     call->request = NULL;
     if (!runs_on) {
         call_free(call);
--- a/packages/node/localtarget.c
+++ b/packages/node/localtarget.c
@@ -134,7 +134,7 @@
              LOG_INT("born_ms", target->announced.born_ms),
              LOG_UINT("slots", target->announced.slots),
              LOG_INT("cold_left_ms",
-                     (target->cold_until_us - now_of(target)) / US_PER_MS));
+                     target->announced.cold_left_us / US_PER_MS));
 }
 
 /** The bound that holds now is told to the gate. */
--- a/packages/node/node_internal.h
+++ b/packages/node/node_internal.h
@@ -100,4 +100,7 @@
 void nodestop_begin(struct node *node);
 void nodestop_destroy(struct node *node);
 
+/** True when a new request could not be finished before the end. */
+bool nodestop_refuses(const struct node *node);
+
 #endif
--- a/packages/node/nodestop.c
+++ b/packages/node/nodestop.c
@@ -13,7 +13,9 @@
 /* Callers are told by then that this instance takes no new work. */
 #define NOTICE_US (2300 * US_PER_MS)
 /* Time kept of the grace for the end itself. */
-#define RESERVE_US (700 * US_PER_MS)
+#define RESERVE_US (300 * US_PER_MS)
+/* From then on new requests are refused, so that those in work end. */
+#define REFUSE_US (2700 * US_PER_MS)
 /* Keys stay with a target that lives if nobody takes them by then. */
 #define HANDOVER_US (3500 * US_PER_MS)
 
@@ -62,6 +64,12 @@
     timer_start(&node->stop_timer, CHECK_US);
 }
 
+bool
+nodestop_refuses(const struct node *node)
+{
+    return node->stopping && node_now_us(node) - node->stop_us >= REFUSE_US;
+}
+
 void
 nodestop_destroy(struct node *node)
 {
