Relay: calls name the instance that is meant; keys without owner go at once

Cause: an address is used again by a machine of another service.

Ruled out: the lease (it lapsed in time) and the plan (no keys were free).

Change: each call between instances carries the name that is meant, a newer row at the same address ends the older instance, keys without an owner do not wait for the pause between moves. Test: AnAddressThatIsUsedAgain.

--- a/packages/fleet/roster.c
+++ b/packages/fleet/roster.c
@@ -38,6 +38,20 @@
     return NULL;
 }
 
+/** Addresses are used again: who had this one before is gone. */
+static void
+supersede(struct roster *roster, const struct roster_instance *instance)
+{
+    struct roster_instance *other;
+    LIST_FOREACH (other, &roster->instances, link) {
+        if (other != instance && other->version < instance->version &&
+            address_equal(&other->notice.address,
+                          &instance->notice.address)) {
+            other->notice.state = ROSTER_ABSENT;
+        }
+    }
+}
+
 struct roster_instance *
 roster_update(struct roster *roster, const struct roster_notice *notice,
               uint64_t version)
@@ -64,6 +78,7 @@
     }
     instance->notice = *notice;
     instance->version = version;
+    supersede(roster, instance);
     return instance;
 }
 
--- a/packages/fleet/test/roster_test.cc
+++ b/packages/fleet/test/roster_test.cc
@@ -29,14 +29,18 @@
     struct roster_instance *Add(const std::string &name,
                                 const std::string &zone,
                                 enum roster_state state = ROSTER_SERVING,
-                                uint64_t version = 1)
+                                uint64_t version = 1,
+                                const std::string &given = "")
     {
+        const std::string address =
+            given.empty() ? "10.0.0." + std::to_string(name[0]) + ":7600"
+                          : given;
         struct roster_notice notice = {};
         strncpy(notice.instance, name.c_str(), KEYMAP_NAME_MAX);
         strncpy(notice.zone, zone.c_str(), KEYMAP_NAME_MAX);
         strncpy(notice.service, "s", KEYMAP_NAME_MAX);
         strncpy(notice.target, ("t-" + name).c_str(), KEYMAP_NAME_MAX);
-        address_parse("10.0.0.1:7600", &notice.address, nullptr);
+        address_parse(address.c_str(), &notice.address, nullptr);
         notice.slots = 10;
         notice.state = state;
         return roster_update(&roster, &notice, version);
@@ -102,6 +106,15 @@
     EXPECT_EQ(ROSTER_ABSENT, a->notice.state);
 }
 
+TEST_F(Roster, AnAddressThatIsUsedAgainEndsItsFormerInstance)
+{
+    struct roster_instance *a = Add("a", "z1", ROSTER_SERVING, 3, "10.1.1.1:1");
+    Add("b", "z1", ROSTER_SERVING, 5, "10.1.1.1:1");
+    EXPECT_EQ(ROSTER_ABSENT, a->notice.state);
+    Add("a", "z1", ROSTER_SERVING, 7, "10.1.1.1:1");
+    EXPECT_EQ(ROSTER_SERVING, a->notice.state);
+}
+
 TEST_F(Roster, RowsAreReadBackAndBadRowsRefused)
 {
     struct roster_instance *a = Add("a", "z1");
--- a/packages/node/ingress.c
+++ b/packages/node/ingress.c
@@ -234,6 +234,7 @@
     call->waits = false;
     call->tries++;
     call->instance = instance->notice.instance;
+    call->message.to = (char *)call->instance;
     call->message.left_us = (u_quad_t)(left_us > 0 ? left_us : 0);
     call->message.queue_us = (u_quad_t)queue_us(call, now_us);
     call->message.due_us = call->due_us - now_us;
--- a/packages/node/localgate.c
+++ b/packages/node/localgate.c
@@ -436,6 +436,10 @@
     call->entry.give_up_us = now_us + (int64_t)request->queue_us;
     timer_init(&call->timer, gate->node->runtime, on_call_timer, call);
     TAILQ_INSERT_TAIL(&gate->calls, call, link);
+    if (strcmp(request->to, gate->node->settings.instance) != 0) {
+        call_refuse_later(call, RELAY_REASON_NO_TARGET);
+        return call;
+    }
     if (call->deadline_us <= now_us || request->key >= DECLARED_KEYS) {
         call_refuse_later(call, RELAY_REASON_DEADLINE);
         return call;
--- a/packages/node/planner.c
+++ b/packages/node/planner.c
@@ -427,24 +427,27 @@
     }
 }
 
-/** True if some keys have no owner, or one who is to give them up. */
-static bool
-needs_owner(const struct keymap *map, const struct keyplan_member *members,
-            size_t count)
+/** What the map needs. */
+struct need {
+    bool owner; /* some keys have none */
+    bool leave; /* some are of an instance that is to give them up */
+};
+
+static struct need
+find_need(const struct keymap *map, const struct keyplan_member *members,
+          size_t count)
 {
+    struct need need = {.owner = false};
     for (size_t i = 0; i < map->count; i++) {
         const struct keymap_holder *holder = &map->segments[i].holder;
-        if (holder->instance[0] == '\0') {
-            return true;
-        }
+        need.owner = need.owner || holder->instance[0] == '\0';
         for (size_t k = 0; k < count; k++) {
-            if (members[k].leaves &&
-                keymap_holder_equal(&members[k].holder, holder)) {
-                return true;
-            }
+            need.leave = need.leave ||
+                         (members[k].leaves &&
+                          keymap_holder_equal(&members[k].holder, holder));
         }
     }
-    return false;
+    return need;
 }
 
 static void
@@ -454,21 +457,23 @@
     static struct keyplan_member members[MEMBERS_MAX];
     static struct keyplan_move moves[KEYPLAN_MOVES_MAX];
     const size_t count = list_members(planner, members);
-    const bool urgent = needs_owner(&keys->map, members, count);
-    const bool level = now_us >= planner->level_us;
-    if ((!urgent && !level) || now_us < planner->quiet_us) {
-        if (!urgent || keys->map.segments[0].holder.instance[0] != '\0') {
-            return;
-        }
+    const struct need need = find_need(&keys->map, members, count);
+    const bool quiet = now_us < planner->quiet_us;
+    const bool level = !need.owner && !need.leave && !quiet &&
+                       now_us >= planner->level_us;
+    if (!need.owner && (quiet || (!need.leave && !level))) {
+        return;
+    }
+    if (level) {
+        planner->level_us = now_us + LEVEL_US;
     }
-    planner->level_us = now_us + LEVEL_US;
     bool complete;
     const struct keyplan_input input = {
         .map = &keys->map,
         .members = members,
         .member_count = count,
         .curve = make_curve(planner, &complete),
-        .tolerance = level && complete && !urgent ? TOLERANCE : 0,
+        .tolerance = level && complete ? TOLERANCE : 0,
     };
     const size_t move_count = keyplan_make(&input, moves);
     keyload_curve_destroy(input.curve);
--- a/packages/node/relaytask.c
+++ b/packages/node/relaytask.c
@@ -28,8 +28,8 @@
 };
 
 /* A short question to another instance. */
-struct relay_question {
-    LIST_ENTRY(relay_question) link;
+struct relay_ask {
+    LIST_ENTRY(relay_ask) link;
     struct relaytask *relay;
     struct rpc_call *call;
     char instance[KEYMAP_NAME_MAX + 1];
@@ -39,12 +39,12 @@
 };
 
 LIST_HEAD(relay_sends, relay_send);
-LIST_HEAD(relay_questions, relay_question);
+LIST_HEAD(relay_asks, relay_ask);
 
 struct relaytask {
     struct node *node;
     struct relay_sends sends;
-    struct relay_questions questions;
+    struct relay_asks asks;
 };
 
 static void
@@ -137,13 +137,24 @@
     rpc_request_drop(request);
 }
 
+/** Whether a call is for this instance: addresses are used again. */
+static bool
+is_meant(const struct relaytask *relay, const char *to)
+{
+    return strcmp(to, relay->node->settings.instance) == 0;
+}
+
 static void
 serve_loads(void *ctx, struct rpc_request *request, const void *args)
 {
     struct relaytask *relay = ctx;
     struct node *node = relay->node;
+    const struct relay_question *question = args;
     struct keyload_step steps[KEYLOAD_STEPS_MAX];
-    (void)args;
+    if (!is_meant(relay, question->to)) {
+        rpc_request_drop(request);
+        return;
+    }
     const size_t count = keeper_steps(node->keeper, steps);
     struct relay_loads loads = {
         .instance = node->settings.instance,
@@ -170,7 +181,8 @@
     snprintf(to.instance, sizeof(to.instance), "%s", move->instance);
     snprintf(to.target, sizeof(to.target), "%s", move->target);
     struct relay_promised reply = {.promised = false};
-    if (move->first <= move->last && move->last < DECLARED_KEYS) {
+    if (is_meant(relay, move->to) && move->first <= move->last &&
+        move->last < DECLARED_KEYS) {
         reply.promised =
             keeper_move(relay->node->keeper, move->first, move->last, &to);
     }
@@ -181,9 +193,10 @@
 serve_promise(void *ctx, struct rpc_request *request, const void *args)
 {
     struct relaytask *relay = ctx;
-    const struct relay_promise *promise = args;
+    const struct relay_question *question = args;
     struct relay_promised reply = {
-        .promised = planner_promise(relay->node->planner, promise->instance),
+        .promised = is_meant(relay, question->to) &&
+                    planner_promise(relay->node->planner, question->from),
     };
     rpc_request_reply(request, &reply);
 }
@@ -202,8 +215,8 @@
         },
         {
             .number = PROCEDURE_LOADS,
-            .decode_args = (xdrproc_t)xdr_relay_promise,
-            .args_size = sizeof(struct relay_promise),
+            .decode_args = (xdrproc_t)xdr_relay_question,
+            .args_size = sizeof(struct relay_question),
             .encode_result = (xdrproc_t)xdr_relay_loads,
             .handle = serve_loads,
         },
@@ -216,8 +229,8 @@
         },
         {
             .number = PROCEDURE_PROMISE,
-            .decode_args = (xdrproc_t)xdr_relay_promise,
-            .args_size = sizeof(struct relay_promise),
+            .decode_args = (xdrproc_t)xdr_relay_question,
+            .args_size = sizeof(struct relay_question),
             .encode_result = (xdrproc_t)xdr_relay_promised,
             .handle = serve_promise,
         },
@@ -249,43 +262,43 @@
     while ((send = LIST_FIRST(&relay->sends)) != NULL) {
         relaytask_cancel(send);
     }
-    struct relay_question *question;
-    while ((question = LIST_FIRST(&relay->questions)) != NULL) {
-        rpc_call_cancel(question->call);
-        LIST_REMOVE(question, link);
-        free(question);
+    struct relay_ask *ask;
+    while ((ask = LIST_FIRST(&relay->asks)) != NULL) {
+        rpc_call_cancel(ask->call);
+        LIST_REMOVE(ask, link);
+        free(ask);
     }
     free(relay);
 }
 
-static struct relay_question *
-question_create(struct relaytask *relay, const char *instance, void *ctx)
+static struct relay_ask *
+ask_create(struct relaytask *relay, const char *instance, void *ctx)
 {
-    struct relay_question *question = memory_zeroed(1, sizeof(*question));
-    question->relay = relay;
-    question->ctx = ctx;
-    snprintf(question->instance, sizeof(question->instance), "%s", instance);
-    LIST_INSERT_HEAD(&relay->questions, question, link);
-    return question;
+    struct relay_ask *ask = memory_zeroed(1, sizeof(*ask));
+    ask->relay = relay;
+    ask->ctx = ctx;
+    snprintf(ask->instance, sizeof(ask->instance), "%s", instance);
+    LIST_INSERT_HEAD(&relay->asks, ask, link);
+    return ask;
 }
 
 static void
-question_ask(struct relay_question *question, struct rpc_call_spec *spec)
+ask_send(struct relay_ask *ask, struct rpc_call_spec *spec)
 {
     spec->channel = RPC_TCP;
     spec->timeout_us = ASK_TIMEOUT_US;
-    spec->ctx = question;
-    question->call = rpc_call_start(question->relay->node->rpc, spec);
+    spec->ctx = ask;
+    ask->call = rpc_call_start(ask->relay->node->rpc, spec);
 }
 
 static void
 on_promise(void *ctx, enum rpc_status status, const void *result)
 {
-    struct relay_question *question = ctx;
+    struct relay_ask *ask = ctx;
     const struct relay_promised *reply = result;
-    LIST_REMOVE(question, link);
-    question->promised(question->ctx, status == RPC_OK && reply->promised);
-    free(question);
+    LIST_REMOVE(ask, link);
+    ask->promised(ask->ctx, status == RPC_OK && reply->promised);
+    free(ask);
 }
 
 void
@@ -298,31 +311,32 @@
         done(ctx, false);
         return;
     }
-    struct relay_question *question = question_create(relay, instance, ctx);
-    question->promised = done;
-    const struct relay_promise promise = {
-        .instance = relay->node->settings.instance,
+    struct relay_ask *ask = ask_create(relay, instance, ctx);
+    ask->promised = done;
+    const struct relay_question question = {
+        .to = (char *)instance,
+        .from = relay->node->settings.instance,
     };
     struct rpc_call_spec spec = {
         .peer = &peer->notice.address,
         .procedure = PROCEDURE_PROMISE,
-        .encode_args = (xdrproc_t)xdr_relay_promise,
-        .args = &promise,
+        .encode_args = (xdrproc_t)xdr_relay_question,
+        .args = &question,
         .decode_result = (xdrproc_t)xdr_relay_promised,
         .result_size = sizeof(struct relay_promised),
         .done = on_promise,
     };
-    question_ask(question, &spec);
+    ask_send(ask, &spec);
 }
 
 static void
 on_loads(void *ctx, enum rpc_status status, const void *result)
 {
-    struct relay_question *question = ctx;
-    LIST_REMOVE(question, link);
-    question->loads(question->ctx, question->instance,
+    struct relay_ask *ask = ctx;
+    LIST_REMOVE(ask, link);
+    ask->loads(ask->ctx, ask->instance,
                     status == RPC_OK ? result : NULL);
-    free(question);
+    free(ask);
 }
 
 void
@@ -330,35 +344,36 @@
                     const struct roster_instance *instance,
                     relay_loads_cb done, void *ctx)
 {
-    struct relay_question *question =
-        question_create(relay, instance->notice.instance, ctx);
-    question->loads = done;
-    const struct relay_promise asker = {
-        .instance = relay->node->settings.instance,
+    struct relay_ask *ask =
+        ask_create(relay, instance->notice.instance, ctx);
+    ask->loads = done;
+    const struct relay_question question = {
+        .to = (char *)instance->notice.instance,
+        .from = relay->node->settings.instance,
     };
     struct rpc_call_spec spec = {
         .peer = &instance->notice.address,
         .procedure = PROCEDURE_LOADS,
-        .encode_args = (xdrproc_t)xdr_relay_promise,
-        .args = &asker,
+        .encode_args = (xdrproc_t)xdr_relay_question,
+        .args = &question,
         .decode_result = (xdrproc_t)xdr_relay_loads,
         .result_size = sizeof(struct relay_loads),
         .done = on_loads,
     };
-    question_ask(question, &spec);
+    ask_send(ask, &spec);
 }
 
 static void
 on_move(void *ctx, enum rpc_status status, const void *result)
 {
-    struct relay_question *question = ctx;
+    struct relay_ask *ask = ctx;
     const struct relay_promised *reply = result;
-    LIST_REMOVE(question, link);
+    LIST_REMOVE(ask, link);
     if (status != RPC_OK || !reply->promised) {
-        LOG_INFO("move_declined", LOG_STR("instance", question->instance),
+        LOG_INFO("move_declined", LOG_STR("instance", ask->instance),
                  LOG_INT("status", status));
     }
-    free(question);
+    free(ask);
 }
 
 void
@@ -366,9 +381,10 @@
                      const struct roster_instance *instance, uint32_t first,
                      uint32_t last, const struct keymap_holder *to)
 {
-    struct relay_question *question =
-        question_create(relay, instance->notice.instance, NULL);
+    struct relay_ask *ask =
+        ask_create(relay, instance->notice.instance, NULL);
     const struct relay_move move = {
+        .to = (char *)instance->notice.instance,
         .first = first,
         .last = last,
         .instance = (char *)to->instance,
@@ -384,5 +400,5 @@
         .result_size = sizeof(struct relay_promised),
         .done = on_move,
     };
-    question_ask(question, &spec);
+    ask_send(ask, &spec);
 }
--- a/packages/protocol/relay.x
+++ b/packages/protocol/relay.x
@@ -39,6 +39,7 @@
 };
 
 struct relay_request {
+    string to<RELAY_TEXT_MAX>;          /* instance that is meant */
     string service<RELAY_TEXT_MAX>;
     string caller<RELAY_TEXT_MAX>;      /* service where it began */
     string id<RELAY_TEXT_MAX>;
@@ -86,7 +87,7 @@
 
 /* Keys that are to be handed to another target. */
 struct relay_move {
-    unsigned hyper map_version;
+    string to<RELAY_TEXT_MAX>;          /* instance that is meant */
     unsigned int first;
     unsigned int last;
     string instance<RELAY_TEXT_MAX>;
@@ -94,9 +95,11 @@
     hyper born_ms;
 };
 
-/* Asks for the promise not to take the keys of an instance for a while. */
-struct relay_promise {
-    string instance<RELAY_TEXT_MAX>;
+/* A question of one instance to another: for its loads, or for the promise
+   not to take the asker's keys for a while. */
+struct relay_question {
+    string to<RELAY_TEXT_MAX>;          /* instance that is meant */
+    string from<RELAY_TEXT_MAX>;
 };
 
 struct relay_promised {
