Ingress: requests wait for room while their target can still answer

Cause: a request was refused after half of its objective, and the calls that running requests make after 75 ms, so that deposit-confirm failed with them.

--- a/packages/node/ingress.c
+++ b/packages/node/ingress.c
@@ -15,10 +15,9 @@
 #define BUDGET_RESERVE_MIN 3
 /* The gate answers by itself; its answer may come this much later. */
 #define SEND_MARGIN_US (60 * US_PER_MS)
-/* A request waits for room as long as its answer can still count in full:
- * this part of the objective is left for the target's work. */
-#define QUEUE_PERCENT 50
-#define QUEUE_MIN_PERCENT 10
+/* A request waits for room in this part of the time that it has, if the
+ * target can still answer then. */
+#define QUEUE_PERCENT 60
 /* How long a request waits for an owner of its key. */
 #define OWNER_WAIT_PERCENT 25
 #define OWNER_RECHECK_US (20 * US_PER_MS)
@@ -214,11 +213,11 @@
 static int64_t
 queue_us(const struct ingress_call *call, int64_t now_us)
 {
-    const int64_t least_us = call->objective_us * QUEUE_MIN_PERCENT / 100;
-    const int64_t most_us =
-        call->due_us - now_us -
-        call->objective_us * (100 - QUEUE_PERCENT) / 100;
-    return most_us > least_us ? most_us : least_us;
+    const int64_t left_us = call->deadline_us - now_us;
+    const int64_t most_us = left_us * QUEUE_PERCENT / 100;
+    const int64_t work_us = left_us - call->service_us;
+    const int64_t wait_us = work_us < most_us ? work_us : most_us;
+    return wait_us > 0 ? wait_us : 0;
 }
 
 static void
@@ -234,6 +233,7 @@
     call->waits = false;
     call->tries++;
     call->instance = instance->notice.instance;
+    call->service_us = instance->service_us;
     call->message.to = (char *)call->instance;
     call->message.left_us = (u_quad_t)(left_us > 0 ? left_us : 0);
     call->message.queue_us = (u_quad_t)queue_us(call, now_us);
@@ -467,6 +467,7 @@
     call->http = request;
     call->id = read->id != NULL ? read->id : "";
     call->attempts_max = route->attempts;
+    call->message.keyed = service->keyed;
     memcpy(call->service, service->name, sizeof(call->service));
     timer_init(&call->deadline, node->runtime, on_deadline, call);
     timer_init(&call->step, node->runtime, on_step, call);
@@ -474,9 +475,14 @@
     ingress->count++;
     http_request_set_data(request, call);
     ingressmessage_fill(call, read, route);
-    call->message.keyed = service->keyed;
     set_times(call, read, route);
     budget_earn(&ingress->budget);
+    if (service->keyed && !read->has_key) {
+        ingressanswer_reject(ingress, request, WIRE_INVALID, 0, "no key");
+        call->http = NULL;
+        call_free(call);
+        return;
+    }
     if (roster_accusers(&node->roster, call->message.fingerprint) >=
         CONDEMNED_MIN) {
         call->reason = RELAY_REASON_SUSPECT;
