--- a/packages/http/httpserver.c
+++ b/packages/http/httpserver.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/listener.h>
 
 #include "http/httpproblem.h"
@@ -243,6 +244,21 @@
     free(request);
 }
 
+bool
+http_server_is_flushed(const struct http_server *server)
+{
+    const struct http_connection *connection;
+    LIST_FOREACH (connection, &server->connections, link) {
+        const struct evbuffer *output =
+            bufferevent_get_output(connection->bev);
+        if (connection->pipelined > 0 || connection->receiving ||
+            evbuffer_get_length(output) > 0) {
+            return false;
+        }
+    }
+    return true;
+}
+
 void
 http_server_retire(struct http_server *server)
 {
--- a/packages/http/httpserver.h
+++ b/packages/http/httpserver.h
@@ -60,6 +60,9 @@
  * request was read. New connections are still accepted. */
 void http_server_retire(struct http_server *server);
 
+/** True if no request is in work and all answers were handed to the kernel. */
+bool http_server_is_flushed(const struct http_server *server);
+
 /** Closes everything at once and frees requests that are not answered. */
 void http_server_destroy(struct http_server *server);
 
--- a/packages/node/localgate.c
+++ b/packages/node/localgate.c
@@ -17,6 +17,7 @@
 /* A request that was cut so lately may have stopped the target. */
 #define CUT_ACCUSED_US (1500 * US_PER_MS)
 #define RECENT_CUTS 32
+#define LATE_US (60 * US_PER_SECOND)
 /* So many requests at once may still be in the dark; with more, a crash
  * says nothing of each. */
 #define ACCUSED_MAX 24
@@ -433,6 +434,10 @@
     strncpy(call->id, request->id, sizeof(call->id) - 1);
     call->entry.priority = request->priority;
     call->entry.due_us = now_us + request->due_us;
+    if (request->due_us < slots_service_us(gate->slots)) {
+        /* Its answer can't count in full any more: others go first. */
+        call->entry.due_us += LATE_US;
+    }
     call->entry.give_up_us = now_us + (int64_t)request->queue_us;
     timer_init(&call->timer, gate->node->runtime, on_call_timer, call);
     TAILQ_INSERT_TAIL(&gate->calls, call, link);
--- a/packages/node/node_internal.h
+++ b/packages/node/node_internal.h
@@ -75,7 +75,8 @@
     struct ingress *ingress;
     struct ownrow *ownrow;
     bool stopping;
-    int64_t stop_us; /* when the stop began */
+    int64_t stop_us;    /* when the stop began */
+    int64_t flushed_us; /* all answers have left by then */
     struct timer stop_timer;
 };
 
--- a/packages/node/nodestop.c
+++ b/packages/node/nodestop.c
@@ -9,7 +9,8 @@
 #include "node/node_internal.h"
 #include "node/ownrow.h"
 
-#define CHECK_US (50 * US_PER_MS)
+#define CHECK_US (20 * US_PER_MS)
+#define FLUSH_US (100 * US_PER_MS)
 /* Callers are told by then that this instance takes no new work. */
 #define NOTICE_US (2300 * US_PER_MS)
 /* Time kept of the grace for the end itself. */
@@ -19,8 +20,21 @@
 /* Keys stay with a target that lives if nobody takes them by then. */
 #define HANDOVER_US (3500 * US_PER_MS)
 
+/** True once all answers have been on their way for a moment: what a process
+ * has handed over just before its end may be lost. */
 static bool
-is_finished(const struct node *node, int64_t elapsed_us)
+is_flushed(struct node *node)
+{
+    const int64_t now_us = node_now_us(node);
+    if (!http_server_is_flushed(node->callers) ||
+        ingress_count(node->ingress) > 0 || localgate_load(node->gate) > 0) {
+        node->flushed_us = now_us + FLUSH_US;
+    }
+    return now_us >= node->flushed_us;
+}
+
+static bool
+is_finished(struct node *node, int64_t elapsed_us)
 {
     if (elapsed_us >= node->settings.grace_us - RESERVE_US) {
         return true;
@@ -28,9 +42,7 @@
     const bool keys_left = localtarget_present(node->target) &&
                            keeper_owns(node->keeper) &&
                            elapsed_us < HANDOVER_US;
-    return elapsed_us >= NOTICE_US && !keys_left &&
-           ingress_count(node->ingress) == 0 &&
-           localgate_load(node->gate) == 0;
+    return is_flushed(node) && elapsed_us >= NOTICE_US && !keys_left;
 }
 
 static void
