--- a/packages/fleet/roster.c
+++ b/packages/fleet/roster.c
@@ -1,5 +1,6 @@
 #include "fleet/roster.h"
 
+#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -9,6 +10,7 @@
 
 #define SERVICE_DEFAULT_US (200 * US_PER_MS)
 #define SERVICE_WEIGHT 16 /* answers that the smoothed time remembers */
+#define FORGET_US (2.0 * US_PER_SECOND) /* half of it, of what was slow */
 #define FAILURE_WEIGHT 16 /* requests that the smoothed share remembers */
 #define UNREACHABLE_MIN_US (300 * US_PER_MS)
 #define UNREACHABLE_DOUBLINGS_MAX 2
@@ -60,7 +62,6 @@
         roster_find(roster, notice->instance);
     if (instance == NULL) {
         instance = memory_zeroed(1, sizeof(*instance));
-        instance->service_us = SERVICE_DEFAULT_US;
         LIST_INSERT_HEAD(&roster->instances, instance, link);
     }
     else if (version < instance->version) {
@@ -74,7 +75,7 @@
         instance->unreachable_until_us = 0;
         instance->unreachable_count = 0;
         instance->failure_rate = 0;
-        instance->service_us = SERVICE_DEFAULT_US;
+        instance->service_us = 0;
     }
     instance->notice = *notice;
     instance->version = version;
@@ -117,17 +118,46 @@
            !choice->zone_is_out(choice->ctx, notice->zone);
 }
 
+/** Usual time of the quickest instance that may be chosen. */
+static int64_t
+quickest_us(const struct roster *roster, const struct roster_choice *choice)
+{
+    int64_t quickest = 0;
+    const struct roster_instance *instance;
+    LIST_FOREACH (instance, &roster->instances, link) {
+        if (instance->service_us > 0 && is_eligible(choice, instance) &&
+            (quickest == 0 || instance->service_us < quickest)) {
+            quickest = instance->service_us;
+        }
+    }
+    return quickest > 0 ? quickest : SERVICE_DEFAULT_US;
+}
+
+/** Time that the instance is believed to take. What is known gets old: who
+ * was slow once is tried again. */
+static double
+believed_us(const struct roster_choice *choice,
+            const struct roster_instance *instance, int64_t quickest)
+{
+    const double slower = (double)(instance->service_us - quickest);
+    if (instance->service_us == 0 || slower <= 0) {
+        return (double)quickest;
+    }
+    const double age_us = (double)(choice->now_us - instance->result_us);
+    return (double)quickest + slower * exp2(-age_us / FORGET_US);
+}
+
 /** Time in which an answer is expected. */
 static double
 expected_us(const struct roster_choice *choice,
-            const struct roster_instance *instance)
+            const struct roster_instance *instance, int64_t quickest)
 {
     const unsigned slots =
         instance->notice.slots > 0 ? instance->notice.slots : 1;
     unsigned load = instance->reported_load + instance->sent_since;
     load = load > instance->outstanding ? load : instance->outstanding;
     const double busy = (double)(load + 1) / slots;
-    double time_us = (double)instance->service_us *
+    double time_us = believed_us(choice, instance, quickest) *
                      (1.0 + NEARLY_FULL_FACTOR * (busy < 1.0 ? busy : 1.0));
     if (busy > 1.0) {
         time_us *= busy;
@@ -148,13 +178,14 @@
 {
     struct roster_instance *best = NULL;
     double best_us = 0;
+    const int64_t quickest = quickest_us(roster, choice);
     struct roster_instance *instance;
     LIST_FOREACH (instance, &roster->instances, link) {
         if (!is_eligible(choice, instance)) {
             continue;
         }
         /* A little chance keeps entries from choosing alike. */
-        const double time_us = expected_us(choice, instance) *
+        const double time_us = expected_us(choice, instance, quickest) *
                                (0.9 + 0.2 * random_unit(random));
         if (best == NULL || time_us < best_us) {
             best = instance;
@@ -165,12 +196,16 @@
 }
 
 void
-roster_note_result(struct roster_instance *instance, int64_t took_us,
-                   bool failed)
+roster_note_result(struct roster_instance *instance, int64_t now_us,
+                   int64_t took_us, bool failed)
 {
+    instance->result_us = now_us;
     instance->failure_rate +=
         ((failed ? 1.0 : 0.0) - instance->failure_rate) / FAILURE_WEIGHT;
-    if (!failed) {
+    if (!failed && instance->service_us == 0) {
+        instance->service_us = took_us;
+    }
+    else if (!failed) {
         instance->service_us +=
             (took_us - instance->service_us) / SERVICE_WEIGHT;
     }
--- a/packages/fleet/roster.h
+++ b/packages/fleet/roster.h
@@ -51,7 +51,8 @@
     unsigned outstanding;         /**< own requests that it has not answered */
     unsigned reported_load;       /**< in flight and queued, as it said */
     unsigned sent_since;          /**< own requests since that report */
-    int64_t service_us;           /**< smoothed time of its answers */
+    int64_t service_us;           /**< smoothed time of its answers; 0: none */
+    int64_t result_us;            /**< when it answered last */
     double failure_rate;          /**< smoothed share of failed requests */
     bool cold;                    /**< as it said */
 };
@@ -93,8 +94,8 @@
                                       struct random_state *random);
 
 /** An answer, or a failure of the target, after took_us. */
-void roster_note_result(struct roster_instance *instance, int64_t took_us,
-                        bool failed);
+void roster_note_result(struct roster_instance *instance, int64_t now_us,
+                        int64_t took_us, bool failed);
 void roster_note_load(struct roster_instance *instance, unsigned load,
                       bool cold);
 void roster_note_unreachable(struct roster_instance *instance,
--- a/packages/fleet/test/roster_test.cc
+++ b/packages/fleet/test/roster_test.cc
@@ -92,11 +92,30 @@
     EXPECT_EQ(b, Choose(Choice()));
     roster_note_load(a, 0, false);
     for (int i = 0; i < 40; i++) {
-        roster_note_result(a, 0, true);
+        roster_note_result(a, 0, 0, true);
     }
     EXPECT_EQ(b, Choose(Choice()));
 }
 
+TEST_F(Roster, ANewOrFormerlySlowInstanceIsTriedAgain)
+{
+    struct roster_instance *a = Add("a", "z1");
+    struct roster_instance *b = Add("b", "z1");
+    a->service_us = 50 * US_PER_MS;
+    int chosen = 0;
+    for (int i = 0; i < 200; i++) {
+        chosen += Choose(Choice()) == b;
+    }
+    EXPECT_GT(chosen, 20);
+    b->service_us = 2 * US_PER_SECOND;
+    EXPECT_EQ(a, Choose(Choice(0)));
+    chosen = 0;
+    for (int i = 0; i < 200; i++) {
+        chosen += Choose(Choice(30 * US_PER_SECOND)) == b;
+    }
+    EXPECT_GT(chosen, 20);
+}
+
 TEST_F(Roster, OlderRowsChangeNothing)
 {
     struct roster_instance *a = Add("a", "z1", ROSTER_LEAVING, 9);
--- a/packages/node/ingress.c
+++ b/packages/node/ingress.c
@@ -254,7 +254,9 @@
 static void
 plan_hedge(struct ingress_call *call, const struct roster_instance *instance)
 {
-    int64_t delay_us = instance->service_us * HEDGE_FACTOR;
+    int64_t delay_us = instance->service_us > 0
+                           ? instance->service_us * HEDGE_FACTOR
+                           : call->objective_us;
     delay_us = delay_us > HEDGE_MIN_US ? delay_us : HEDGE_MIN_US;
     const bool may = call->message.idempotent && !call->message.keyed &&
                      !call->hedged && call->reached + 1 < call->attempts_max;
@@ -409,9 +411,14 @@
                         reply->reason == RELAY_REASON_SHED ||
                         reply->reason == RELAY_REASON_CONNECT;
     roster_note_reached(instance);
+    if (reply->reason == RELAY_REASON_LEAVING) {
+        /* Its row may say so later, or not at all. */
+        instance->notice.state = ROSTER_LEAVING;
+    }
     roster_note_load(instance, reply->load, reply->cold);
     if (reply->outcome == RELAY_ANSWERED || failed) {
-        roster_note_result(instance, now_of(call) - send->sent_us, failed);
+        roster_note_result(instance, now_of(call),
+                           now_of(call) - send->sent_us, failed);
     }
     if (reply->outcome == RELAY_ANSWERED) {
         on_answered(call, reply);
--- a/packages/node/localgate.c
+++ b/packages/node/localgate.c
@@ -186,7 +186,7 @@
         0) {
         return RELAY_REASON_NO_TARGET;
     }
-    if (localtarget_leaves(node->target)) {
+    if (localtarget_leaves(node->target) || nodestop_refuses(node)) {
         return RELAY_REASON_LEAVING;
     }
     if (node_zone_is_out(gate->node, node->settings.zone)) {
--- a/packages/node/nodestop.c
+++ b/packages/node/nodestop.c
@@ -41,6 +41,7 @@
     }
     const bool keys_left = localtarget_present(node->target) &&
                            keeper_owns(node->keeper) &&
+                           keeper_store_answers(node->keeper) &&
                            elapsed_us < HANDOVER_US;
     return is_flushed(node) && elapsed_us >= NOTICE_US && !keys_left;
 }
