--- a/packages/fleet/roster.c
+++ b/packages/fleet/roster.c
@@ -238,6 +238,17 @@
     instance->unreachable_count = 0;
 }
 
+size_t
+roster_count(const struct roster *roster)
+{
+    size_t count = 0;
+    const struct roster_instance *instance;
+    LIST_FOREACH (instance, &roster->instances, link) {
+        count++;
+    }
+    return count;
+}
+
 unsigned
 roster_accusers(const struct roster *roster, uint64_t fingerprint)
 {
--- a/packages/fleet/roster.h
+++ b/packages/fleet/roster.h
@@ -102,6 +102,9 @@
                              int64_t now_us);
 void roster_note_reached(struct roster_instance *instance);
 
+/** Instances that are there, with or without a target that serves. */
+size_t roster_count(const struct roster *roster);
+
 /** How many instances accuse the request of having stopped their target. */
 unsigned roster_accusers(const struct roster *roster, uint64_t fingerprint);
 
--- a/packages/node/ingress.c
+++ b/packages/node/ingress.c
@@ -183,8 +183,10 @@
     }
     const struct keymap_segment *segment =
         keymap_find(&keys->map, call->message.key);
-    struct roster_instance *owner =
-        roster_find(&node->roster, segment->holder.instance);
+    struct roster_instance *owner = call->owner;
+    if (owner == NULL) {
+        owner = roster_find(&node->roster, segment->holder.instance);
+    }
     return owner != NULL && now_of(call) >= owner->unreachable_until_us
                ? owner
                : NULL;
@@ -231,6 +233,7 @@
     }
     const int64_t left_us = call->deadline_us - now_us;
     call->waits = false;
+    call->owner = NULL;
     call->tries++;
     call->instance = instance->notice.instance;
     call->service_us = instance->service_us;
@@ -350,6 +353,10 @@
                                (call->reason == RELAY_REASON_NOT_OWNER ||
                                 call->reason == RELAY_REASON_LEAVING ||
                                 call->reason == RELAY_REASON_NO_TARGET);
+    if (owner_changes && call->owner != NULL && call->owner != instance) {
+        call_try(call);
+        return;
+    }
     if (owner_changes && now_of(call) < call->wait_until_us) {
         call_wait(call, call->reason);
         return;
@@ -426,6 +433,10 @@
     }
     call->reason = reply->reason;
     call->timed_out = reply->reason == RELAY_REASON_DEADLINE;
+    call->owner = reply->owner[0] != '\0'
+                      ? roster_find(&call->ingress->node->roster,
+                                    reply->owner)
+                      : NULL;
     call->retry_after_us = (int64_t)reply->retry_after_us;
     call->reached += reply->reached ? 1 : 0;
     call->may_have_run =
--- a/packages/node/ingress_internal.h
+++ b/packages/node/ingress_internal.h
@@ -50,6 +50,7 @@
     int64_t objective_us; /**< whole, as declared */
     int64_t wait_until_us;
     int64_t service_us; /**< usual time of the instance tried last */
+    struct roster_instance *owner; /**< as the former owner said, or NULL */
     enum relay_reason reason; /**< of the last failure */
     int64_t retry_after_us;
     const char *instance; /**< that was tried last */
--- a/packages/node/keeper.c
+++ b/packages/node/keeper.c
@@ -141,6 +141,13 @@
     return ours ? KEEPER_WAIT : KEEPER_ELSEWHERE;
 }
 
+const char *
+keeper_owner(const struct keeper *keeper, uint32_t key)
+{
+    const struct node_keys *keys = keeper_keys(keeper);
+    return keys != NULL ? keymap_find(&keys->map, key)->holder.instance : "";
+}
+
 void
 keeper_not_held(struct keeper *keeper, uint32_t key)
 {
--- a/packages/node/keeper.h
+++ b/packages/node/keeper.h
@@ -28,6 +28,9 @@
 /** Whether the target may run a request for the key now. */
 enum keeper_verdict keeper_check(const struct keeper *keeper, uint32_t key);
 
+/** Instance that owns the key by the map; empty if none is known. */
+const char *keeper_owner(const struct keeper *keeper, uint32_t key);
+
 /** The target said that it does not hold the key. */
 void keeper_not_held(struct keeper *keeper, uint32_t key);
 
--- a/packages/node/keepermap.c
+++ b/packages/node/keepermap.c
@@ -70,7 +70,6 @@
     struct keeper *keeper = ctx;
     struct node_keys *keys = keeper_keys(keeper);
     char *text = keeper->map_text;
-    char key[ROWSTORE_NAME_MAX + 1];
     keeper->map_call = NULL;
     keeper->map_text = NULL;
     if (result->outcome != ROWSTORE_DONE &&
@@ -90,17 +89,11 @@
         free(text);
         return;
     }
-    row_key(key, keys);
     /* Either way no earlier write can take effect any more. */
     keeper->touched = true;
     keeper->map_unsure = false;
     if (result->outcome == ROWSTORE_DONE) {
-        rowwatch_note(keeper->node->fleet_watch, &(struct rowstore_row){
-                                                     .key = key,
-                                                     .version = result->version,
-                                                     .value = text,
-                                                     .size = strlen(text),
-                                                 });
+        node_wrote_keys(keeper->node, keys, text, result->version);
     }
     for (size_t i = 0;
          result->outcome == ROWSTORE_CONFLICT && i < result->row_count; i++) {
--- a/packages/node/localgate.c
+++ b/packages/node/localgate.c
@@ -139,7 +139,12 @@
     struct localgate *gate = call->gate;
     const localgate_cb done = call->request != NULL ? call->done : NULL;
     void *ctx = call->ctx;
+    const bool keyed = call->keyed;
+    const uint32_t key = call->key;
     call_free(call);
+    reply->owner = (char *)(reply->reason == RELAY_REASON_NOT_OWNER && keyed
+                                ? keeper_owner(gate->node->keeper, key)
+                                : "");
     reply->load = localgate_load(gate);
     reply->cold = localgate_is_cold(gate);
     if (done != NULL) {
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -18,6 +18,9 @@
 
 #define PIPELINE_MAX 16
 #define CALLERS_BODY_MAX ((size_t)64 << 20)
+/* Each change wakes the feeds of all instances: the more there are, the more
+ * changes one answer of the feed brings. */
+#define FEED_PAUSE_PER_INSTANCE_US (15 * US_PER_MS)
 #define STATUS_OK 200
 #define STATUS_NOT_FOUND 404
 #define STATUS_UNAVAILABLE 503
@@ -102,6 +105,52 @@
              LOG_UINT("next_fence", keys->map.next_fence));
 }
 
+void
+node_show_keys(struct node *node, const char *service, const char *text,
+               uint64_t version)
+{
+    char key[ROWSTORE_NAME_MAX + 1];
+    snprintf(key, sizeof(key), NODE_KEYS_KEY "%s", service);
+    if (rowwatch_version(node->fleet_watch) > 0) {
+        rowwatch_note(node->fleet_watch, &(struct rowstore_row){
+                                             .key = key,
+                                             .version = version,
+                                             .value = text,
+                                             .size = strlen(text),
+                                         });
+    }
+}
+
+/** True if the instance owned the same keys before. */
+static bool
+owns_the_same(const struct keymap_segment *segment,
+              const struct keymap *before)
+{
+    const struct keymap_segment *old = keymap_find(before, segment->first);
+    return old->fence == segment->fence;
+}
+
+void
+node_wrote_keys(struct node *node, struct node_keys *keys, const char *text,
+                uint64_t version)
+{
+    struct keymap before;
+    keymap_copy(&before, &keys->map);
+    node_show_keys(node, keys->service, text, version);
+    const char *last = "";
+    for (size_t i = 0; i < keys->map.count; i++) {
+        const struct keymap_segment *segment = &keys->map.segments[i];
+        const char *owner = segment->holder.instance;
+        if (owner[0] != '\0' && strcmp(owner, last) != 0 &&
+            !owns_the_same(segment, &before)) {
+            relaytask_show_keys(node->relay, owner, keys->service, version,
+                                text);
+            last = owner;
+        }
+    }
+    keymap_clear(&before);
+}
+
 /** What operators declare has changed. */
 static void
 apply_declared(struct node *node)
@@ -233,6 +282,9 @@
 on_fleet_settled(void *ctx)
 {
     struct node *node = ctx;
+    rowwatch_set_pause(node->fleet_watch,
+                       (int64_t)roster_count(&node->roster) *
+                           FEED_PAUSE_PER_INSTANCE_US);
     ownrow_update(node->ownrow);
     keeper_map_changed(node->keeper);
     planner_changed(node->planner);
--- a/packages/node/node_internal.h
+++ b/packages/node/node_internal.h
@@ -93,6 +93,15 @@
 void node_take_keys(struct node *node, const char *service, const char *text,
                     size_t size, uint64_t version);
 
+/** A map of keys that another instance has just written. */
+void node_show_keys(struct node *node, const char *service, const char *text,
+                    uint64_t version);
+
+/** A map of keys that this instance has just written: it is used, and shown
+ * to the instances that own other keys than before. */
+void node_wrote_keys(struct node *node, struct node_keys *keys,
+                     const char *text, uint64_t version);
+
 /** The declared service of the target, or NULL. */
 const struct declared_service *node_own_service(const struct node *node);
 
--- a/packages/node/ownrow.c
+++ b/packages/node/ownrow.c
@@ -114,6 +114,11 @@
     if (own->call != NULL || rowwatch_version(node->fleet_watch) == 0) {
         return;
     }
+    /* At the start there is nothing to say yet, and each row costs calls. */
+    if (own->written == NULL && !localtarget_present(node->target) &&
+        rowwatch_row_version(node->fleet_watch, own->key) == 0) {
+        return;
+    }
     char *text = own_text(own);
     if (own->written != NULL && strcmp(own->written, text) == 0) {
         free(text);
--- a/packages/node/planner.c
+++ b/packages/node/planner.c
@@ -26,6 +26,7 @@
 #define WEIGHT_MIN 0.5 /* of the average */
 #define WEIGHT_MAX 2.0
 #define COLD_WEIGHT 0.4
+#define SPEED_WEIGHT 6 /* answers that the smoothed speed remembers */
 #define MEMBERS_MAX 512
 
 static void on_tick(void *ctx);
@@ -137,6 +138,14 @@
     return true;
 }
 
+/** A target's speed changes many times a second; keys should not. */
+static int64_t
+smoothed(int64_t before_us, int64_t now_us)
+{
+    return before_us > 0 ? before_us + (now_us - before_us) / SPEED_WEIGHT
+                         : now_us;
+}
+
 static void
 on_loads(void *ctx, const char *instance, const struct relay_loads *loads)
 {
@@ -168,7 +177,7 @@
     peer->failures = 0;
     peer->at_us = now_us;
     peer->slots = loads->slots;
-    peer->service_us = (int64_t)loads->service_us;
+    peer->service_us = smoothed(peer->service_us, (int64_t)loads->service_us);
     peer->cold = loads->cold;
     peer->step_count = loads->steps.steps_len;
     peer->steps = memory_resized(peer->steps, peer->step_count + 1,
@@ -214,8 +223,7 @@
             bool *cold)
 {
     double slots = notice->slots > 0 ? notice->slots : 1;
-    double service_us =
-        (double)localgate_service_us(planner->node->gate);
+    double service_us = (double)planner->own_service_us;
     *cold = localgate_is_cold(planner->node->gate);
     if (!is_self(planner, notice->instance)) {
         const struct peer_load *peer = peer_of(planner, notice->instance);
@@ -313,7 +321,7 @@
 on_written(void *ctx, const struct rowstore_result *result)
 {
     struct planner *planner = ctx;
-    const struct node_keys *keys = planner_keys(planner);
+    struct node_keys *keys = planner_keys(planner);
     struct watched_lease *lease = planner->map_lease;
     char key[ROWSTORE_NAME_MAX + 1];
     planner->map_call = NULL;
@@ -327,13 +335,8 @@
     }
     snprintf(key, sizeof(key), NODE_KEYS_KEY "%s", keys->service);
     if (result->outcome == ROWSTORE_DONE) {
-        rowwatch_note(planner->node->fleet_watch,
-                      &(struct rowstore_row){
-                          .key = key,
-                          .version = result->version,
-                          .value = planner->map_text,
-                          .size = strlen(planner->map_text),
-                      });
+        node_wrote_keys(planner->node, keys, planner->map_text,
+                        result->version);
     }
     for (size_t i = 0;
          result->outcome == ROWSTORE_CONFLICT && i < result->row_count; i++) {
@@ -494,6 +497,12 @@
     }
     const bool leads = localtarget_present(node->target) &&
                        is_leader(planner);
+    if (now_us >= planner->own_sample_us) {
+        planner->own_sample_us = now_us + ASK_US;
+        planner->own_service_us =
+            smoothed(planner->own_service_us,
+                     localgate_service_us(node->gate));
+    }
     ask_peers(planner, leads, now_us);
     if (!leads || planner->map_call != NULL) {
         return;
--- a/packages/node/planner_internal.h
+++ b/packages/node/planner_internal.h
@@ -57,6 +57,8 @@
     char *map_text;
     struct watched_lease *map_lease; /* that the call deletes, or NULL */
     int64_t ready_us;  /* not before, after the start */
+    int64_t own_service_us; /* smoothed */
+    int64_t own_sample_us;
     int64_t level_us;  /* next levelling of load */
     int64_t quiet_us;  /* no new moves until then */
     struct counter *takes;
--- a/packages/node/relaytask.c
+++ b/packages/node/relaytask.c
@@ -201,6 +201,19 @@
     rpc_request_reply(request, &reply);
 }
 
+static void
+serve_keys(void *ctx, struct rpc_request *request, const void *args)
+{
+    struct relaytask *relay = ctx;
+    const struct relay_keys *keys = args;
+    struct relay_promised reply = {.promised = true};
+    char *text = memory_zeroed(keys->text.text_len + 1, 1);
+    memcpy(text, keys->text.text_val, keys->text.text_len);
+    node_show_keys(relay->node, keys->service, text, keys->row_version);
+    free(text);
+    rpc_request_reply(request, &reply);
+}
+
 static void
 serve(struct relaytask *relay)
 {
@@ -234,6 +247,13 @@
             .encode_result = (xdrproc_t)xdr_relay_promised,
             .handle = serve_promise,
         },
+        {
+            .number = PROCEDURE_KEYS,
+            .decode_args = (xdrproc_t)xdr_relay_keys,
+            .args_size = sizeof(struct relay_keys),
+            .encode_result = (xdrproc_t)xdr_relay_promised,
+            .handle = serve_keys,
+        },
     };
     for (size_t i = 0; i < sizeof(procedures) / sizeof(procedures[0]); i++) {
         struct rpc_procedure procedure = procedures[i];
@@ -376,6 +396,46 @@
     free(ask);
 }
 
+static void
+on_shown(void *ctx, enum rpc_status status, const void *result)
+{
+    struct relay_ask *ask = ctx;
+    (void)status;
+    (void)result;
+    /* Without it the instance learns of the map from the store. */
+    LIST_REMOVE(ask, link);
+    free(ask);
+}
+
+void
+relaytask_show_keys(struct relaytask *relay, const char *instance,
+                    const char *service, uint64_t version, const char *text)
+{
+    const struct roster_instance *peer =
+        roster_find(&relay->node->roster, instance);
+    const size_t size = strlen(text);
+    if (peer == NULL || size > RELAY_MAP_MAX ||
+        is_meant(relay, instance)) {
+        return;
+    }
+    struct relay_ask *ask = ask_create(relay, instance, NULL);
+    const struct relay_keys keys = {
+        .service = (char *)service,
+        .row_version = version,
+        .text = {(u_int)size, (char *)text},
+    };
+    struct rpc_call_spec spec = {
+        .peer = &peer->notice.address,
+        .procedure = PROCEDURE_KEYS,
+        .encode_args = (xdrproc_t)xdr_relay_keys,
+        .args = &keys,
+        .decode_result = (xdrproc_t)xdr_relay_promised,
+        .result_size = sizeof(struct relay_promised),
+        .done = on_shown,
+    };
+    ask_send(ask, &spec);
+}
+
 void
 relaytask_order_move(struct relaytask *relay,
                      const struct roster_instance *instance, uint32_t first,
--- a/packages/node/relaytask.h
+++ b/packages/node/relaytask.h
@@ -50,6 +50,11 @@
                          const struct roster_instance *instance,
                          relay_loads_cb done, void *ctx);
 
+/** Shows an instance a map of keys that was just written. */
+void relaytask_show_keys(struct relaytask *relay, const char *instance,
+                         const char *service, uint64_t version,
+                         const char *text);
+
 /** Tells an instance to hand keys over. */
 void relaytask_order_move(struct relaytask *relay,
                           const struct roster_instance *instance,
--- a/packages/node/rowwatch.c
+++ b/packages/node/rowwatch.c
@@ -33,6 +33,7 @@
     struct rowstore_call *call;
     struct timer retry;
     int64_t retry_us;
+    int64_t pause_us;
     uint64_t version;         /* reported up to here */
     uint64_t reading;         /* number of the present reading */
     uint64_t reading_version; /* of its first answer */
@@ -251,7 +252,7 @@
             report_row(watch, &result->rows[i]);
         }
         settle(watch, result->version);
-        watch_go_on(watch);
+        timer_start(&watch->retry, watch->pause_us);
         return;
     case ROWSTORE_HISTORY_GONE:
         LOG_INFO("history_gone", LOG_STR("table", watch->options.table),
@@ -304,6 +305,12 @@
     watch_go_on(watch);
 }
 
+void
+rowwatch_set_pause(struct rowwatch *watch, int64_t pause_us)
+{
+    watch->pause_us = pause_us;
+}
+
 uint64_t
 rowwatch_version(const struct rowwatch *watch)
 {
--- a/packages/node/rowwatch.h
+++ b/packages/node/rowwatch.h
@@ -34,6 +34,9 @@
 /** Reads the table again, as when it must be newer than some event. */
 void rowwatch_refresh(struct rowwatch *watch);
 
+/** Time between an answer of the feed and the next question. */
+void rowwatch_set_pause(struct rowwatch *watch, int64_t pause_us);
+
 /** Version of the store up to which all rows were reported; 0: none yet. */
 uint64_t rowwatch_version(const struct rowwatch *watch);
 
--- a/packages/protocol/procedures.h
+++ b/packages/protocol/procedures.h
@@ -22,6 +22,7 @@
     PROCEDURE_LOADS = 12,   /* TCP: relay.x, loads of keys */
     PROCEDURE_MOVE = 13,    /* TCP: relay.x, keys to be handed over */
     PROCEDURE_PROMISE = 14, /* TCP: relay.x, keys that are not taken */
+    PROCEDURE_KEYS = 15,    /* TCP: relay.x, a map that was just written */
 };
 
 #endif
--- a/packages/protocol/relay.x
+++ b/packages/protocol/relay.x
@@ -9,6 +9,7 @@
 const RELAY_VALUE_MAX = 16384;
 const RELAY_BODY_MAX = 67108864;
 const RELAY_STEPS_MAX = 1024;
+const RELAY_MAP_MAX = 65536;
 
 enum relay_outcome {
     RELAY_ANSWERED = 0,
@@ -62,6 +63,7 @@
     relay_outcome outcome;
     relay_reason reason;
     bool reached;                       /* the target got it */
+    string owner<RELAY_TEXT_MAX>;       /* of the key, if another; or empty */
     unsigned hyper retry_after_us;      /* 0: no advice */
     unsigned int load;                  /* requests there now */
     bool cold;
@@ -102,6 +104,13 @@
     string from<RELAY_TEXT_MAX>;
 };
 
+/* A map of keys that was just written, for those to whom it matters. */
+struct relay_keys {
+    string service<RELAY_TEXT_MAX>;
+    unsigned hyper row_version;
+    opaque text<RELAY_MAP_MAX>;
+};
+
 struct relay_promised {
     bool promised;
 };
