Logs that are bounded and never block, histograms, gauges

Cause: the log was written with a blocking flush and without bounds; metrics had counters only. Change: lines go out without waiting, 200 a second and as many warnings; what is left out is counted and told; one request in 16 (by its id, so the same on all machines) is logged whole, what failed, was refused or late always. Histograms with a relative error of 1/16.

--- /dev/null
+++ b/packages/base/histogram.h
@@ -0,0 +1,50 @@
+/**
+ * @file
+ * Histograms of durations with bounded memory: buckets of equal width within
+ * each power of two, so that a quantile is at most 1/16 too high.
+ */
+#ifndef CHESTNUTGAP_BASE_HISTOGRAM_H
+#define CHESTNUTGAP_BASE_HISTOGRAM_H
+
+#include <stdint.h>
+#include <stdio.h>
+#include <sys/queue.h>
+
+#define HISTOGRAM_SUB_BUCKETS 16
+#define HISTOGRAM_OCTAVES 36 /* up to 2^36 us, 19 hours */
+#define HISTOGRAM_BUCKETS (HISTOGRAM_OCTAVES * HISTOGRAM_SUB_BUCKETS)
+
+/** Durations in microseconds. */
+struct histogram {
+    STAILQ_ENTRY(histogram) link;
+    const char *name;   /**< for example "gate_queue_seconds" */
+    const char *labels; /**< as text within braces, or "" */
+    const char *help;
+    uint64_t count;
+    uint64_t sum_us;
+    uint32_t buckets[HISTOGRAM_BUCKETS];
+};
+
+/** A set of histograms. */
+struct histogram_registry;
+
+/** Aborts when memory is short. */
+struct histogram_registry *histogram_registry_create(void);
+void histogram_registry_destroy(struct histogram_registry *registry);
+
+/** Adds a histogram. The texts must outlive the registry. */
+struct histogram *histogram_add(struct histogram_registry *registry,
+                                const char *name, const char *labels,
+                                const char *help);
+
+/** Counts a duration; negative ones count as 0. */
+void histogram_count(struct histogram *histogram, int64_t duration_us);
+
+/** Upper bound of the duration that the share (0 to 1) of all is below. */
+int64_t histogram_quantile_us(const struct histogram *histogram,
+                              double share);
+
+/** Writes buckets, sum and count of each, as common collectors read it. */
+void histogram_print(const struct histogram_registry *registry, FILE *stream);
+
+#endif
--- a/packages/base/log.c
+++ b/packages/base/log.c
@@ -1,8 +1,13 @@
 #include "base/log.h"
 
 #include <inttypes.h>
+#include <poll.h>
 #include <string.h>
+#include <sys/stat.h>
 #include <time.h>
+#include <unistd.h>
+
+#include "base/hash.h"
 
 #define LOG_MODULE_LEVELS_MAX 32
 #define LOG_MODULE_NAME_SIZE 24
@@ -15,11 +20,26 @@
 };
 
 struct log_line {
-    char text[LOG_LINE_SIZE];
+    char text[LOG_LINE_SIZE + 1]; /* and room for the end of the line */
     size_t length;
 };
 
+/** Bounds of what is written. */
+struct log_bound {
+    int fd;
+    unsigned lines_per_s; /* 0: no bounds, to the stream */
+    bool may_block;       /* the descriptor can be full */
+    int64_t second;       /* that is counted */
+    unsigned ordinary;    /* lines in it */
+    unsigned urgent;
+    uint64_t dropped;
+    uint64_t told;       /* of dropped */
+    int64_t told_second; /* when it was told last */
+};
+
 static FILE *log_stream;
+static struct log_bound log_bound;
+static unsigned log_sample_one_of;
 static enum log_level log_default_level = LOG_LEVEL_WARNING;
 static struct log_module_level log_module_levels[LOG_MODULE_LEVELS_MAX];
 static size_t log_module_level_count;
@@ -85,7 +105,7 @@
 static void
 log_append(struct log_line *line, const char *text)
 {
-    const size_t room = sizeof(line->text) - line->length;
+    const size_t room = LOG_LINE_SIZE - line->length;
     size_t length = strlen(text);
     if (length > room - 1) {
         length = room - 1;
@@ -112,7 +132,7 @@
             snprintf(escaped, sizeof(escaped), "%c", c);
         }
         /* Keeps room for the closing quotes and brace of the line. */
-        if (line->length + sizeof(escaped) + 4 > sizeof(line->text)) {
+        if (line->length + sizeof(escaped) + 4 > LOG_LINE_SIZE) {
             break;
         }
         log_append(line, escaped);
@@ -161,6 +181,112 @@
     log_append_quoted(line, text);
 }
 
+/** Reads the second of the steady clock. */
+static int64_t
+log_second(void)
+{
+    struct timespec now;
+    clock_gettime(CLOCK_MONOTONIC, &now);
+    return now.tv_sec;
+}
+
+/** Whether one more line of the class may be written now. */
+static bool
+log_within_bound(enum log_level level)
+{
+    const int64_t second = log_second();
+    if (second != log_bound.second) {
+        log_bound.second = second;
+        log_bound.ordinary = 0;
+        log_bound.urgent = 0;
+    }
+    unsigned *count =
+        level >= LOG_LEVEL_WARNING ? &log_bound.urgent : &log_bound.ordinary;
+    return (*count)++ < log_bound.lines_per_s;
+}
+
+/** Writes without waiting: a line is at most as long as a pipe takes whole. */
+static bool
+log_write_now(const char *text, size_t length)
+{
+    struct pollfd ready = {.fd = log_bound.fd, .events = POLLOUT};
+    if (log_bound.may_block &&
+        (poll(&ready, 1, 0) != 1 || (ready.revents & POLLOUT) == 0)) {
+        return false;
+    }
+    return write(log_bound.fd, text, length) == (ssize_t)length;
+}
+
+static void
+log_tell_dropped(void)
+{
+    char text[256];
+    if (log_bound.dropped == log_bound.told ||
+        log_bound.told_second == log_bound.second) {
+        return;
+    }
+    const int length = snprintf(
+        text, sizeof(text),
+        "{\"level\":\"warning\",\"instance\":\"%s\",\"module\":\"log\","
+        "\"event\":\"dropped\",\"lines\":%" PRIu64 ",\"total\":%" PRIu64
+        "}\n",
+        log_instance, log_bound.dropped - log_bound.told, log_bound.dropped);
+    if (log_write_now(text, (size_t)length)) {
+        log_bound.told = log_bound.dropped;
+        log_bound.told_second = log_bound.second;
+    }
+}
+
+/** Writes a whole line. */
+static void
+log_line_end(struct log_line *line, enum log_level level)
+{
+    if (log_bound.lines_per_s == 0) {
+        FILE *stream = log_stream != NULL ? log_stream : stderr;
+        fprintf(stream, "%s\n", line->text);
+        fflush(stream);
+        return;
+    }
+    if (!log_within_bound(level)) {
+        log_bound.dropped++;
+        return;
+    }
+    log_tell_dropped();
+    line->text[line->length++] = '\n';
+    if (!log_write_now(line->text, line->length)) {
+        log_bound.dropped++;
+    }
+}
+
+void
+log_set_bound(int fd, unsigned lines_per_s)
+{
+    struct stat status;
+    log_bound.fd = fd;
+    log_bound.lines_per_s = fd >= 0 ? lines_per_s : 0;
+    log_bound.may_block = fd >= 0 && fstat(fd, &status) == 0 &&
+                          !S_ISREG(status.st_mode);
+}
+
+uint64_t
+log_dropped(void)
+{
+    return log_bound.dropped;
+}
+
+void
+log_set_sample(unsigned one_of)
+{
+    log_sample_one_of = one_of;
+}
+
+bool
+log_sampled(const char *id)
+{
+    return log_sample_one_of > 0 &&
+           hash_string(id) % log_sample_one_of == 0;
+}
+
 void
 log_write(enum log_level level, const char *module, const char *event,
           const struct log_field *fields)
@@ -179,13 +305,11 @@
     }
     for (; fields->type != LOG_FIELD_END; fields++) {
         /* A field that does not fit is left out rather than cut. */
-        if (line.length + strlen(fields->name) + 64 > sizeof(line.text)) {
+        if (line.length + strlen(fields->name) + 64 > LOG_LINE_SIZE) {
             break;
         }
         log_append_field(&line, fields);
     }
     log_append(&line, "}");
-    FILE *stream = log_stream != NULL ? log_stream : stderr;
-    fprintf(stream, "%s\n", line.text);
-    fflush(stream);
+    log_line_end(&line, level);
 }
--- a/packages/base/log.h
+++ b/packages/base/log.h
@@ -73,6 +73,24 @@
 /** Sets the stream (default stderr) and the level of all modules. */
 void log_init(FILE *stream, enum log_level level);
 
+/**
+ * Bounds what is written: each line goes to the descriptor at once, without
+ * waiting, and at most so many lines a second, and as many again of warnings
+ * and errors. What is left out is counted, and told in a line of its own once
+ * a second. Descriptor -1: the stream, without bounds.
+ */
+void log_set_bound(int fd, unsigned lines_per_s);
+
+/** Lines left out since the start. */
+uint64_t log_dropped(void);
+
+/** One of so many requests is logged throughout; 0: none. */
+void log_set_sample(unsigned one_of);
+
+/** True if the request with this id is among them: the same on every
+ * machine, so that their lines join. */
+bool log_sampled(const char *id);
+
 /**
  * Sets the level of one module.
  *
--- a/packages/daemon/platformdaemon.c
+++ b/packages/daemon/platformdaemon.c
@@ -3,6 +3,7 @@
 #include <signal.h>
 #include <stdlib.h>
 #include <sys/stat.h>
+#include <unistd.h>
 
 #include <event2/event.h>
 #include <jansson.h>
@@ -65,6 +66,14 @@
     return changed;
 }
 
+static void
+apply_log(const struct nodesettings *settings)
+{
+    log_init(stdout, settings->log_level);
+    log_set_bound(STDOUT_FILENO, settings->log_lines_per_s);
+    log_set_sample(settings->log_sample);
+}
+
 static void
 read_again(struct platformdaemon *daemon)
 {
@@ -73,6 +82,7 @@
     json_t *document = document_load(daemon->settings_file, &problems);
     if (document != NULL &&
         nodesettings_parse(document, &settings, &problems)) {
+        apply_log(&settings);
         node_reload(daemon->node, &settings);
     }
     else {
@@ -185,8 +195,8 @@
                    const struct nodesettings *settings, struct error *err)
 {
     struct platformdaemon daemon = {.settings_file = settings_file};
-    log_init(stdout, settings->log_level);
     log_set_instance(settings->instance);
+    apply_log(settings);
     const bool started = start(&daemon, settings, err);
     if (started) {
         runtime_run(daemon.runtime);
--- a/packages/node/ingress.c
+++ b/packages/node/ingress.c
@@ -8,6 +8,7 @@
 #include "base/log.h"
 #include "base/memory.h"
 #include "node/ingress_internal.h"
+#include "node/nodemetrics.h"
 
 /* Part of the declared budget that this instance uses for itself: others
  * may see other numbers of requests. */
@@ -246,9 +247,15 @@
     send->sent_us = now_us;
     instance->outstanding++;
     instance->sent_since++;
-    LOG_DBG("sent", LOG_STR("id", call->id),
-            LOG_STR("to", instance->notice.instance),
-            LOG_UINT("try", call->tries));
+    if (call->tries > 1 || log_sampled(call->id)) {
+        LOG_INFO("sent", LOG_STR("id", call->id),
+                 LOG_STR("to", instance->notice.instance),
+                 LOG_UINT("try", call->tries),
+                 LOG_UINT("load", instance->reported_load),
+                 LOG_INT("usual_ms", instance->service_us / US_PER_MS),
+                 LOG_UINT("row_version", instance->version),
+                 LOG_INT("left_ms", left_us / US_PER_MS));
+    }
     send->sent = relaytask_send(ingress->node->relay, instance, &call->message,
                                 left_us + SEND_MARGIN_US, on_reply, send);
 }
@@ -410,6 +417,8 @@
     struct roster_instance *instance = send->instance;
     send->sent = NULL;
     instance->outstanding--;
+    nodemetrics_count(call->ingress->node->nodemetrics, NODEMETRICS_RELAY,
+                      now_of(call) - send->sent_us);
     if (status != RPC_OK) {
         on_no_reply(call, instance, status);
         return;
--- a/packages/node/ingressanswer.c
+++ b/packages/node/ingressanswer.c
@@ -3,6 +3,7 @@
 #define LOG_MODULE "ingress"
 #include "base/log.h"
 #include "node/ingress_internal.h"
+#include "node/nodemetrics.h"
 
 /* Advice is given within a third of the time that the caller has left. */
 #define RETRY_LEFT_PERCENT 30
@@ -62,7 +63,9 @@
         };
     }
     call->ingress->answered->value++;
-    if (log_enabled(LOG_LEVEL_DEBUG, LOG_MODULE) ||
+    nodemetrics_count(call->ingress->node->nodemetrics, NODEMETRICS_ANSWERED,
+                      node_now_us(call->ingress->node) - call->begun_us);
+    if (log_sampled(call->id) || reply->status / 100 != 2 ||
         node_now_us(call->ingress->node) > call->due_us) {
         log_end(call, "answered", reply->status);
     }
@@ -105,6 +108,10 @@
         refusal.retry_after_us = retry_after_us(call);
         ingress->refused->value++;
     }
+    nodemetrics_count(ingress->node->nodemetrics,
+                      call->may_have_run ? NODEMETRICS_UNKNOWN
+                                         : NODEMETRICS_NOT_RUN,
+                      node_now_us(ingress->node) - call->begun_us);
     log_end(call, call->may_have_run ? "unknown" : "not-run", 0);
     ingress->node->wire->refuse(call->http, &refusal);
     call->http = NULL;
--- a/packages/node/keeper.c
+++ b/packages/node/keeper.c
@@ -92,6 +92,13 @@
     return node_now_us(keeper->node) < keylease_until_us(&keeper->lease);
 }
 
+int64_t
+keeper_lease_margin_us(const struct keeper *keeper)
+{
+    const int64_t until_us = keylease_until_us(&keeper->lease);
+    return until_us > 0 ? until_us - node_now_us(keeper->node) : 0;
+}
+
 bool
 keeper_store_answers(const struct keeper *keeper)
 {
--- a/packages/node/keeper.h
+++ b/packages/node/keeper.h
@@ -62,4 +62,7 @@
 /** True if the lease was good just now. */
 bool keeper_has_lease(const struct keeper *keeper);
 
+/** Time until the lease ends; negative if it has. */
+int64_t keeper_lease_margin_us(const struct keeper *keeper);
+
 #endif
--- a/packages/node/localgate.c
+++ b/packages/node/localgate.c
@@ -10,6 +10,7 @@
 #include "node/keeper.h"
 #include "node/localtarget.h"
 #include "node/node_internal.h"
+#include "node/nodemetrics.h"
 #include "node/ownrow.h"
 
 /* The target answers by itself at the deadline that it was given. */
@@ -44,6 +45,8 @@
     uint32_t key;
     bool keyed;
     struct timer timer;
+    int64_t arrived_us;
+    int64_t sent_us;
     struct http_call *http;
     char id[RELAY_TEXT_MAX + 1];
 };
@@ -159,6 +162,16 @@
     struct localgate *gate = call->gate;
     if (outcome == RELAY_NOT_RUN) {
         gate->refused->value++;
+        LOG_INFO("refused", LOG_STR("id", call->id), LOG_INT("reason", reason),
+                 LOG_INT("key", call->keyed ? (int64_t)call->key : -1),
+                 LOG_INT("waited_ms",
+                         (now_of(gate) - call->arrived_us) / US_PER_MS),
+                 LOG_UINT("running", slots_running(gate->slots)),
+                 LOG_UINT("waiting", slots_waiting(gate->slots)),
+                 LOG_UINT("limit", slots_limit(gate->slots)),
+                 LOG_INT("usual_ms",
+                         slots_service_us(gate->slots) / US_PER_MS),
+                 LOG_BOOL("cold", localgate_is_cold(gate)));
     }
     struct relay_reply reply = {
         .outcome = outcome,
@@ -269,12 +282,34 @@
     }
 }
 
+/** How a request at the target ended: always if not with an answer. */
+static void
+log_run(const struct localgate_call *call, const struct http_result *result)
+{
+    const struct localgate *gate = call->gate;
+    if (result->outcome == HTTP_ANSWERED && !log_sampled(call->id)) {
+        return;
+    }
+    LOG_INFO("run", LOG_STR("id", call->id),
+             LOG_INT("outcome", result->outcome),
+             LOG_UINT("status", result->status),
+             LOG_INT("queued_ms",
+                     (call->sent_us - call->arrived_us) / US_PER_MS),
+             LOG_INT("ran_ms", (now_of(gate) - call->sent_us) / US_PER_MS),
+             LOG_UINT("running", slots_running(gate->slots)),
+             LOG_UINT("waiting", slots_waiting(gate->slots)),
+             LOG_BOOL("cold", localgate_is_cold(gate)));
+}
+
 static void
 on_http(void *ctx, const struct http_result *result)
 {
     struct localgate_call *call = ctx;
     struct localgate *gate = call->gate;
     struct localtarget *target = gate->node->target;
+    log_run(call, result);
+    nodemetrics_count(gate->node->nodemetrics, NODEMETRICS_TARGET,
+                      now_of(gate) - call->sent_us);
     const bool late = now_of(gate) >= call->deadline_us;
     call->http = NULL;
     switch (result->outcome) {
@@ -332,6 +367,9 @@
             .time_left_us = call->deadline_us - now_of(gate),
         });
     call->state = CALL_SENT;
+    call->sent_us = now_of(gate);
+    nodemetrics_count(node->nodemetrics, NODEMETRICS_QUEUE,
+                      call->sent_us - call->arrived_us);
     timer_stop(&call->timer);
     gate->started->value++;
     if (call->keyed) {
@@ -429,6 +467,7 @@
     struct localgate_call *call = memory_zeroed(1, sizeof(*call));
     const int64_t now_us = now_of(gate);
     call->gate = gate;
+    call->arrived_us = now_us;
     call->request = request;
     call->done = done;
     call->ctx = ctx;
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -12,6 +12,7 @@
 #include "node/localgate.h"
 #include "node/localtarget.h"
 #include "node/node_internal.h"
+#include "node/nodemetrics.h"
 #include "node/ownrow.h"
 #include "node/planner.h"
 #include "node/relaytask.h"
@@ -340,17 +341,11 @@
 static void
 on_metrics(void *ctx, struct http_request *request)
 {
-    const struct node *node = ctx;
-    char *text = NULL;
+    struct node *node = ctx;
     size_t size = 0;
-    FILE *stream = open_memstream(&text, &size);
-    if (stream == NULL) {
-        answer_text(request, STATUS_UNAVAILABLE, "", 0);
-        return;
-    }
-    counter_print(node->options.counters, stream);
-    fclose(stream);
-    answer_text(request, STATUS_OK, text, size);
+    char *text = nodemetrics_print(node->nodemetrics, &size);
+    answer_text(request, text != NULL ? STATUS_OK : STATUS_UNAVAILABLE, text,
+                size);
     free(text);
 }
 
@@ -430,6 +425,7 @@
     LIST_INIT(&node->zones_out);
     LIST_INIT(&node->keys);
     LIST_INIT(&node->roster.instances);
+    node->nodemetrics = nodemetrics_create(node);
     if (!open_servers(node, err)) {
         node_destroy(node);
         return NULL;
@@ -486,6 +482,7 @@
     keeper_destroy(node->keeper);
     localgate_destroy(node->gate);
     localtarget_destroy(node->target);
+    nodemetrics_destroy(node->nodemetrics);
     declared_destroy(node->declared);
     free_lists(node);
     free(node);
--- a/packages/node/node_internal.h
+++ b/packages/node/node_internal.h
@@ -9,6 +9,7 @@
 #include <sys/queue.h>
 
 #include "base/counter.h"
+#include "base/histogram.h"
 #include "base/random.h"
 #include "base/runtime.h"
 #include "fleet/budget.h"
@@ -29,6 +30,7 @@
 struct keeper;
 struct localgate;
 struct localtarget;
+struct nodemetrics;
 struct ownrow;
 struct planner;
 struct relaytask;
@@ -74,6 +76,7 @@
     struct relaytask *relay;
     struct ingress *ingress;
     struct ownrow *ownrow;
+    struct nodemetrics *nodemetrics;
     bool stopping;
     int64_t stop_us;    /* when the stop began */
     int64_t flushed_us; /* all answers have left by then */
--- a/packages/node/nodesettings.c
+++ b/packages/node/nodesettings.c
@@ -6,6 +6,10 @@
 
 #define KIND_FIELD "platform"
 #define SECONDS_MAX 3600
+#define LOG_LINES_DEFAULT 200
+#define LOG_LINES_MAX 1000000
+#define LOG_SAMPLE_DEFAULT 16
+#define LOG_SAMPLE_MAX 1000000
 #define RETRY_RESERVE_MAX 1000000
 
 static const char *const level_names[] = {"debug", "info", "warning", "error",
@@ -84,7 +88,11 @@
     struct document_object object;
     char kind[KEYMAP_NAME_MAX + 1];
     const size_t before = problems->count;
-    *settings = (struct nodesettings){.log_level = LOG_LEVEL_INFO};
+    *settings = (struct nodesettings){
+        .log_level = LOG_LEVEL_INFO,
+        .log_lines_per_s = LOG_LINES_DEFAULT,
+        .log_sample = LOG_SAMPLE_DEFAULT,
+    };
     if (!document_begin(&object, document, problems, "%s", "")) {
         return false;
     }
@@ -103,6 +111,10 @@
     if (level >= 0) {
         settings->log_level = (enum log_level)level;
     }
+    document_unsigned(&object, "log_lines_per_s", DOCUMENT_OPTIONAL, 1,
+                      LOG_LINES_MAX, &settings->log_lines_per_s);
+    document_unsigned(&object, "log_sample", DOCUMENT_OPTIONAL, 0,
+                      LOG_SAMPLE_MAX, &settings->log_sample);
     document_end(&object);
     return problems->count == before;
 }
--- a/packages/node/nodesettings.h
+++ b/packages/node/nodesettings.h
@@ -36,6 +36,8 @@
     double retry_reserve; /**< and so many more, over all instances */
     int64_t retry_window_us;
     enum log_level log_level;
+    unsigned log_lines_per_s; /**< and as many warnings and errors */
+    unsigned log_sample;      /**< one of so many requests is logged whole */
 };
 
 /** Reads and checks a document. False with at least one problem listed. */
