--- a/packages/ctl/cmdowners.c
+++ b/packages/ctl/cmdowners.c
@@ -291,6 +291,9 @@
 command_explain(struct ctl *ctl)
 {
     struct ctl_revision current;
+    if (ctl->options.log_file != NULL) {
+        return command_explain_log(ctl);
+    }
     enum ctl_exit code = ctl_need_store(ctl);
     if (code != CTL_OK) {
         return code;
--- a/packages/ctl/commands.h
+++ b/packages/ctl/commands.h
@@ -17,6 +17,8 @@
 enum ctl_exit command_members(struct ctl *ctl);
 enum ctl_exit command_audit(struct ctl *ctl);
 enum ctl_exit command_explain(struct ctl *ctl);
+/** Explains a request, or key=N, from log lines. */
+enum ctl_exit command_explain_log(struct ctl *ctl);
 enum ctl_exit command_promises(struct ctl *ctl);
 enum ctl_exit command_suspects(struct ctl *ctl);
 enum ctl_exit command_entries(struct ctl *ctl);
--- a/packages/ctl/ctl.h
+++ b/packages/ctl/ctl.h
@@ -47,6 +47,7 @@
     char arguments[CTL_ARGUMENTS_MAX][STORE_NAME_MAX + 1];
     char author[STORE_NAME_MAX + 1];
     char service[STORE_NAME_MAX + 1];
+    const char *log_file; /**< to explain from; "-" is stdin; or NULL */
     bool has_store;
     bool has_daemon;
     bool has_base;
--- a/packages/ctl/ctlmain.c
+++ b/packages/ctl/ctlmain.c
@@ -31,6 +31,7 @@
     OPTION_SINCE,
     OPTION_LIMIT,
     OPTION_SERVICE,
+    OPTION_LOG,
 };
 
 /** A command of the program. */
@@ -95,6 +96,10 @@
 
 static const struct argp_option explain_options[] = {
     {"service", OPTION_SERVICE, "NAME", 0, "Service that the key is of", 0},
+    {"log", OPTION_LOG, "FILE", 0,
+     "Tell the story of a request's id, or of key=NUMBER, from the log lines "
+     "in FILE (- is standard input)",
+     0},
     {0},
 };
 
@@ -117,7 +122,8 @@
      NULL, command_owners},
     {"members", "", "Show the instances", 0, 0, NULL, command_members},
     {"audit", "", "Show changes", 0, 0, audit_options, command_audit},
-    {"explain", "KEY --service NAME", "Show who owns a key, and why", 1, 1,
+    {"explain", "KEY --service NAME | ID --log FILE",
+     "Show who owns a key and why, or how a request ended", 1, 1,
      explain_options, command_explain},
     {"promises", "", "Show whether each promise was kept", 0, 0,
      promises_options, command_promises},
@@ -264,6 +270,9 @@
     case OPTION_SERVICE:
         copy_text(state, text, options->service, sizeof(options->service));
         return 0;
+    case OPTION_LOG:
+        options->log_file = text;
+        return 0;
     default:
         return ARGP_ERR_UNKNOWN;
     }
@@ -286,7 +295,8 @@
     argv[0] = name;
     argp_parse(&parser, argc, argv, 0, NULL, parsing);
     if (command->run == command_explain &&
-        parsing->options.service[0] == '\0') {
+        parsing->options.service[0] == '\0' &&
+        parsing->options.log_file == NULL) {
         argp_help(&parser, stderr, ARGP_HELP_STD_USAGE, name);
         exit(CTL_USAGE);
     }
--- a/packages/ctl/test/ctl_test.cc
+++ b/packages/ctl/test/ctl_test.cc
@@ -2,6 +2,8 @@
 
 #include <unistd.h>
 
+#include <algorithm>
+#include <cstdio>
 #include <regex>
 
 namespace {
@@ -35,6 +37,43 @@
 
 class Ctl : public Session {};
 
+TEST(ExplainLog, TellsHowARequestEndedAndWhatWasBelieved)
+{
+    char name[] = "/tmp/explainXXXXXX";
+    const int fd = mkstemp(name);
+    ASSERT_GE(fd, 0);
+    const std::string log =
+        R"(noise
+  1.2 b {"time":"2026-01-01T00:00:02.300000Z","instance":"b","module":"gate","event":"refused","id":"r1","reason":2}
+{"time":"2026-01-01T00:00:02.100000Z","instance":"a","module":"ingress","event":"sent","id":"r1","to":"b"}
+{"time":"2026-01-01T00:00:02.200000Z","instance":"b","module":"target","event":"target_leaving","target":"t"}
+{"time":"2026-01-01T00:00:02.200000Z","instance":"c","module":"target","event":"target_leaving","target":"u"}
+{"time":"2026-01-01T00:00:02.400000Z","instance":"a","module":"ingress","event":"request","id":"r1","outcome":"not-run","reason":"leaving","to":"b"}
+{"time":"2026-01-01T00:00:02.400000Z","instance":"a","module":"ingress","event":"request","id":"r2","outcome":"not-run","reason":"full"}
+)";
+    ASSERT_EQ(static_cast<ssize_t>(log.size()),
+              write(fd, log.data(), log.size()));
+    close(fd);
+    std::string program = BUILD_DIR "/chestnutgapctl";
+    FILE *output = popen(
+        (program + " explain r1 --log " + name + " 2>&1").c_str(), "r");
+    ASSERT_NE(nullptr, output);
+    std::string got;
+    char buffer[4096];
+    while (fgets(buffer, sizeof(buffer), output) != nullptr) {
+        got += buffer;
+    }
+    EXPECT_EQ(0, pclose(output));
+    unlink(name);
+    EXPECT_EQ(4, std::count(got.begin(), got.end(), '\n') - 1) << got;
+    EXPECT_LT(got.find("ingress sent"), got.find("~ b"));
+    EXPECT_LT(got.find("~ b"), got.find("gate refused"));
+    EXPECT_EQ(std::string::npos, got.find(" c "));
+    EXPECT_EQ(std::string::npos, got.find("r2"));
+    EXPECT_NE(std::string::npos,
+              got.find("ended by a: not-run, reason leaving\n"));
+}
+
 TEST_F(Ctl, ApplyingSession)
 {
     const std::string wrong = example("powys/state.json", "\"slots\": 20",
