--- a/packages/base/histogram.c
+++ b/packages/base/histogram.c
@@ -22,8 +22,7 @@
 struct histogram_registry *
 histogram_registry_create(void)
 {
-    struct histogram_registry *registry =
-        memory_zeroed(1, sizeof(*registry));
+    struct histogram_registry *registry = memory_zeroed(1, sizeof(*registry));
     STAILQ_INIT(&registry->histograms);
     return registry;
 }
--- a/packages/base/histogram.h
+++ b/packages/base/histogram.h
@@ -6,12 +6,13 @@
 #ifndef CHESTNUTGAP_BASE_HISTOGRAM_H
 #define CHESTNUTGAP_BASE_HISTOGRAM_H
 
+#include <stddef.h>
 #include <stdint.h>
 #include <stdio.h>
 #include <sys/queue.h>
 
-#define HISTOGRAM_SUB_BUCKETS 16
-#define HISTOGRAM_OCTAVES 36 /* up to 2^36 us, 19 hours */
+#define HISTOGRAM_SUB_BUCKETS ((size_t)16)
+#define HISTOGRAM_OCTAVES ((size_t)36) /* up to 2^36 us, 19 hours */
 #define HISTOGRAM_BUCKETS (HISTOGRAM_OCTAVES * HISTOGRAM_SUB_BUCKETS)
 
 /** Durations in microseconds. */
@@ -41,8 +42,7 @@
 void histogram_count(struct histogram *histogram, int64_t duration_us);
 
 /** Upper bound of the duration that the share (0 to 1) of all is below. */
-int64_t histogram_quantile_us(const struct histogram *histogram,
-                              double share);
+int64_t histogram_quantile_us(const struct histogram *histogram, double share);
 
 /** Writes buckets, sum and count of each, as common collectors read it. */
 void histogram_print(const struct histogram_registry *registry, FILE *stream);
--- a/packages/base/log.c
+++ b/packages/base/log.c
@@ -228,8 +228,7 @@
     const int length = snprintf(
         text, sizeof(text),
         "{\"level\":\"warning\",\"instance\":\"%s\",\"module\":\"log\","
-        "\"event\":\"dropped\",\"lines\":%" PRIu64 ",\"total\":%" PRIu64
-        "}\n",
+        "\"event\":\"dropped\",\"lines\":%" PRIu64 ",\"total\":%" PRIu64 "}\n",
         log_instance, log_bound.dropped - log_bound.told, log_bound.dropped);
     if (log_write_now(text, (size_t)length)) {
         log_bound.told = log_bound.dropped;
@@ -264,8 +263,8 @@
     struct stat status;
     log_bound.fd = fd;
     log_bound.lines_per_s = fd >= 0 ? lines_per_s : 0;
-    log_bound.may_block = fd >= 0 && fstat(fd, &status) == 0 &&
-                          !S_ISREG(status.st_mode);
+    log_bound.may_block =
+        fd >= 0 && fstat(fd, &status) == 0 && !S_ISREG(status.st_mode);
 }
 
 uint64_t
@@ -283,8 +282,7 @@
 bool
 log_sampled(const char *id)
 {
-    return log_sample_one_of > 0 &&
-           hash_string(id) % log_sample_one_of == 0;
+    return log_sample_one_of > 0 && hash_string(id) % log_sample_one_of == 0;
 }
 
 void
--- a/packages/base/test/histogram_test.cc
+++ b/packages/base/test/histogram_test.cc
@@ -23,8 +23,7 @@
     struct random_state random;
     for (uint64_t seed = 1; seed <= 10; seed++) {
         struct histogram_registry *registry = histogram_registry_create();
-        struct histogram *histogram =
-            histogram_add(registry, "h", "", "help");
+        struct histogram *histogram = histogram_add(registry, "h", "", "help");
         std::vector<int64_t> exact;
         random_seed(&random, seed);
         for (int i = 0; i < 5000; i++) {
@@ -35,8 +34,8 @@
         }
         std::sort(exact.begin(), exact.end());
         for (const double share : {0.01, 0.5, 0.9, 0.99, 0.999, 1.0}) {
-            const auto index = static_cast<size_t>(
-                std::max(0.0, share * 5000.0 - 1.0));
+            const auto index =
+                static_cast<size_t>(std::max(0.0, share * 5000.0 - 1.0));
             const int64_t told = histogram_quantile_us(histogram, share);
             EXPECT_GT(told, exact[index]) << seed << " " << share;
             EXPECT_LE(static_cast<double>(told),
--- a/packages/ctl/cmdexplainlog.c
+++ b/packages/ctl/cmdexplainlog.c
@@ -37,8 +37,7 @@
 static const char *
 text_of(const struct log_entry *entry, const char *field)
 {
-    const char *text =
-        json_string_value(json_object_get(entry->json, field));
+    const char *text = json_string_value(json_object_get(entry->json, field));
     return text != NULL ? text : "";
 }
 
@@ -156,8 +155,7 @@
     printf("%s %s%-20s %s %s", entry->time, around ? "  ~ " : "",
            text_of(entry, "instance"), text_of(entry, "module"),
            text_of(entry, "event"));
-    json_object_foreach(entry->json, key, value)
-    {
+    json_object_foreach (entry->json, key, value) {
         static const char *const shown[] = {"time", "instance", "module",
                                             "event", "level"};
         bool told = false;
@@ -202,8 +200,7 @@
         const struct log_entry *entry = &entries->items[i];
         const char *event = text_of(entry, "event");
         if (is_about(entry, subject) &&
-            (strcmp(event, "request") == 0 ||
-             strcmp(event, "rejected") == 0 ||
+            (strcmp(event, "request") == 0 || strcmp(event, "rejected") == 0 ||
              strcmp(event, "caller_left") == 0)) {
             end = entry;
         }
@@ -260,8 +257,8 @@
         json_decref(entries.items[i].json);
     }
     free(entries.items);
-    return found ? CTL_OK
-                 : ctl_fail_with(ctl, CTL_FAILED, ERROR_FIELD_REFERENCE,
-                                 "%s in %s", subject.id,
-                                 ctl->options.log_file);
+    return found
+               ? CTL_OK
+               : ctl_fail_with(ctl, CTL_FAILED, ERROR_FIELD_REFERENCE,
+                               "%s in %s", subject.id, ctl->options.log_file);
 }
--- a/packages/ctl/test/ctl_test.cc
+++ b/packages/ctl/test/ctl_test.cc
@@ -55,8 +55,8 @@
               write(fd, log.data(), log.size()));
     close(fd);
     std::string program = BUILD_DIR "/chestnutgapctl";
-    FILE *output = popen(
-        (program + " explain r1 --log " + name + " 2>&1").c_str(), "r");
+    FILE *output =
+        popen((program + " explain r1 --log " + name + " 2>&1").c_str(), "r");
     ASSERT_NE(nullptr, output);
     std::string got;
     char buffer[4096];
--- a/packages/daemon/platformdaemon.c
+++ b/packages/daemon/platformdaemon.c
@@ -57,10 +57,9 @@
     if (stat(daemon->settings_file, &status) != 0) {
         return false;
     }
-    const bool changed =
-        status.st_mtim.tv_sec != daemon->file_time.tv_sec ||
-        status.st_mtim.tv_nsec != daemon->file_time.tv_nsec ||
-        status.st_size != daemon->file_size;
+    const bool changed = status.st_mtim.tv_sec != daemon->file_time.tv_sec ||
+                         status.st_mtim.tv_nsec != daemon->file_time.tv_nsec ||
+                         status.st_size != daemon->file_size;
     daemon->file_time = status.st_mtim;
     daemon->file_size = status.st_size;
     return changed;
--- a/packages/fleet/declared.c
+++ b/packages/fleet/declared.c
@@ -131,9 +131,8 @@
     for (size_t i = 0; i < declared->route_count; i++) {
         const struct declared_route *route = &declared->routes[i];
         const size_t size = strlen(route->prefix);
-        const size_t place =
-            index_place(declared, route->host, strlen(route->host),
-                        route->prefix, size);
+        const size_t place = index_place(
+            declared, route->host, strlen(route->host), route->prefix, size);
         if (declared->index[place] != NO_ROUTE) {
             return error_set(err, ERROR_FIELD_DUPLICATE, "%s%s", route->host,
                              route->prefix);
--- a/packages/fleet/declared.h
+++ b/packages/fleet/declared.h
@@ -70,9 +70,9 @@
 
 /** The route of the host with the longest prefix that begins the path, or
  * NULL. A port in the host is ignored. */
-const struct declared_route *
-declared_route_of(const struct declared *declared, const char *host,
-                  const char *path);
+const struct declared_route *declared_route_of(const struct declared *declared,
+                                               const char *host,
+                                               const char *path);
 
 size_t declared_route_count(const struct declared *declared);
 size_t declared_service_count(const struct declared *declared);
--- a/packages/fleet/keylease.c
+++ b/packages/fleet/keylease.c
@@ -47,8 +47,7 @@
 keylease_promised(struct keylease *lease, int64_t begun_us)
 {
     const int64_t until_us = begun_us + KEYLEASE_PROMISE_US;
-    const int64_t last_us =
-        lease->stored_until_us + KEYLEASE_PROMISED_MAX_US;
+    const int64_t last_us = lease->stored_until_us + KEYLEASE_PROMISED_MAX_US;
     if (lease->held && until_us <= last_us) {
         lease->promised_until_us = until_us;
     }
--- a/packages/fleet/keyload.c
+++ b/packages/fleet/keyload.c
@@ -79,10 +79,9 @@
     const uint32_t end = bucket + KEYLOAD_BUCKET;
     for (uint32_t key = bucket; key < end; key++) {
         const uint32_t count = load->counts[key];
-        const bool room =
-            steps->count + STEPS_PER_KEY +
-                (DECLARED_KEYS - key) / KEYLOAD_BUCKET <
-            KEYLOAD_STEPS_MAX;
+        const bool room = steps->count + STEPS_PER_KEY +
+                              (DECLARED_KEYS - key) / KEYLOAD_BUCKET <
+                          KEYLOAD_STEPS_MAX;
         if (count < busy || !room) {
             sum += count;
             continue;
@@ -154,8 +153,7 @@
     const double idle =
         (curve->total * IDLE_SHARE + IDLE_LOAD_MIN) / DECLARED_KEYS;
     for (size_t key = 0; key < DECLARED_KEYS; key++) {
-        curve->before[key + 1] =
-            curve->before[key] + curve->loads[key] + idle;
+        curve->before[key + 1] = curve->before[key] + curve->loads[key] + idle;
     }
     curve->summed = true;
 }
--- a/packages/fleet/keymap.c
+++ b/packages/fleet/keymap.c
@@ -115,13 +115,12 @@
     for (size_t i = 0; i < map->count; i++) {
         const struct keymap_segment *segment = &map->segments[i];
         json_array_append_new(
-            list, json_pack("{s:i, s:s, s:s, s:I, s:I, s:s}", "last",
-                            (int)segment->last, "instance",
-                            segment->holder.instance, "target",
-                            segment->holder.target, "born_ms",
-                            (json_int_t)segment->holder.born_ms, "fence",
-                            (json_int_t)segment->fence, "token",
-                            segment->token));
+            list,
+            json_pack("{s:i, s:s, s:s, s:I, s:I, s:s}", "last",
+                      (int)segment->last, "instance", segment->holder.instance,
+                      "target", segment->holder.target, "born_ms",
+                      (json_int_t)segment->holder.born_ms, "fence",
+                      (json_int_t)segment->fence, "token", segment->token));
     }
     json_t *document =
         json_pack("{s:I, s:o}", "next_fence", (json_int_t)map->next_fence,
@@ -165,8 +164,8 @@
     if (map->segments[index].first == key) {
         return;
     }
-    map->segments = memory_resized(map->segments, map->count + 1,
-                                   sizeof(*map->segments));
+    map->segments =
+        memory_resized(map->segments, map->count + 1, sizeof(*map->segments));
     memmove(&map->segments[index + 1], &map->segments[index],
             (map->count - index) * sizeof(*map->segments));
     map->count++;
--- a/packages/fleet/keyplan.c
+++ b/packages/fleet/keyplan.c
@@ -11,10 +11,10 @@
 /* A plan in the making. */
 struct plan {
     const struct keyplan_input *input;
-    struct keymap map;     /* as it will be */
-    double *loads;         /* by member, over its weight */
-    double total;          /* load of all keys */
-    double weight;         /* of the members that take keys */
+    struct keymap map; /* as it will be */
+    double *loads;     /* by member, over its weight */
+    double total;      /* load of all keys */
+    double weight;     /* of the members that take keys */
     struct keyplan_move *moves;
     size_t count;
 };
@@ -94,8 +94,7 @@
     const struct keyplan_member *members = plan->input->members;
     const struct keymap_holder from = keymap_find(&plan->map, first)->holder;
     const size_t giver = member_of(plan->input, &from);
-    const double load =
-        keyload_curve_between(plan->input->curve, first, last);
+    const double load = keyload_curve_between(plan->input->curve, first, last);
     plan->moves[plan->count++] = (struct keyplan_move){
         .first = first,
         .last = last,
@@ -173,12 +172,12 @@
     if (index > 0 && touches(plan, index - 1, to)) {
         strip.last =
             keyload_curve_cut(curve, segment->first, segment->last, wanted);
-        strip.found = keyload_curve_between(curve, strip.first, strip.last) <=
-                      wanted;
+        strip.found =
+            keyload_curve_between(curve, strip.first, strip.last) <= wanted;
         return strip;
     }
-    const uint32_t kept = keyload_curve_cut(curve, segment->first,
-                                            segment->last, load - wanted);
+    const uint32_t kept =
+        keyload_curve_cut(curve, segment->first, segment->last, load - wanted);
     strip.first = kept + 1;
     strip.found = kept < segment->last;
     return strip;
@@ -241,8 +240,7 @@
              struct keyplan_move moves[KEYPLAN_MOVES_MAX])
 {
     struct plan plan = {.input = input, .moves = moves};
-    plan.loads =
-        memory_zeroed(input->member_count + 1, sizeof(*plan.loads));
+    plan.loads = memory_zeroed(input->member_count + 1, sizeof(*plan.loads));
     keymap_copy(&plan.map, input->map);
     measure(&plan);
     if (least_busy(&plan) != NO_MEMBER) {
--- a/packages/fleet/roster.c
+++ b/packages/fleet/roster.c
@@ -47,8 +47,7 @@
     struct roster_instance *other;
     LIST_FOREACH (other, &roster->instances, link) {
         if (other != instance && other->version < instance->version &&
-            address_equal(&other->notice.address,
-                          &instance->notice.address)) {
+            address_equal(&other->notice.address, &instance->notice.address)) {
             other->notice.state = ROSTER_ABSENT;
         }
     }
@@ -58,8 +57,7 @@
 roster_update(struct roster *roster, const struct roster_notice *notice,
               uint64_t version)
 {
-    struct roster_instance *instance =
-        roster_find(roster, notice->instance);
+    struct roster_instance *instance = roster_find(roster, notice->instance);
     if (instance == NULL) {
         instance = memory_zeroed(1, sizeof(*instance));
         LIST_INSERT_HEAD(&roster->instances, instance, link);
--- a/packages/fleet/roster.h
+++ b/packages/fleet/roster.h
@@ -98,8 +98,7 @@
                         int64_t took_us, bool failed);
 void roster_note_load(struct roster_instance *instance, unsigned load,
                       bool cold);
-void roster_note_unreachable(struct roster_instance *instance,
-                             int64_t now_us);
+void roster_note_unreachable(struct roster_instance *instance, int64_t now_us);
 void roster_note_reached(struct roster_instance *instance);
 
 /** Instances that are there, with or without a target that serves. */
--- a/packages/fleet/rosterjson.c
+++ b/packages/fleet/rosterjson.c
@@ -87,21 +87,20 @@
     const json_t *slots = json_object_get(document, "slots");
     *notice = (struct roster_notice){.state = ROSTER_ABSENT};
     snprintf(notice->instance, sizeof(notice->instance), "%s", instance);
-    const bool ok =
-        copy_text(notice->zone, document, "zone") &&
-        copy_text(notice->service, document, "service") &&
-        copy_text(notice->target, document, "target") &&
-        copy_text(address, document, "address") &&
-        address_parse(address, &notice->address, NULL) &&
-        json_is_integer(born) && json_is_integer(slots) &&
-        json_integer_value(slots) >= 0 &&
-        read_state(document, &notice->state);
+    const bool ok = copy_text(notice->zone, document, "zone") &&
+                    copy_text(notice->service, document, "service") &&
+                    copy_text(notice->target, document, "target") &&
+                    copy_text(address, document, "address") &&
+                    address_parse(address, &notice->address, NULL) &&
+                    json_is_integer(born) && json_is_integer(slots) &&
+                    json_integer_value(slots) >= 0 &&
+                    read_state(document, &notice->state);
     if (ok) {
         notice->born_ms = json_integer_value(born);
         notice->slots = (unsigned)json_integer_value(slots);
         read_accused(document, notice);
     }
     json_decref(document);
-    return ok || error_set(err, ERROR_DOCUMENT_SYNTAX, "instance %s",
-                           instance);
+    return ok ||
+           error_set(err, ERROR_DOCUMENT_SYNTAX, "instance %s", instance);
 }
--- a/packages/fleet/slots.c
+++ b/packages/fleet/slots.c
@@ -5,7 +5,8 @@
 #include "base/memory.h"
 #include "base/runtime.h"
 
-#define COLD_WINDOW_US (1100 * US_PER_MS) /* a second, and what clocks differ */
+#define COLD_WINDOW_US                                                        \
+    (1100 * US_PER_MS) /* a second, and what clocks differ */
 #define SERVICE_DEFAULT_US (100 * US_PER_MS)
 #define SERVICE_WEIGHT 16 /* answers that the smoothed time remembers */
 
@@ -17,7 +18,7 @@
     unsigned waiting;
     struct slots_queue queue;
     int64_t cold_until_us;
-    unsigned cold_max;                    /* starts within the window */
+    unsigned cold_max;                 /* starts within the window */
     int64_t starts_us[SLOTS_COLD_MAX]; /* ring of the latest starts */
     unsigned start_next;
     int64_t service_us;
@@ -223,8 +224,8 @@
     if (slots->waiting > 0 && slots->running < slots->limit &&
         slots_is_cold(slots, now_us)) {
         int64_t ready_us = cold_ready_us(slots);
-        ready_us = ready_us < slots->cold_until_us ? ready_us
-                                                   : slots->cold_until_us;
+        ready_us =
+            ready_us < slots->cold_until_us ? ready_us : slots->cold_until_us;
         wake_us = ready_us < wake_us ? ready_us : wake_us;
     }
     return wake_us;
--- a/packages/fleet/test/declared_test.cc
+++ b/packages/fleet/test/declared_test.cc
@@ -10,7 +10,10 @@
 
 struct Declared : testing::Test {
     struct declared *config = declared_create(7);
-    ~Declared() override { declared_destroy(config); }
+    ~Declared() override
+    {
+        declared_destroy(config);
+    }
 
     void Route(const char *host, const char *prefix, size_t service)
     {
--- a/packages/fleet/test/keymap_test.cc
+++ b/packages/fleet/test/keymap_test.cc
@@ -42,8 +42,14 @@
 
 struct Keymap : testing::Test {
     struct keymap map;
-    Keymap() { keymap_init(&map); }
-    ~Keymap() override { keymap_clear(&map); }
+    Keymap()
+    {
+        keymap_init(&map);
+    }
+    ~Keymap() override
+    {
+        keymap_clear(&map);
+    }
 };
 
 TEST_F(Keymap, EveryAssignmentHasAHigherFenceThanItsKeysEverHad)
@@ -54,12 +60,10 @@
     for (int round = 0; round < 500; round++) {
         const auto first =
             static_cast<uint32_t>(random_below(&random, DECLARED_KEYS));
-        const uint32_t last =
-            first + static_cast<uint32_t>(
-                        random_below(&random, DECLARED_KEYS - first));
-        const struct keymap_holder to =
-            Holder(std::string(1, static_cast<char>(
-                                      'a' + random_below(&random, 5))));
+        const uint32_t last = first + static_cast<uint32_t>(random_below(
+                                          &random, DECLARED_KEYS - first));
+        const struct keymap_holder to = Holder(
+            std::string(1, static_cast<char>('a' + random_below(&random, 5))));
         keymap_assign(&map, first, last, &to, "token");
         CheckWhole(map);
         for (uint32_t key = first; key <= last; key += 97) {
@@ -118,7 +122,10 @@
     std::vector<struct keyplan_member> members;
     struct keyload_curve *curve = keyload_curve_create();
     std::vector<struct keyload_step> steps;
-    ~Plan() override { keyload_curve_destroy(curve); }
+    ~Plan() override
+    {
+        keyload_curve_destroy(curve);
+    }
 
     void Member(const std::string &name, bool takes = true,
                 bool leaves = false, double weight = 1)
@@ -154,8 +161,7 @@
 TEST_F(Plan, KeysWithoutOwnerAreSpreadByLoad)
 {
     /* Two hundred neighbours have nearly half of all requests. */
-    const struct keyload_step hot[] = {
-        {0, 500}, {30000, 400}, {30200, 500}};
+    const struct keyload_step hot[] = {{0, 500}, {30000, 400}, {30200, 500}};
     keyload_curve_add(curve, hot, 3);
     for (const char *name : {"a", "b", "c", "d"}) {
         Member(name);
--- a/packages/fleet/test/roster_test.cc
+++ b/packages/fleet/test/roster_test.cc
@@ -23,8 +23,14 @@
     struct random_state random;
     std::string out;
 
-    Roster() { random_seed(&random, 1); }
-    ~Roster() override { roster_clear(&roster); }
+    Roster()
+    {
+        random_seed(&random, 1);
+    }
+    ~Roster() override
+    {
+        roster_clear(&roster);
+    }
 
     struct roster_instance *Add(const std::string &name,
                                 const std::string &zone,
@@ -127,7 +133,8 @@
 
 TEST_F(Roster, AnAddressThatIsUsedAgainEndsItsFormerInstance)
 {
-    struct roster_instance *a = Add("a", "z1", ROSTER_SERVING, 3, "10.1.1.1:1");
+    struct roster_instance *a =
+        Add("a", "z1", ROSTER_SERVING, 3, "10.1.1.1:1");
     Add("b", "z1", ROSTER_SERVING, 5, "10.1.1.1:1");
     EXPECT_EQ(ROSTER_ABSENT, a->notice.state);
     Add("a", "z1", ROSTER_SERVING, 7, "10.1.1.1:1");
--- a/packages/fleet/test/slots_test.cc
+++ b/packages/fleet/test/slots_test.cc
@@ -17,7 +17,10 @@
 struct Slots : testing::Test {
     struct slots *slots = slots_create(2);
     std::deque<struct slots_entry> entries;
-    ~Slots() override { slots_destroy(slots); }
+    ~Slots() override
+    {
+        slots_destroy(slots);
+    }
 
     struct slots_entry *Entry(unsigned priority, int64_t due_us,
                               int64_t give_up_us)
--- a/packages/fleet/wire.h
+++ b/packages/fleet/wire.h
@@ -47,17 +47,17 @@
 
 /** Fields that the system sets for the target. */
 struct wire_target_fields {
-    const char *target;  /**< life of the target that is to run it */
-    const char *caller;  /**< service from whose machine it came */
+    const char *target; /**< life of the target that is to run it */
+    const char *caller; /**< service from whose machine it came */
     int64_t time_left_us;
 };
 
 /** What a target's answer means. */
 enum wire_answer_kind {
-    WIRE_ANSWER_RUN,     /**< the target's own answer, to be passed on */
-    WIRE_ANSWER_NOT_RUN, /**< the target did not and will not run it */
+    WIRE_ANSWER_RUN,      /**< the target's own answer, to be passed on */
+    WIRE_ANSWER_NOT_RUN,  /**< the target did not and will not run it */
     WIRE_ANSWER_NOT_HELD, /**< likewise: it lacks the key, or is another */
-    WIRE_ANSWER_INVALID, /**< a success that is not the target's */
+    WIRE_ANSWER_INVALID,  /**< a success that is not the target's */
 };
 
 struct wire_answer {
--- a/packages/http/clientconnection.c
+++ b/packages/http/clientconnection.c
@@ -9,7 +9,7 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 
-#define READ_MAX (256u << 10) /* bytes taken from a socket at once */
+#define READ_MAX (256u << 10)      /* bytes taken from a socket at once */
 #define UNACKNOWLEDGED_MAX_MS 3000 /* then TCP counts as cut */
 #define KEEPALIVE_S 1              /* of silence, and between probes */
 #define KEEPALIVE_PROBES 2
@@ -105,9 +105,9 @@
     if (extra) {
         client->counters.unexpected_bytes->value++;
     }
-    const bool reusable =
-        message->keep_alive && !extra && !connection->stray_answer &&
-        evbuffer_get_length(output) == 0;
+    const bool reusable = message->keep_alive && !extra &&
+                          !connection->stray_answer &&
+                          evbuffer_get_length(output) == 0;
     connection_note_idle(connection, &message->headers);
     call->connection = NULL;
     /* The callback may start or cancel other calls of this client. */
--- a/packages/http/httpclient.h
+++ b/packages/http/httpclient.h
@@ -40,7 +40,7 @@
     size_t body_max;            /**< bytes of an answer. Default 16 MiB */
     int64_t connect_timeout_us; /**< Default 1 s */
     int64_t idle_timeout_us;    /**< then closed. Default 30 s */
-    bool answers_to_end; /**< an answer may end with its connection */
+    bool answers_to_end;        /**< an answer may end with its connection */
 };
 
 /** Result of a call, valid during the callback. */
--- a/packages/http/httpconnection.c
+++ b/packages/http/httpconnection.c
@@ -275,8 +275,8 @@
     if (!request->message->keep_alive) {
         return true;
     }
-    const bool last = TAILQ_NEXT(request, pipeline) == NULL &&
-                      !connection->receiving;
+    const bool last =
+        TAILQ_NEXT(request, pipeline) == NULL && !connection->receiving;
     return last &&
            (connection->server->stopping || connection->server->retiring);
 }
--- a/packages/http/httpmessage.c
+++ b/packages/http/httpmessage.c
@@ -25,7 +25,7 @@
     bool has_length;
     uint64_t length;
     bool chunked;
-    bool to_end; /* the body ends with the connection */
+    bool to_end;               /* the body ends with the connection */
     char name[FIELD_NAME_MAX]; /* of the field whose value comes next */
     size_t name_size;
     struct http_message message;
--- a/packages/http/httpserver.h
+++ b/packages/http/httpserver.h
@@ -27,7 +27,7 @@
     struct address address; /**< port 0 picks a port */
     size_t body_max;        /**< bytes; larger get 413. Default 16 MiB */
     size_t bodies_max;      /**< bytes of all bodies held; then 503. 256 MiB */
-    unsigned connections_max;   /**< then accepting stops. Default 4096 */
+    unsigned connections_max; /**< then accepting stops. Default 4096 */
     unsigned pipeline_max; /**< requests of a connection in work. Default 1 */
     int64_t receive_timeout_us; /**< for a whole request. Default 60 s */
     int64_t send_timeout_us;    /**< without progress. Default 30 s */
--- a/packages/http/httpserver_internal.h
+++ b/packages/http/httpserver_internal.h
@@ -82,7 +82,7 @@
     bool in_feed;   /* requests are being read: no nested reading */
     bool receiving; /* a request has begun */
     bool continue_sent;
-    size_t body_bytes; /* of the server's body_bytes */
+    size_t body_bytes;             /* of the server's body_bytes */
     struct http_pipeline pipeline; /* requests in work, in order */
     unsigned pipelined;
     int64_t deadline_us; /* of the state, 0: none */
--- a/packages/node/ingress.c
+++ b/packages/node/ingress.c
@@ -103,9 +103,11 @@
     if (ingress == NULL) {
         return;
     }
-    struct ingress_call *call;
-    while ((call = LIST_FIRST(&ingress->calls)) != NULL) {
+    struct ingress_call *call = LIST_FIRST(&ingress->calls);
+    while (call != NULL) {
+        struct ingress_call *next = LIST_NEXT(call, link);
         call_free(call);
+        call = next;
     }
     free(ingress);
 }
@@ -133,8 +135,7 @@
 {
     /* What is under way may run, and answers nobody. */
     for (size_t i = 0; i < INGRESS_SENDS_MAX; i++) {
-        call->may_have_run = call->may_have_run ||
-                             call->sends[i].sent != NULL;
+        call->may_have_run = call->may_have_run || call->sends[i].sent != NULL;
         send_clear(&call->sends[i]);
     }
     ingressanswer_refuse(call);
@@ -188,9 +189,8 @@
     if (owner == NULL) {
         owner = roster_find(&node->roster, segment->holder.instance);
     }
-    return owner != NULL && now_of(call) >= owner->unreachable_until_us
-               ? owner
-               : NULL;
+    return owner != NULL && now_of(call) >= owner->unreachable_until_us ? owner
+                                                                        : NULL;
 }
 
 static struct roster_instance *
@@ -305,9 +305,8 @@
     exclude(call, call->sends[0].instance);
     struct roster_instance *instance = choose_any(call);
     const bool idle =
-        instance != NULL &&
-        instance->reported_load + instance->sent_since <
-            instance->notice.slots;
+        instance != NULL && instance->reported_load + instance->sent_since <
+                                instance->notice.slots;
     if (!idle || left_us < whole_us * HEDGE_LEFT_PERCENT / 100 ||
         !budget_spend(&ingress->budget)) {
         return;
@@ -356,8 +355,8 @@
     if (is_sent(call)) {
         return;
     }
-    const bool owner_changes = call->message.keyed &&
-                               (call->reason == RELAY_REASON_NOT_OWNER ||
+    const bool owner_changes =
+        call->message.keyed && (call->reason == RELAY_REASON_NOT_OWNER ||
                                 call->reason == RELAY_REASON_LEAVING ||
                                 call->reason == RELAY_REASON_NO_TARGET);
     if (owner_changes && call->owner != NULL && call->owner != instance) {
@@ -443,13 +442,11 @@
     call->reason = reply->reason;
     call->timed_out = reply->reason == RELAY_REASON_DEADLINE;
     call->owner = reply->owner[0] != '\0'
-                      ? roster_find(&call->ingress->node->roster,
-                                    reply->owner)
+                      ? roster_find(&call->ingress->node->roster, reply->owner)
                       : NULL;
     call->retry_after_us = (int64_t)reply->retry_after_us;
     call->reached += reply->reached ? 1 : 0;
-    call->may_have_run =
-        call->may_have_run || reply->outcome == RELAY_UNKNOWN;
+    call->may_have_run = call->may_have_run || reply->outcome == RELAY_UNKNOWN;
     LOG_INFO("try_failed", LOG_STR("id", call->id),
              LOG_STR("to", instance->notice.instance),
              LOG_INT("outcome", reply->outcome),
--- a/packages/node/ingress_internal.h
+++ b/packages/node/ingress_internal.h
@@ -15,8 +15,9 @@
 #include "node/relaytask.h"
 
 #define INGRESS_SENDS_MAX 2 /* at the same time */
-#define INGRESS_TRIES_MAX 6 /* sendings of one request, most of them unseen
-                               by targets */
+#define INGRESS_TRIES_MAX                                                     \
+    6 /* sendings of one request, most of them unseen                         \
+         by targets */
 
 struct ingress_call;
 
@@ -36,13 +37,13 @@
     struct relay_request message;
     char *path; /**< and query */
     char service[DECLARED_NAME_MAX + 1];
-    const char *id; /**< the caller's, or empty */
+    const char *id;        /**< the caller's, or empty */
     unsigned attempts_max; /**< targets that it may reach */
     unsigned reached;      /**< targets that it may have reached */
     unsigned tries;
     bool may_have_run;
     bool hedged;
-    bool waits;      /**< for an owner or an instance */
+    bool waits; /**< for an owner or an instance */
     bool timed_out;
     int64_t begun_us;
     int64_t deadline_us;
@@ -51,7 +52,7 @@
     int64_t wait_until_us;
     int64_t service_us; /**< usual time of the instance tried last */
     struct roster_instance *owner; /**< as the former owner said, or NULL */
-    enum relay_reason reason; /**< of the last failure */
+    enum relay_reason reason;      /**< of the last failure */
     int64_t retry_after_us;
     const char *instance; /**< that was tried last */
     struct ingress_send sends[INGRESS_SENDS_MAX];
--- a/packages/node/ingressanswer.c
+++ b/packages/node/ingressanswer.c
@@ -36,19 +36,16 @@
 log_end(const struct ingress_call *call, const char *outcome, unsigned status)
 {
     const struct node *node = call->ingress->node;
-    LOG_INFO("request", LOG_STR("id", call->id),
-             LOG_STR("service", call->service), LOG_STR("outcome", outcome),
-             LOG_UINT("status", status),
-             LOG_STR("reason", reason_text(call->reason)),
-             LOG_STR("to", call->instance != NULL ? call->instance : ""),
-             LOG_UINT("tries", call->tries),
-             LOG_UINT("reached", call->reached),
-             LOG_INT("took_ms",
-                     (node_now_us(node) - call->begun_us) / US_PER_MS),
-             LOG_INT("left_ms",
-                     (call->deadline_us - node_now_us(node)) / US_PER_MS),
-             LOG_INT("key", call->message.keyed ? (int64_t)call->message.key
-                                                : -1));
+    LOG_INFO(
+        "request", LOG_STR("id", call->id), LOG_STR("service", call->service),
+        LOG_STR("outcome", outcome), LOG_UINT("status", status),
+        LOG_STR("reason", reason_text(call->reason)),
+        LOG_STR("to", call->instance != NULL ? call->instance : ""),
+        LOG_UINT("tries", call->tries), LOG_UINT("reached", call->reached),
+        LOG_INT("took_ms", (node_now_us(node) - call->begun_us) / US_PER_MS),
+        LOG_INT("left_ms",
+                (call->deadline_us - node_now_us(node)) / US_PER_MS),
+        LOG_INT("key", call->message.keyed ? (int64_t)call->message.key : -1));
 }
 
 void
@@ -129,8 +126,7 @@
              LOG_STR("path", http_request_path(request)),
              LOG_STR("reason", reason),
              LOG_UINT("config", ingress->node->declared != NULL
-                                    ? declared_version(
-                                          ingress->node->declared)
+                                    ? declared_version(ingress->node->declared)
                                     : 0));
     ingress->refused->value++;
     ingress->node->wire->refuse(request, &(struct wire_refusal){
--- a/packages/node/keeper.c
+++ b/packages/node/keeper.c
@@ -141,8 +141,7 @@
     if (keys == NULL) {
         return KEEPER_ELSEWHERE;
     }
-    const struct keymap_holder own =
-        localtarget_holder(keeper->node->target);
+    const struct keymap_holder own = localtarget_holder(keeper->node->target);
     const bool ours =
         keymap_holder_equal(&keymap_find(&keys->map, key)->holder, &own);
     return ours ? KEEPER_WAIT : KEEPER_ELSEWHERE;
@@ -229,8 +228,7 @@
 keeper_sync(struct keeper *keeper)
 {
     const struct node_keys *keys = keeper_keys(keeper);
-    const struct keymap_holder own =
-        localtarget_holder(keeper->node->target);
+    const struct keymap_holder own = localtarget_holder(keeper->node->target);
     struct hold *hold = TAILQ_FIRST(&keeper->holds);
     while (hold != NULL) {
         struct hold *next = TAILQ_NEXT(hold, link);
@@ -240,9 +238,8 @@
         }
         hold = next;
     }
-    for (size_t i = 0; keys != NULL && own.instance[0] != '\0' &&
-                       i < keys->map.count;
-         i++) {
+    for (size_t i = 0;
+         keys != NULL && own.instance[0] != '\0' && i < keys->map.count; i++) {
         if (keymap_holder_equal(&keys->map.segments[i].holder, &own)) {
             cover_segment(keeper, &keys->map.segments[i]);
         }
--- a/packages/node/keeper_internal.h
+++ b/packages/node/keeper_internal.h
@@ -84,11 +84,11 @@
     bool promises_failed;
     int64_t promises_begun_us;
     struct rowstore_call *map_call;
-    char *map_text;      /**< of the call */
-    bool touched;        /**< no earlier process's write can take effect */
-    bool touching;       /**< the call is for that */
+    char *map_text; /**< of the call */
+    bool touched;   /**< no earlier process's write can take effect */
+    bool touching;  /**< the call is for that */
     int64_t map_retry_us;
-    bool map_unsure; /**< an earlier write may still take effect */
+    bool map_unsure;        /**< an earlier write may still take effect */
     int64_t former_ends_us; /**< a former life may hold keys until then */
     struct counter *grants;
     struct counter *grants_failed;
--- a/packages/node/keepergrant.c
+++ b/packages/node/keepergrant.c
@@ -88,8 +88,7 @@
         localtarget_refused(keeper->node->target);
         return;
     }
-    if (result->outcome != HTTP_ANSWERED &&
-        result->outcome != HTTP_NOT_SENT) {
+    if (result->outcome != HTTP_ANSWERED && result->outcome != HTTP_NOT_SENT) {
         note_unsure(hold);
     }
 }
@@ -101,8 +100,8 @@
     struct node *node = keeper->node;
     char body[WIRE_BODY_MAX];
     const int64_t now_us = node_now_us(node);
-    const int64_t left_us = keylease_until_us(&keeper->lease) - now_us -
-                            ARRIVAL_US;
+    const int64_t left_us =
+        keylease_until_us(&keeper->lease) - now_us - ARRIVAL_US;
     int64_t hold_us = left_us * 100 / (100 + CLOCK_PERCENT);
     hold_us = hold_us < HOLD_US ? hold_us : HOLD_US;
     if (hold_us > node->settings.hold_max_us) {
--- a/packages/node/keeperlease.c
+++ b/packages/node/keeperlease.c
@@ -32,10 +32,9 @@
             json_array_append_new(peers, json_string(notice->instance));
         }
     }
-    json_t *document =
-        json_pack("{s:o, s:I, s:I}", "peers", peers, "process",
-                  (json_int_t)(node->options.seed >> 1), "number",
-                  (json_int_t)keeper->lease_number++);
+    json_t *document = json_pack("{s:o, s:I, s:I}", "peers", peers, "process",
+                                 (json_int_t)(node->options.seed >> 1),
+                                 "number", (json_int_t)keeper->lease_number++);
     char *text = json_dumps(document, JSON_COMPACT);
     json_decref(document);
     if (text == NULL) {
@@ -65,9 +64,8 @@
     free(keeper->lease_stored);
     keeper->lease_stored = keeper->lease_text;
     keeper->lease_text = NULL;
-    const bool acquired =
-        keylease_written(&keeper->lease, keeper->lease_begun_us, row_version,
-                         store_version);
+    const bool acquired = keylease_written(
+        &keeper->lease, keeper->lease_begun_us, row_version, store_version);
     if (acquired) {
         LOG_INFO("lease_acquired", LOG_UINT("version", row_version));
         keeper->touched = false;
@@ -153,9 +151,9 @@
     const bool lapsed = !keeper_has_lease(keeper);
     keylease_promised(&keeper->lease, keeper->promises_begun_us);
     if (lapsed) {
-        LOG_INFO("lease_promised",
-                 LOG_INT("until_ms", keeper->lease.promised_until_us /
-                                         US_PER_MS));
+        LOG_INFO(
+            "lease_promised",
+            LOG_INT("until_ms", keeper->lease.promised_until_us / US_PER_MS));
     }
     keepergrant_go_on(keeper);
 }
--- a/packages/node/keepermap.c
+++ b/packages/node/keepermap.c
@@ -37,9 +37,9 @@
             LOG_INFO("handover_done", LOG_UINT("first", handover->first),
                      LOG_UINT("last", handover->last),
                      LOG_STR("to", handover->to.instance),
-                     LOG_INT("took_ms", (node_now_us(keeper->node) -
-                                         handover->begun_us) /
-                                            US_PER_MS));
+                     LOG_INT("took_ms",
+                             (node_now_us(keeper->node) - handover->begun_us) /
+                                 US_PER_MS));
             keeper->moves->value++;
             keepergrant_drop_handover(handover);
         }
@@ -174,9 +174,8 @@
             .value = keeper->map_text,
             .size = strlen(keeper->map_text),
         };
-        keeper->map_call =
-            store->ops->commit(store->impl, &write, 1, WRITE_TIMEOUT_US,
-                               on_written, keeper);
+        keeper->map_call = store->ops->commit(
+            store->impl, &write, 1, WRITE_TIMEOUT_US, on_written, keeper);
     }
     keymap_clear(&map);
 }
--- a/packages/node/localgate.c
+++ b/packages/node/localgate.c
@@ -94,8 +94,8 @@
         counter_add(counters, "gate_started", "requests sent to the target");
     gate->refused = counter_add(counters, "gate_refused",
                                 "requests refused before they ran");
-    gate->cut = counter_add(counters, "gate_cut",
-                            "requests whose connection was cut");
+    gate->cut =
+        counter_add(counters, "gate_cut", "requests whose connection was cut");
     gate->shed =
         counter_add(counters, "gate_shed", "requests that the target shed");
     return gate;
@@ -126,9 +126,11 @@
     if (gate == NULL) {
         return;
     }
-    struct localgate_call *call;
-    while ((call = TAILQ_FIRST(&gate->calls)) != NULL) {
+    struct localgate_call *call = TAILQ_FIRST(&gate->calls);
+    while (call != NULL) {
+        struct localgate_call *next = TAILQ_NEXT(call, link);
         call_free(call);
+        call = next;
     }
     timer_stop(&gate->wake);
     slots_destroy(gate->slots);
@@ -162,23 +164,22 @@
     struct localgate *gate = call->gate;
     if (outcome == RELAY_NOT_RUN) {
         gate->refused->value++;
-        LOG_INFO("refused", LOG_STR("id", call->id), LOG_INT("reason", reason),
-                 LOG_INT("key", call->keyed ? (int64_t)call->key : -1),
-                 LOG_INT("waited_ms",
-                         (now_of(gate) - call->arrived_us) / US_PER_MS),
-                 LOG_UINT("running", slots_running(gate->slots)),
-                 LOG_UINT("waiting", slots_waiting(gate->slots)),
-                 LOG_UINT("limit", slots_limit(gate->slots)),
-                 LOG_INT("usual_ms",
-                         slots_service_us(gate->slots) / US_PER_MS),
-                 LOG_BOOL("cold", localgate_is_cold(gate)));
+        LOG_INFO(
+            "refused", LOG_STR("id", call->id), LOG_INT("reason", reason),
+            LOG_INT("key", call->keyed ? (int64_t)call->key : -1),
+            LOG_INT("waited_ms",
+                    (now_of(gate) - call->arrived_us) / US_PER_MS),
+            LOG_UINT("running", slots_running(gate->slots)),
+            LOG_UINT("waiting", slots_waiting(gate->slots)),
+            LOG_UINT("limit", slots_limit(gate->slots)),
+            LOG_INT("usual_ms", slots_service_us(gate->slots) / US_PER_MS),
+            LOG_BOOL("cold", localgate_is_cold(gate)));
     }
     struct relay_reply reply = {
         .outcome = outcome,
         .reason = reason,
         .reached = reached,
-        .retry_after_us =
-            (u_quad_t)slots_wait_us(gate->slots, now_of(gate)),
+        .retry_after_us = (u_quad_t)slots_wait_us(gate->slots, now_of(gate)),
     };
     call_answer(call, &reply);
 }
@@ -290,15 +291,14 @@
     if (result->outcome == HTTP_ANSWERED && !log_sampled(call->id)) {
         return;
     }
-    LOG_INFO("run", LOG_STR("id", call->id),
-             LOG_INT("outcome", result->outcome),
-             LOG_UINT("status", result->status),
-             LOG_INT("queued_ms",
-                     (call->sent_us - call->arrived_us) / US_PER_MS),
-             LOG_INT("ran_ms", (now_of(gate) - call->sent_us) / US_PER_MS),
-             LOG_UINT("running", slots_running(gate->slots)),
-             LOG_UINT("waiting", slots_waiting(gate->slots)),
-             LOG_BOOL("cold", localgate_is_cold(gate)));
+    LOG_INFO(
+        "run", LOG_STR("id", call->id), LOG_INT("outcome", result->outcome),
+        LOG_UINT("status", result->status),
+        LOG_INT("queued_ms", (call->sent_us - call->arrived_us) / US_PER_MS),
+        LOG_INT("ran_ms", (now_of(gate) - call->sent_us) / US_PER_MS),
+        LOG_UINT("running", slots_running(gate->slots)),
+        LOG_UINT("waiting", slots_waiting(gate->slots)),
+        LOG_BOOL("cold", localgate_is_cold(gate)));
 }
 
 static void
@@ -360,12 +360,11 @@
         http_headers_add(&headers, field->name, field->value);
     }
     node->wire->add_target_fields(
-        &headers,
-        &(struct wire_target_fields){
-            .target = holder.target,
-            .caller = request->caller,
-            .time_left_us = call->deadline_us - now_of(gate),
-        });
+        &headers, &(struct wire_target_fields){
+                      .target = holder.target,
+                      .caller = request->caller,
+                      .time_left_us = call->deadline_us - now_of(gate),
+                  });
     call->state = CALL_SENT;
     call->sent_us = now_of(gate);
     nodemetrics_count(node->nodemetrics, NODEMETRICS_QUEUE,
@@ -375,20 +374,20 @@
     if (call->keyed) {
         keeper_count(node->keeper, call->key);
     }
-    call->http = http_call_start(
-        localtarget_client(node->target),
-        &(struct http_call_spec){
-            .method = request->method,
-            .target = request->path,
-            .headers = headers.items,
-            .header_count = headers.count,
-            .body = request->body.body_val,
-            .body_size = request->body.body_len,
-            .deadline_us = call->deadline_us + TARGET_GRACE_US,
-            .belongs = on_belongs,
-            .done = on_http,
-            .ctx = call,
-        });
+    call->http =
+        http_call_start(localtarget_client(node->target),
+                        &(struct http_call_spec){
+                            .method = request->method,
+                            .target = request->path,
+                            .headers = headers.items,
+                            .header_count = headers.count,
+                            .body = request->body.body_val,
+                            .body_size = request->body.body_len,
+                            .deadline_us = call->deadline_us + TARGET_GRACE_US,
+                            .belongs = on_belongs,
+                            .done = on_http,
+                            .ctx = call,
+                        });
     http_headers_clear(&headers);
 }
 
@@ -507,8 +506,8 @@
     if (call->state == CALL_SENT) {
         LOG_INFO("cancelled", LOG_STR("id", call->id),
                  LOG_BOOL("runs_on", runs_on),
-                 LOG_INT("ran_ms", (now_of(gate) - call->entry.started_us) /
-                                       US_PER_MS));
+                 LOG_INT("ran_ms",
+                         (now_of(gate) - call->entry.started_us) / US_PER_MS));
     }
     call->request = NULL;
     if (!runs_on) {
@@ -527,8 +526,7 @@
         return;
     }
     gate->pumping = true;
-    while ((entry = slots_next(gate->slots, now_of(gate), &verdict)) !=
-           NULL) {
+    while ((entry = slots_next(gate->slots, now_of(gate), &verdict)) != NULL) {
         struct localgate_call *call = (struct localgate_call *)entry;
         if (verdict == SLOTS_REFUSE) {
             call_refuse_later(call, RELAY_REASON_FULL);
--- a/packages/node/localtarget.c
+++ b/packages/node/localtarget.c
@@ -84,10 +84,10 @@
     if (!target->present) {
         return;
     }
-    LOG_WARN("target_gone", LOG_STR("target", target->announced.target),
-             LOG_STR("why", why),
-             LOG_INT("silent_ms",
-                     (now_of(target) - target->heard_us) / US_PER_MS));
+    LOG_WARN(
+        "target_gone", LOG_STR("target", target->announced.target),
+        LOG_STR("why", why),
+        LOG_INT("silent_ms", (now_of(target) - target->heard_us) / US_PER_MS));
     target->present = false;
     timer_stop(&target->watch);
     if (target->probe != NULL) {
@@ -129,12 +129,12 @@
     target->probe_failures = 0;
     target->client = http_client_create(target->node->runtime, &config,
                                         target->node->options.counters);
-    LOG_INFO("target_present", LOG_STR("target", target->announced.target),
-             LOG_STR("service", target->announced.service),
-             LOG_INT("born_ms", target->announced.born_ms),
-             LOG_UINT("slots", target->announced.slots),
-             LOG_INT("cold_left_ms",
-                     target->announced.cold_left_us / US_PER_MS));
+    LOG_INFO(
+        "target_present", LOG_STR("target", target->announced.target),
+        LOG_STR("service", target->announced.service),
+        LOG_INT("born_ms", target->announced.born_ms),
+        LOG_UINT("slots", target->announced.slots),
+        LOG_INT("cold_left_ms", target->announced.cold_left_us / US_PER_MS));
 }
 
 /** The bound that holds now is told to the gate. */
@@ -320,9 +320,8 @@
         return;
     }
     if (health.has_cold_left) {
-        target->cold_until_us = health.cold_left_us > 0
-                                    ? now_of(target) + health.cold_left_us
-                                    : 0;
+        target->cold_until_us =
+            health.cold_left_us > 0 ? now_of(target) + health.cold_left_us : 0;
         localgate_target_changed(target->node->gate);
     }
     timer_start(&target->watch,
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -82,9 +82,8 @@
     if (node->declared == NULL) {
         return NULL;
     }
-    return declared_service_of(node->declared, name[0] != '\0'
-                                                   ? name
-                                                   : node->settings.service);
+    return declared_service_of(
+        node->declared, name[0] != '\0' ? name : node->settings.service);
 }
 
 void
@@ -177,13 +176,14 @@
     if (out == (zone != NULL)) {
         return;
     }
-    LOG_INFO(out ? "zone_out" : "zone_in", LOG_STR("zone", name));
     if (out) {
+        LOG_INFO("zone_out", LOG_STR("zone", name));
         zone = memory_zeroed(1, sizeof(*zone));
         snprintf(zone->name, sizeof(zone->name), "%s", name);
         LIST_INSERT_HEAD(&node->zones_out, zone, link);
         return;
     }
+    LOG_INFO("zone_in", LOG_STR("zone", name));
     LIST_REMOVE(zone, link);
     free(zone);
     if (strcmp(name, node->settings.zone) == 0) {
@@ -388,8 +388,7 @@
     node->metrics = open_server(node, &settings->metrics, on_metrics, err);
     node->announcements =
         open_server(node, &settings->announcements, on_announcement, err);
-    node->callers =
-        open_server(node, &settings->callers, ingress_handle, err);
+    node->callers = open_server(node, &settings->callers, ingress_handle, err);
     return node->readiness != NULL && node->metrics != NULL &&
            node->announcements != NULL && node->callers != NULL;
 }
--- a/packages/node/node_internal.h
+++ b/packages/node/node_internal.h
@@ -21,8 +21,8 @@
 #include "protocol/generated/relay.h"
 #include "protocol/rpc.h"
 
-#define NODE_TABLE "fleet"         /* rows of instances and of keys */
-#define NODE_LEASE_TABLE "leases"  /* rows of leases */
+#define NODE_TABLE "fleet"        /* rows of instances and of keys */
+#define NODE_LEASE_TABLE "leases" /* rows of leases */
 #define NODE_INSTANCE_KEY "instance/"
 #define NODE_KEYS_KEY "keys/"
 
--- a/packages/node/nodemetrics.c
+++ b/packages/node/nodemetrics.c
@@ -54,8 +54,9 @@
     metrics->fleet_version =
         counter_add(counters, "fleet_version",
                     "version of the store up to which rows are known");
-    metrics->keys_owned = counter_add(counters, "keys_owned_permille",
-                                      "share of the keys that the target owns");
+    metrics->keys_owned =
+        counter_add(counters, "keys_owned_permille",
+                    "share of the keys that the target owns");
     metrics->lease_margin =
         counter_add(counters, "lease_margin_ms",
                     "time until the lease ends; negative if it has");
@@ -65,8 +66,8 @@
         counter_add(counters, "gate_load", "requests that wait or run");
     metrics->running =
         counter_add(counters, "gate_running", "requests that run");
-    metrics->log_dropped = counter_add(counters, "log_dropped",
-                                       "lines left out of the log");
+    metrics->log_dropped =
+        counter_add(counters, "log_dropped", "lines left out of the log");
     return metrics;
 }
 
@@ -94,8 +95,7 @@
     const struct node_keys *keys =
         service != NULL ? node_keys_of(node, service->name) : NULL;
     metrics->config_version->value =
-        node->declared != NULL ? (int64_t)declared_version(node->declared)
-                               : 0;
+        node->declared != NULL ? (int64_t)declared_version(node->declared) : 0;
     metrics->instances->value = (int64_t)roster_count(&node->roster);
     metrics->fleet_version->value =
         (int64_t)rowwatch_version(node->fleet_watch);
--- a/packages/node/nodestop.c
+++ b/packages/node/nodestop.c
@@ -39,10 +39,9 @@
     if (elapsed_us >= node->settings.grace_us - RESERVE_US) {
         return true;
     }
-    const bool keys_left = localtarget_present(node->target) &&
-                           keeper_owns(node->keeper) &&
-                           keeper_store_answers(node->keeper) &&
-                           elapsed_us < HANDOVER_US;
+    const bool keys_left =
+        localtarget_present(node->target) && keeper_owns(node->keeper) &&
+        keeper_store_answers(node->keeper) && elapsed_us < HANDOVER_US;
     return is_flushed(node) && elapsed_us >= NOTICE_US && !keys_left;
 }
 
--- a/packages/node/planner.c
+++ b/packages/node/planner.c
@@ -18,7 +18,7 @@
 #define START_US (1500 * US_PER_MS)
 #define WRITE_TIMEOUT_US (1 * US_PER_SECOND)
 #define ASK_US (1 * US_PER_SECOND)
-#define FAILURES_MAX 2   /* questions without an answer: it is lost */
+#define FAILURES_MAX 2 /* questions without an answer: it is lost */
 #define LEVEL_US (1 * US_PER_SECOND)
 #define QUIET_US (1500 * US_PER_MS) /* for moves to show their effect */
 #define TOLERANCE 1.2
@@ -196,8 +196,7 @@
     struct roster_instance *instance;
     LIST_FOREACH (instance, &planner->node->roster.instances, link) {
         const char *name = instance->notice.instance;
-        if (!is_member(planner, &instance->notice) ||
-            is_self(planner, name) ||
+        if (!is_member(planner, &instance->notice) || is_self(planner, name) ||
             (!leads && strcmp(name, planner->node->settings.instance) > 0)) {
             continue;
         }
@@ -462,8 +461,8 @@
     const size_t count = list_members(planner, members);
     const struct need need = find_need(&keys->map, members, count);
     const bool quiet = now_us < planner->quiet_us;
-    const bool level = !need.owner && !need.leave && !quiet &&
-                       now_us >= planner->level_us;
+    const bool level =
+        !need.owner && !need.leave && !quiet && now_us >= planner->level_us;
     if (!need.owner && (quiet || (!need.leave && !level))) {
         return;
     }
@@ -495,13 +494,11 @@
         now_us < planner->ready_us) {
         return;
     }
-    const bool leads = localtarget_present(node->target) &&
-                       is_leader(planner);
+    const bool leads = localtarget_present(node->target) && is_leader(planner);
     if (now_us >= planner->own_sample_us) {
         planner->own_sample_us = now_us + ASK_US;
-        planner->own_service_us =
-            smoothed(planner->own_service_us,
-                     localgate_service_us(node->gate));
+        planner->own_service_us = smoothed(planner->own_service_us,
+                                           localgate_service_us(node->gate));
     }
     ask_peers(planner, leads, now_us);
     if (!leads || planner->map_call != NULL) {
--- a/packages/node/planner_internal.h
+++ b/packages/node/planner_internal.h
@@ -17,10 +17,10 @@
 struct peer_load {
     LIST_ENTRY(peer_load) link;
     char instance[KEYMAP_NAME_MAX + 1];
-    int64_t at_us;       /**< 0: never */
+    int64_t at_us; /**< 0: never */
     int64_t asked_us;
     bool asking;
-    unsigned failures;   /**< questions in a row without an answer */
+    unsigned failures; /**< questions in a row without an answer */
     unsigned slots;
     int64_t service_us;
     bool cold;
@@ -56,11 +56,11 @@
     struct rowstore_call *map_call;
     char *map_text;
     struct watched_lease *map_lease; /* that the call deletes, or NULL */
-    int64_t ready_us;  /* not before, after the start */
-    int64_t own_service_us; /* smoothed */
+    int64_t ready_us;                /* not before, after the start */
+    int64_t own_service_us;          /* smoothed */
     int64_t own_sample_us;
-    int64_t level_us;  /* next levelling of load */
-    int64_t quiet_us;  /* no new moves until then */
+    int64_t level_us; /* next levelling of load */
+    int64_t quiet_us; /* no new moves until then */
     struct counter *takes;
     struct counter *plans;
 };
--- a/packages/node/plannertake.c
+++ b/packages/node/plannertake.c
@@ -50,8 +50,8 @@
     if (lease->taking) {
         return false;
     }
-    lease->promised_us = node_now_us(planner->node) + KEYLEASE_PROMISE_US +
-                         PROMISE_MARGIN_US;
+    lease->promised_us =
+        node_now_us(planner->node) + KEYLEASE_PROMISE_US + PROMISE_MARGIN_US;
     return true;
 }
 
@@ -65,8 +65,7 @@
     for (size_t i = 0; i < json_array_size(peers); i++) {
         const char *name = json_string_value(json_array_get(peers, i));
         found = found || (name != NULL &&
-                          strcmp(name, planner->node->settings.instance) ==
-                              0);
+                          strcmp(name, planner->node->settings.instance) == 0);
     }
     json_decref(document);
     return found;
@@ -113,8 +112,8 @@
         .to = end,
     };
     lease->reads_us = now_us + REREAD_US;
-    lease->call = store->ops->read(store->impl, &range, READ_TIMEOUT_US,
-                                   on_read, lease);
+    lease->call =
+        store->ops->read(store->impl, &range, READ_TIMEOUT_US, on_read, lease);
 }
 
 /** Writes the map without the keys of the lease's holder. */
@@ -131,11 +130,11 @@
             keymap_assign(&map, segment->first, segment->last, &nobody, NULL);
         }
     }
-    LOG_WARN("keys_taken", LOG_STR("peer", lease->instance),
-             LOG_UINT("lease_version", lease->version),
-             LOG_INT("watched_ms",
-                     (node_now_us(planner->node) - lease->since_us) /
-                         US_PER_MS));
+    LOG_WARN(
+        "keys_taken", LOG_STR("peer", lease->instance),
+        LOG_UINT("lease_version", lease->version),
+        LOG_INT("watched_ms",
+                (node_now_us(planner->node) - lease->since_us) / US_PER_MS));
     lease->taking = true;
     planner->takes->value++;
     planner_write(planner, &map, lease);
@@ -154,9 +153,9 @@
     }
     /* Who is not asked for promises waits for the time in which they could
      * stand in for the store. */
-    const int64_t wait_us = lease->is_peer ? KEYLEASE_TAKE_US
-                                           : KEYLEASE_TAKE_US +
-                                                 KEYLEASE_PROMISED_MAX_US;
+    const int64_t wait_us = lease->is_peer
+                                ? KEYLEASE_TAKE_US
+                                : KEYLEASE_TAKE_US + KEYLEASE_PROMISED_MAX_US;
     return now_us - lease->since_us >= wait_us;
 }
 
@@ -193,11 +192,10 @@
         const char *owner = keys->map.segments[i].holder.instance;
         const struct roster_instance *instance =
             roster_find(&node->roster, owner);
-        const bool lost = owner[0] != '\0' &&
-                          strcmp(owner, node->settings.instance) != 0 &&
-                          (instance == NULL ||
-                           instance->notice.state == ROSTER_ABSENT ||
-                           planner_is_lost(planner, owner));
+        const bool lost =
+            owner[0] != '\0' && strcmp(owner, node->settings.instance) != 0 &&
+            (instance == NULL || instance->notice.state == ROSTER_ABSENT ||
+             planner_is_lost(planner, owner));
         if (lost) {
             watch_owner(planner, keys, owner, now_us);
             if (planner->map_call != NULL) {
--- a/packages/node/relaytask.c
+++ b/packages/node/relaytask.c
@@ -71,8 +71,7 @@
 }
 
 struct relay_send *
-relaytask_send(struct relaytask *relay,
-               const struct roster_instance *instance,
+relaytask_send(struct relaytask *relay, const struct roster_instance *instance,
                const struct relay_request *request, int64_t timeout_us,
                relay_send_cb done, void *ctx)
 {
@@ -278,15 +277,18 @@
     if (relay == NULL) {
         return;
     }
-    struct relay_send *send;
-    while ((send = LIST_FIRST(&relay->sends)) != NULL) {
+    struct relay_send *send = LIST_FIRST(&relay->sends);
+    while (send != NULL) {
+        struct relay_send *next = LIST_NEXT(send, link);
         relaytask_cancel(send);
+        send = next;
     }
-    struct relay_ask *ask;
-    while ((ask = LIST_FIRST(&relay->asks)) != NULL) {
+    struct relay_ask *ask = LIST_FIRST(&relay->asks);
+    while (ask != NULL) {
+        struct relay_ask *next = LIST_NEXT(ask, link);
         rpc_call_cancel(ask->call);
-        LIST_REMOVE(ask, link);
         free(ask);
+        ask = next;
     }
     free(relay);
 }
@@ -354,8 +356,7 @@
 {
     struct relay_ask *ask = ctx;
     LIST_REMOVE(ask, link);
-    ask->loads(ask->ctx, ask->instance,
-                    status == RPC_OK ? result : NULL);
+    ask->loads(ask->ctx, ask->instance, status == RPC_OK ? result : NULL);
     free(ask);
 }
 
@@ -364,8 +365,7 @@
                     const struct roster_instance *instance,
                     relay_loads_cb done, void *ctx)
 {
-    struct relay_ask *ask =
-        ask_create(relay, instance->notice.instance, ctx);
+    struct relay_ask *ask = ask_create(relay, instance->notice.instance, ctx);
     ask->loads = done;
     const struct relay_question question = {
         .to = (char *)instance->notice.instance,
@@ -414,8 +414,7 @@
     const struct roster_instance *peer =
         roster_find(&relay->node->roster, instance);
     const size_t size = strlen(text);
-    if (peer == NULL || size > RELAY_MAP_MAX ||
-        is_meant(relay, instance)) {
+    if (peer == NULL || size > RELAY_MAP_MAX || is_meant(relay, instance)) {
         return;
     }
     struct relay_ask *ask = ask_create(relay, instance, NULL);
@@ -441,8 +440,7 @@
                      const struct roster_instance *instance, uint32_t first,
                      uint32_t last, const struct keymap_holder *to)
 {
-    struct relay_ask *ask =
-        ask_create(relay, instance->notice.instance, NULL);
+    struct relay_ask *ask = ask_create(relay, instance->notice.instance, NULL);
     const struct relay_move move = {
         .to = (char *)instance->notice.instance,
         .first = first,
--- a/packages/node/rowwatch.c
+++ b/packages/node/rowwatch.c
@@ -291,8 +291,8 @@
         .table = watch->options.table,
         .from = watch->next_key,
     };
-    watch->call = store->ops->read(store->impl, &range, READ_TIMEOUT_US,
-                                   on_read, watch);
+    watch->call =
+        store->ops->read(store->impl, &range, READ_TIMEOUT_US, on_read, watch);
 }
 
 void
