--- a/packages/node/ingress.c
+++ b/packages/node/ingress.c
@@ -29,6 +29,9 @@
 #define CONDEMNED_MIN 3       /* targets that a request has stopped */
 #define REPEAT_LEFT_US (50 * US_PER_MS)
 /* A target answers by itself when the time is over. */
+/* The way from and to the caller: an answer that comes after the caller has
+ * given up takes those behind it on the connection with it. */
+#define CALLER_WAY_US (30 * US_PER_MS)
 #define ANSWER_GRACE_US (8 * US_PER_MS)
 #define STOP_RETRY_US (100 * US_PER_MS) /* another instance takes it */
 
@@ -147,6 +150,9 @@
 {
     struct ingress_call *call = ctx;
     call->timed_out = true;
+    if (is_sent(call)) {
+        call->reason = RELAY_REASON_DEADLINE;
+    }
     call_give_up(call);
 }
 
@@ -155,7 +161,9 @@
 call_wait(struct ingress_call *call, enum relay_reason reason)
 {
     const int64_t now_us = now_of(call);
-    call->reason = reason;
+    if (!call->may_have_run) {
+        call->reason = reason;
+    }
     if (now_us >= call->wait_until_us) {
         call_give_up(call);
         return;
@@ -462,12 +470,20 @@
     const int64_t now_us = now_of(call);
     int64_t left_us = route->timeout_us;
     int64_t spent_us = 0;
+    int64_t way_us = 0;
     if (read->has_time_left && read->time_left_us < left_us) {
         /* A caller that has less left than the route allows has tried
          * before: its answer counts from then. */
         spent_us = left_us - read->time_left_us;
         left_us = read->time_left_us;
     }
+    /* While this instance stops, a request gets all of its time: an answer
+     * of our own would count as a cut. */
+    if (read->has_time_left && !call->ingress->node->stopping) {
+        const int64_t usable_us = read->time_left_us - CALLER_WAY_US;
+        way_us = usable_us < left_us ? left_us - usable_us : 0;
+    }
+    left_us = left_us > way_us ? left_us - way_us : 0;
     call->begun_us = now_us;
     call->deadline_us = now_us + left_us;
     call->objective_us = route->objective_us;
