--- a/packages/node/ingress.c
+++ b/packages/node/ingress.c
@@ -365,6 +365,7 @@
     }
     const bool owner_changes =
         call->message.keyed && (call->reason == RELAY_REASON_NOT_OWNER ||
+                                call->reason == RELAY_REASON_MOVING ||
                                 call->reason == RELAY_REASON_LEAVING ||
                                 call->reason == RELAY_REASON_NO_TARGET);
     if (owner_changes && call->owner != NULL && call->owner != instance) {
--- a/packages/node/planner.c
+++ b/packages/node/planner.c
@@ -26,6 +26,8 @@
 #define WEIGHT_MIN 0.5 /* of the average */
 #define WEIGHT_MAX 2.0
 #define COLD_WEIGHT 0.4
+#define BUSY_WEIGHT 2 /* answers, likewise of its load */
+#define BUSY_MIN 0.5
 #define SPEED_WEIGHT 6 /* answers that the smoothed speed remembers */
 #define MEMBERS_MAX 512
 
@@ -146,6 +148,14 @@
                          : now_us;
 }
 
+/** Load for each slot, over the last few answers. */
+static double
+smoothed_busy(double before, unsigned load, unsigned slots)
+{
+    const double now = (double)load / (slots > 0 ? slots : 1);
+    return before + (now - before) / BUSY_WEIGHT;
+}
+
 static void
 on_loads(void *ctx, const char *instance, const struct relay_loads *loads)
 {
@@ -179,6 +189,7 @@
     peer->slots = loads->slots;
     peer->service_us = smoothed(peer->service_us, (int64_t)loads->service_us);
     peer->cold = loads->cold;
+    peer->busy = smoothed_busy(peer->busy, loads->load, loads->slots);
     peer->step_count = loads->steps.steps_len;
     peer->steps = memory_resized(peer->steps, peer->step_count + 1,
                                  sizeof(*peer->steps));
@@ -429,6 +440,23 @@
     }
 }
 
+/** True if some target has more to do than is good for its answers: only
+ * then is it worth to move keys from one that works to another. */
+static bool
+is_strained(const struct planner *planner)
+{
+    const struct peer_load *peer;
+    if (planner->own_busy > BUSY_MIN) {
+        return true;
+    }
+    LIST_FOREACH (peer, &planner->peers, link) {
+        if (peer->failures == 0 && peer->busy > BUSY_MIN) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /** What the map needs. */
 struct need {
     bool owner; /* some keys have none */
@@ -461,8 +489,8 @@
     const size_t count = list_members(planner, members);
     const struct need need = find_need(&keys->map, members, count);
     const bool quiet = now_us < planner->quiet_us;
-    const bool level =
-        !need.owner && !need.leave && !quiet && now_us >= planner->level_us;
+    const bool level = !need.owner && !need.leave && !quiet &&
+                       now_us >= planner->level_us && is_strained(planner);
     if (!need.owner && (quiet || (!need.leave && !level))) {
         return;
     }
@@ -499,6 +527,9 @@
         planner->own_sample_us = now_us + ASK_US;
         planner->own_service_us = smoothed(planner->own_service_us,
                                            localgate_service_us(node->gate));
+        planner->own_busy =
+            smoothed_busy(planner->own_busy, localgate_load(node->gate),
+                          localtarget_slots(node->target));
     }
     ask_peers(planner, leads, now_us);
     if (!leads || planner->map_call != NULL) {
--- a/packages/node/planner_internal.h
+++ b/packages/node/planner_internal.h
@@ -24,6 +24,7 @@
     unsigned slots;
     int64_t service_us;
     bool cold;
+    double busy; /**< smoothed load for each slot */
     struct keyload_step *steps;
     size_t step_count;
 };
@@ -59,6 +60,7 @@
     int64_t ready_us;                /* not before, after the start */
     int64_t own_service_us;          /* smoothed */
     int64_t own_sample_us;
+    double own_busy; /* smoothed load for each slot */
     int64_t level_us; /* next levelling of load */
     int64_t quiet_us; /* no new moves until then */
     struct counter *takes;
--- a/packages/node/relaytask.c
+++ b/packages/node/relaytask.c
@@ -158,6 +158,7 @@
     struct relay_loads loads = {
         .instance = node->settings.instance,
         .slots = localtarget_slots(node->target),
+        .load = localgate_load(node->gate),
         .service_us = (u_quad_t)localgate_service_us(node->gate),
         .cold = localgate_is_cold(node->gate),
         .serving = localtarget_serves(node->target),
--- a/packages/protocol/relay.x
+++ b/packages/protocol/relay.x
@@ -81,6 +81,7 @@
 struct relay_loads {
     string instance<RELAY_TEXT_MAX>;
     unsigned int slots;
+    unsigned int load;                  /* requests that wait or run */
     unsigned hyper service_us;          /* smoothed time of a request */
     bool cold;
     bool serving;
