--- a/packages/ctl/cmdexplainlog.c
+++ b/packages/ctl/cmdexplainlog.c
@@ -217,7 +217,8 @@
             print_entry(entry, false);
             continue;
         }
-        /* The second before it belongs to the story: what was believed. */
+        /* The ten seconds of its beginning belong to the story: what was
+         * believed. */
         const bool in_span = strncmp(entry->time, subject->from, 18) >= 0 &&
                              strcmp(entry->time, subject->to) <= 0;
         if (in_span && is_belief(entry) &&
--- a/packages/fleet/roster.c
+++ b/packages/fleet/roster.c
@@ -16,6 +16,7 @@
 #define UNREACHABLE_DOUBLINGS_MAX 2
 #define OTHER_ZONE_FACTOR 1.15 /* bytes between zones are dear */
 #define COLD_FACTOR 1.5
+#define SILENCE_FACTOR 4.0
 #define NEARLY_FULL_FACTOR 0.5 /* how much a busy target is slower */
 
 void
@@ -145,6 +146,22 @@
     return (double)quickest + slower * exp2(-age_us / FORGET_US);
 }
 
+/** How much longer than usual an instance with requests has been silent,
+ * times a factor: one that is lost must not get more of them. */
+static double
+silence_us(const struct roster_choice *choice,
+           const struct roster_instance *instance, int64_t quickest)
+{
+    if (instance->outstanding == 0) {
+        return 0;
+    }
+    const int64_t usual_us =
+        instance->service_us > quickest ? instance->service_us : quickest;
+    const int64_t over_us =
+        choice->now_us - instance->silent_since_us - 2 * usual_us;
+    return over_us > 0 ? SILENCE_FACTOR * (double)over_us : 0;
+}
+
 /** Time in which an answer is expected. */
 static double
 expected_us(const struct roster_choice *choice,
@@ -166,6 +183,7 @@
     if (instance->cold) {
         time_us *= COLD_FACTOR;
     }
+    time_us += silence_us(choice, instance, quickest);
     const double success = 1.0 - instance->failure_rate;
     return time_us / (success > 0.05 ? success * success : 0.0025);
 }
@@ -193,6 +211,22 @@
     return best;
 }
 
+void
+roster_note_sent(struct roster_instance *instance, int64_t now_us)
+{
+    if (instance->outstanding == 0) {
+        instance->silent_since_us = now_us;
+    }
+    instance->outstanding++;
+    instance->sent_since++;
+}
+
+void
+roster_note_ended(struct roster_instance *instance)
+{
+    instance->outstanding--;
+}
+
 void
 roster_note_result(struct roster_instance *instance, int64_t now_us,
                    int64_t took_us, bool failed)
@@ -230,8 +264,9 @@
 }
 
 void
-roster_note_reached(struct roster_instance *instance)
+roster_note_reached(struct roster_instance *instance, int64_t now_us)
 {
+    instance->silent_since_us = now_us;
     instance->unreachable_until_us = 0;
     instance->unreachable_count = 0;
 }
--- a/packages/fleet/roster.h
+++ b/packages/fleet/roster.h
@@ -49,6 +49,8 @@
     int64_t unreachable_until_us; /**< it was not reached lately */
     unsigned unreachable_count;   /**< times in a row */
     unsigned outstanding;         /**< own requests that it has not answered */
+    int64_t silent_since_us;      /**< while there are any: its last answer, or
+                                       the first of them */
     unsigned reported_load;       /**< in flight and queued, as it said */
     unsigned sent_since;          /**< own requests since that report */
     int64_t service_us;           /**< smoothed time of its answers; 0: none */
@@ -93,13 +95,17 @@
                                       const struct roster_choice *choice,
                                       struct random_state *random);
 
+/** A request was sent to it, and has ended in whatever way. */
+void roster_note_sent(struct roster_instance *instance, int64_t now_us);
+void roster_note_ended(struct roster_instance *instance);
+
 /** An answer, or a failure of the target, after took_us. */
 void roster_note_result(struct roster_instance *instance, int64_t now_us,
                         int64_t took_us, bool failed);
 void roster_note_load(struct roster_instance *instance, unsigned load,
                       bool cold);
 void roster_note_unreachable(struct roster_instance *instance, int64_t now_us);
-void roster_note_reached(struct roster_instance *instance);
+void roster_note_reached(struct roster_instance *instance, int64_t now_us);
 
 /** Instances that are there, with or without a target that serves. */
 size_t roster_count(const struct roster *roster);
--- a/packages/fleet/test/roster_test.cc
+++ b/packages/fleet/test/roster_test.cc
@@ -122,6 +122,21 @@
     EXPECT_GT(chosen, 20);
 }
 
+TEST_F(Roster, AnInstanceThatFallsSilentGetsNoMoreRequests)
+{
+    struct roster_instance *a = Add("a", "z1");
+    struct roster_instance *b = Add("b", "z2");
+    a->service_us = b->service_us = 100 * US_PER_MS;
+    roster_note_sent(a, 0);
+    EXPECT_EQ(a, Choose(Choice(100 * US_PER_MS)));
+    for (int i = 0; i < 50; i++) {
+        EXPECT_EQ(b, Choose(Choice(400 * US_PER_MS)));
+    }
+    roster_note_reached(a, 400 * US_PER_MS);
+    roster_note_ended(a);
+    EXPECT_EQ(a, Choose(Choice(410 * US_PER_MS)));
+}
+
 TEST_F(Roster, OlderRowsChangeNothing)
 {
     struct roster_instance *a = Add("a", "z1", ROSTER_LEAVING, 9);
--- a/packages/node/ingress.c
+++ b/packages/node/ingress.c
@@ -82,7 +82,7 @@
     if (send->sent != NULL) {
         relaytask_cancel(send->sent);
         send->sent = NULL;
-        send->instance->outstanding--;
+        roster_note_ended(send->instance);
     }
 }
 
@@ -253,8 +253,7 @@
     send->call = call;
     send->instance = instance;
     send->sent_us = now_us;
-    instance->outstanding++;
-    instance->sent_since++;
+    roster_note_sent(instance, now_us);
     if (call->tries > 1 || log_sampled(call->id)) {
         LOG_INFO("sent", LOG_STR("id", call->id),
                  LOG_STR("to", instance->notice.instance),
@@ -424,7 +423,7 @@
     struct ingress_call *call = send->call;
     struct roster_instance *instance = send->instance;
     send->sent = NULL;
-    instance->outstanding--;
+    roster_note_ended(instance);
     nodemetrics_count(call->ingress->node->nodemetrics, NODEMETRICS_RELAY,
                       now_of(call) - send->sent_us);
     if (status != RPC_OK) {
@@ -434,7 +433,7 @@
     const bool failed = reply->outcome == RELAY_UNKNOWN ||
                         reply->reason == RELAY_REASON_SHED ||
                         reply->reason == RELAY_REASON_CONNECT;
-    roster_note_reached(instance);
+    roster_note_reached(instance, now_of(call));
     if (reply->reason == RELAY_REASON_LEAVING) {
         /* Its row may say so later, or not at all. */
         instance->notice.state = ROSTER_LEAVING;
@@ -458,8 +457,10 @@
     call->may_have_run = call->may_have_run || reply->outcome == RELAY_UNKNOWN;
     LOG_INFO("try_failed", LOG_STR("id", call->id),
              LOG_STR("to", instance->notice.instance),
-             LOG_INT("outcome", reply->outcome),
-             LOG_INT("reason", reply->reason), LOG_UINT("load", reply->load));
+             LOG_STR("outcome",
+                     reply->outcome == RELAY_NOT_RUN ? "not-run" : "unknown"),
+             LOG_STR("reason", relaytask_reason(reply->reason)),
+             LOG_UINT("load", reply->load));
     call_failed(call, instance);
 }
 
--- a/packages/node/ingressanswer.c
+++ b/packages/node/ingressanswer.c
@@ -9,29 +9,6 @@
 #define RETRY_LEFT_PERCENT 30
 #define RETRY_MIN_US (40 * US_PER_MS)
 
-static const char *const reason_texts[] = {
-    [RELAY_REASON_NONE] = "none",
-    [RELAY_REASON_NO_TARGET] = "no-target",
-    [RELAY_REASON_LEAVING] = "leaving",
-    [RELAY_REASON_ZONE_OUT] = "zone-out",
-    [RELAY_REASON_NOT_OWNER] = "not-owner",
-    [RELAY_REASON_MOVING] = "moving",
-    [RELAY_REASON_FULL] = "full",
-    [RELAY_REASON_SHED] = "shed",
-    [RELAY_REASON_DEADLINE] = "deadline",
-    [RELAY_REASON_CONNECT] = "connect",
-    [RELAY_REASON_CUT] = "cut",
-    [RELAY_REASON_INVALID] = "invalid-answer",
-    [RELAY_REASON_SUSPECT] = "suspect",
-};
-
-static const char *
-reason_text(enum relay_reason reason)
-{
-    const size_t count = sizeof(reason_texts) / sizeof(reason_texts[0]);
-    return (size_t)reason < count ? reason_texts[reason] : "other";
-}
-
 static void
 log_end(const struct ingress_call *call, const char *outcome, unsigned status)
 {
@@ -39,7 +16,7 @@
     LOG_INFO(
         "request", LOG_STR("id", call->id), LOG_STR("service", call->service),
         LOG_STR("outcome", outcome), LOG_UINT("status", status),
-        LOG_STR("reason", reason_text(call->reason)),
+        LOG_STR("reason", relaytask_reason(call->reason)),
         LOG_STR("to", call->instance != NULL ? call->instance : ""),
         LOG_UINT("tries", call->tries), LOG_UINT("reached", call->reached),
         LOG_INT("took_ms", (node_now_us(node) - call->begun_us) / US_PER_MS),
@@ -95,7 +72,7 @@
     struct ingress *ingress = call->ingress;
     struct wire_refusal refusal = {
         .kind = WIRE_REFUSED,
-        .reason = reason_text(call->reason),
+        .reason = relaytask_reason(call->reason),
     };
     if (call->may_have_run) {
         refusal.kind = call->timed_out ? WIRE_TIMEOUT : WIRE_UNKNOWN;
--- a/packages/node/localgate.c
+++ b/packages/node/localgate.c
@@ -12,6 +12,7 @@
 #include "node/node_internal.h"
 #include "node/nodemetrics.h"
 #include "node/ownrow.h"
+#include "node/relaytask.h"
 
 /* The target answers by itself at the deadline that it was given. */
 #define TARGET_GRACE_US (100 * US_PER_MS)
@@ -165,7 +166,8 @@
     if (outcome == RELAY_NOT_RUN) {
         gate->refused->value++;
         LOG_INFO(
-            "refused", LOG_STR("id", call->id), LOG_INT("reason", reason),
+            "refused", LOG_STR("id", call->id),
+            LOG_STR("reason", relaytask_reason(reason)),
             LOG_INT("key", call->keyed ? (int64_t)call->key : -1),
             LOG_INT("waited_ms",
                     (now_of(gate) - call->arrived_us) / US_PER_MS),
--- a/packages/node/planner.c
+++ b/packages/node/planner.c
@@ -182,7 +182,7 @@
         LOG_INFO("instance_found", LOG_STR("peer", instance));
     }
     if (known != NULL) {
-        roster_note_reached(known);
+        roster_note_reached(known, now_us);
     }
     peer->failures = 0;
     peer->at_us = now_us;
--- a/packages/node/relaytask.h
+++ b/packages/node/relaytask.h
@@ -25,6 +25,9 @@
 typedef void (*relay_send_cb)(void *ctx, enum rpc_status status,
                               const struct relay_reply *reply);
 
+/** A reason in one word, for logs and answers. */
+const char *relaytask_reason(enum relay_reason reason);
+
 /** Serves the procedures. Aborts when memory is short. */
 struct relaytask *relaytask_create(struct node *node);
 void relaytask_destroy(struct relaytask *relay);
--- a/packages/protocol/rpcconnection.c
+++ b/packages/protocol/rpcconnection.c
@@ -188,9 +188,16 @@
 connection_set_options(evutil_socket_t fd)
 {
     const int on = 1;
+    const int keepalive_s = RPC_KEEPALIVE_S;
+    const int probes = RPC_KEEPALIVE_PROBES;
     const unsigned unacknowledged_ms = RPC_UNACKNOWLEDGED_MAX_MS;
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
     setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &keepalive_s,
+               sizeof(keepalive_s));
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &keepalive_s,
+               sizeof(keepalive_s));
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
     setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledged_ms,
                sizeof(unacknowledged_ms));
 }
