--- /dev/null
+++ b/packages/http/test/httppipeline_test.cc
@@ -0,0 +1,167 @@
+#include "http_fixture.h"
+
+namespace {
+
+class Pipeline : public HttpTest {
+  protected:
+    void SetUp() override
+    {
+        HttpTest::SetUp();
+        struct http_server_config config = {};
+        config.pipeline_max = 4;
+        StartServer(config);
+    }
+
+    void Reply(size_t index, const std::string &body)
+    {
+        struct http_reply reply = {};
+        reply.status = 200;
+        reply.body = body.data();
+        reply.body_size = body.size();
+        http_request_reply(held[index], &reply);
+    }
+
+    int Hold(int count)
+    {
+        std::string text;
+        for (int i = 0; i < count; i++) {
+            text += "GET /hold HTTP/1.1\r\nHost: a\r\n\r\n";
+        }
+        const size_t before = held.size();
+        const int fd = ConnectRaw(text);
+        Until([&] { return held.size() >= before + 4; }, 300);
+        return fd;
+    }
+};
+
+TEST_F(Pipeline, RequestsAreInWorkTogetherAndAnsweredInOrder)
+{
+    const int fd = Hold(6);
+    ASSERT_EQ(4U, held.size());
+    Reply(2, "third");
+    Reply(1, "second");
+    char early;
+    Until([] { return false; }, 20);
+    EXPECT_EQ(-1, recv(fd, &early, 1, MSG_DONTWAIT));
+    Reply(0, "first");
+    ASSERT_TRUE(Until([&] { return held.size() == 6; }));
+    Reply(5, "sixth");
+    Reply(4, "fifth");
+    Reply(3, "fourth");
+    const std::string got = ReadRaw(fd, "sixth");
+    size_t last = 0;
+    for (const char *word :
+         {"first", "second", "third", "fourth", "fifth", "sixth"}) {
+        const size_t place = got.find(word);
+        ASSERT_NE(std::string::npos, place) << word;
+        EXPECT_GE(place, last) << word;
+        last = place;
+    }
+}
+
+TEST_F(Pipeline, ACallerThatLeavesCancelsAllThatHaveNoAnswer)
+{
+    const int fd = Hold(3);
+    Until([&] { return held.size() == 3; });
+    Reply(1, "second");
+    close(fd);
+    sockets.pop_back();
+    ASSERT_TRUE(Until([&] { return cancelled == 2; }));
+    Reply(0, "");
+    Reply(2, "");
+}
+
+TEST_F(Pipeline, ARetiringServerClosesBehindTheLastAnswerOnly)
+{
+    const int fd = Hold(2);
+    Until([&] { return held.size() == 2; });
+    http_server_retire(server);
+    EXPECT_FALSE(http_server_is_flushed(server));
+    Reply(0, "first");
+    Reply(1, "second");
+    const std::string got = ReadRaw(fd, "second");
+    EXPECT_GT(got.find("Connection: close"), got.find("first"));
+    EXPECT_NE(std::string::npos, got.find("Connection: close"));
+    EXPECT_TRUE(Until([&] { return http_server_is_flushed(server); }));
+    const int next = ConnectRaw("GET /x HTTP/1.1\r\nHost: a\r\n\r\n");
+    EXPECT_NE(std::string::npos, ReadRaw(next, "X-Path").find("200"));
+}
+
+class ToEnd : public HttpTest {
+  protected:
+    void Serve(const std::string &answer, bool reset)
+    {
+        const int fd = AcceptRequest();
+        send(fd, answer.data(), answer.size(), MSG_NOSIGNAL);
+        Until([] { return false; }, 30);
+        if (reset) {
+            const struct linger now = {1, 0};
+            setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+        }
+        close(fd);
+        sockets.pop_back();
+    }
+
+    void StartToEnd(const struct address &address)
+    {
+        http_client_destroy(client);
+        struct http_client_config config = {};
+        config.address = address;
+        config.connections_max = 1;
+        config.answers_to_end = true;
+        client = http_client_create(runtime, &config, counters);
+    }
+};
+
+TEST_F(ToEnd, AnAnswerWithoutLengthEndsWithItsConnectionIfThatIsNotCut)
+{
+    const struct address address = Listen();
+    StartToEnd(address);
+    Call("GET", "/x");
+    Serve("HTTP/1.1 200 OK\r\n\r\nno length", false);
+    ASSERT_TRUE(Results(1));
+    EXPECT_EQ(HTTP_ANSWERED, results[0].outcome);
+    EXPECT_EQ("no length", results[0].body);
+    Call("GET", "/x");
+    Serve("HTTP/1.1 200 OK\r\n\r\nno len", true);
+    ASSERT_TRUE(Results(2));
+    EXPECT_EQ(HTTP_CUT, results[1].outcome);
+    Call("GET", "/x");
+    Serve("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort", false);
+    ASSERT_TRUE(Results(3));
+    EXPECT_EQ(HTTP_CUT, results[2].outcome);
+}
+
+TEST_F(ToEnd, AnAnswerThatIsNotTheCallsIsDroppedAndTheNextAwaited)
+{
+    const struct address address = Listen();
+    StartToEnd(address);
+    struct http_call_spec spec = {};
+    spec.method = "GET";
+    spec.target = "/x";
+    spec.deadline_us = runtime_now_us(runtime) + 5 * US_PER_SECOND;
+    spec.belongs = [](void *, const struct http_headers *headers) {
+        return std::string(http_headers_find(headers, "X-Id")) == "mine";
+    };
+    spec.done = OnDone;
+    spec.ctx = static_cast<HttpTest *>(this);
+    http_call_start(client, &spec);
+    const int fd = AcceptRequest();
+    const std::string late =
+        "HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 4\r\n\r\nlate";
+    const std::string own =
+        "HTTP/1.1 200 OK\r\nX-Id: mine\r\nContent-Length: 3\r\n\r\nown";
+    send(fd, late.data(), late.size(), MSG_NOSIGNAL);
+    Until([] { return false; }, 20);
+    EXPECT_TRUE(results.empty());
+    send(fd, own.data(), own.size(), MSG_NOSIGNAL);
+    ASSERT_TRUE(Results(1));
+    EXPECT_EQ("own", results[0].body);
+    EXPECT_EQ(1, Count("http_client_stray_answers"));
+    /* Such a connection is not used again. */
+    Call("GET", "/y");
+    Until([] { return false; }, 20);
+    EXPECT_EQ(2, Count("http_client_connects"));
+}
+
+} // namespace
