Repeats have a budget for each service; keys of a leaving zone or target stay served

The gate refused keys of a zone taken out before they had moved. Ruled out: more reserve (calls of repeated requests count as repeats too). Change: a bucket for each service; keyed requests are served for 55 % of the bounds of a leave while their keys move; an instance without room is passed over for as long as it says, up to 150 ms.

--- a/packages/fleet/roster.c
+++ b/packages/fleet/roster.c
@@ -16,6 +16,8 @@
 #define UNREACHABLE_DOUBLINGS_MAX 2
 #define OTHER_ZONE_FACTOR 1.15 /* bytes between zones are dear */
 #define COLD_FACTOR 1.5
+#define FULL_US (1.0 * US_PER_SECOND) /* chosen only if all are full */
+#define FULL_MAX_US (150 * US_PER_MS)
 #define SILENCE_FACTOR 4.0
 #define NEARLY_FULL_FACTOR 0.5 /* how much a busy target is slower */
 
@@ -184,6 +186,9 @@
         time_us *= COLD_FACTOR;
     }
     time_us += silence_us(choice, instance, quickest);
+    if (choice->now_us < instance->full_until_us) {
+        time_us += FULL_US;
+    }
     const double success = 1.0 - instance->failure_rate;
     return time_us / (success > 0.05 ? success * success : 0.0025);
 }
@@ -251,6 +256,14 @@
     instance->cold = cold;
 }
 
+void
+roster_note_full(struct roster_instance *instance, int64_t now_us,
+                 int64_t wait_us)
+{
+    instance->full_until_us =
+        now_us + (wait_us < FULL_MAX_US ? wait_us : FULL_MAX_US);
+}
+
 void
 roster_note_unreachable(struct roster_instance *instance, int64_t now_us)
 {
--- a/packages/fleet/roster.h
+++ b/packages/fleet/roster.h
@@ -48,6 +48,7 @@
     uint64_t version;             /**< of the row */
     int64_t unreachable_until_us; /**< it was not reached lately */
     unsigned unreachable_count;   /**< times in a row */
+    int64_t full_until_us;        /**< it has no room, as it said */
     unsigned outstanding;         /**< own requests that it has not answered */
     int64_t silent_since_us;      /**< while there are any: its last answer, or
                                        the first of them */
@@ -104,6 +105,9 @@
                         int64_t took_us, bool failed);
 void roster_note_load(struct roster_instance *instance, unsigned load,
                       bool cold);
+/** It refused for want of room, which may come after wait_us. */
+void roster_note_full(struct roster_instance *instance, int64_t now_us,
+                      int64_t wait_us);
 void roster_note_unreachable(struct roster_instance *instance, int64_t now_us);
 void roster_note_reached(struct roster_instance *instance, int64_t now_us);
 
--- a/packages/node/ingress.c
+++ b/packages/node/ingress.c
@@ -27,6 +27,7 @@
 #define HEDGE_MIN_US (60 * US_PER_MS)
 #define HEDGE_LEFT_PERCENT 25 /* of the time, at least */
 #define CONDEMNED_MIN 3       /* targets that a request has stopped */
+#define FULL_TRIES 2          /* instances without room that a request asks */
 #define REPEAT_LEFT_US (50 * US_PER_MS)
 /* A target answers by itself when the time is over. */
 /* The way from and to the caller: an answer that comes after the caller has
@@ -42,12 +43,9 @@
 {
     struct ingress *ingress = memory_zeroed(1, sizeof(*ingress));
     struct counter_registry *counters = node->options.counters;
-    const struct nodesettings *settings = &node->settings;
     ingress->node = node;
     LIST_INIT(&ingress->calls);
-    budget_init(&ingress->budget,
-                settings->retry_share * BUDGET_SHARE_PERCENT / 100,
-                BUDGET_RESERVE_MIN);
+    LIST_INIT(&ingress->budgets);
     ingress->requests =
         counter_add(counters, "ingress_requests", "requests of callers");
     ingress->answered = counter_add(counters, "ingress_answered",
@@ -70,6 +68,25 @@
     return ingress;
 }
 
+static struct budget *
+budget_of(struct ingress *ingress, const char *service)
+{
+    const struct nodesettings *settings = &ingress->node->settings;
+    struct ingress_budget *item;
+    LIST_FOREACH (item, &ingress->budgets, link) {
+        if (strcmp(item->service, service) == 0) {
+            return &item->budget;
+        }
+    }
+    item = memory_zeroed(1, sizeof(*item));
+    snprintf(item->service, sizeof(item->service), "%s", service);
+    budget_init(&item->budget,
+                settings->retry_share * BUDGET_SHARE_PERCENT / 100,
+                BUDGET_RESERVE_MIN);
+    LIST_INSERT_HEAD(&ingress->budgets, item, link);
+    return &item->budget;
+}
+
 static int64_t
 now_of(const struct ingress_call *call)
 {
@@ -112,6 +129,12 @@
         call_free(call);
         call = next;
     }
+    struct ingress_budget *budget = LIST_FIRST(&ingress->budgets);
+    while (budget != NULL) {
+        struct ingress_budget *following = LIST_NEXT(budget, link);
+        free(budget);
+        budget = following;
+    }
     free(ingress);
 }
 
@@ -315,7 +338,7 @@
         instance != NULL && instance->reported_load + instance->sent_since <
                                 instance->notice.slots;
     if (!idle || left_us < whole_us * HEDGE_LEFT_PERCENT / 100 ||
-        !budget_spend(&ingress->budget)) {
+        !budget_spend(call->budget)) {
         return;
     }
     call->hedged = true;
@@ -348,7 +371,7 @@
     if (call->reached == 0) {
         return true;
     }
-    if (!budget_spend(&ingress->budget)) {
+    if (!budget_spend(call->budget)) {
         return false;
     }
     ingress->retries->value++;
@@ -366,6 +389,7 @@
         call->message.keyed && (call->reason == RELAY_REASON_NOT_OWNER ||
                                 call->reason == RELAY_REASON_MOVING ||
                                 call->reason == RELAY_REASON_LEAVING ||
+                                call->reason == RELAY_REASON_ZONE_OUT ||
                                 call->reason == RELAY_REASON_NO_TARGET);
     if (owner_changes && call->owner != NULL && call->owner != instance) {
         call_try(call);
@@ -377,7 +401,7 @@
     }
     const bool full = call->reason == RELAY_REASON_FULL;
     if ((call->message.keyed && (full || owner_changes)) ||
-        (full && call->tries > 1) || !may_repeat(call)) {
+        (full && call->tries > FULL_TRIES) || !may_repeat(call)) {
         call_give_up(call);
         return;
     }
@@ -434,6 +458,10 @@
                         reply->reason == RELAY_REASON_SHED ||
                         reply->reason == RELAY_REASON_CONNECT;
     roster_note_reached(instance, now_of(call));
+    if (reply->reason == RELAY_REASON_FULL) {
+        roster_note_full(instance, now_of(call),
+                         (int64_t)reply->retry_after_us);
+    }
     if (reply->reason == RELAY_REASON_LEAVING) {
         /* Its row may say so later, or not at all. */
         instance->notice.state = ROSTER_LEAVING;
@@ -518,7 +546,8 @@
     http_request_set_data(request, call);
     ingressmessage_fill(call, read, route);
     set_times(call, read, route);
-    budget_earn(&ingress->budget);
+    call->budget = budget_of(ingress, service->name);
+    budget_earn(call->budget);
     if (service->keyed && !read->has_key) {
         ingressanswer_reject(ingress, request, WIRE_INVALID, 0, "no key");
         call->http = NULL;
--- a/packages/node/ingress_internal.h
+++ b/packages/node/ingress_internal.h
@@ -58,17 +58,27 @@
     struct ingress_send sends[INGRESS_SENDS_MAX];
     struct roster_instance *excluded[ROSTER_EXCLUDED_MAX];
     size_t excluded_count;
+    struct budget *budget; /**< of its service */
     struct timer deadline;
     struct timer step; /**< end of a wait, or a hedge */
 };
 
 LIST_HEAD(ingress_calls, ingress_call);
 
+/** Budget for repeats to one service. */
+struct ingress_budget {
+    LIST_ENTRY(ingress_budget) link;
+    struct budget budget;
+    char service[DECLARED_NAME_MAX + 1];
+};
+
+LIST_HEAD(ingress_budgets, ingress_budget);
+
 struct ingress {
     struct node *node;
     struct ingress_calls calls;
     size_t count;
-    struct budget budget;
+    struct ingress_budgets budgets;
     struct counter *requests;
     struct counter *answered;
     struct counter *refused;
--- a/packages/node/localgate.c
+++ b/packages/node/localgate.c
@@ -19,6 +19,8 @@
 /* A request that was cut so lately may have stopped the target. */
 #define CUT_ACCUSED_US (1500 * US_PER_MS)
 #define RECENT_CUTS 32
+/* Part of the bounds for a leave in which keys are served until they moved. */
+#define GRACE_PERCENT 55
 #define LATE_US (60 * US_PER_SECOND)
 /* So many requests at once may still be in the dark; with more, a crash
  * says nothing of each. */
@@ -207,10 +209,21 @@
         0) {
         return RELAY_REASON_NO_TARGET;
     }
-    if (localtarget_leaves(node->target) || nodestop_refuses(node)) {
+    if (nodestop_refuses(node)) {
         return RELAY_REASON_LEAVING;
     }
-    if (node_zone_is_out(gate->node, node->settings.zone)) {
+    /* Nobody else may serve its keys before they have moved. */
+    const int64_t now_us = now_of(gate);
+    const int64_t grace = call->keyed ? 1 : 0;
+    if (localtarget_leaves(node->target) &&
+        now_us >= localtarget_leaving_since_us(node->target) +
+                      grace * node->settings.drain_us * GRACE_PERCENT / 100) {
+        return RELAY_REASON_LEAVING;
+    }
+    if (node_zone_is_out(gate->node, node->settings.zone) &&
+        now_us >=
+            node_zone_out_since_us(node, node->settings.zone) +
+                grace * node->settings.evacuate_us * GRACE_PERCENT / 100) {
         return RELAY_REASON_ZONE_OUT;
     }
     return RELAY_REASON_NONE;
--- a/packages/node/localtarget.c
+++ b/packages/node/localtarget.c
@@ -28,6 +28,7 @@
     bool present;
     struct wire_announcement announced; /* of the present life */
     bool leaving;
+    int64_t leaving_since_us;
     int64_t heard_us;
     int64_t cold_until_us;
     struct http_client *client;
@@ -153,6 +154,7 @@
         return;
     }
     target->leaving = true;
+    target->leaving_since_us = now_of(target);
     LOG_INFO("target_leaving", LOG_STR("target", target->announced.target),
              LOG_STR("why", why));
 }
@@ -410,6 +412,12 @@
     return target->leaving;
 }
 
+int64_t
+localtarget_leaving_since_us(const struct localtarget *target)
+{
+    return target->leaving_since_us;
+}
+
 bool
 localtarget_present(const struct localtarget *target)
 {
--- a/packages/node/localtarget.h
+++ b/packages/node/localtarget.h
@@ -38,6 +38,9 @@
 /** True once it is known to leave; it may still run what it has. */
 bool localtarget_leaves(const struct localtarget *target);
 
+/** When it was known first that it leaves. */
+int64_t localtarget_leaving_since_us(const struct localtarget *target);
+
 /** True if it is present, leaving or not. */
 bool localtarget_present(const struct localtarget *target);
 
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -50,6 +50,13 @@
     return find_zone_out(ctx, zone) != NULL;
 }
 
+int64_t
+node_zone_out_since_us(const struct node *node, const char *zone)
+{
+    const struct node_zone *out = find_zone_out(node, zone);
+    return out != NULL ? out->since_us : 0;
+}
+
 struct node_keys *
 node_keys_of(const struct node *node, const char *service)
 {
@@ -180,6 +187,9 @@
         LOG_INFO("zone_out", LOG_STR("zone", name));
         zone = memory_zeroed(1, sizeof(*zone));
         snprintf(zone->name, sizeof(zone->name), "%s", name);
+        if (rowwatch_version(node->declared_watch) > 0) {
+            zone->since_us = node_now_us(node);
+        }
         LIST_INSERT_HEAD(&node->zones_out, zone, link);
         return;
     }
--- a/packages/node/node_internal.h
+++ b/packages/node/node_internal.h
@@ -48,6 +48,7 @@
 struct node_zone {
     LIST_ENTRY(node_zone) link;
     char name[KEYMAP_NAME_MAX + 1];
+    int64_t since_us; /* when that was learnt; 0: before the start */
 };
 
 LIST_HEAD(node_zone_list, node_zone);
@@ -89,6 +90,9 @@
 /** ctx is the node. */
 bool node_zone_is_out(void *ctx, const char *zone);
 
+/** When it was learnt that a zone is out; 0: it was before the start. */
+int64_t node_zone_out_since_us(const struct node *node, const char *zone);
+
 /** The map of a service's keys, or NULL. */
 struct node_keys *node_keys_of(const struct node *node, const char *service);
 
--- a/packages/node/nodesettings.c
+++ b/packages/node/nodesettings.c
@@ -72,6 +72,7 @@
 read_bounds(struct document_object *object, struct nodesettings *settings)
 {
     settings->drain_us = read_seconds(object, "drain_s");
+    settings->evacuate_us = read_seconds(object, "evacuate_s");
     settings->grace_us = read_seconds(object, "grace_s");
     settings->heartbeat_us = read_seconds(object, "heartbeat_s");
     settings->hold_max_us = read_seconds(object, "hold_max_s");
--- a/packages/node/nodesettings.h
+++ b/packages/node/nodesettings.h
@@ -29,6 +29,7 @@
     struct address store;
     int64_t drain_us;     /**< no new work so long after a leave is
                                acknowledged */
+    int64_t evacuate_us;  /**< no new work so long after a zone is taken out */
     int64_t grace_us;     /**< longest time from SIGTERM to the end */
     int64_t heartbeat_us; /**< between a target's announcements */
     int64_t hold_max_us;  /**< longest grant */
--- a/packages/node/planner_internal.h
+++ b/packages/node/planner_internal.h
@@ -60,7 +60,7 @@
     int64_t ready_us;                /* not before, after the start */
     int64_t own_service_us;          /* smoothed */
     int64_t own_sample_us;
-    double own_busy; /* smoothed load for each slot */
+    double own_busy;  /* smoothed load for each slot */
     int64_t level_us; /* next levelling of load */
     int64_t quiet_us; /* no new moves until then */
     struct counter *takes;
