Keeper: a grant that reached a new life is taken back before its keys move

Cause: an upstream that started again under its address took a renewal that was meant for its former life. The instance then learnt of the new life, took the former one for dead and gave its keys to others at once, while the new life still held them: two owners for up to 3 s. Ruled out: the lease (it held) and the plan. Change: the present life releases a former life's segments before they are given up; with a grant unanswered its time is waited for. A request that was answered is no longer accused of stopping targets: popular ones were refused.

--- a/packages/node/ingress.c
+++ b/packages/node/ingress.c
@@ -411,9 +411,42 @@
     call_try(call);
 }
 
+static bool
+is_cleared(const struct ingress *ingress, uint64_t fingerprint)
+{
+    for (size_t i = 0; i < INGRESS_CLEARED_MAX; i++) {
+        if (ingress->cleared[i] == fingerprint) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/** A request that was answered does not stop targets, whoever accused it
+ * because it ran when one stopped. */
+static void
+clear_accused(struct ingress *ingress, uint64_t fingerprint)
+{
+    if (roster_accusers(&ingress->node->roster, fingerprint) == 0 ||
+        is_cleared(ingress, fingerprint)) {
+        return;
+    }
+    ingress->cleared[ingress->cleared_next] = fingerprint;
+    ingress->cleared_next = (ingress->cleared_next + 1) % INGRESS_CLEARED_MAX;
+}
+
+static bool
+is_condemned(const struct ingress *ingress, uint64_t fingerprint)
+{
+    return roster_accusers(&ingress->node->roster, fingerprint) >=
+               CONDEMNED_MIN &&
+           !is_cleared(ingress, fingerprint);
+}
+
 static void
 on_answered(struct ingress_call *call, const struct relay_reply *reply)
 {
+    clear_accused(call->ingress, call->message.fingerprint);
     ingressanswer_pass(call, reply);
     call_free(call);
 }
@@ -554,8 +587,7 @@
         call_free(call);
         return;
     }
-    if (roster_accusers(&node->roster, call->message.fingerprint) >=
-        CONDEMNED_MIN) {
+    if (is_condemned(ingress, call->message.fingerprint)) {
         call->reason = RELAY_REASON_SUSPECT;
         call_give_up(call);
         return;
--- a/packages/node/ingress_internal.h
+++ b/packages/node/ingress_internal.h
@@ -74,11 +74,16 @@
 
 LIST_HEAD(ingress_budgets, ingress_budget);
 
+#define INGRESS_CLEARED_MAX 256
+
 struct ingress {
     struct node *node;
     struct ingress_calls calls;
     size_t count;
     struct ingress_budgets budgets;
+    uint64_t cleared[INGRESS_CLEARED_MAX]; /* accused requests that were
+                                              answered all the same */
+    size_t cleared_next;
     struct counter *requests;
     struct counter *answered;
     struct counter *refused;
--- a/packages/node/keeper.c
+++ b/packages/node/keeper.c
@@ -31,6 +31,7 @@
     TAILQ_INIT(&keeper->holds);
     TAILQ_INIT(&keeper->handovers);
     LIST_INIT(&keeper->releases);
+    LIST_INIT(&keeper->clearings);
     snprintf(keeper->lease_key, sizeof(keeper->lease_key), "%s",
              node->settings.instance);
     keeper->grants =
@@ -70,6 +71,7 @@
     while ((hold = TAILQ_FIRST(&keeper->holds)) != NULL) {
         keepergrant_free(hold);
     }
+    keepergrant_drop_clearings(keeper);
     keyload_destroy(keeper->load);
     free(keeper->lease_text);
     free(keeper->lease_stored);
@@ -313,10 +315,17 @@
         if (hold->ends_us > keeper->former_ends_us) {
             keeper->former_ends_us = hold->ends_us;
         }
+        const int64_t unsure_us =
+            hold->call != NULL ? hold->ends_us : hold->unsure_us;
+        if (unsure_us > keeper->unsure_us) {
+            keeper->unsure_us = unsure_us;
+        }
         keepergrant_free(hold);
     }
+    keepergrant_drop_clearings(keeper);
     if (dead) {
         keeper->former_ends_us = 0;
+        keeper->unsure_us = 0;
     }
     go_on(keeper);
 }
--- a/packages/node/keeper_internal.h
+++ b/packages/node/keeper_internal.h
@@ -64,12 +64,27 @@
 
 LIST_HEAD(release_list, release_call);
 
+/** Keys of a former life that the present one is asked to release: a grant
+ * that was meant for the former life may have reached it. */
+struct clearing {
+    LIST_ENTRY(clearing) link;
+    struct keeper *keeper;
+    uint32_t first;
+    uint32_t last;
+    uint64_t fence;
+    bool done;
+    struct http_call *call;
+};
+
+LIST_HEAD(clearing_list, clearing);
+
 struct keeper {
     struct node *node;
     struct timer tick;
     struct hold_list holds;
     struct handover_list handovers;
     struct release_list releases;
+    struct clearing_list clearings; /**< by the present life */
     struct keyload *load;
     int64_t decay_us;
     struct keylease lease;
@@ -90,6 +105,7 @@
     int64_t map_retry_us;
     bool map_unsure;        /**< an earlier write may still take effect */
     int64_t former_ends_us; /**< a former life may hold keys until then */
+    int64_t unsure_us;      /**< grants without an answer may take effect */
     struct counter *grants;
     struct counter *grants_failed;
     struct counter *moves;
@@ -116,6 +132,14 @@
 void keepergrant_free(struct hold *hold);
 void keepergrant_drop_handover(struct handover *handover);
 
+/** Has the present life release a segment of a former one. @return true once
+ * it has */
+bool keepergrant_clear(struct keeper *keeper,
+                       const struct keymap_segment *segment);
+
+/** The present life is over. */
+void keepergrant_drop_clearings(struct keeper *keeper);
+
 /* keeperlease.c */
 
 void keeperlease_go_on(struct keeper *keeper);
--- a/packages/node/keepergrant.c
+++ b/packages/node/keepergrant.c
@@ -243,6 +243,84 @@
         });
 }
 
+static void
+on_cleared(void *ctx, const struct http_result *result)
+{
+    struct clearing *clearing = ctx;
+    struct keeper *keeper = clearing->keeper;
+    clearing->call = NULL;
+    if (result->outcome == HTTP_ANSWERED && result->status == STATUS_OK) {
+        clearing->done = true;
+        keepermap_go_on(keeper);
+    }
+}
+
+static void
+send_clearing(struct clearing *clearing)
+{
+    struct node *node = clearing->keeper->node;
+    char body[WIRE_BODY_MAX];
+    const struct wire_grant grant = {
+        .first = clearing->first,
+        .last = clearing->last,
+        .fence = clearing->fence,
+    };
+    const size_t size = node->wire->write_release(&grant, body);
+    clearing->call =
+        http_call_start(localtarget_client(node->target),
+                        &(struct http_call_spec){
+                            .method = "POST",
+                            .target = node->wire->release_path,
+                            .headers = order_headers,
+                            .header_count = 1,
+                            .body = body,
+                            .body_size = size,
+                            .deadline_us = node_now_us(node) + CALL_TIMEOUT_US,
+                            .done = on_cleared,
+                            .ctx = clearing,
+                        });
+}
+
+bool
+keepergrant_clear(struct keeper *keeper, const struct keymap_segment *segment)
+{
+    struct clearing *clearing;
+    LIST_FOREACH (clearing, &keeper->clearings, link) {
+        if (clearing->first == segment->first &&
+            clearing->last == segment->last &&
+            clearing->fence == segment->fence) {
+            break;
+        }
+    }
+    if (clearing == NULL) {
+        clearing = memory_zeroed(1, sizeof(*clearing));
+        clearing->keeper = keeper;
+        clearing->first = segment->first;
+        clearing->last = segment->last;
+        clearing->fence = segment->fence;
+        LIST_INSERT_HEAD(&keeper->clearings, clearing, link);
+    }
+    if (!clearing->done && clearing->call == NULL) {
+        send_clearing(clearing);
+    }
+    return clearing->done;
+}
+
+void
+keepergrant_drop_clearings(struct keeper *keeper)
+{
+    struct clearing *clearing = LIST_FIRST(&keeper->clearings);
+    while (clearing != NULL) {
+        struct clearing *next = LIST_NEXT(clearing, link);
+        if (clearing->call != NULL) {
+            http_call_cancel(clearing->call);
+        }
+        free(clearing);
+        clearing = next;
+    }
+    LIST_INIT(&keeper->clearings);
+}
+
 void
 keepergrant_release(struct handover *handover)
 {
--- a/packages/node/keepermap.c
+++ b/packages/node/keepermap.c
@@ -117,11 +117,15 @@
     const struct keymap_holder own = localtarget_holder(node->target);
     bool changed = false;
     const bool over = node_now_us(node) >= keeper->former_ends_us;
+    const bool present =
+        own.instance[0] != '\0' && node_now_us(node) >= keeper->unsure_us;
     for (size_t i = 0; i < map->count; i++) {
         const struct keymap_segment *segment = &map->segments[i];
-        if (strcmp(segment->holder.instance, node->settings.instance) == 0 &&
-            !keymap_holder_equal(&segment->holder, &own) &&
-            (over || own.born_ms > segment->holder.born_ms)) {
+        const bool former =
+            strcmp(segment->holder.instance, node->settings.instance) == 0 &&
+            !keymap_holder_equal(&segment->holder, &own);
+        if (former &&
+            (over || (present && keepergrant_clear(keeper, segment)))) {
             keymap_assign(map, segment->first, segment->last, &nobody, NULL);
             changed = true;
         }
--- a/packages/node/localgate.c
+++ b/packages/node/localgate.c
@@ -263,6 +263,7 @@
         .status = result->status,
         .body = {(u_int)result->body_size, (char *)result->body},
     };
+    ownrow_forgive(call->gate->node->ownrow, call->fingerprint);
     fill_fields(fields, result->headers, &reply.fields.fields_len);
     reply.fields.fields_val = fields;
     call_answer(call, &reply);
--- a/packages/node/localtarget.c
+++ b/packages/node/localtarget.c
@@ -226,7 +226,7 @@
     const int64_t now_us = now_of(target);
     const bool same = is_present_life(target, announced);
     if (!same) {
-        target_end(target, "another life announced itself", true);
+        target_end(target, "another life announced itself", false);
         target->leaving = false;
     }
     const bool changed = !same ||
@@ -318,7 +318,7 @@
     target->node->wire->read_health(result, &health);
     if (health.target[0] != '\0' &&
         strcmp(health.target, target->announced.target) != 0) {
-        target_end(target, "another target answers", true);
+        target_end(target, "another target answers", false);
         return;
     }
     if (health.has_cold_left) {
--- a/packages/node/ownrow.c
+++ b/packages/node/ownrow.c
@@ -136,6 +136,21 @@
                                    on_written, own);
 }
 
+void
+ownrow_forgive(struct ownrow *own, uint64_t fingerprint)
+{
+    size_t kept = 0;
+    for (size_t i = 0; i < own->accused_count; i++) {
+        if (own->accused[i] != fingerprint) {
+            own->accused[kept++] = own->accused[i];
+        }
+    }
+    if (kept < own->accused_count) {
+        own->accused_count = kept;
+        ownrow_update(own);
+    }
+}
+
 void
 ownrow_accuse(struct ownrow *own, const uint64_t *fingerprints, unsigned count)
 {
--- a/packages/node/ownrow.h
+++ b/packages/node/ownrow.h
@@ -22,4 +22,7 @@
 void ownrow_accuse(struct ownrow *own, const uint64_t *fingerprints,
                    unsigned count);
 
+/** The target has answered the request: it does not stop targets. */
+void ownrow_forgive(struct ownrow *own, uint64_t fingerprint);
+
 #endif
