--- /dev/null
+++ b/packages/fleet/field.c
@@ -0,0 +1,15 @@
+#include "fleet/field.h"
+
+#include <stdio.h>
+#include <string.h>
+
+bool
+field_text(const json_t *object, const char *field, char *to, size_t size)
+{
+    const char *text = json_string_value(json_object_get(object, field));
+    if (text == NULL || strlen(text) >= size) {
+        return false;
+    }
+    snprintf(to, size, "%s", text);
+    return true;
+}
--- /dev/null
+++ b/packages/fleet/field.h
@@ -0,0 +1,17 @@
+/**
+ * @file
+ * Reading of fields of the rows that instances write.
+ */
+#ifndef CHESTNUTGAP_FLEET_FIELD_H
+#define CHESTNUTGAP_FLEET_FIELD_H
+
+#include <stdbool.h>
+#include <stddef.h>
+
+#include <jansson.h>
+
+/** Copies a text that fits. @return false if there is none */
+bool field_text(const json_t *object, const char *field, char *to,
+                size_t size);
+
+#endif
--- a/packages/fleet/keymap.c
+++ b/packages/fleet/keymap.c
@@ -8,6 +8,7 @@
 
 #include "base/memory.h"
 #include "fleet/declared.h"
+#include "fleet/field.h"
 
 #define LAST_KEY (DECLARED_KEYS - 1)
 
@@ -34,17 +35,6 @@
         memory_copy(from->segments, from->count * sizeof(*from->segments));
 }
 
-static bool
-copy_text(char *to, const json_t *object, const char *field)
-{
-    const char *text = json_string_value(json_object_get(object, field));
-    if (text == NULL || strlen(text) > KEYMAP_NAME_MAX) {
-        return false;
-    }
-    snprintf(to, KEYMAP_NAME_MAX + 1, "%s", text);
-    return true;
-}
-
 static bool
 read_segment(const json_t *item, struct keymap_segment *segment)
 {
@@ -59,9 +49,11 @@
     segment->last = (uint32_t)json_integer_value(last);
     segment->fence = (uint64_t)json_integer_value(fence);
     segment->holder.born_ms = json_integer_value(born);
-    return copy_text(segment->holder.instance, item, "instance") &&
-           copy_text(segment->holder.target, item, "target") &&
-           copy_text(segment->token, item, "token");
+    return field_text(item, "instance", segment->holder.instance,
+                      sizeof(segment->holder.instance)) &&
+           field_text(item, "target", segment->holder.target,
+                      sizeof(segment->holder.target)) &&
+           field_text(item, "token", segment->token, sizeof(segment->token));
 }
 
 static bool
--- a/packages/fleet/rosterjson.c
+++ b/packages/fleet/rosterjson.c
@@ -5,6 +5,7 @@
 
 #include <jansson.h>
 
+#include "fleet/field.h"
 #include "fleet/roster.h"
 
 #define FINGERPRINT_SIZE 17 /* bytes of 16 digits, with the terminator */
@@ -39,17 +40,6 @@
     return text;
 }
 
-static bool
-copy_text(char *to, const json_t *object, const char *field)
-{
-    const char *text = json_string_value(json_object_get(object, field));
-    if (text == NULL || strlen(text) > KEYMAP_NAME_MAX) {
-        return false;
-    }
-    snprintf(to, KEYMAP_NAME_MAX + 1, "%s", text);
-    return true;
-}
-
 static bool
 read_state(const json_t *object, enum roster_state *state)
 {
@@ -87,14 +77,16 @@
     const json_t *slots = json_object_get(document, "slots");
     *notice = (struct roster_notice){.state = ROSTER_ABSENT};
     snprintf(notice->instance, sizeof(notice->instance), "%s", instance);
-    const bool ok = copy_text(notice->zone, document, "zone") &&
-                    copy_text(notice->service, document, "service") &&
-                    copy_text(notice->target, document, "target") &&
-                    copy_text(address, document, "address") &&
-                    address_parse(address, &notice->address, NULL) &&
-                    json_is_integer(born) && json_is_integer(slots) &&
-                    json_integer_value(slots) >= 0 &&
-                    read_state(document, &notice->state);
+    const bool ok =
+        field_text(document, "zone", notice->zone, sizeof(notice->zone)) &&
+        field_text(document, "service", notice->service,
+                   sizeof(notice->service)) &&
+        field_text(document, "target", notice->target,
+                   sizeof(notice->target)) &&
+        field_text(document, "address", address, sizeof(address)) &&
+        address_parse(address, &notice->address, NULL) &&
+        json_is_integer(born) && json_is_integer(slots) &&
+        json_integer_value(slots) >= 0 && read_state(document, &notice->state);
     if (ok) {
         notice->born_ms = json_integer_value(born);
         notice->slots = (unsigned)json_integer_value(slots);
--- a/packages/http/clientconnection.c
+++ b/packages/http/clientconnection.c
@@ -1,38 +1,23 @@
 #include "http/httpclient_internal.h"
 
 #include <errno.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 
-#define READ_MAX (256u << 10)      /* bytes taken from a socket at once */
-#define UNACKNOWLEDGED_MAX_MS 3000 /* then TCP counts as cut */
-#define KEEPALIVE_S 1              /* of silence, and between probes */
-#define KEEPALIVE_PROBES 2
+#include "base/liveness.h"
+
+#define READ_MAX (256u << 10) /* bytes taken from a socket at once */
 /* Part of the peer's idle timeout after which a connection is not reused. */
 #define IDLE_SHARE_PERCENT 70
 
-static void
-connection_set_options(evutil_socket_t fd)
-{
-    const int on = 1;
-    const int keepalive_s = KEEPALIVE_S;
-    const int probes = KEEPALIVE_PROBES;
-    const unsigned unacknowledged_ms = UNACKNOWLEDGED_MAX_MS;
-    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-    setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
-    setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &keepalive_s,
-               sizeof(keepalive_s));
-    setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &keepalive_s,
-               sizeof(keepalive_s));
-    setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
-    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledged_ms,
-               sizeof(unacknowledged_ms));
-}
+static const struct liveness client_liveness = {
+    .unacknowledged_ms = 3000,
+    .silence_s = 1,
+    .probes = 2,
+};
 
 void
 client_connection_close(struct client_connection *connection)
@@ -188,7 +173,7 @@
     struct http_client *client = connection->client;
     const int error = EVUTIL_SOCKET_ERROR();
     if ((what & BEV_EVENT_CONNECTED) != 0) {
-        connection_set_options(bufferevent_getfd(bev));
+        liveness_set(bufferevent_getfd(bev), &client_liveness);
         connection->connected = true;
         if (connection->call != NULL) {
             connection_write(connection);
--- a/packages/node/keepergrant.c
+++ b/packages/node/keepergrant.c
@@ -38,6 +38,36 @@
     free(hold);
 }
 
+/** Sends a grant or a release to the present life. */
+static struct http_call *
+send_order(struct node *node, const char *path, const char *body, size_t size,
+           int64_t timeout_us, http_done_cb done, void *ctx)
+{
+    const struct http_call_spec spec = {
+        .method = "POST",
+        .target = path,
+        .headers = order_headers,
+        .header_count = 1,
+        .body = body,
+        .body_size = size,
+        .deadline_us = node_now_us(node) + timeout_us,
+        .done = done,
+        .ctx = ctx,
+    };
+    return http_call_start(localtarget_client(node->target), &spec);
+}
+
+/** Asks the present life to release keys. */
+static struct http_call *
+send_release_order(struct node *node, const struct wire_grant *grant,
+                   int64_t timeout_us, http_done_cb done, void *ctx)
+{
+    char body[WIRE_BODY_MAX];
+    const size_t size = node->wire->write_release(grant, body);
+    return send_order(node, node->wire->release_path, body, size, timeout_us,
+                      done, ctx);
+}
+
 /** A grant that was sent but not confirmed may hold, now or later. */
 static void
 note_unsure(struct hold *hold)
@@ -124,18 +154,8 @@
         now_us + ARRIVAL_US + hold_us * (100 + CLOCK_PERCENT) / 100;
     hold->ends_us = ends_us > hold->ends_us ? ends_us : hold->ends_us;
     keeper->grants->value++;
-    hold->call = http_call_start(localtarget_client(node->target),
-                                 &(struct http_call_spec){
-                                     .method = "POST",
-                                     .target = node->wire->grant_path,
-                                     .headers = order_headers,
-                                     .header_count = 1,
-                                     .body = body,
-                                     .body_size = size,
-                                     .deadline_us = now_us + CALL_TIMEOUT_US,
-                                     .done = on_granted,
-                                     .ctx = hold,
-                                 });
+    hold->call = send_order(node, node->wire->grant_path, body, size,
+                            CALL_TIMEOUT_US, on_granted, hold);
 }
 
 void
@@ -218,29 +238,16 @@
 {
     struct node *node = handover->keeper->node;
     struct release_call *call = memory_zeroed(1, sizeof(*call));
-    char body[WIRE_BODY_MAX];
     const struct wire_grant grant = {
         .first = hold->first,
         .last = hold->last,
         .fence = hold->fence,
     };
-    const size_t size = node->wire->write_release(&grant, body);
     call->handover = handover;
     LIST_INSERT_HEAD(&handover->keeper->releases, call, link);
     handover->calls++;
-    call->http = http_call_start(
-        localtarget_client(node->target),
-        &(struct http_call_spec){
-            .method = "POST",
-            .target = node->wire->release_path,
-            .headers = order_headers,
-            .header_count = 1,
-            .body = body,
-            .body_size = size,
-            .deadline_us = node_now_us(node) + RELEASE_TIMEOUT_US,
-            .done = on_released,
-            .ctx = call,
-        });
+    call->http = send_release_order(node, &grant, RELEASE_TIMEOUT_US,
+                                    on_released, call);
 }
 
 static void
@@ -259,26 +266,13 @@
 send_clearing(struct clearing *clearing)
 {
     struct node *node = clearing->keeper->node;
-    char body[WIRE_BODY_MAX];
     const struct wire_grant grant = {
         .first = clearing->first,
         .last = clearing->last,
         .fence = clearing->fence,
     };
-    const size_t size = node->wire->write_release(&grant, body);
-    clearing->call =
-        http_call_start(localtarget_client(node->target),
-                        &(struct http_call_spec){
-                            .method = "POST",
-                            .target = node->wire->release_path,
-                            .headers = order_headers,
-                            .header_count = 1,
-                            .body = body,
-                            .body_size = size,
-                            .deadline_us = node_now_us(node) + CALL_TIMEOUT_US,
-                            .done = on_cleared,
-                            .ctx = clearing,
-                        });
+    clearing->call = send_release_order(node, &grant, CALL_TIMEOUT_US,
+                                        on_cleared, clearing);
 }
 
 bool
--- a/packages/protocol/rpc_internal.h
+++ b/packages/protocol/rpc_internal.h
@@ -23,9 +23,6 @@
 #define RPC_PROCEDURES_MAX 32
 #define RPC_PEER_BUCKETS 256
 #define RPC_CONNECT_TIMEOUT_US (1 * US_PER_SECOND)
-#define RPC_UNACKNOWLEDGED_MAX_MS 1500 /* then TCP counts as cut */
-#define RPC_KEEPALIVE_S 1              /* of silence, and between probes */
-#define RPC_KEEPALIVE_PROBES 2
 #define RPC_IDLE_OUTGOING_US (60 * US_PER_SECOND)
 #define RPC_IDLE_ACCEPTED_US (300 * US_PER_SECOND)
 #define RPC_SWEEP_US (1 * US_PER_SECOND)
--- a/packages/protocol/rpcconnection.c
+++ b/packages/protocol/rpcconnection.c
@@ -9,6 +9,7 @@
 #include <unistd.h>
 
 #include "base/hash.h"
+#include "base/liveness.h"
 
 static size_t
 peer_bucket(const struct address *peer)
@@ -184,23 +185,11 @@
     }
 }
 
-static void
-connection_set_options(evutil_socket_t fd)
-{
-    const int on = 1;
-    const int keepalive_s = RPC_KEEPALIVE_S;
-    const int probes = RPC_KEEPALIVE_PROBES;
-    const unsigned unacknowledged_ms = RPC_UNACKNOWLEDGED_MAX_MS;
-    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-    setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
-    setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &keepalive_s,
-               sizeof(keepalive_s));
-    setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &keepalive_s,
-               sizeof(keepalive_s));
-    setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
-    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledged_ms,
-               sizeof(unacknowledged_ms));
-}
+static const struct liveness peer_liveness = {
+    .unacknowledged_ms = 1500,
+    .silence_s = 1,
+    .probes = 2,
+};
 
 static void
 connection_on_event(struct bufferevent *bev, short what, void *ctx)
@@ -210,7 +199,7 @@
     if ((what & BEV_EVENT_CONNECTED) != 0) {
         connection->connected = true;
         timer_stop(&connection->connect_timer);
-        connection_set_options(bufferevent_getfd(bev));
+        liveness_set(bufferevent_getfd(bev), &peer_liveness);
         rpc_call_flush(connection);
         return;
     }
@@ -271,7 +260,7 @@
 rpc_connection_accept(struct rpc_node *node, evutil_socket_t fd,
                       const struct address *peer)
 {
-    connection_set_options(fd);
+    liveness_set(fd, &peer_liveness);
     struct rpc_connection *connection = node->accepted_count < RPC_ACCEPTED_MAX
                                             ? connection_create(node, fd, peer)
                                             : NULL;
