Lease: promises are asked of those only who can give them

Cause: the row of a lease named instances that were gone or leaving. Ruled out: moves (none were under way), grants (renewed until the lease ended). Change: who seems gone or leaves is not named, and waits longer to take keys; a refused connection counts as a promise, since a process that starts watches a lease for longer than a promise lasts.

--- a/packages/node/keeperlease.c
+++ b/packages/node/keeperlease.c
@@ -11,11 +11,22 @@
 #include "node/keeper_internal.h"
 #include "node/localgate.h"
 #include "node/localtarget.h"
+#include "node/planner_internal.h"
 #include "node/relaytask.h"
 
 #define WRITE_TIMEOUT_US (1 * US_PER_SECOND)
 #define PROMISE_INTERVAL_US (500 * US_PER_MS)
 
+/** Whether the instance's promise is to be had. Who is not named in the row
+ * waits for longer than promises can last, so that leaving one out is safe. */
+static bool
+may_be_asked(const struct node *node, const struct roster_instance *instance)
+{
+    return instance->notice.state == ROSTER_SERVING &&
+           instance->unreachable_count == 0 &&
+           !planner_is_lost(node->planner, instance->notice.instance);
+}
+
 /** The row's text: who must promise, and what tells writes apart. */
 static char *
 lease_text(struct keeper *keeper)
@@ -26,7 +37,7 @@
     const char *service = localtarget_service(node->target);
     LIST_FOREACH (instance, &node->roster.instances, link) {
         const struct roster_notice *notice = &instance->notice;
-        if (notice->state != ROSTER_ABSENT &&
+        if (may_be_asked(node, instance) &&
             strcmp(notice->service, service) == 0 &&
             strcmp(notice->instance, node->settings.instance) != 0) {
             json_array_append_new(peers, json_string(notice->instance));
--- a/packages/node/relaytask.c
+++ b/packages/node/relaytask.c
@@ -343,7 +343,10 @@
     struct relay_ask *ask = ctx;
     const struct relay_promised *reply = result;
     LIST_REMOVE(ask, link);
-    ask->promised(ask->ctx, status == RPC_OK && reply->promised);
+    /* A process that does not run takes nothing, and watches a lease for
+     * longer than a promise lasts after it starts. */
+    ask->promised(ask->ctx, status == RPC_REFUSED_BY_HOST ||
+                                (status == RPC_OK && reply->promised));
     free(ask);
 }
 
