Lease: promises extend an unbroken lease only

Cause: an instance that had begun to take keys and then ended could not decline any more, while its write could still take effect; the holder would have gone on by the promises of the others.

--- a/packages/fleet/keylease.h
+++ b/packages/fleet/keylease.h
@@ -50,7 +50,8 @@
 /** A write had no effect, or nobody knows. */
 void keylease_failed(struct keylease *lease, int64_t now_us);
 
-/** All others promised, in calls that were begun at begun_us. */
+/** All others promised, in calls that were begun at begun_us. A lease that
+ * has ended by then needs the store again. */
 void keylease_promised(struct keylease *lease, int64_t begun_us);
 
 #endif
