--- a/packages/node/ingress.c
+++ b/packages/node/ingress.c
@@ -29,10 +29,10 @@
 #define CONDEMNED_MIN 3       /* targets that a request has stopped */
 #define FULL_TRIES 2          /* instances without room that a request asks */
 #define REPEAT_LEFT_US (50 * US_PER_MS)
-/* A target answers by itself when the time is over. */
 /* The way from and to the caller: an answer that comes after the caller has
  * given up takes those behind it on the connection with it. */
 #define CALLER_WAY_US (30 * US_PER_MS)
+/* A target answers by itself when the time is over. */
 #define ANSWER_GRACE_US (8 * US_PER_MS)
 #define STOP_RETRY_US (100 * US_PER_MS) /* another instance takes it */
 
