node: one name for a keys row, one end of a grant, no dead code

Change: node_keys_row(), sent_ends_us(), rowwatch_note_conflict(); the dead names are gone. Behaviour and tests are as before.

--- a/packages/node/keeper.c
+++ b/packages/node/keeper.c
@@ -13,9 +13,9 @@
 
 /* A release waits for the requests that run. */
 #define HANDOVER_MAX_US (4 * US_PER_SECOND)
+#define STORE_SLACK_US (300 * US_PER_MS)
 /* A process that has just started does not know the grants of an earlier
  * one; none of them is longer. */
-#define STORE_SLACK_US (300 * US_PER_MS)
 #define FORMER_HOLD_US (3500 * US_PER_MS)
 
 static void on_tick(void *ctx);
@@ -256,12 +256,6 @@
            keymap_share(&keys->map, keeper->node->settings.instance) > 0;
 }
 
-bool
-keeper_is_moving(const struct keeper *keeper)
-{
-    return !TAILQ_EMPTY(&keeper->handovers);
-}
-
 static void
 go_on(struct keeper *keeper)
 {
--- a/packages/node/keeper.h
+++ b/packages/node/keeper.h
@@ -40,28 +40,24 @@
 /** Writes the load of the own keys; returns the number of steps. */
 size_t keeper_steps(const struct keeper *keeper, struct keyload_step *steps);
 
-/** The map, the target, its state or the configuration have changed. */
-/** dead: it is proved not to run any more. */
+/** The target's life is over. dead: it is proved not to run any more. */
 void keeper_target_gone(struct keeper *keeper, bool dead);
+
+/** The target, its state or the configuration have changed. */
 void keeper_target_changed(struct keeper *keeper);
+
 void keeper_map_changed(struct keeper *keeper);
 
 /** Hands keys to another holder. @return false if that is not possible now */
 bool keeper_move(struct keeper *keeper, uint32_t first, uint32_t last,
                  const struct keymap_holder *to);
 
-/** True while keys are being handed over. */
-bool keeper_is_moving(const struct keeper *keeper);
-
 /** True if the target is held to own keys, by the map. */
 bool keeper_owns(const struct keeper *keeper);
 
 /** True if the store answers: a move that is begun now can be ended. */
 bool keeper_store_answers(const struct keeper *keeper);
 
-/** True if the lease was good just now. */
-bool keeper_has_lease(const struct keeper *keeper);
-
 /** Time until the lease ends; negative if it has. */
 int64_t keeper_lease_margin_us(const struct keeper *keeper);
 
--- a/packages/node/keeper_internal.h
+++ b/packages/node/keeper_internal.h
@@ -101,7 +101,6 @@
     struct rowstore_call *map_call;
     char *map_text; /**< of the call */
     bool touched;   /**< no earlier process's write can take effect */
-    bool touching;  /**< the call is for that */
     int64_t map_retry_us;
     bool map_unsure;        /**< an earlier write may still take effect */
     int64_t former_ends_us; /**< a former life may hold keys until then */
@@ -115,6 +114,9 @@
 /** The map of the target's service, or NULL. */
 struct node_keys *keeper_keys(const struct keeper *keeper);
 
+/** True if the lease was good just now. */
+bool keeper_has_lease(const struct keeper *keeper);
+
 /** True if grants may be given: the lease holds, and the map was read since
  * it was acquired. */
 bool keeper_may_grant(const struct keeper *keeper);
--- a/packages/node/keepergrant.c
+++ b/packages/node/keepergrant.c
@@ -22,7 +22,6 @@
 #define START_MARGIN_US (50 * US_PER_MS)
 #define CLOCK_PERCENT 3 /* by which a target's clock may be slow, and more */
 #define STATUS_OK 200
-#define STATUS_CONFLICT 409
 
 static const struct http_header order_headers[] = {
     {"Content-Type", "application/json"},
@@ -68,12 +67,19 @@
                       done, ctx);
 }
 
+/** The latest time at which the grant last sent may end at the target. */
+static int64_t
+sent_ends_us(const struct hold *hold)
+{
+    return hold->sent_us + ARRIVAL_US +
+           hold->asked_us * (100 + CLOCK_PERCENT) / 100;
+}
+
 /** A grant that was sent but not confirmed may hold, now or later. */
 static void
 note_unsure(struct hold *hold)
 {
-    const int64_t ends_us = hold->sent_us + ARRIVAL_US +
-                            hold->asked_us * (100 + CLOCK_PERCENT) / 100;
+    const int64_t ends_us = sent_ends_us(hold);
     if (ends_us > hold->unsure_us) {
         hold->unsure_us = ends_us;
     }
@@ -150,8 +156,7 @@
     const size_t size = node->wire->write_grant(&grant, body);
     hold->sent_us = now_us;
     hold->asked_us = hold_us;
-    const int64_t ends_us =
-        now_us + ARRIVAL_US + hold_us * (100 + CLOCK_PERCENT) / 100;
+    const int64_t ends_us = sent_ends_us(hold);
     hold->ends_us = ends_us > hold->ends_us ? ends_us : hold->ends_us;
     keeper->grants->value++;
     hold->call = send_order(node, node->wire->grant_path, body, size,
--- a/packages/node/keepermap.c
+++ b/packages/node/keepermap.c
@@ -1,5 +1,4 @@
 /* Changes of the map of keys that only their owner may make. */
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -12,13 +11,6 @@
 #define WRITE_TIMEOUT_US (1500 * US_PER_MS)
 #define RETRY_US (150 * US_PER_MS)
 
-/** Name of the row of a service's keys. */
-static void
-row_key(char key[ROWSTORE_NAME_MAX + 1], const struct node_keys *keys)
-{
-    snprintf(key, ROWSTORE_NAME_MAX + 1, NODE_KEYS_KEY "%s", keys->service);
-}
-
 void
 keepermap_finish(struct keeper *keeper)
 {
@@ -169,7 +161,7 @@
     }
     if (vacated || moved || touch) {
         char key[ROWSTORE_NAME_MAX + 1];
-        row_key(key, keys);
+        node_keys_row(key, keys->service);
         keeper->map_text = keymap_print(&map);
         const struct rowstore_write write = {
             .table = NODE_TABLE,
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -94,8 +94,15 @@
 }
 
 void
-node_take_keys(struct node *node, const char *service, const char *text,
-               size_t size, uint64_t version)
+node_keys_row(char key[ROWSTORE_NAME_MAX + 1], const char *service)
+{
+    snprintf(key, ROWSTORE_NAME_MAX + 1, NODE_KEYS_KEY "%s", service);
+}
+
+/** A map of keys that is newer than the known one. */
+static void
+take_keys(struct node *node, const char *service, const char *text,
+          size_t size, uint64_t version)
 {
     struct error err = {.code = ERROR_NONE};
     struct node_keys *keys = add_keys(node, service);
@@ -117,7 +124,7 @@
                uint64_t version)
 {
     char key[ROWSTORE_NAME_MAX + 1];
-    snprintf(key, sizeof(key), NODE_KEYS_KEY "%s", service);
+    node_keys_row(key, service);
     if (rowwatch_version(node->fleet_watch) > 0) {
         rowwatch_note(node->fleet_watch, &(struct rowstore_row){
                                              .key = key,
@@ -282,8 +289,7 @@
         on_instance_row(node, row->key + instance, row);
     }
     else if (strncmp(row->key, NODE_KEYS_KEY, keys) == 0 && !row->removed) {
-        node_take_keys(node, row->key + keys, row->value, row->size,
-                       row->version);
+        take_keys(node, row->key + keys, row->value, row->size, row->version);
         keeper_map_changed(node->keeper);
         ingress_changed(node->ingress);
     }
--- a/packages/node/node_internal.h
+++ b/packages/node/node_internal.h
@@ -96,9 +96,8 @@
 /** The map of a service's keys, or NULL. */
 struct node_keys *node_keys_of(const struct node *node, const char *service);
 
-/** A map that this instance has committed or was shown on a conflict. */
-void node_take_keys(struct node *node, const char *service, const char *text,
-                    size_t size, uint64_t version);
+/** Writes the name of the row of a service's keys. */
+void node_keys_row(char key[ROWSTORE_NAME_MAX + 1], const char *service);
 
 /** A map of keys that another instance has just written. */
 void node_show_keys(struct node *node, const char *service, const char *text,
--- a/packages/node/ownrow.c
+++ b/packages/node/ownrow.c
@@ -95,12 +95,7 @@
     }
     free(own->writing);
     own->writing = NULL;
-    for (size_t i = 0;
-         result->outcome == ROWSTORE_CONFLICT && i < result->row_count; i++) {
-        if (strcmp(result->rows[i].key, own->key) == 0) {
-            rowwatch_note(node->fleet_watch, &result->rows[i]);
-        }
-    }
+    rowwatch_note_conflict(node->fleet_watch, result, own->key);
     timer_start(&own->retry,
                 result->outcome == ROWSTORE_CONFLICT ? 0 : RETRY_US);
 }
--- a/packages/node/planner.c
+++ b/packages/node/planner.c
@@ -343,17 +343,12 @@
     if (keys == NULL) {
         return;
     }
-    snprintf(key, sizeof(key), NODE_KEYS_KEY "%s", keys->service);
+    node_keys_row(key, keys->service);
     if (result->outcome == ROWSTORE_DONE) {
         node_wrote_keys(planner->node, keys, planner->map_text,
                         result->version);
     }
-    for (size_t i = 0;
-         result->outcome == ROWSTORE_CONFLICT && i < result->row_count; i++) {
-        if (strcmp(result->rows[i].key, key) == 0) {
-            rowwatch_note(planner->node->fleet_watch, &result->rows[i]);
-        }
-    }
+    rowwatch_note_conflict(planner->node->fleet_watch, result, key);
 }
 
 void
@@ -365,7 +360,7 @@
     char key[ROWSTORE_NAME_MAX + 1];
     struct rowstore_write writes[2];
     size_t count = 0;
-    snprintf(key, sizeof(key), NODE_KEYS_KEY "%s", keys->service);
+    node_keys_row(key, keys->service);
     free(planner->map_text);
     planner->map_text = keymap_print(map);
     writes[count++] = (struct rowstore_write){
--- a/packages/node/rowwatch.c
+++ b/packages/node/rowwatch.c
@@ -145,6 +145,18 @@
     report_row(watch, row);
 }
 
+void
+rowwatch_note_conflict(struct rowwatch *watch,
+                       const struct rowstore_result *result, const char *key)
+{
+    for (size_t i = 0;
+         result->outcome == ROWSTORE_CONFLICT && i < result->row_count; i++) {
+        if (strcmp(result->rows[i].key, key) == 0) {
+            rowwatch_note(watch, &result->rows[i]);
+        }
+    }
+}
+
 uint64_t
 rowwatch_row_version(const struct rowwatch *watch, const char *key)
 {
--- a/packages/node/rowwatch.h
+++ b/packages/node/rowwatch.h
@@ -43,6 +43,11 @@
 /** Takes over a row that this process has just written or seen otherwise. */
 void rowwatch_note(struct rowwatch *watch, const struct rowstore_row *row);
 
+/** Takes over the row of that name that stood against a write, if one did. */
+void rowwatch_note_conflict(struct rowwatch *watch,
+                            const struct rowstore_result *result,
+                            const char *key);
+
 /** Version of a row as known, 0 if there is none. */
 uint64_t rowwatch_row_version(const struct rowwatch *watch, const char *key);
 
