entry: an unknown owner is asked for, not waited for

Cause of both KNOWN-RED entries: an entry that has not yet read the newest page of the shard map when the store goes away waits a second for an owner and refuses, though every member that took its shards knows it. Pages come by gossip within 1,200 B/s, which takes longer than the second. Ruled out: members missing in the entry's choice (hints of the gates are enough), the store's own answers (without an outage 0 of 4 are refused). Change: without a known owner the request goes to each member once; a gate runs nothing that is not its own and names the owner it knows.

--- a/packages/entry/request.c
+++ b/packages/entry/request.c
@@ -7,6 +7,7 @@
 
 #define WAIT_MAX_US (1000 * US_PER_MS) /* for an owner or a target */
 #define WAIT_STEP_US (20 * US_PER_MS)
+#define ASKED_MAX 4 /* members that are asked for an unknown owner */
 #define NO_TARGET_RETRY_MS 1000
 
 static const bool request_steps[REQUEST_STATE_COUNT][REQUEST_STATE_COUNT] = {
@@ -221,6 +222,20 @@
     return owner;
 }
 
+/* Without a known owner each member is asked once: its gate runs nothing that
+ * is not its own, and names the owner if it knows it. */
+static uint32_t
+request_find_keyed(struct request *request, uint64_t *epoch, int64_t now_us)
+{
+    const uint32_t owner = request_find_owner(request, epoch);
+    if (owner != CHOICE_NONE || request->tried_count >= ASKED_MAX) {
+        return owner;
+    }
+    *epoch = 0;
+    return choice_pick(request->env->choice, request->tried,
+                       request->tried_count, false, now_us);
+}
+
 static uint32_t
 request_find_member(struct request *request, uint64_t *epoch, int64_t now_us)
 {
@@ -228,7 +243,7 @@
     const struct request_spec *spec = &request->spec;
     *epoch = 0;
     if (spec->keyed) {
-        return request_find_owner(request, epoch);
+        return request_find_keyed(request, epoch, now_us);
     }
     if (request->suspect) {
         return choice_home(choice, spec->fingerprint, request->tried,
@@ -254,7 +269,9 @@
     }
     request_move(request, REQUEST_WAITING);
     request->wake_at_us = now_us + WAIT_STEP_US;
-    request->tried_count = 0;
+    if (!request->spec.keyed) {
+        request->tried_count = 0;
+    }
     request_set_timer(request);
 }
 
--- a/packages/entry/test/entry_test.cc
+++ b/packages/entry/test/entry_test.cc
@@ -9,6 +9,7 @@
 #include "entry/choice.h"
 #include "entry/flight.h"
 #include "entry/hedge.h"
+#include "entry/request.h"
 #include "entry/requestkey.h"
 #include "entry/retry.h"
 }
@@ -232,4 +233,106 @@
     choice_destroy(choice);
 }
 
+/* One keyed request at an entry that knows three members and no owner. */
+class KeyedRequest : public testing::Test {
+  protected:
+    KeyedRequest()
+    {
+        random_seed(&random_, 1);
+        choice_ = choice_create("z0", &random_);
+        for (const char *name : {"a", "b", "c"}) {
+            choice_add(choice_, name, "z0");
+        }
+        retry_init(&retry_, 10, 0);
+        hedge_init(&hedge_, 0, 0);
+        suspects_ = suspects_create(16);
+        env_ = {};
+        env_.choice = choice_;
+        env_.retry = &retry_;
+        env_.hedge = &hedge_;
+        env_.suspects = suspects_;
+        env_.random = &random_;
+        env_.owner = [](void *, uint32_t, uint64_t *epoch) {
+            *epoch = 0;
+            return CHOICE_NONE;
+        };
+        env_.ops.send = [](void *ctx, request *, const request_send *send) {
+            static_cast<KeyedRequest *>(ctx)->sent_.push_back(*send);
+        };
+        env_.ops.cancel = [](void *, request *, uint32_t) {};
+        env_.ops.answer = [](void *ctx, request *, const request_answer *a) {
+            static_cast<KeyedRequest *>(ctx)->answers_.push_back(*a);
+        };
+        env_.ops.set_timer = [](void *ctx, request *, int64_t due_us) {
+            static_cast<KeyedRequest *>(ctx)->due_us_ = due_us;
+        };
+        env_.ops_ctx = this;
+        const request_spec spec = {
+            .deadline_us = 2000000, .keyed = true, .has_id = true};
+        request_ = request_create(&env_, &spec, nullptr);
+    }
+    ~KeyedRequest() override
+    {
+        request_destroy(request_);
+        suspects_destroy(suspects_);
+        choice_destroy(choice_);
+    }
+    /* The latest try is refused by a gate that names this owner. */
+    void RefuseNotOwner(uint32_t owner, uint64_t epoch)
+    {
+        const request_reply reply = {.outcome = FORWARD_NOT_RUN,
+                                     .reason = FORWARD_REASON_NOT_OWNER,
+                                     .owner = owner,
+                                     .owner_epoch = epoch};
+        request_replied(request_, sent_.back().number, &reply, now_us_);
+    }
+    void RunTimer()
+    {
+        now_us_ = due_us_;
+        request_timer(request_, now_us_);
+    }
+    random_state random_;
+    struct choice *choice_;
+    struct retry retry_;
+    struct hedge hedge_;
+    struct suspects *suspects_;
+    request_env env_;
+    struct request *request_;
+    std::vector<request_send> sent_;
+    std::vector<request_answer> answers_;
+    int64_t now_us_ = 0;
+    int64_t due_us_ = 0;
+};
+
+TEST_F(KeyedRequest, MembersAreAskedForAnOwnerThatIsNotKnown)
+{
+    request_start(request_, now_us_);
+    ASSERT_EQ(1u, sent_.size()) << "a member is asked at once";
+    EXPECT_EQ(0u, sent_[0].epoch);
+    const uint32_t owner = (sent_[0].member + 1) % 3;
+    RefuseNotOwner(owner, 7);
+    ASSERT_EQ(2u, sent_.size()) << "the owner that it names";
+    EXPECT_EQ(owner, sent_[1].member);
+    EXPECT_EQ(7u, sent_[1].epoch);
+}
+
+TEST_F(KeyedRequest, EachMemberIsAskedOnceAndTheRequestEndsAsNotRun)
+{
+    request_start(request_, now_us_);
+    std::vector<bool> asked(3);
+    for (size_t i = 0; i < 3; i++) {
+        ASSERT_EQ(i + 1, sent_.size());
+        EXPECT_FALSE(asked[sent_[i].member]);
+        asked[sent_[i].member] = true;
+        RefuseNotOwner(CHOICE_NONE, 0);
+        RunTimer();
+    }
+    while (answers_.empty()) {
+        RunTimer();
+    }
+    EXPECT_EQ(3u, sent_.size());
+    EXPECT_EQ(FORWARD_REASON_NOT_OWNER, answers_[0].reason);
+    EXPECT_LE(now_us_, 1100000);
+}
+
 } // namespace
