target: a departure binds whoever hears of it first

The withdrawal of a life that was not known was acknowledged and forgotten; an announcement that had been held up on its way for two seconds then brought the target back, and it got requests 2.2 to 2.3 s after the acknowledgement. Ruled out: requests queued before the departure (the gate checks again before it sends), another machine's gate (only its own reaches a target). Change: departures are remembered for a minute, known life or not, and the instance's row says so: a restarted process takes it up from there.

--- /dev/null
+++ b/packages/fleet/departures.c
@@ -0,0 +1,48 @@
+#include "fleet/departures.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "base/runtime.h"
+
+/* Announcements are held up for seconds; a target whose start is not said
+ * may come back under its name later. */
+#define KEEP_US (60 * US_PER_SECOND)
+
+bool
+departures_same_life(const char *target, int64_t born_ms, const char *other,
+                     int64_t other_born_ms)
+{
+    return strcmp(target, other) == 0 &&
+           (born_ms == 0 || other_born_ms == 0 || born_ms == other_born_ms);
+}
+
+void
+departures_note(struct departures *departures, const char *target,
+                int64_t born_ms, int64_t now_us)
+{
+    if (target[0] == '\0' ||
+        departures_has(departures, target, born_ms, now_us)) {
+        return;
+    }
+    struct departure *item = &departures->items[departures->next];
+    departures->next = (departures->next + 1) % DEPARTURES_MAX;
+    snprintf(item->target, sizeof(item->target), "%s", target);
+    item->born_ms = born_ms;
+    item->at_us = now_us;
+}
+
+bool
+departures_has(const struct departures *departures, const char *target,
+               int64_t born_ms, int64_t now_us)
+{
+    for (size_t i = 0; i < DEPARTURES_MAX; i++) {
+        const struct departure *item = &departures->items[i];
+        if (item->target[0] != '\0' && now_us - item->at_us < KEEP_US &&
+            departures_same_life(item->target, item->born_ms, target,
+                                 born_ms)) {
+            return true;
+        }
+    }
+    return false;
+}
--- a/packages/fleet/roster.h
+++ b/packages/fleet/roster.h
@@ -36,6 +36,7 @@
     int64_t born_ms;        /**< start of the target's life */
     unsigned slots;
     enum roster_state state;
+    bool departed; /**< the target has said that it leaves */
     uint64_t accused[ROSTER_ACCUSED_MAX]; /**< requests that were running
                                              when the target stopped */
     size_t accused_count;
--- a/packages/node/localtarget.c
+++ b/packages/node/localtarget.c
@@ -7,6 +7,7 @@
 #define LOG_MODULE "target"
 #include "base/log.h"
 #include "base/memory.h"
+#include "fleet/departures.h"
 #include "node/keeper.h"
 #include "node/localgate.h"
 #include "node/node_internal.h"
@@ -29,6 +30,7 @@
     struct wire_announcement announced; /* of the present life */
     bool leaving;
     int64_t leaving_since_us;
+    struct departures departures;
     int64_t heard_us;
     int64_t cold_until_us;
     struct http_client *client;
@@ -155,6 +157,8 @@
     }
     target->leaving = true;
     target->leaving_since_us = now_of(target);
+    departures_note(&target->departures, target->announced.target,
+                    target->announced.born_ms, now_of(target));
     LOG_INFO("target_leaving", LOG_STR("target", target->announced.target),
              LOG_STR("why", why));
 }
@@ -192,9 +196,8 @@
               const struct wire_announcement *announced)
 {
     const struct wire_announcement *known = &target->announced;
-    return strcmp(announced->target, known->target) == 0 &&
-           (announced->born_ms == 0 || known->born_ms == 0 ||
-            announced->born_ms == known->born_ms);
+    return departures_same_life(announced->target, announced->born_ms,
+                                known->target, known->born_ms);
 }
 
 /** True if the announcement is of the present life, whatever its number. */
@@ -229,9 +232,12 @@
         target_end(target, "another life announced itself", false);
         target->leaving = false;
     }
+    const bool leaving = announced->leaving ||
+                         departures_has(&target->departures, announced->target,
+                                        announced->born_ms, now_us);
     const bool changed = !same ||
                          announced->slots != target->announced.slots ||
-                         announced->leaving != target->leaving;
+                         leaving != target->leaving;
     target->announced = *announced;
     target->heard_us = now_us;
     target->cold_until_us =
@@ -239,8 +245,8 @@
     if (!same) {
         target_begin(target);
     }
-    if (announced->leaving) {
-        set_leaving(target, "it drains");
+    if (leaving) {
+        set_leaving(target, announced->leaving ? "it drains" : "it said so");
     }
     timer_start(&target->watch,
                 target->node->settings.heartbeat_us * SILENT_BEATS);
@@ -250,14 +256,30 @@
     }
 }
 
-static void
-target_withdrawn(struct localtarget *target,
-                 const struct wire_announcement *announced)
+void
+localtarget_departed(struct localtarget *target, const char *name,
+                     int64_t born_ms)
 {
-    if (is_present_life(target, announced)) {
-        set_leaving(target, "it withdrew");
-        target_apply(target);
+    const struct wire_announcement *known = &target->announced;
+    if (target->present &&
+        departures_same_life(name, born_ms, known->target, known->born_ms)) {
+        if (!target->leaving) {
+            set_leaving(target, "it withdrew");
+            target_apply(target);
+        }
+        return;
+    }
+    /* An announcement that it sent before may still arrive. */
+    departures_note(&target->departures, name, born_ms, now_of(target));
+    if (known->target[0] == '\0') {
+        /* The own row keeps saying so. */
+        snprintf(target->announced.target, sizeof(target->announced.target),
+                 "%s", name);
+        target->announced.born_ms = born_ms;
+        target->leaving = true;
     }
+    LOG_INFO("departure_noted", LOG_STR("target", name),
+             LOG_INT("born_ms", born_ms));
 }
 
 void
@@ -273,7 +295,7 @@
         return;
     }
     if (announced.gone) {
-        target_withdrawn(target, &announced);
+        localtarget_departed(target, announced.target, announced.born_ms);
         answer(request, 200);
         return;
     }
@@ -388,12 +410,13 @@
 {
     const struct nodesettings *settings = &target->node->settings;
     const struct wire_announcement *announced = &target->announced;
-    const bool known = announced->target[0] != '\0';
+    const bool known = announced->service[0] != '\0';
     snprintf(notice->service, sizeof(notice->service), "%s",
              known ? announced->service : settings->service);
     snprintf(notice->target, sizeof(notice->target), "%s", announced->target);
     notice->born_ms = announced->born_ms;
     notice->slots = announced->slots;
+    notice->departed = target->leaving;
     notice->state = ROSTER_ABSENT;
     if (target->present) {
         notice->state = target->leaving ? ROSTER_LEAVING : ROSTER_SERVING;
--- a/packages/node/localtarget.h
+++ b/packages/node/localtarget.h
@@ -24,6 +24,10 @@
 void localtarget_announced(struct localtarget *target,
                            struct http_request *request);
 
+/** This life has said that it leaves, to this process or an earlier one. */
+void localtarget_departed(struct localtarget *target, const char *name,
+                          int64_t born_ms);
+
 /** A connection was refused, or cut amid a request. */
 void localtarget_refused(struct localtarget *target);
 void localtarget_cut(struct localtarget *target);
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -277,6 +277,10 @@
              LOG_UINT("accused", notice.accused_count),
              LOG_UINT("version", row->version));
     roster_update(&node->roster, &notice, row->version);
+    if (notice.departed && strcmp(instance, node->settings.instance) == 0) {
+        /* Acknowledged by an earlier process perhaps. */
+        localtarget_departed(node->target, notice.target, notice.born_ms);
+    }
 }
 
 static void
