gate: requests that may have stopped targets run apart from each other

Cause: a request that happens to run beside one that stops targets is accused with it each time, and refused everywhere after the third. Ruled out: accusing only the most accused (both are accused equally often). Change: a request that two ends of targets accuse does not start beside another such one; its answer then clears it, or the next end accuses it alone. Cuts and accusations move from localgate.c to gatecrash.c.

--- a/packages/node/ingress.c
+++ b/packages/node/ingress.c
@@ -399,7 +399,8 @@
         call_wait(call, call->reason);
         return;
     }
-    const bool full = call->reason == RELAY_REASON_FULL;
+    const bool full = call->reason == RELAY_REASON_FULL ||
+                      call->reason == RELAY_REASON_SUSPECT;
     if ((call->message.keyed && (full || owner_changes)) ||
         (full && call->tries > FULL_TRIES) || !may_repeat(call)) {
         call_give_up(call);
--- a/packages/node/localgate.c
+++ b/packages/node/localgate.c
@@ -7,6 +7,7 @@
 #include "base/log.h"
 #include "base/memory.h"
 #include "fleet/slots.h"
+#include "node/gatecrash.h"
 #include "node/keeper.h"
 #include "node/localtarget.h"
 #include "node/node_internal.h"
@@ -16,15 +17,9 @@
 
 /* The target answers by itself at the deadline that it was given. */
 #define TARGET_GRACE_US (100 * US_PER_MS)
-/* A request that was cut so lately may have stopped the target. */
-#define CUT_ACCUSED_US (1500 * US_PER_MS)
-#define RECENT_CUTS 32
 /* Part of the bounds for a leave in which keys are served until they moved. */
 #define GRACE_PERCENT 55
 #define LATE_US (60 * US_PER_SECOND)
-/* So many requests at once may still be in the dark; with more, a crash
- * says nothing of each. */
-#define ACCUSED_MAX 24
 
 /* Where a request is. */
 enum call_state {
@@ -47,6 +42,7 @@
     uint64_t fingerprint;
     uint32_t key;
     bool keyed;
+    bool suspect; /* runs beside no other suspect */
     struct timer timer;
     int64_t arrived_us;
     int64_t sent_us;
@@ -56,19 +52,12 @@
 
 TAILQ_HEAD(localgate_calls, localgate_call);
 
-/* A request whose connection was cut. */
-struct recent_cut {
-    uint64_t fingerprint;
-    int64_t at_us;
-};
-
 struct localgate {
     struct node *node;
     struct slots *slots;
     struct localgate_calls calls;
     struct timer wake;
-    struct recent_cut cuts[RECENT_CUTS];
-    size_t cut_next;
+    struct gatecrash crash;
     bool pumping;
     struct counter *started;
     struct counter *refused;
@@ -229,16 +218,6 @@
     return RELAY_REASON_NONE;
 }
 
-static void
-note_cut(struct localgate *gate, const struct localgate_call *call)
-{
-    gate->cuts[gate->cut_next] = (struct recent_cut){
-        .fingerprint = call->fingerprint,
-        .at_us = now_of(gate),
-    };
-    gate->cut_next = (gate->cut_next + 1) % RECENT_CUTS;
-}
-
 static void
 fill_fields(struct relay_field *fields, const struct http_headers *headers,
             u_int *count)
@@ -345,7 +324,7 @@
         break;
     case HTTP_CUT:
         gate->cut->value++;
-        note_cut(gate, call);
+        gatecrash_note_cut(&gate->crash, call->fingerprint, now_of(gate));
         call_fail(call, RELAY_UNKNOWN, RELAY_REASON_CUT, true);
         localtarget_cut(target);
         break;
@@ -407,12 +386,32 @@
     http_headers_clear(&headers);
 }
 
+/** True while another request that may stop targets is at this one. */
+static bool
+is_beside_suspect(const struct localgate_call *call)
+{
+    const struct localgate_call *other;
+    if (!call->suspect) {
+        return false;
+    }
+    TAILQ_FOREACH (other, &call->gate->calls, link) {
+        if (other->state == CALL_SENT && other->suspect &&
+            other->fingerprint != call->fingerprint) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /** The target may take it: last check, then it is sent. */
 static void
 call_start(struct localgate_call *call)
 {
     struct localgate *gate = call->gate;
-    const enum relay_reason closed = gate_closed(gate, call);
+    enum relay_reason closed = gate_closed(gate, call);
+    if (closed == RELAY_REASON_NONE && is_beside_suspect(call)) {
+        closed = RELAY_REASON_SUSPECT;
+    }
     if (closed != RELAY_REASON_NONE) {
         slots_leave(gate->slots, &call->entry, now_of(gate), false);
         call_refuse_later(call, closed);
@@ -489,6 +488,8 @@
     call->key = request->key;
     call->keyed = request->keyed;
     call->fingerprint = request->fingerprint;
+    call->suspect =
+        gatecrash_is_suspect(&gate->node->roster, call->fingerprint);
     call->deadline_us = now_us + (int64_t)request->left_us;
     strncpy(call->id, request->id, sizeof(call->id) - 1);
     call->entry.priority = request->priority;
@@ -583,25 +584,16 @@
 void
 localgate_target_gone(struct localgate *gate)
 {
-    uint64_t accused[ACCUSED_MAX];
-    unsigned count = 0;
-    const int64_t now_us = now_of(gate);
-    for (size_t i = 0; i < RECENT_CUTS; i++) {
-        struct recent_cut *cut = &gate->cuts[i];
-        if (cut->at_us > 0 && now_us - cut->at_us < CUT_ACCUSED_US &&
-            count < ACCUSED_MAX) {
-            accused[count++] = cut->fingerprint;
-        }
-        cut->at_us = 0;
-    }
+    struct gatecrash_accused accused = {.count = 0};
+    gatecrash_accuse_cuts(&gate->crash, &accused, now_of(gate));
     struct localgate_call *call = TAILQ_FIRST(&gate->calls);
     while (call != NULL) {
         struct localgate_call *next = TAILQ_NEXT(call, link);
         if (call->state == CALL_SENT) {
             const bool sent =
                 call->http != NULL && http_call_is_sent(call->http);
-            if (sent && count < ACCUSED_MAX) {
-                accused[count++] = call->fingerprint;
+            if (sent) {
+                gatecrash_accuse(&accused, call->fingerprint);
             }
             call_fail(call, sent ? RELAY_UNKNOWN : RELAY_NOT_RUN,
                       RELAY_REASON_CUT, sent);
@@ -610,7 +602,7 @@
         }
         call = next;
     }
-    ownrow_accuse(gate->node->ownrow, accused, count);
+    ownrow_accuse(gate->node->ownrow, accused.fingerprints, accused.count);
 }
 
 void
