gate: how long a request takes is known for each route

The calls take 40 ms and have 500; the gate reckoned with the usual time of all requests, 180 to 600 ms, and found no time to wait. Ruled out: the routes' priorities (calls have 1, guides 2), the choice of the instance (all three were full). Change: the gate keeps the usual time of each route and itself decides how long a request may wait; relay requests name the route instead of a wait.

--- a/packages/fleet/test/slots_test.cc
+++ b/packages/fleet/test/slots_test.cc
@@ -8,6 +8,7 @@
 #include "base/random.h"
 #include "base/runtime.h"
 #include "fleet/slots.h"
+#include "fleet/worktimes.h"
 }
 
 namespace {
@@ -33,6 +34,24 @@
     }
 };
 
+TEST(WorkTimes, AreKeptForEachRouteAndForgotten)
+{
+    struct worktimes times = {};
+    EXPECT_EQ(7 * MS, worktimes_usual_us(&times, 1, 7 * MS)) << "not known";
+    for (int i = 0; i < 100; i++) {
+        worktimes_note(&times, 1, 400 * MS);
+        worktimes_note(&times, 2, 40 * MS);
+    }
+    EXPECT_EQ(400 * MS, worktimes_usual_us(&times, 1, 0));
+    EXPECT_EQ(40 * MS, worktimes_usual_us(&times, 2, 0));
+    for (int i = 0; i < 100; i++) {
+        worktimes_note(&times, 1, 80 * MS);
+    }
+    EXPECT_NEAR(80 * MS, worktimes_usual_us(&times, 1, 0), 2 * MS);
+    worktimes_note(&times, 1 + WORKTIMES_MAX, 5 * MS);
+    EXPECT_EQ(7 * MS, worktimes_usual_us(&times, 1, 7 * MS)) << "replaced";
+}
+
 TEST_F(Slots, RunsUpToTheLimitThenServesTheUrgentFirst)
 {
     enum slots_verdict verdict;
--- a/packages/node/ingress.c
+++ b/packages/node/ingress.c
@@ -16,9 +16,6 @@
 #define BUDGET_RESERVE_MIN 3
 /* The gate answers by itself; its answer may come this much later. */
 #define SEND_MARGIN_US (60 * US_PER_MS)
-/* A request waits for room in this part of the time that it has, if the
- * target can still answer then. */
-#define QUEUE_PERCENT 60
 /* How long a request waits for an owner of its key. */
 #define OWNER_WAIT_PERCENT 25
 #define OWNER_RECHECK_US (20 * US_PER_MS)
@@ -243,17 +240,6 @@
 static void on_reply(void *ctx, enum rpc_status status,
                      const struct relay_reply *reply);
 
-/** Longest time that the request may wait at the gate. */
-static int64_t
-queue_us(const struct ingress_call *call, int64_t now_us)
-{
-    const int64_t left_us = call->deadline_us - now_us;
-    const int64_t most_us = left_us * QUEUE_PERCENT / 100;
-    const int64_t work_us = left_us - call->service_us;
-    const int64_t wait_us = work_us < most_us ? work_us : most_us;
-    return wait_us > 0 ? wait_us : 0;
-}
-
 static void
 call_send(struct ingress_call *call, struct roster_instance *instance)
 {
@@ -268,10 +254,8 @@
     call->owner = NULL;
     call->tries++;
     call->instance = instance->notice.instance;
-    call->service_us = instance->service_us;
     call->message.to = (char *)call->instance;
     call->message.left_us = (u_quad_t)(left_us > 0 ? left_us : 0);
-    call->message.queue_us = (u_quad_t)queue_us(call, now_us);
     call->message.due_us = call->due_us - now_us;
     send->call = call;
     send->instance = instance;
--- a/packages/node/ingress_internal.h
+++ b/packages/node/ingress_internal.h
@@ -50,7 +50,6 @@
     int64_t due_us;       /**< an answer by then counts in full */
     int64_t objective_us; /**< whole, as declared */
     int64_t wait_until_us;
-    int64_t service_us; /**< usual time of the instance tried last */
     struct roster_instance *owner; /**< as the former owner said, or NULL */
     enum relay_reason reason;      /**< of the last failure */
     int64_t retry_after_us;
--- a/packages/node/localgate.c
+++ b/packages/node/localgate.c
@@ -7,6 +7,7 @@
 #include "base/log.h"
 #include "base/memory.h"
 #include "fleet/slots.h"
+#include "fleet/worktimes.h"
 #include "node/gatecrash.h"
 #include "node/keeper.h"
 #include "node/localtarget.h"
@@ -20,6 +21,9 @@
 /* Part of the bounds for a leave in which keys are served until they moved. */
 #define GRACE_PERCENT 55
 #define LATE_US (60 * US_PER_SECOND)
+/* A request waits for room in this part of the time that it has, if the
+ * target can still answer then. */
+#define QUEUE_PERCENT 60
 
 /* Where a request is. */
 enum call_state {
@@ -40,6 +44,7 @@
     enum relay_reason refusal;
     int64_t deadline_us;
     uint64_t fingerprint;
+    uint64_t route;
     uint32_t key;
     bool keyed;
     bool suspect; /* runs beside no other suspect */
@@ -55,6 +60,7 @@
 struct localgate {
     struct node *node;
     struct slots *slots;
+    struct worktimes worktimes;
     struct localgate_calls calls;
     struct timer wake;
     struct gatecrash crash;
@@ -256,6 +262,10 @@
     gate->node->wire->read_answer(result, &answer);
     slots_leave(gate->slots, &call->entry, now_of(gate),
                 answer.kind == WIRE_ANSWER_RUN);
+    if (answer.kind == WIRE_ANSWER_RUN) {
+        worktimes_note(&gate->worktimes, call->route,
+                       now_of(gate) - call->sent_us);
+    }
     switch (answer.kind) {
     case WIRE_ANSWER_RUN:
         call_answered(call, result);
@@ -474,6 +484,26 @@
               parked ? RELAY_REASON_MOVING : call->refusal, false);
 }
 
+/** Sets how urgent the call is and how long it may wait. */
+static void
+set_entry(struct localgate_call *call, const struct relay_request *request)
+{
+    const struct localgate *gate = call->gate;
+    const int64_t left_us = (int64_t)request->left_us;
+    const int64_t work_us = worktimes_usual_us(
+        &gate->worktimes, request->route, slots_service_us(gate->slots));
+    const int64_t most_us = left_us * QUEUE_PERCENT / 100;
+    const int64_t wait_us =
+        left_us - work_us < most_us ? left_us - work_us : most_us;
+    call->entry.priority = request->priority;
+    call->entry.due_us = call->arrived_us + request->due_us;
+    if (request->due_us < work_us) {
+        /* Its answer can't count in full any more: others go first. */
+        call->entry.due_us += LATE_US;
+    }
+    call->entry.give_up_us = call->arrived_us + (wait_us > 0 ? wait_us : 0);
+}
+
 struct localgate_call *
 localgate_submit(struct localgate *gate, const struct relay_request *request,
                  localgate_cb done, void *ctx)
@@ -488,17 +518,12 @@
     call->key = request->key;
     call->keyed = request->keyed;
     call->fingerprint = request->fingerprint;
+    call->route = request->route;
     call->suspect =
         gatecrash_is_suspect(&gate->node->roster, call->fingerprint);
     call->deadline_us = now_us + (int64_t)request->left_us;
     strncpy(call->id, request->id, sizeof(call->id) - 1);
-    call->entry.priority = request->priority;
-    call->entry.due_us = now_us + request->due_us;
-    if (request->due_us < slots_service_us(gate->slots)) {
-        /* Its answer can't count in full any more: others go first. */
-        call->entry.due_us += LATE_US;
-    }
-    call->entry.give_up_us = now_us + (int64_t)request->queue_us;
+    set_entry(call, request);
     timer_init(&call->timer, gate->node->runtime, on_call_timer, call);
     TAILQ_INSERT_TAIL(&gate->calls, call, link);
     if (strcmp(request->to, gate->node->settings.instance) != 0) {
--- a/packages/protocol/relay.x
+++ b/packages/protocol/relay.x
@@ -51,7 +51,7 @@
     unsigned hyper left_us;             /* until nobody waits for it */
     hyper due_us;                       /* until it counts in full; may have
                                            passed */
-    unsigned hyper queue_us;            /* longest wait for the target */
+    unsigned hyper route;               /* tells routes apart */
     unsigned hyper fingerprint;
     string method<RELAY_TEXT_MAX>;
     string path<RELAY_PATH_MAX>;        /* and query */
