gate, planner: what became late goes behind; demand moves keys

Ruled out: refusing more at arrival (the same number runs either way). Change: a waiting request that cannot be answered in time any more goes behind those that can; the load of a key is what is asked of it.

--- a/packages/fleet/slots.c
+++ b/packages/fleet/slots.c
@@ -94,8 +94,10 @@
 static bool
 goes_before(const struct slots_entry *a, const struct slots_entry *b)
 {
-    return a->priority < b->priority ||
-           (a->priority == b->priority && a->due_us < b->due_us);
+    if (a->priority != b->priority) {
+        return a->priority < b->priority;
+    }
+    return a->late == b->late ? a->due_us < b->due_us : b->late;
 }
 
 static void
@@ -152,13 +154,37 @@
     return before;
 }
 
+static bool
+is_late(const struct slots_entry *entry, int64_t now_us)
+{
+    return now_us + entry->work_us > entry->due_us;
+}
+
+/** Puts those behind that have become late while they waited. */
+static void
+demote_late(struct slots *slots, int64_t now_us)
+{
+    struct slots_entry *entry = TAILQ_FIRST(&slots->queue);
+    while (entry != NULL) {
+        struct slots_entry *next = TAILQ_NEXT(entry, link);
+        if (!entry->late && is_late(entry, now_us)) {
+            dequeue(slots, entry);
+            entry->late = true;
+            enqueue(slots, entry);
+        }
+        entry = next;
+    }
+}
+
 enum slots_verdict
 slots_arrive(struct slots *slots, struct slots_entry *entry, int64_t now_us)
 {
+    entry->late = is_late(entry, now_us);
     if (TAILQ_EMPTY(&slots->queue) && has_room(slots, now_us)) {
         start(slots, entry, now_us);
         return SLOTS_START;
     }
+    demote_late(slots, now_us);
     const unsigned before = count_before(slots, entry);
     if (now_us + wait_behind_us(slots, before, now_us) > entry->give_up_us) {
         return SLOTS_REFUSE;
@@ -197,8 +223,12 @@
             return entry;
         }
     }
+    if (!has_room(slots, now_us)) {
+        return NULL;
+    }
+    demote_late(slots, now_us);
     entry = TAILQ_FIRST(&slots->queue);
-    if (entry == NULL || !has_room(slots, now_us)) {
+    if (entry == NULL) {
         return NULL;
     }
     dequeue(slots, entry);
--- a/packages/fleet/slots.h
+++ b/packages/fleet/slots.h
@@ -2,7 +2,9 @@
  * @file
  * Admission to one target: how many requests it runs at once, how many it is
  * sent a second while it is cold, and who waits. Waiting requests are served
- * by priority, then by the time at which their answer stops counting in full.
+ * by priority, then by the time at which their answer stops counting in full;
+ * those that have missed it come last of their priority, since the target
+ * would otherwise be always at work on what is just too late.
  */
 #ifndef CHESTNUTGAP_FLEET_SLOTS_H
 #define CHESTNUTGAP_FLEET_SLOTS_H
@@ -26,11 +28,13 @@
     SLOTS_STATE_RUNNING,
 };
 
-/** A request, embedded in its owner. Set the fields above state. */
+/** A request, embedded in its owner. Set the fields above late. */
 struct slots_entry {
     unsigned priority;  /**< 0 is the most urgent */
     int64_t due_us;     /**< then its answer stops counting in full */
+    int64_t work_us;    /**< time that the target usually takes for it */
     int64_t give_up_us; /**< it is refused if it has not started by then */
+    bool late;          /**< its answer cannot count in full any more */
     enum slots_state state;
     int64_t started_us;
     TAILQ_ENTRY(slots_entry) link;
--- a/packages/fleet/test/slots_test.cc
+++ b/packages/fleet/test/slots_test.cc
@@ -34,6 +34,27 @@
     }
 };
 
+/* Without this a target under overload works only on what is just too late. */
+TEST_F(Slots, WhatBecameLateWhileItWaitedGoesBehindWhatIsInTime)
+{
+    enum slots_verdict verdict;
+    slots_set_limit(slots, 1);
+    struct slots_entry *running = Entry(1, 900 * MS, 900 * MS);
+    struct slots_entry *late = Entry(1, 100 * MS, 900 * MS);
+    struct slots_entry *in_time = Entry(1, 300 * MS, 900 * MS);
+    struct slots_entry *urgent = Entry(0, 90 * MS, 900 * MS);
+    for (struct slots_entry *entry : {running, late, in_time, urgent}) {
+        entry->work_us = 50 * MS;
+        slots_arrive(slots, entry, 0);
+    }
+    slots_leave(slots, running, 80 * MS, true);
+    for (struct slots_entry *expected : {urgent, in_time, late}) {
+        EXPECT_EQ(expected, slots_next(slots, 80 * MS, &verdict));
+        EXPECT_EQ(SLOTS_START, verdict);
+        slots_leave(slots, expected, 80 * MS, true);
+    }
+}
+
 TEST(WorkTimes, AreKeptForEachRouteAndForgotten)
 {
     struct worktimes times = {};
--- a/packages/node/localgate.c
+++ b/packages/node/localgate.c
@@ -20,7 +20,6 @@
 #define TARGET_GRACE_US (100 * US_PER_MS)
 /* Part of the bounds for a leave in which keys are served until they moved. */
 #define GRACE_PERCENT 55
-#define LATE_US (60 * US_PER_SECOND)
 /* A request waits for room in this part of the time that it has, if the
  * target can still answer then. */
 #define QUEUE_PERCENT 60
@@ -48,6 +47,7 @@
     uint32_t key;
     bool keyed;
     bool suspect; /* runs beside no other suspect */
+    bool counted; /* as demand for its key */
     struct timer timer;
     int64_t arrived_us;
     int64_t sent_us;
@@ -376,9 +376,6 @@
                       call->sent_us - call->arrived_us);
     timer_stop(&call->timer);
     gate->started->value++;
-    if (call->keyed) {
-        keeper_count(node->keeper, call->key);
-    }
     call->http =
         http_call_start(localtarget_client(node->target),
                         &(struct http_call_spec){
@@ -438,6 +435,16 @@
     timer_start_at(&call->timer, call->entry.give_up_us);
 }
 
+/** Counts what is asked of the key, also if there is no room for it. */
+static void
+count_demand(struct localgate_call *call)
+{
+    if (!call->counted) {
+        call->counted = true;
+        keeper_count(call->gate->node->keeper, call->key);
+    }
+}
+
 /** Decides about a call that is not in the queue. */
 static void
 call_decide(struct localgate_call *call)
@@ -450,16 +457,17 @@
         return;
     }
     if (call->keyed) {
-        switch (keeper_check(gate->node->keeper, call->key)) {
-        case KEEPER_RUN:
-            break;
-        case KEEPER_WAIT:
-            call_park(call);
-            return;
-        case KEEPER_ELSEWHERE:
+        const enum keeper_verdict verdict =
+            keeper_check(gate->node->keeper, call->key);
+        if (verdict == KEEPER_ELSEWHERE) {
             call_refuse_later(call, RELAY_REASON_NOT_OWNER);
             return;
         }
+        count_demand(call);
+        if (verdict == KEEPER_WAIT) {
+            call_park(call);
+            return;
+        }
     }
     timer_stop(&call->timer);
     switch (slots_arrive(gate->slots, &call->entry, now_us)) {
@@ -497,10 +505,7 @@
         left_us - work_us < most_us ? left_us - work_us : most_us;
     call->entry.priority = request->priority;
     call->entry.due_us = call->arrived_us + request->due_us;
-    if (request->due_us < work_us) {
-        /* Its answer can't count in full any more: others go first. */
-        call->entry.due_us += LATE_US;
-    }
+    call->entry.work_us = work_us;
     call->entry.give_up_us = call->arrived_us + (wait_us > 0 ? wait_us : 0);
 }
 
