planner: the longest-running instances watch over lost ones

Cause: who came first by name planned and took the keys of lost instances. Also, an owner without a target whose instance answers was watched anew every 100 ms: a read of the store each time, and never a take. Ruled out: naming newcomers later (the lost write no more rows). Change: rows tell when a process started; the three most senior instances watch and take, a little later by rank, the first one plans. All others ask only these for their loads. The watch begins with the first missing answer.

--- a/packages/fleet/roster.c
+++ b/packages/fleet/roster.c
@@ -295,6 +295,15 @@
     return count;
 }
 
+bool
+roster_is_senior(const struct roster_notice *a, const struct roster_notice *b)
+{
+    if (a->started_ms != b->started_ms) {
+        return a->started_ms < b->started_ms;
+    }
+    return strcmp(a->instance, b->instance) < 0;
+}
+
 unsigned
 roster_accusers(const struct roster *roster, uint64_t fingerprint)
 {
--- a/packages/fleet/roster.h
+++ b/packages/fleet/roster.h
@@ -34,6 +34,7 @@
     char target[KEYMAP_NAME_MAX + 1];
     struct address address; /**< for calls of other instances */
     int64_t born_ms;        /**< start of the target's life */
+    int64_t started_ms;     /**< start of the instance's process, Unix time */
     unsigned slots;
     enum roster_state state;
     bool departed; /**< the target has said that it leaves */
@@ -115,6 +116,10 @@
 /** Instances that are there, with or without a target that serves. */
 size_t roster_count(const struct roster *roster);
 
+/** True if a's process started before b's; names decide between equals. */
+bool roster_is_senior(const struct roster_notice *a,
+                      const struct roster_notice *b);
+
 /** How many instances accuse the request of having stopped their target. */
 unsigned roster_accusers(const struct roster *roster, uint64_t fingerprint);
 
--- a/packages/fleet/rosterjson.c
+++ b/packages/fleet/rosterjson.c
@@ -26,13 +26,14 @@
         snprintf(text, sizeof(text), "%016" PRIx64, notice->accused[i]);
         json_array_append_new(accused, json_string(text));
     }
-    json_t *document = json_pack(
-        "{s:s, s:s, s:s, s:s, s:I, s:i, s:s, s:b, s:o}", "address",
-        address_format(&notice->address, address), "zone", notice->zone,
-        "service", notice->service, "target", notice->target, "born_ms",
-        (json_int_t)notice->born_ms, "slots", (int)notice->slots, "state",
-        state_names[notice->state], "departed", (int)notice->departed,
-        "accused", accused);
+    json_t *document =
+        json_pack("{s:s, s:s, s:s, s:s, s:I, s:I, s:i, s:s, s:b, s:o}",
+                  "address", address_format(&notice->address, address), "zone",
+                  notice->zone, "service", notice->service, "target",
+                  notice->target, "born_ms", (json_int_t)notice->born_ms,
+                  "started_ms", (json_int_t)notice->started_ms, "slots",
+                  (int)notice->slots, "state", state_names[notice->state],
+                  "departed", (int)notice->departed, "accused", accused);
     char *text = json_dumps(document, JSON_COMPACT);
     json_decref(document);
     if (text == NULL) {
@@ -91,6 +92,8 @@
     if (ok) {
         notice->born_ms = json_integer_value(born);
         notice->slots = (unsigned)json_integer_value(slots);
+        notice->started_ms =
+            json_integer_value(json_object_get(document, "started_ms"));
         notice->departed = json_is_true(json_object_get(document, "departed"));
         read_accused(document, notice);
     }
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -439,6 +439,7 @@
     node->options = *options;
     node->settings = *options->settings;
     node->runtime = options->runtime;
+    node->started_ms = runtime_wall_ms(node->runtime);
     node->wire = options->wire;
     random_seed(&node->random, options->seed);
     LIST_INIT(&node->zones_out);
--- a/packages/node/node_internal.h
+++ b/packages/node/node_internal.h
@@ -57,6 +57,7 @@
     struct node_options options;
     struct nodesettings settings;
     struct runtime *runtime;
+    int64_t started_ms; /**< Unix time */
     const struct wire *wire;
     struct random_state random;
     struct rpc_node *rpc;
--- a/packages/node/ownrow.c
+++ b/packages/node/ownrow.c
@@ -67,6 +67,7 @@
              node->settings.instance);
     snprintf(notice.zone, sizeof(notice.zone), "%s", node->settings.zone);
     notice.address = node->settings.rpc;
+    notice.started_ms = node->started_ms;
     localtarget_describe(node->target, &notice);
     if (node->stopping) {
         notice.state = ROSTER_LEAVING;
--- a/packages/node/planner.c
+++ b/packages/node/planner.c
@@ -19,6 +19,10 @@
 #define WRITE_TIMEOUT_US (1 * US_PER_SECOND)
 #define ASK_US (1 * US_PER_SECOND)
 #define FAILURES_MAX 2 /* questions without an answer: it is lost */
+/* The first of these instances plans; all take the keys of lost ones, since
+ * a lease names only those who were there when it was written. */
+#define WATCHERS 3
+#define TAKE_STEP_US (400 * US_PER_MS) /* between them */
 #define LEVEL_US (1 * US_PER_SECOND)
 #define QUIET_US (1500 * US_PER_MS) /* for moves to show their effect */
 #define TOLERANCE 1.2
@@ -109,6 +113,13 @@
            peer->failures >= FAILURES_MAX;
 }
 
+bool
+planner_is_suspect(const struct planner *planner, const char *instance)
+{
+    const struct peer_load *peer = peer_of(planner, instance);
+    return !is_self(planner, instance) && peer != NULL && peer->failures > 0;
+}
+
 /** True if the instance is of the service and has said that it is there. */
 static bool
 is_member(const struct planner *planner, const struct roster_notice *notice)
@@ -125,19 +136,30 @@
            !planner_is_lost(planner, notice->instance);
 }
 
-/** True if no working instance of the service comes first by name. */
-static bool
-is_leader(const struct planner *planner)
+/** How many working instances of the service are senior to this one. Those
+ * that joined lately come last: leases do not name them yet. */
+static size_t
+rank_of(const struct planner *planner, const struct roster_notice *notice)
 {
     const struct roster_instance *instance;
+    size_t rank = 0;
     LIST_FOREACH (instance, &planner->node->roster.instances, link) {
-        if (works(planner, &instance->notice) &&
-            strcmp(instance->notice.instance,
-                   planner->node->settings.instance) < 0) {
-            return false;
-        }
+        rank += works(planner, &instance->notice) &&
+                roster_is_senior(&instance->notice, notice);
     }
-    return true;
+    return rank;
+}
+
+/** The own rank; SIZE_MAX without a target, or before others know of it. */
+static size_t
+own_rank(const struct planner *planner)
+{
+    const struct node *node = planner->node;
+    const struct roster_instance *self =
+        roster_find(&node->roster, node->settings.instance);
+    return self != NULL && localtarget_present(node->target)
+               ? rank_of(planner, &self->notice)
+               : SIZE_MAX;
 }
 
 /** A target's speed changes many times a second; keys should not. */
@@ -199,16 +221,16 @@
     }
 }
 
-/** Asks instances of the service for their loads; who does not lead asks
- * only those that come first. */
+/** Asks instances of the service for their loads; who does not watch asks
+ * only those that do. */
 static void
-ask_peers(struct planner *planner, bool leads, int64_t now_us)
+ask_peers(struct planner *planner, bool watches, int64_t now_us)
 {
     struct roster_instance *instance;
     LIST_FOREACH (instance, &planner->node->roster.instances, link) {
         const char *name = instance->notice.instance;
         if (!is_member(planner, &instance->notice) || is_self(planner, name) ||
-            (!leads && strcmp(name, planner->node->settings.instance) > 0)) {
+            (!watches && rank_of(planner, &instance->notice) >= WATCHERS)) {
             continue;
         }
         struct peer_load *peer = peer_of(planner, name);
@@ -517,7 +539,8 @@
         now_us < planner->ready_us) {
         return;
     }
-    const bool leads = localtarget_present(node->target) && is_leader(planner);
+    const size_t rank = own_rank(planner);
+    const bool watches = rank < WATCHERS;
     if (now_us >= planner->own_sample_us) {
         planner->own_sample_us = now_us + ASK_US;
         planner->own_service_us = smoothed(planner->own_service_us,
@@ -526,12 +549,12 @@
             smoothed_busy(planner->own_busy, localgate_load(node->gate),
                           localtarget_slots(node->target));
     }
-    ask_peers(planner, leads, now_us);
-    if (!leads || planner->map_call != NULL) {
+    ask_peers(planner, watches, now_us);
+    if (!watches || planner->map_call != NULL) {
         return;
     }
-    plannertake_go_on(planner);
-    if (planner->map_call == NULL) {
+    plannertake_go_on(planner, (int64_t)rank * TAKE_STEP_US);
+    if (rank == 0 && planner->map_call == NULL) {
         make_plan(planner, keys, now_us);
     }
 }
--- a/packages/node/planner_internal.h
+++ b/packages/node/planner_internal.h
@@ -73,6 +73,9 @@
 /** True if the instance does not answer. */
 bool planner_is_lost(const struct planner *planner, const char *instance);
 
+/** True if it has not answered the latest question. */
+bool planner_is_suspect(const struct planner *planner, const char *instance);
+
 /** Writes a new map, and deletes the lease if it is not NULL. */
 void planner_write(struct planner *planner, const struct keymap *map,
                    struct watched_lease *lease);
@@ -80,8 +83,8 @@
 /* plannertake.c */
 
 /** Watches the leases of owners that seem to be gone, and takes the keys of
- * those whose lease is over. */
-void plannertake_go_on(struct planner *planner);
+ * those whose lease is over, delay_us later. */
+void plannertake_go_on(struct planner *planner, int64_t delay_us);
 void plannertake_free(struct watched_lease *lease);
 
 #endif
--- a/packages/node/plannertake.c
+++ b/packages/node/plannertake.c
@@ -143,7 +143,7 @@
 
 /** True if the lease is over, whatever its holder believes. */
 static bool
-is_over(const struct watched_lease *lease, int64_t now_us)
+is_over(const struct watched_lease *lease, int64_t now_us, int64_t delay_us)
 {
     if (!lease->read || now_us < lease->promised_us) {
         return false;
@@ -156,12 +156,26 @@
     const int64_t wait_us = lease->is_peer
                                 ? KEYLEASE_TAKE_US
                                 : KEYLEASE_TAKE_US + KEYLEASE_PROMISED_MAX_US;
-    return now_us - lease->since_us >= wait_us;
+    return now_us - lease->since_us >= wait_us + delay_us;
 }
 
+/** True if the instance seems to be gone, so that its lease is watched. */
+static bool
+is_suspect(const struct planner *planner, const char *owner)
+{
+    const struct node *node = planner->node;
+    if (owner[0] == '\0' || strcmp(owner, node->settings.instance) == 0) {
+        return false;
+    }
+    const struct roster_instance *instance = roster_find(&node->roster, owner);
+    return instance == NULL || instance->notice.state == ROSTER_ABSENT ||
+           planner_is_suspect(planner, owner);
+}
+
+/** Watches the lease of a suspect and takes its keys once it is over. */
 static void
 watch_owner(struct planner *planner, const struct node_keys *keys,
-            const char *instance, int64_t now_us)
+            const char *instance, int64_t now_us, int64_t delay_us)
 {
     struct watched_lease *lease = lease_of(planner, instance);
     if (!lease->wanted) {
@@ -169,7 +183,7 @@
         lease->read = false;
         lease->reads_us = 0;
     }
-    if (is_over(lease, now_us) && planner->map_call == NULL) {
+    if (is_over(lease, now_us, delay_us)) {
         take(lease, keys);
         return;
     }
@@ -177,30 +191,18 @@
 }
 
 void
-plannertake_go_on(struct planner *planner)
+plannertake_go_on(struct planner *planner, int64_t delay_us)
 {
-    const struct node *node = planner->node;
     const struct node_keys *keys = planner_keys(planner);
-    const int64_t now_us = node_now_us(node);
+    const int64_t now_us = node_now_us(planner->node);
     struct watched_lease *lease;
     LIST_FOREACH (lease, &planner->leases, link) {
-        if (!planner_is_lost(planner, lease->instance)) {
-            lease->wanted = false;
-        }
+        lease->wanted = lease->wanted && is_suspect(planner, lease->instance);
     }
-    for (size_t i = 0; i < keys->map.count; i++) {
+    for (size_t i = 0; i < keys->map.count && planner->map_call == NULL; i++) {
         const char *owner = keys->map.segments[i].holder.instance;
-        const struct roster_instance *instance =
-            roster_find(&node->roster, owner);
-        const bool lost =
-            owner[0] != '\0' && strcmp(owner, node->settings.instance) != 0 &&
-            (instance == NULL || instance->notice.state == ROSTER_ABSENT ||
-             planner_is_lost(planner, owner));
-        if (lost) {
-            watch_owner(planner, keys, owner, now_us);
-            if (planner->map_call != NULL) {
-                return;
-            }
+        if (is_suspect(planner, owner)) {
+            watch_owner(planner, keys, owner, now_us, delay_us);
         }
     }
 }
