node: the callers' side and the gate are split by job

Change: sendings of a request in ingresstry.c, crash requests of the callers' side in ingresscrash.c, the way to the target in gatesend.c; the alias localgate_declared_changed() is gone.

--- /dev/null
+++ b/packages/node/gatesend.c
@@ -0,0 +1,187 @@
+/* The way to the target and back: sends requests and tells what became of
+ * them. */
+#include "node/localgate_internal.h"
+
+#define LOG_MODULE "gate"
+#include "base/log.h"
+#include "node/keeper.h"
+#include "node/localtarget.h"
+#include "node/nodemetrics.h"
+#include "node/ownrow.h"
+#include "node/relaytask.h"
+
+/* The target answers by itself at the deadline that it was given. */
+#define TARGET_GRACE_US (100 * US_PER_MS)
+
+static void
+fill_fields(struct relay_field *fields, const struct http_headers *headers,
+            u_int *count)
+{
+    for (size_t i = 0; i < headers->count; i++) {
+        if (http_header_is_end_to_end(headers, headers->items[i].name)) {
+            fields[*count].name = (char *)headers->items[i].name;
+            fields[*count].value = (char *)headers->items[i].value;
+            (*count)++;
+        }
+    }
+}
+
+/** The target answered by itself. */
+static void
+call_answered(struct localgate_call *call, const struct http_result *result)
+{
+    struct relay_field fields[HTTP_HEADERS_MAX];
+    struct relay_reply reply = {
+        .outcome = RELAY_ANSWERED,
+        .reached = true,
+        .status = result->status,
+        .body = {(u_int)result->body_size, (char *)result->body},
+    };
+    ownrow_forgive(call->gate->node->ownrow, call->fingerprint);
+    fill_fields(fields, result->headers, &reply.fields.fields_len);
+    reply.fields.fields_val = fields;
+    localgate_answer(call, &reply);
+}
+
+static void
+on_answer(struct localgate_call *call, const struct http_result *result)
+{
+    struct localgate *gate = call->gate;
+    struct wire_answer answer;
+    gate->node->wire->read_answer(result, &answer);
+    slots_leave(gate->slots, &call->entry, localgate_now_us(gate),
+                answer.kind == WIRE_ANSWER_RUN);
+    if (answer.kind == WIRE_ANSWER_RUN) {
+        worktimes_note(&gate->worktimes, call->route,
+                       localgate_now_us(gate) - call->sent_us);
+    }
+    switch (answer.kind) {
+    case WIRE_ANSWER_RUN:
+        call_answered(call, result);
+        break;
+    case WIRE_ANSWER_NOT_RUN:
+        gate->shed->value++;
+        localgate_fail(call, RELAY_NOT_RUN, RELAY_REASON_SHED, true);
+        break;
+    case WIRE_ANSWER_NOT_HELD:
+        LOG_WARN("not_held", LOG_STR("id", call->id),
+                 LOG_UINT("key", call->key), LOG_BOOL("keyed", call->keyed));
+        if (call->keyed) {
+            keeper_not_held(gate->node->keeper, call->key);
+        }
+        localgate_fail(call, RELAY_NOT_RUN, RELAY_REASON_MOVING, false);
+        break;
+    case WIRE_ANSWER_INVALID:
+        localgate_fail(call, RELAY_UNKNOWN, RELAY_REASON_INVALID, true);
+        break;
+    }
+}
+
+/** How a request at the target ended: always if not with an answer. */
+static void
+log_run(const struct localgate_call *call, const struct http_result *result)
+{
+    const struct localgate *gate = call->gate;
+    if (result->outcome == HTTP_ANSWERED && !log_sampled(call->id)) {
+        return;
+    }
+    LOG_INFO(
+        "run", LOG_STR("id", call->id), LOG_INT("outcome", result->outcome),
+        LOG_UINT("status", result->status),
+        LOG_INT("queued_ms", (call->sent_us - call->arrived_us) / US_PER_MS),
+        LOG_INT("ran_ms",
+                (localgate_now_us(gate) - call->sent_us) / US_PER_MS),
+        LOG_UINT("running", slots_running(gate->slots)),
+        LOG_UINT("waiting", slots_waiting(gate->slots)),
+        LOG_BOOL("cold", localgate_is_cold(gate)));
+}
+
+static void
+on_http(void *ctx, const struct http_result *result)
+{
+    struct localgate_call *call = ctx;
+    struct localgate *gate = call->gate;
+    struct localtarget *target = gate->node->target;
+    log_run(call, result);
+    nodemetrics_count(gate->node->nodemetrics, NODEMETRICS_TARGET,
+                      localgate_now_us(gate) - call->sent_us);
+    const bool late = localgate_now_us(gate) >= call->deadline_us;
+    call->http = NULL;
+    switch (result->outcome) {
+    case HTTP_ANSWERED:
+        on_answer(call, result);
+        break;
+    case HTTP_NOT_SENT:
+        localgate_fail(call, RELAY_NOT_RUN,
+                       late ? RELAY_REASON_DEADLINE : RELAY_REASON_CONNECT,
+                       false);
+        break;
+    case HTTP_REFUSED:
+        localgate_fail(call, RELAY_NOT_RUN, RELAY_REASON_CONNECT, false);
+        localtarget_refused(target);
+        break;
+    case HTTP_TIMED_OUT:
+        localgate_fail(call, RELAY_UNKNOWN, RELAY_REASON_DEADLINE, true);
+        break;
+    case HTTP_CUT:
+        gate->cut->value++;
+        gatecrash_note_cut(&gate->crash, call->fingerprint,
+                           localgate_now_us(gate));
+        localgate_fail(call, RELAY_UNKNOWN, RELAY_REASON_CUT, true);
+        localtarget_cut(target);
+        break;
+    case HTTP_MALFORMED:
+        localgate_fail(call, RELAY_UNKNOWN, RELAY_REASON_INVALID, true);
+        break;
+    }
+    localgate_pump(gate);
+}
+
+static bool
+on_belongs(void *ctx, const struct http_headers *headers)
+{
+    const struct localgate_call *call = ctx;
+    return call->gate->node->wire->belongs(headers, call->id);
+}
+
+void
+gatesend_start(struct localgate_call *call)
+{
+    struct localgate *gate = call->gate;
+    const struct node *node = gate->node;
+    const struct relay_request *request = call->request;
+    const struct keymap_holder holder = localtarget_holder(node->target);
+    struct http_headers headers = {.items = NULL};
+    for (u_int i = 0; i < request->fields.fields_len; i++) {
+        const struct relay_field *field = &request->fields.fields_val[i];
+        http_headers_add(&headers, field->name, field->value);
+    }
+    node->wire->add_target_fields(
+        &headers,
+        &(struct wire_target_fields){
+            .target = holder.target,
+            .caller = request->caller,
+            .time_left_us = call->deadline_us - localgate_now_us(gate),
+        });
+    call->state = CALL_SENT;
+    call->sent_us = localgate_now_us(gate);
+    nodemetrics_count(node->nodemetrics, NODEMETRICS_QUEUE,
+                      call->sent_us - call->arrived_us);
+    timer_stop(&call->timer);
+    gate->started->value++;
+    call->http =
+        http_call_start(localtarget_client(node->target),
+                        &(struct http_call_spec){
+                            .method = request->method,
+                            .target = request->path,
+                            .headers = headers.items,
+                            .header_count = headers.count,
+                            .body = request->body.body_val,
+                            .body_size = request->body.body_len,
+                            .deadline_us = call->deadline_us + TARGET_GRACE_US,
+                            .belongs = on_belongs,
+                            .done = on_http,
+                            .ctx = call,
+                        });
+    http_headers_clear(&headers);
+}
--- a/packages/node/ingress_internal.h
+++ b/packages/node/ingress_internal.h
@@ -1,8 +1,8 @@
 /**
  * @file
  * What the modules of the callers' side share: the life of a request
- * (ingress.c), its message (ingressmessage.c) and its answer
- * (ingressanswer.c).
+ * (ingress.c), its sendings (ingresstry.c), its message (ingressmessage.c) and
+ * its answer (ingressanswer.c).
  */
 #ifndef CHESTNUTGAP_NODE_INGRESS_INTERNAL_H
 #define CHESTNUTGAP_NODE_INGRESS_INTERNAL_H
@@ -93,6 +93,35 @@
     struct counter *hedges;
 };
 
+int64_t ingress_now_us(const struct ingress_call *call);
+
+/** Gives the request up with what is known of it. */
+void ingress_give_up(struct ingress_call *call);
+
+/** Frees a call. It has been answered, or needs no answer. */
+void ingress_end(struct ingress_call *call);
+
+/* ingresstry.c */
+
+/** Sends the request, or waits for an owner or an instance. */
+void ingresstry_start(struct ingress_call *call);
+
+/** A wait has ended, or a hedge is due. ctx is the call. */
+void ingresstry_step(void *ctx);
+
+/** True if a sending is under way. */
+bool ingresstry_is_sent(const struct ingress_call *call);
+
+/* ingresscrash.c */
+
+/** A request that was answered does not stop targets, whoever accused it
+ * because it ran when one stopped. */
+void ingresscrash_clear(struct ingress *ingress, uint64_t fingerprint);
+
+/** True if enough instances accuse it of having stopped their target. */
+bool ingresscrash_is_condemned(const struct ingress *ingress,
+                               uint64_t fingerprint);
+
 /** Fills in the message. Texts stay with the caller's request. */
 void ingressmessage_fill(struct ingress_call *call,
                          const struct wire_request *read,
--- /dev/null
+++ b/packages/node/ingresscrash.c
@@ -0,0 +1,34 @@
+/* Requests that are held to stop targets. */
+#include "node/ingress_internal.h"
+
+#define CONDEMNED_MIN 3 /* targets that a request has stopped */
+
+static bool
+is_cleared(const struct ingress *ingress, uint64_t fingerprint)
+{
+    for (size_t i = 0; i < INGRESS_CLEARED_MAX; i++) {
+        if (ingress->cleared[i] == fingerprint) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void
+ingresscrash_clear(struct ingress *ingress, uint64_t fingerprint)
+{
+    if (roster_accusers(&ingress->node->roster, fingerprint) == 0 ||
+        is_cleared(ingress, fingerprint)) {
+        return;
+    }
+    ingress->cleared[ingress->cleared_next] = fingerprint;
+    ingress->cleared_next = (ingress->cleared_next + 1) % INGRESS_CLEARED_MAX;
+}
+
+bool
+ingresscrash_is_condemned(const struct ingress *ingress, uint64_t fingerprint)
+{
+    return roster_accusers(&ingress->node->roster, fingerprint) >=
+               CONDEMNED_MIN &&
+           !is_cleared(ingress, fingerprint);
+}
--- /dev/null
+++ b/packages/node/ingresstry.c
@@ -0,0 +1,331 @@
+/* The sendings of a request: to whom, when once more, and their replies. */
+#include <string.h>
+
+#include "node/ingress_internal.h"
+
+#define LOG_MODULE "ingress"
+#include "base/log.h"
+#include "node/nodemetrics.h"
+
+/* The gate answers by itself; its answer may come this much later. */
+#define SEND_MARGIN_US (60 * US_PER_MS)
+#define OWNER_RECHECK_US (20 * US_PER_MS)
+#define HEDGE_FACTOR 3 /* times the usual time of the instance */
+#define HEDGE_MIN_US (60 * US_PER_MS)
+#define HEDGE_LEFT_PERCENT 25 /* of the time, at least */
+#define FULL_TRIES 2          /* instances without room that a request asks */
+#define REPEAT_LEFT_US (50 * US_PER_MS)
+
+static void on_reply(void *ctx, enum rpc_status status,
+                     const struct relay_reply *reply);
+
+bool
+ingresstry_is_sent(const struct ingress_call *call)
+{
+    for (size_t i = 0; i < INGRESS_SENDS_MAX; i++) {
+        if (call->sends[i].sent != NULL) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/** Waits a moment for an owner or an instance, then gives up. */
+static void
+call_wait(struct ingress_call *call, enum relay_reason reason)
+{
+    const int64_t now_us = ingress_now_us(call);
+    if (!call->may_have_run) {
+        call->reason = reason;
+    }
+    if (now_us >= call->wait_until_us) {
+        ingress_give_up(call);
+        return;
+    }
+    call->waits = true;
+    const int64_t recheck_us = now_us + OWNER_RECHECK_US;
+    timer_start_at(&call->step, recheck_us < call->wait_until_us
+                                    ? recheck_us
+                                    : call->wait_until_us);
+}
+
+static void
+exclude(struct ingress_call *call, struct roster_instance *instance)
+{
+    if (call->excluded_count < ROSTER_EXCLUDED_MAX) {
+        call->excluded[call->excluded_count++] = instance;
+    }
+}
+
+static struct roster_instance *
+choose_owner(const struct ingress_call *call)
+{
+    const struct node *node = call->ingress->node;
+    const struct node_keys *keys = node_keys_of(node, call->service);
+    if (keys == NULL) {
+        return NULL;
+    }
+    const struct keymap_segment *segment =
+        keymap_find(&keys->map, call->message.key);
+    struct roster_instance *owner = call->owner;
+    if (owner == NULL) {
+        owner = roster_find(&node->roster, segment->holder.instance);
+    }
+    return owner != NULL && ingress_now_us(call) >= owner->unreachable_until_us
+               ? owner
+               : NULL;
+}
+
+static struct roster_instance *
+choose_any(const struct ingress_call *call)
+{
+    struct node *node = call->ingress->node;
+    struct roster_choice choice = {
+        .service = call->service,
+        .zone = node->settings.zone,
+        .zone_is_out = node_zone_is_out,
+        .ctx = node,
+        .excluded_count = call->excluded_count,
+        .now_us = ingress_now_us(call),
+    };
+    memcpy(choice.excluded, call->excluded, sizeof(choice.excluded));
+    return roster_choose(&node->roster, &choice, &node->random);
+}
+
+static void
+call_send(struct ingress_call *call, struct roster_instance *instance)
+{
+    struct ingress *ingress = call->ingress;
+    const int64_t now_us = ingress_now_us(call);
+    struct ingress_send *send = &call->sends[0];
+    if (send->sent != NULL) {
+        send = &call->sends[1];
+    }
+    const int64_t left_us = call->deadline_us - now_us;
+    call->waits = false;
+    call->owner = NULL;
+    call->tries++;
+    call->instance = instance->notice.instance;
+    call->message.to = (char *)call->instance;
+    call->message.left_us = (u_quad_t)(left_us > 0 ? left_us : 0);
+    call->message.due_us = call->due_us - now_us;
+    send->call = call;
+    send->instance = instance;
+    send->sent_us = now_us;
+    roster_note_sent(instance, now_us);
+    if (call->tries > 1 || log_sampled(call->id)) {
+        LOG_INFO("sent", LOG_STR("id", call->id),
+                 LOG_STR("to", instance->notice.instance),
+                 LOG_UINT("try", call->tries),
+                 LOG_UINT("load", instance->reported_load),
+                 LOG_INT("usual_ms", instance->service_us / US_PER_MS),
+                 LOG_UINT("row_version", instance->version),
+                 LOG_INT("left_ms", left_us / US_PER_MS));
+    }
+    send->sent = relaytask_send(ingress->node->relay, instance, &call->message,
+                                left_us + SEND_MARGIN_US, on_reply, send);
+}
+
+/** Plans a second sending, should the first take long. */
+static void
+plan_hedge(struct ingress_call *call, const struct roster_instance *instance)
+{
+    int64_t delay_us = instance->service_us > 0
+                           ? instance->service_us * HEDGE_FACTOR
+                           : call->objective_us;
+    delay_us = delay_us > HEDGE_MIN_US ? delay_us : HEDGE_MIN_US;
+    const bool may = call->message.idempotent && !call->message.keyed &&
+                     !call->hedged && call->reached + 1 < call->attempts_max;
+    if (may) {
+        timer_start(&call->step, delay_us);
+    }
+}
+
+void
+ingresstry_start(struct ingress_call *call)
+{
+    if (call->tries >= INGRESS_TRIES_MAX) {
+        ingress_give_up(call);
+        return;
+    }
+    struct roster_instance *instance =
+        call->message.keyed ? choose_owner(call) : choose_any(call);
+    if (instance == NULL) {
+        if (!call->message.keyed && call->excluded_count > 0) {
+            ingress_give_up(call);
+            return;
+        }
+        call_wait(call, RELAY_REASON_NO_TARGET);
+        return;
+    }
+    call_send(call, instance);
+    plan_hedge(call, instance);
+}
+
+static void
+call_hedge(struct ingress_call *call)
+{
+    struct ingress *ingress = call->ingress;
+    const int64_t left_us = call->deadline_us - ingress_now_us(call);
+    const int64_t whole_us = call->deadline_us - call->begun_us;
+    exclude(call, call->sends[0].instance);
+    struct roster_instance *instance = choose_any(call);
+    const bool idle =
+        instance != NULL && instance->reported_load + instance->sent_since <
+                                instance->notice.slots;
+    if (!idle || left_us < whole_us * HEDGE_LEFT_PERCENT / 100 ||
+        !budget_spend(call->budget)) {
+        return;
+    }
+    call->hedged = true;
+    ingress->hedges->value++;
+    call_send(call, instance);
+}
+
+void
+ingresstry_step(void *ctx)
+{
+    struct ingress_call *call = ctx;
+    if (call->waits) {
+        ingresstry_start(call);
+    }
+    else if (call->sends[0].sent != NULL && call->sends[1].sent == NULL) {
+        call_hedge(call);
+    }
+}
+
+/** Whether the request may be sent to one more target. */
+static bool
+may_repeat(struct ingress_call *call)
+{
+    struct ingress *ingress = call->ingress;
+    if (call->reached >= call->attempts_max ||
+        (call->may_have_run && !call->message.idempotent) ||
+        call->deadline_us - ingress_now_us(call) < REPEAT_LEFT_US) {
+        return false;
+    }
+    if (call->reached == 0) {
+        return true;
+    }
+    if (!budget_spend(call->budget)) {
+        return false;
+    }
+    ingress->retries->value++;
+    return true;
+}
+
+/** A sending had no answer of the target. */
+static void
+call_failed(struct ingress_call *call, struct roster_instance *instance)
+{
+    if (ingresstry_is_sent(call)) {
+        return;
+    }
+    const bool owner_changes =
+        call->message.keyed && (call->reason == RELAY_REASON_NOT_OWNER ||
+                                call->reason == RELAY_REASON_MOVING ||
+                                call->reason == RELAY_REASON_LEAVING ||
+                                call->reason == RELAY_REASON_ZONE_OUT ||
+                                call->reason == RELAY_REASON_NO_TARGET);
+    if (owner_changes && call->owner != NULL && call->owner != instance) {
+        ingresstry_start(call);
+        return;
+    }
+    if (owner_changes && ingress_now_us(call) < call->wait_until_us) {
+        call_wait(call, call->reason);
+        return;
+    }
+    const bool full = call->reason == RELAY_REASON_FULL ||
+                      call->reason == RELAY_REASON_SUSPECT;
+    if ((call->message.keyed && (full || owner_changes)) ||
+        (full && call->tries > FULL_TRIES) || !may_repeat(call)) {
+        ingress_give_up(call);
+        return;
+    }
+    if (!call->message.keyed) {
+        exclude(call, instance);
+    }
+    ingresstry_start(call);
+}
+
+static void
+on_answered(struct ingress_call *call, const struct relay_reply *reply)
+{
+    ingresscrash_clear(call->ingress, call->message.fingerprint);
+    ingressanswer_pass(call, reply);
+    ingress_end(call);
+}
+
+/** No reply came: the instance or the way to it is gone. */
+static void
+on_no_reply(struct ingress_call *call, struct roster_instance *instance,
+            enum rpc_status status)
+{
+    const bool not_sent =
+        status == RPC_NOT_SENT || status == RPC_REFUSED_BY_HOST;
+    call->reason = RELAY_REASON_CONNECT;
+    if (status != RPC_TIMED_OUT) {
+        roster_note_unreachable(instance, ingress_now_us(call));
+    }
+    if (!not_sent) {
+        call->reached++;
+        call->may_have_run = true;
+        call->reason = RELAY_REASON_CUT;
+    }
+    LOG_INFO("no_reply", LOG_STR("id", call->id),
+             LOG_STR("to", instance->notice.instance),
+             LOG_INT("status", status));
+    call_failed(call, instance);
+}
+
+static void
+on_reply(void *ctx, enum rpc_status status, const struct relay_reply *reply)
+{
+    struct ingress_send *send = ctx;
+    struct ingress_call *call = send->call;
+    struct roster_instance *instance = send->instance;
+    send->sent = NULL;
+    roster_note_ended(instance);
+    nodemetrics_count(call->ingress->node->nodemetrics, NODEMETRICS_RELAY,
+                      ingress_now_us(call) - send->sent_us);
+    if (status != RPC_OK) {
+        on_no_reply(call, instance, status);
+        return;
+    }
+    const bool failed = reply->outcome == RELAY_UNKNOWN ||
+                        reply->reason == RELAY_REASON_SHED ||
+                        reply->reason == RELAY_REASON_CONNECT;
+    roster_note_reached(instance, ingress_now_us(call));
+    if (reply->reason == RELAY_REASON_FULL) {
+        roster_note_full(instance, ingress_now_us(call),
+                         (int64_t)reply->retry_after_us);
+    }
+    if (reply->reason == RELAY_REASON_LEAVING) {
+        /* Its row may say so later, or not at all. */
+        instance->notice.state = ROSTER_LEAVING;
+    }
+    roster_note_load(instance, reply->load, reply->cold);
+    if (reply->outcome == RELAY_ANSWERED || failed) {
+        roster_note_result(instance, ingress_now_us(call),
+                           ingress_now_us(call) - send->sent_us, failed);
+    }
+    if (reply->outcome == RELAY_ANSWERED) {
+        on_answered(call, reply);
+        return;
+    }
+    call->reason = reply->reason;
+    call->timed_out = reply->reason == RELAY_REASON_DEADLINE;
+    call->owner = reply->owner[0] != '\0'
+                      ? roster_find(&call->ingress->node->roster, reply->owner)
+                      : NULL;
+    call->retry_after_us = (int64_t)reply->retry_after_us;
+    call->reached += reply->reached ? 1 : 0;
+    call->may_have_run = call->may_have_run || reply->outcome == RELAY_UNKNOWN;
+    LOG_INFO("try_failed", LOG_STR("id", call->id),
+             LOG_STR("to", instance->notice.instance),
+             LOG_STR("outcome",
+                     reply->outcome == RELAY_NOT_RUN ? "not-run" : "unknown"),
+             LOG_STR("reason", relaytask_reason(reply->reason)),
+             LOG_UINT("load", reply->load));
+    call_failed(call, instance);
+}
--- a/packages/node/localgate.h
+++ b/packages/node/localgate.h
@@ -36,15 +36,12 @@
 /** The target's process is gone, with all that it ran. */
 void localgate_target_gone(struct localgate *gate);
 
-/** Its slots, its state or its cold start have changed. */
+/** Its slots, its state, zones or the configuration have changed. */
 void localgate_target_changed(struct localgate *gate);
 
 /** Which keys may run has changed. */
 void localgate_keys_changed(struct localgate *gate);
 
-/** Zones or the configuration have changed. */
-void localgate_declared_changed(struct localgate *gate);
-
 /** Requests that wait or run. */
 unsigned localgate_load(const struct localgate *gate);
 
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -179,7 +179,7 @@
         }
     }
     localtarget_configure(node->target);
-    localgate_declared_changed(node->gate);
+    localgate_target_changed(node->gate);
     ingress_changed(node->ingress);
 }
 
