--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -21,7 +21,8 @@
 #define CALLERS_BODY_MAX ((size_t)64 << 20)
 /* Each change wakes the feeds of all instances: the more there are, the more
  * changes one answer of the feed brings. */
-#define FEED_PAUSE_PER_INSTANCE_US (15 * US_PER_MS)
+#define FEED_PAUSE_PER_INSTANCE_US (30 * US_PER_MS)
+#define FEED_PAUSE_MAX_US (3 * US_PER_SECOND)
 #define STATUS_OK 200
 #define STATUS_NOT_FOUND 404
 #define STATUS_UNAVAILABLE 503
@@ -303,9 +304,11 @@
 on_fleet_settled(void *ctx)
 {
     struct node *node = ctx;
-    rowwatch_set_pause(node->fleet_watch,
-                       (int64_t)roster_count(&node->roster) *
-                           FEED_PAUSE_PER_INSTANCE_US);
+    const int64_t pause_us =
+        (int64_t)roster_count(&node->roster) * FEED_PAUSE_PER_INSTANCE_US;
+    rowwatch_set_pause(node->fleet_watch, pause_us < FEED_PAUSE_MAX_US
+                                              ? pause_us
+                                              : FEED_PAUSE_MAX_US);
     ownrow_update(node->ownrow);
     keeper_map_changed(node->keeper);
     planner_changed(node->planner);
--- a/packages/node/rowwatch.c
+++ b/packages/node/rowwatch.c
@@ -13,7 +13,7 @@
 #define FEED_WAIT_US (25 * US_PER_SECOND)
 #define FEED_TIMEOUT_US (FEED_WAIT_US + 3 * US_PER_SECOND)
 #define RETRY_MIN_US (50 * US_PER_MS)
-#define RETRY_MAX_US (400 * US_PER_MS)
+#define RETRY_MAX_US (900 * US_PER_MS)
 #define KEY_AFTER "\x01" /* makes the key that follows one */
 
 /* A row that was reported. */
