--- a/packages/base/log.c
+++ b/packages/base/log.c
@@ -24,6 +24,8 @@
     size_t length;
 };
 
+#define STEP_DIVISOR 2 /* steps of requests get this part of the bound */
+
 /** Bounds of what is written. */
 struct log_bound {
     int fd;
@@ -190,9 +192,9 @@
     return now.tv_sec;
 }
 
-/** Whether one more line of the class may be written now. */
-static bool
-log_within_bound(enum log_level level)
+/** Begins the count anew in each second. */
+static void
+log_turn_second(void)
 {
     const int64_t second = log_second();
     if (second != log_bound.second) {
@@ -200,6 +202,13 @@
         log_bound.ordinary = 0;
         log_bound.urgent = 0;
     }
+}
+
+/** Whether one more line of the class may be written now. */
+static bool
+log_within_bound(enum log_level level)
+{
+    log_turn_second();
     unsigned *count =
         level >= LOG_LEVEL_WARNING ? &log_bound.urgent : &log_bound.ordinary;
     return (*count)++ < log_bound.lines_per_s;
@@ -257,12 +266,25 @@
     }
 }
 
+bool
+log_admits_step(void)
+{
+    log_turn_second();
+    if (log_bound.lines_per_s == 0 ||
+        log_bound.ordinary < log_bound.lines_per_s / STEP_DIVISOR) {
+        return true;
+    }
+    log_bound.dropped++;
+    return false;
+}
+
 void
 log_set_bound(int fd, unsigned lines_per_s)
 {
     struct stat status;
     log_bound.fd = fd;
     log_bound.lines_per_s = fd >= 0 ? lines_per_s : 0;
+    log_bound.second = 0; /* the count begins anew */
     log_bound.may_block =
         fd >= 0 && fstat(fd, &status) == 0 && !S_ISREG(status.st_mode);
 }
--- a/packages/base/log.h
+++ b/packages/base/log.h
@@ -67,6 +67,13 @@
 
 #define LOG_DBG(event, ...) LOG_EVENT(LOG_LEVEL_DEBUG, event, __VA_ARGS__)
 #define LOG_INFO(event, ...) LOG_EVENT(LOG_LEVEL_INFO, event, __VA_ARGS__)
+/** A step of a request: under load left out before the line that closes it. */
+#define LOG_STEP(event, ...)                                                  \
+    do {                                                                      \
+        if (log_enabled(LOG_LEVEL_INFO, LOG_MODULE) && log_admits_step()) {   \
+            LOG_INFO(event, __VA_ARGS__);                                     \
+        }                                                                     \
+    } while (0)
 #define LOG_WARN(event, ...) LOG_EVENT(LOG_LEVEL_WARNING, event, __VA_ARGS__)
 #define LOG_ERR(event, ...) LOG_EVENT(LOG_LEVEL_ERROR, event, __VA_ARGS__)
 
@@ -81,6 +88,10 @@
  */
 void log_set_bound(int fd, unsigned lines_per_s);
 
+/** True while ordinary lines have used less than half of the bound in this
+ * second. Otherwise counts a line that is left out. */
+bool log_admits_step(void);
+
 /** Lines left out since the start. */
 uint64_t log_dropped(void);
 
--- a/packages/base/test/histogram_test.cc
+++ b/packages/base/test/histogram_test.cc
@@ -108,6 +108,30 @@
     close(pipe_fds[0]);
 }
 
+/* Whoever looks for a request finds how it ended, though not each step. */
+TEST(Log, StepsLeaveRoomForTheLinesThatCloseRequests)
+{
+    int pipe_fds[2];
+    ASSERT_EQ(0, pipe2(pipe_fds, O_NONBLOCK));
+    FILE *stream = fdopen(pipe_fds[1], "w");
+    log_init(stream, LOG_LEVEL_INFO);
+    log_set_bound(pipe_fds[1], 100);
+    std::string got;
+    for (int i = 0; i < 500; i++) {
+        LOG_STEP("step", LOG_INT("i", i));
+        got += ReadAll(pipe_fds[0]);
+    }
+    for (int i = 0; i < 40; i++) {
+        LOG_INFO("closing", LOG_INT("i", i));
+        got += ReadAll(pipe_fds[0]);
+    }
+    EXPECT_NE(std::string::npos, got.find("\"closing\",\"i\":39"));
+    log_set_bound(-1, 0);
+    log_init(stderr, LOG_LEVEL_WARNING);
+    fclose(stream);
+    close(pipe_fds[0]);
+}
+
 TEST(Log, AFullPipeDropsLinesAndNeverBlocks)
 {
     int pipe_fds[2];
--- a/packages/node/gatesend.c
+++ b/packages/node/gatesend.c
@@ -85,7 +85,7 @@
     if (result->outcome == HTTP_ANSWERED && !log_sampled(call->id)) {
         return;
     }
-    LOG_INFO(
+    LOG_STEP(
         "run", LOG_STR("id", call->id), LOG_INT("outcome", result->outcome),
         LOG_UINT("status", result->status),
         LOG_INT("queued_ms", (call->sent_us - call->arrived_us) / US_PER_MS),
--- a/packages/node/ingresstry.c
+++ b/packages/node/ingresstry.c
@@ -114,7 +114,7 @@
     send->sent_us = now_us;
     roster_note_sent(instance, now_us);
     if (call->tries > 1 || log_sampled(call->id)) {
-        LOG_INFO("sent", LOG_STR("id", call->id),
+        LOG_STEP("sent", LOG_STR("id", call->id),
                  LOG_STR("to", instance->notice.instance),
                  LOG_UINT("try", call->tries),
                  LOG_UINT("load", instance->reported_load),
@@ -272,7 +272,7 @@
         call->may_have_run = true;
         call->reason = RELAY_REASON_CUT;
     }
-    LOG_INFO("no_reply", LOG_STR("id", call->id),
+    LOG_STEP("no_reply", LOG_STR("id", call->id),
              LOG_STR("to", instance->notice.instance),
              LOG_INT("status", status));
     call_failed(call, instance);
@@ -321,7 +321,7 @@
     call->retry_after_us = (int64_t)reply->retry_after_us;
     call->reached += reply->reached ? 1 : 0;
     call->may_have_run = call->may_have_run || reply->outcome == RELAY_UNKNOWN;
-    LOG_INFO("try_failed", LOG_STR("id", call->id),
+    LOG_STEP("try_failed", LOG_STR("id", call->id),
              LOG_STR("to", instance->notice.instance),
              LOG_STR("outcome",
                      reply->outcome == RELAY_NOT_RUN ? "not-run" : "unknown"),
--- a/packages/node/localgate.c
+++ b/packages/node/localgate.c
@@ -106,7 +106,7 @@
     struct localgate *gate = call->gate;
     if (outcome == RELAY_NOT_RUN) {
         gate->refused->value++;
-        LOG_INFO(
+        LOG_STEP(
             "refused", LOG_STR("id", call->id),
             LOG_STR("reason", relaytask_reason(reason)),
             LOG_INT("key", call->keyed ? (int64_t)call->key : -1),
@@ -327,7 +327,7 @@
     const bool runs_on =
         call->state == CALL_SENT && !call->request->idempotent;
     if (call->state == CALL_SENT) {
-        LOG_INFO("cancelled", LOG_STR("id", call->id),
+        LOG_STEP("cancelled", LOG_STR("id", call->id),
                  LOG_BOOL("runs_on", runs_on),
                  LOG_INT("ran_ms",
                          (localgate_now_us(gate) - call->entry.started_us) /
