--- a/packages/fleet/worktimes.h
+++ b/packages/fleet/worktimes.h
@@ -9,7 +9,8 @@
 
 #include <stdint.h>
 
-#define WORKTIMES_MAX 256 /* routes; others with the same place replace them */
+#define WORKTIMES_MAX 256 /* routes; others with the same place replace them  \
+                           */
 
 struct worktimes_route {
     uint64_t route;
--- a/packages/node/planner.c
+++ b/packages/node/planner.c
@@ -17,11 +17,6 @@
 /* Instances that start at the same time are seen by then. */
 #define START_US (1500 * US_PER_MS)
 #define WRITE_TIMEOUT_US (1 * US_PER_SECOND)
-#define ASK_US (1 * US_PER_SECOND)
-#define FAILURES_MAX 2 /* questions without an answer: it is lost */
-/* The first of these instances plans; all take the keys of lost ones, since
- * a lease names only those who were there when it was written. */
-#define WATCHERS 3
 #define TAKE_STEP_US (400 * US_PER_MS) /* between them */
 #define LEVEL_US (1 * US_PER_SECOND)
 #define QUIET_US (1500 * US_PER_MS) /* for moves to show their effect */
@@ -30,9 +25,7 @@
 #define WEIGHT_MIN 0.5 /* of the average */
 #define WEIGHT_MAX 2.0
 #define COLD_WEIGHT 0.4
-#define BUSY_WEIGHT 2 /* answers, likewise of its load */
 #define BUSY_MIN 0.5
-#define SPEED_WEIGHT 6 /* answers that the smoothed speed remembers */
 #define MEMBERS_MAX 512
 
 static void on_tick(void *ctx);
@@ -87,168 +80,6 @@
                : NULL;
 }
 
-static struct peer_load *
-peer_of(const struct planner *planner, const char *instance)
-{
-    struct peer_load *peer;
-    LIST_FOREACH (peer, &planner->peers, link) {
-        if (strcmp(peer->instance, instance) == 0) {
-            return peer;
-        }
-    }
-    return NULL;
-}
-
-static bool
-is_self(const struct planner *planner, const char *instance)
-{
-    return strcmp(instance, planner->node->settings.instance) == 0;
-}
-
-bool
-planner_is_lost(const struct planner *planner, const char *instance)
-{
-    const struct peer_load *peer = peer_of(planner, instance);
-    return !is_self(planner, instance) && peer != NULL &&
-           peer->failures >= FAILURES_MAX;
-}
-
-bool
-planner_is_suspect(const struct planner *planner, const char *instance)
-{
-    const struct peer_load *peer = peer_of(planner, instance);
-    return !is_self(planner, instance) && peer != NULL && peer->failures > 0;
-}
-
-/** True if the instance is of the service and has said that it is there. */
-static bool
-is_member(const struct planner *planner, const struct roster_notice *notice)
-{
-    const struct declared_service *service = node_own_service(planner->node);
-    return notice->state != ROSTER_ABSENT &&
-           strcmp(notice->service, service->name) == 0;
-}
-
-static bool
-works(const struct planner *planner, const struct roster_notice *notice)
-{
-    return is_member(planner, notice) && notice->state == ROSTER_SERVING &&
-           !planner_is_lost(planner, notice->instance);
-}
-
-/** How many working instances of the service are senior to this one. Those
- * that joined lately come last: leases do not name them yet. */
-static size_t
-rank_of(const struct planner *planner, const struct roster_notice *notice)
-{
-    const struct roster_instance *instance;
-    size_t rank = 0;
-    LIST_FOREACH (instance, &planner->node->roster.instances, link) {
-        rank += works(planner, &instance->notice) &&
-                roster_is_senior(&instance->notice, notice);
-    }
-    return rank;
-}
-
-/** The own rank; SIZE_MAX without a target, or before others know of it. */
-static size_t
-own_rank(const struct planner *planner)
-{
-    const struct node *node = planner->node;
-    const struct roster_instance *self =
-        roster_find(&node->roster, node->settings.instance);
-    return self != NULL && localtarget_present(node->target)
-               ? rank_of(planner, &self->notice)
-               : SIZE_MAX;
-}
-
-/** A target's speed changes many times a second; keys should not. */
-static int64_t
-smoothed(int64_t before_us, int64_t now_us)
-{
-    return before_us > 0 ? before_us + (now_us - before_us) / SPEED_WEIGHT
-                         : now_us;
-}
-
-/** Load for each slot, over the last few answers. */
-static double
-smoothed_busy(double before, unsigned load, unsigned slots)
-{
-    const double now = (double)load / (slots > 0 ? slots : 1);
-    return before + (now - before) / BUSY_WEIGHT;
-}
-
-static void
-on_loads(void *ctx, const char *instance, const struct relay_loads *loads)
-{
-    struct planner *planner = ctx;
-    struct peer_load *peer = peer_of(planner, instance);
-    struct roster_instance *known =
-        roster_find(&planner->node->roster, instance);
-    const int64_t now_us = node_now_us(planner->node);
-    if (peer == NULL) {
-        return;
-    }
-    peer->asking = false;
-    if (loads == NULL) {
-        peer->failures++;
-        if (peer->failures == FAILURES_MAX) {
-            LOG_WARN("instance_lost", LOG_STR("peer", instance));
-        }
-        if (known != NULL && peer->failures >= FAILURES_MAX) {
-            roster_note_unreachable(known, now_us);
-        }
-        return;
-    }
-    if (peer->failures >= FAILURES_MAX) {
-        LOG_INFO("instance_found", LOG_STR("peer", instance));
-    }
-    if (known != NULL) {
-        roster_note_reached(known, now_us);
-    }
-    peer->failures = 0;
-    peer->at_us = now_us;
-    peer->slots = loads->slots;
-    peer->service_us = smoothed(peer->service_us, (int64_t)loads->service_us);
-    peer->cold = loads->cold;
-    peer->busy = smoothed_busy(peer->busy, loads->load, loads->slots);
-    peer->step_count = loads->steps.steps_len;
-    peer->steps = memory_resized(peer->steps, peer->step_count + 1,
-                                 sizeof(*peer->steps));
-    for (size_t i = 0; i < peer->step_count; i++) {
-        peer->steps[i].first = loads->steps.steps_val[i].first;
-        peer->steps[i].load = loads->steps.steps_val[i].load;
-    }
-}
-
-/** Asks instances of the service for their loads; who does not watch asks
- * only those that do. */
-static void
-ask_peers(struct planner *planner, bool watches, int64_t now_us)
-{
-    struct roster_instance *instance;
-    LIST_FOREACH (instance, &planner->node->roster.instances, link) {
-        const char *name = instance->notice.instance;
-        if (!is_member(planner, &instance->notice) || is_self(planner, name) ||
-            (!watches && rank_of(planner, &instance->notice) >= WATCHERS)) {
-            continue;
-        }
-        struct peer_load *peer = peer_of(planner, name);
-        if (peer == NULL) {
-            peer = memory_zeroed(1, sizeof(*peer));
-            snprintf(peer->instance, sizeof(peer->instance), "%s", name);
-            LIST_INSERT_HEAD(&planner->peers, peer, link);
-        }
-        const int64_t gap_us = peer->failures > 0 ? ASK_US / 4 : ASK_US;
-        if (!peer->asking && now_us - peer->asked_us >= gap_us) {
-            peer->asking = true;
-            peer->asked_us = now_us;
-            relaytask_ask_loads(planner->node->relay, instance, on_loads,
-                                planner);
-        }
-    }
-}
-
 /** Capacity of an instance's target, relative. */
 static double
 capacity_of(const struct planner *planner, const struct roster_notice *notice,
@@ -257,8 +88,8 @@
     double slots = notice->slots > 0 ? notice->slots : 1;
     double service_us = (double)planner->own_service_us;
     *cold = localgate_is_cold(planner->node->gate);
-    if (!is_self(planner, notice->instance)) {
-        const struct peer_load *peer = peer_of(planner, notice->instance);
+    if (!planner_is_self(planner, notice->instance)) {
+        const struct peer_load *peer = planner_peer(planner, notice->instance);
         if (peer == NULL || peer->at_us == 0) {
             *cold = false;
             return 0;
@@ -298,7 +129,7 @@
     size_t count = 0;
     LIST_FOREACH (instance, &node->roster.instances, link) {
         const struct roster_notice *notice = &instance->notice;
-        if (!is_member(planner, notice) || count == MEMBERS_MAX ||
+        if (!planner_is_member(planner, notice) || count == MEMBERS_MAX ||
             planner_is_lost(planner, notice->instance)) {
             continue;
         }
@@ -440,7 +271,7 @@
     struct node *node = planner->node;
     for (size_t i = 0; i < count; i++) {
         const struct keyplan_move *move = &moves[i];
-        if (is_self(planner, move->from.instance)) {
+        if (planner_is_self(planner, move->from.instance)) {
             keeper_move(node->keeper, move->first, move->last, &move->to);
             continue;
         }
@@ -539,17 +370,17 @@
         now_us < planner->ready_us) {
         return;
     }
-    const size_t rank = own_rank(planner);
-    const bool watches = rank < WATCHERS;
+    const size_t rank = planner_rank(planner);
+    const bool watches = rank < PLANNER_WATCHERS;
     if (now_us >= planner->own_sample_us) {
-        planner->own_sample_us = now_us + ASK_US;
-        planner->own_service_us = smoothed(planner->own_service_us,
-                                           localgate_service_us(node->gate));
+        planner->own_sample_us = now_us + PLANNER_ASK_US;
+        planner->own_service_us = planner_smooth_time(
+            planner->own_service_us, localgate_service_us(node->gate));
         planner->own_busy =
-            smoothed_busy(planner->own_busy, localgate_load(node->gate),
-                          localtarget_slots(node->target));
+            planner_smooth_busy(planner->own_busy, localgate_load(node->gate),
+                                localtarget_slots(node->target));
     }
-    ask_peers(planner, watches, now_us);
+    planner_ask_peers(planner, watches, now_us);
     if (!watches || planner->map_call != NULL) {
         return;
     }
--- a/packages/node/planner_internal.h
+++ b/packages/node/planner_internal.h
@@ -1,6 +1,7 @@
 /**
  * @file
- * What the modules of the planner share: the plan (planner.c) and the taking
+ * What the modules of the planner share: the plan (planner.c), the other
+ * instances (plannerpeers.c) and the taking
  * of keys of instances that are gone (plannertake.c).
  */
 #ifndef CHESTNUTGAP_NODE_PLANNER_INTERNAL_H
@@ -13,6 +14,11 @@
 #include "node/node_internal.h"
 #include "node/planner.h"
 
+#define PLANNER_ASK_US (1 * US_PER_SECOND) /* between questions for loads */
+/* The first of these instances plans; all take the keys of lost ones, since
+ * a lease names only those who were there when it was written. */
+#define PLANNER_WATCHERS 3
+
 /** What an instance of the service said of its load. */
 struct peer_load {
     LIST_ENTRY(peer_load) link;
@@ -70,6 +76,31 @@
 /** The map of the own service, or NULL. */
 struct node_keys *planner_keys(const struct planner *planner);
 
+/* plannerpeers.c */
+
+/** What the instance said, or NULL. */
+struct peer_load *planner_peer(const struct planner *planner,
+                               const char *instance);
+bool planner_is_self(const struct planner *planner, const char *instance);
+
+/** True if the instance is of the service and has said that it is there. */
+bool planner_is_member(const struct planner *planner,
+                       const struct roster_notice *notice);
+
+/** How many working instances are senior to this one; SIZE_MAX without a
+ * target, or before others know of it. */
+size_t planner_rank(const struct planner *planner);
+
+/** A target's speed changes many times a second; keys should not. */
+int64_t planner_smooth_time(int64_t before_us, int64_t now_us);
+
+/** Load for each slot, over the last few answers. */
+double planner_smooth_busy(double before, unsigned load, unsigned slots);
+
+/** Asks instances of the service for their loads; who does not watch asks
+ * only those that do. */
+void planner_ask_peers(struct planner *planner, bool watches, int64_t now_us);
+
 /** True if the instance does not answer. */
 bool planner_is_lost(const struct planner *planner, const char *instance);
 
--- /dev/null
+++ b/packages/node/plannerpeers.c
@@ -0,0 +1,179 @@
+/* What is known of the other instances of the service: who answers, how busy
+ * they are, and who is senior. */
+#include "node/planner_internal.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#define LOG_MODULE "planner"
+#include "base/log.h"
+#include "base/memory.h"
+#include "node/localtarget.h"
+#include "node/relaytask.h"
+
+#define FAILURES_MAX 2 /* questions without an answer: it is lost */
+#define BUSY_WEIGHT 2  /* answers, likewise of its load */
+#define SPEED_WEIGHT 6 /* answers that the smoothed speed remembers */
+
+struct peer_load *
+planner_peer(const struct planner *planner, const char *instance)
+{
+    struct peer_load *peer;
+    LIST_FOREACH (peer, &planner->peers, link) {
+        if (strcmp(peer->instance, instance) == 0) {
+            return peer;
+        }
+    }
+    return NULL;
+}
+
+bool
+planner_is_self(const struct planner *planner, const char *instance)
+{
+    return strcmp(instance, planner->node->settings.instance) == 0;
+}
+
+bool
+planner_is_lost(const struct planner *planner, const char *instance)
+{
+    const struct peer_load *peer = planner_peer(planner, instance);
+    return !planner_is_self(planner, instance) && peer != NULL &&
+           peer->failures >= FAILURES_MAX;
+}
+
+bool
+planner_is_suspect(const struct planner *planner, const char *instance)
+{
+    const struct peer_load *peer = planner_peer(planner, instance);
+    return !planner_is_self(planner, instance) && peer != NULL &&
+           peer->failures > 0;
+}
+
+bool
+planner_is_member(const struct planner *planner,
+                  const struct roster_notice *notice)
+{
+    const struct declared_service *service = node_own_service(planner->node);
+    return notice->state != ROSTER_ABSENT &&
+           strcmp(notice->service, service->name) == 0;
+}
+
+static bool
+works(const struct planner *planner, const struct roster_notice *notice)
+{
+    return planner_is_member(planner, notice) &&
+           notice->state == ROSTER_SERVING &&
+           !planner_is_lost(planner, notice->instance);
+}
+
+/** How many working instances of the service are senior to this one. Those
+ * that joined lately come last: leases do not name them yet. */
+static size_t
+rank_of(const struct planner *planner, const struct roster_notice *notice)
+{
+    const struct roster_instance *instance;
+    size_t rank = 0;
+    LIST_FOREACH (instance, &planner->node->roster.instances, link) {
+        rank += works(planner, &instance->notice) &&
+                roster_is_senior(&instance->notice, notice);
+    }
+    return rank;
+}
+
+size_t
+planner_rank(const struct planner *planner)
+{
+    const struct node *node = planner->node;
+    const struct roster_instance *self =
+        roster_find(&node->roster, node->settings.instance);
+    return self != NULL && localtarget_present(node->target)
+               ? rank_of(planner, &self->notice)
+               : SIZE_MAX;
+}
+
+int64_t
+planner_smooth_time(int64_t before_us, int64_t now_us)
+{
+    return before_us > 0 ? before_us + (now_us - before_us) / SPEED_WEIGHT
+                         : now_us;
+}
+
+double
+planner_smooth_busy(double before, unsigned load, unsigned slots)
+{
+    const double now = (double)load / (slots > 0 ? slots : 1);
+    return before + (now - before) / BUSY_WEIGHT;
+}
+
+static void
+on_loads(void *ctx, const char *instance, const struct relay_loads *loads)
+{
+    struct planner *planner = ctx;
+    struct peer_load *peer = planner_peer(planner, instance);
+    struct roster_instance *known =
+        roster_find(&planner->node->roster, instance);
+    const int64_t now_us = node_now_us(planner->node);
+    if (peer == NULL) {
+        return;
+    }
+    peer->asking = false;
+    if (loads == NULL) {
+        peer->failures++;
+        if (peer->failures == FAILURES_MAX) {
+            LOG_WARN("instance_lost", LOG_STR("peer", instance));
+        }
+        if (known != NULL && peer->failures >= FAILURES_MAX) {
+            roster_note_unreachable(known, now_us);
+        }
+        return;
+    }
+    if (peer->failures >= FAILURES_MAX) {
+        LOG_INFO("instance_found", LOG_STR("peer", instance));
+    }
+    if (known != NULL) {
+        roster_note_reached(known, now_us);
+    }
+    peer->failures = 0;
+    peer->at_us = now_us;
+    peer->slots = loads->slots;
+    peer->service_us =
+        planner_smooth_time(peer->service_us, (int64_t)loads->service_us);
+    peer->cold = loads->cold;
+    peer->busy = planner_smooth_busy(peer->busy, loads->load, loads->slots);
+    peer->step_count = loads->steps.steps_len;
+    peer->steps = memory_resized(peer->steps, peer->step_count + 1,
+                                 sizeof(*peer->steps));
+    for (size_t i = 0; i < peer->step_count; i++) {
+        peer->steps[i].first = loads->steps.steps_val[i].first;
+        peer->steps[i].load = loads->steps.steps_val[i].load;
+    }
+}
+
+void
+planner_ask_peers(struct planner *planner, bool watches, int64_t now_us)
+{
+    struct roster_instance *instance;
+    LIST_FOREACH (instance, &planner->node->roster.instances, link) {
+        const char *name = instance->notice.instance;
+        if (!planner_is_member(planner, &instance->notice) ||
+            planner_is_self(planner, name) ||
+            (!watches &&
+             rank_of(planner, &instance->notice) >= PLANNER_WATCHERS)) {
+            continue;
+        }
+        struct peer_load *peer = planner_peer(planner, name);
+        if (peer == NULL) {
+            peer = memory_zeroed(1, sizeof(*peer));
+            snprintf(peer->instance, sizeof(peer->instance), "%s", name);
+            LIST_INSERT_HEAD(&planner->peers, peer, link);
+        }
+        const int64_t gap_us =
+            peer->failures > 0 ? PLANNER_ASK_US / 4 : PLANNER_ASK_US;
+        if (!peer->asking && now_us - peer->asked_us >= gap_us) {
+            peer->asking = true;
+            peer->asked_us = now_us;
+            relaytask_ask_loads(planner->node->relay, instance, on_loads,
+                                planner);
+        }
+    }
+}
