--- a/packages/fleet/worktimes.h
+++ b/packages/fleet/worktimes.h
@@ -9,8 +9,7 @@
 
 #include <stdint.h>
 
-#define WORKTIMES_MAX 256 /* routes; others with the same place replace them  \
-                           */
+#define WORKTIMES_MAX 256 /* a route replaces another with its place */
 
 struct worktimes_route {
     uint64_t route;
