lease: a renewal that may still be written is repeated as it was

A renewal without an answer was repeated, the store refused the repetition, and the router forgot the text; the store then carried the first one out, so that the next renewal met a row that it did not know and took for another's. Its keys were not served until the map was read again. Ruled out: another process of the same instance (none started then), a take (no line keys_taken before 31.2 s). Change: after an unknown outcome the text is kept until an answer settles it.

--- a/packages/node/keeper_internal.h
+++ b/packages/node/keeper_internal.h
@@ -94,7 +94,8 @@
     char *lease_text;   /**< of the call */
     char *lease_stored; /**< as the store has it */
     uint64_t lease_number;
-    bool lease_fresh; /**< the latest write took effect */
+    bool lease_fresh;  /**< the latest write took effect */
+    bool lease_unsure; /**< the text may still be written by an earlier call */
     unsigned promises_due;
     bool promises_failed;
     int64_t promises_begun_us;
--- a/packages/node/keeperlease.c
+++ b/packages/node/keeperlease.c
@@ -75,6 +75,7 @@
     free(keeper->lease_stored);
     keeper->lease_stored = keeper->lease_text;
     keeper->lease_text = NULL;
+    keeper->lease_unsure = false;
     const bool acquired = keylease_written(
         &keeper->lease, keeper->lease_begun_us, row_version, store_version);
     if (acquired) {
@@ -103,6 +104,7 @@
     keylease_lost(&keeper->lease, row != NULL ? row->version : 0);
     free(keeper->lease_text);
     keeper->lease_text = NULL;
+    keeper->lease_unsure = false;
     localgate_keys_changed(keeper->node->gate);
 }
 
@@ -120,11 +122,14 @@
         lease_conflict(keeper, result);
         break;
     case ROWSTORE_REFUSED:
-        free(keeper->lease_text);
-        keeper->lease_text = NULL;
+        if (!keeper->lease_unsure) {
+            free(keeper->lease_text);
+            keeper->lease_text = NULL;
+        }
         keylease_failed(&keeper->lease, node_now_us(keeper->node));
         break;
     default:
+        keeper->lease_unsure = true;
         keylease_failed(&keeper->lease, node_now_us(keeper->node));
         break;
     }
