--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -17,15 +17,10 @@
 #include "node/planner.h"
 #include "node/relaytask.h"
 
-#define PIPELINE_MAX 16
-#define CALLERS_BODY_MAX ((size_t)64 << 20)
 /* Each change wakes the feeds of all instances: the more there are, the more
  * changes one answer of the feed brings. */
 #define FEED_PAUSE_PER_INSTANCE_US (30 * US_PER_MS)
 #define FEED_PAUSE_MAX_US (3 * US_PER_SECOND)
-#define STATUS_OK 200
-#define STATUS_NOT_FOUND 404
-#define STATUS_UNAVAILABLE 503
 
 int64_t
 node_now_us(const struct node *node)
@@ -327,95 +322,6 @@
     }
 }
 
-static void
-answer_text(struct http_request *request, unsigned status, const char *text,
-            size_t size)
-{
-    static const struct http_header headers[] = {
-        {"Content-Type", "text/plain"},
-    };
-    http_request_reply(request, &(struct http_reply){
-                                    .status = status,
-                                    .headers = headers,
-                                    .header_count = 1,
-                                    .body = text,
-                                    .body_size = size,
-                                });
-}
-
-static bool
-is_ready(const struct node *node)
-{
-    return !node->stopping && node->declared != NULL &&
-           rowwatch_version(node->fleet_watch) > 0;
-}
-
-static void
-on_readiness(void *ctx, struct http_request *request)
-{
-    struct node *node = ctx;
-    unsigned status = STATUS_NOT_FOUND;
-    if (strcmp(http_request_path(request), node->wire->ready_path) == 0) {
-        status = is_ready(node) ? STATUS_OK : STATUS_UNAVAILABLE;
-    }
-    answer_text(request, status, "", 0);
-}
-
-static void
-on_metrics(void *ctx, struct http_request *request)
-{
-    struct node *node = ctx;
-    size_t size = 0;
-    char *text = nodemetrics_print(node->nodemetrics, &size);
-    answer_text(request, text != NULL ? STATUS_OK : STATUS_UNAVAILABLE, text,
-                size);
-    free(text);
-}
-
-static void
-on_announcement(void *ctx, struct http_request *request)
-{
-    struct node *node = ctx;
-    localtarget_announced(node->target, request);
-}
-
-static struct http_server *
-open_server(struct node *node, const struct address *address,
-            void (*handle)(void *ctx, struct http_request *request),
-            struct error *err)
-{
-    const bool callers = handle == ingress_handle;
-    const struct http_server_config config = {
-        .address = *address,
-        .body_max = callers ? CALLERS_BODY_MAX : 0,
-        .pipeline_max = callers ? PIPELINE_MAX : 0,
-        .handle = handle,
-        .cancelled = callers ? ingress_cancelled : NULL,
-        .ctx = node,
-    };
-    return http_server_create(node->runtime, &config, node->options.counters,
-                              err);
-}
-
-static bool
-open_servers(struct node *node, struct error *err)
-{
-    const struct nodesettings *settings = &node->settings;
-    node->rpc = rpc_node_create(node->runtime, &settings->rpc,
-                                node->options.counters, err);
-    if (node->rpc == NULL) {
-        return false;
-    }
-    node->readiness =
-        open_server(node, &settings->readiness, on_readiness, err);
-    node->metrics = open_server(node, &settings->metrics, on_metrics, err);
-    node->announcements =
-        open_server(node, &settings->announcements, on_announcement, err);
-    node->callers = open_server(node, &settings->callers, ingress_handle, err);
-    return node->readiness != NULL && node->metrics != NULL &&
-           node->announcements != NULL && node->callers != NULL;
-}
-
 static void
 create_watches(struct node *node)
 {
@@ -449,7 +355,7 @@
     LIST_INIT(&node->keys);
     LIST_INIT(&node->roster.instances);
     node->nodemetrics = nodemetrics_create(node);
-    if (!open_servers(node, err)) {
+    if (!nodeservers_open(node, err)) {
         node_destroy(node);
         return NULL;
     }
--- a/packages/node/node_internal.h
+++ b/packages/node/node_internal.h
@@ -112,7 +112,12 @@
 /** The declared service of the target, or NULL. */
 const struct declared_service *node_own_service(const struct node *node);
 
-/* stop.c */
+/* nodeservers.c */
+
+/** Opens all sockets. False with err set if one cannot be had. */
+bool nodeservers_open(struct node *node, struct error *err);
+
+/* nodestop.c */
 
 void nodestop_begin(struct node *node);
 void nodestop_destroy(struct node *node);
--- a/packages/node/plannerpeers.c
+++ b/packages/node/plannerpeers.c
@@ -12,8 +12,8 @@
 #include "node/relaytask.h"
 
 #define FAILURES_MAX 2 /* questions without an answer: it is lost */
-#define BUSY_WEIGHT 2  /* answers, likewise of its load */
 #define SPEED_WEIGHT 6 /* answers that the smoothed speed remembers */
+#define BUSY_WEIGHT 2  /* likewise the smoothed load */
 
 struct peer_load *
 planner_peer(const struct planner *planner, const char *instance)
