gate: a send of which no byte has left is proved not to have run

The last check had let a GET go, its connection ended before a byte had left, and the gate rightly told not-run; the invariant allowed only the target's own word once the check was passed. Ruled out: an answer that claims too much (the client tells NOT_SENT only while the whole message is still in its buffer, REFUSED only before a connection). Change: the invariant allows that proof too, as gate.h describes GATE_END_CONNECT. No other reason passes. Before: the new test of the gate fails with the invariant; after: it passes.

--- a/packages/gate/gateend.c
+++ b/packages/gate/gateend.c
@@ -53,9 +53,12 @@
         .reason = reason,
         .retry_after_ms = retry_after_ms,
     };
+    /* Once sent, only the target can say that it did not run it, or the
+     * connection that no byte of it has left. */
     invariant_check(INVARIANT_NOT_RUN,
                     request->state != GATE_STATE_SENT ||
-                        reason == FORWARD_REASON_TARGET_SHED,
+                        reason == FORWARD_REASON_TARGET_SHED ||
+                        reason == FORWARD_REASON_TARGET_CONNECT,
                     request->id);
     struct dedup_waiters waiters = TAILQ_HEAD_INITIALIZER(waiters);
     if (request->recorded) {
--- a/packages/gate/test/gate_test.cc
+++ b/packages/gate/test/gate_test.cc
@@ -377,6 +377,18 @@
     EXPECT_EQ(FORWARD_NOT_RUN, told_[unsent].outcome);
 }
 
+/* The connection ends after the last check and before a byte has left: the
+ * target stopped a moment before. */
+TEST_F(Gate, WhatNoByteOfWasSentIsRefusedAsNotRun)
+{
+    for (const char *id : {"a", ""}) {
+        gate_request *request = Arrive(id, id[0] == '\0');
+        Finish(SendNext(), GATE_END_CONNECT);
+        EXPECT_EQ(FORWARD_NOT_RUN, told_[request].outcome);
+        EXPECT_EQ(FORWARD_REASON_TARGET_CONNECT, told_[request].reason);
+    }
+}
+
 TEST_F(Gate, OrderThatASlowTargetCannotTakeIsDelegatedOnce)
 {
     delegate_ = true;
