target: a refused connection ends no answer that is on its way

The refused connection counted as its death at once, so that the gate cut what still ran; after the SIGTERM of the callers' instance these were cuts of ours. It also gave its keys up as if the death were proved. Ruled out: the stop of the callers' instance (it waits for its answers), the connection between the instances (the gate itself told "cut"). Change: after a refusal the target gets nothing new; 50 ms later, when a dead process has closed all connections, it counts as gone, and as proved dead only if nothing runs there any more. A withdrawal that does not say its life's start means the latest life of that name.

--- a/packages/node/localgate.c
+++ b/packages/node/localgate.c
@@ -142,7 +142,7 @@
 gate_closed(const struct localgate *gate, const struct localgate_call *call)
 {
     const struct node *node = gate->node;
-    if (!localtarget_present(node->target)) {
+    if (!localtarget_takes_connections(node->target)) {
         return RELAY_REASON_NO_TARGET;
     }
     if (strcmp(localtarget_service(node->target), call->request->service) !=
--- a/packages/node/localtarget.c
+++ b/packages/node/localtarget.c
@@ -20,8 +20,11 @@
 #define PROBE_TIMEOUT_US (700 * US_PER_MS)
 #define PROBE_RETRY_US (300 * US_PER_MS)
 #define PROBE_FAILURES_MAX 2 /* then it counts as gone */
-#define SILENT_BEATS 3       /* announcements missed before it is asked */
-#define SLOTS_DEFAULT 8      /* of a target that is known by its health only */
+/* A target that stops listens no more while its last answers leave; one that
+ * has ended closes all connections by then. */
+#define REFUSAL_SETTLE_US (50 * US_PER_MS)
+#define SILENT_BEATS 3  /* announcements missed before it is asked */
+#define SLOTS_DEFAULT 8 /* of a target that is known by its health only */
 #define CONTENT_TYPE_TEXT "application/json"
 
 struct localtarget {
@@ -37,6 +40,8 @@
     struct http_client *retired; /* of a former life, freed later */
     struct http_call *probe;
     unsigned probe_failures;
+    bool refused; /* listens no more, may still answer */
+    struct timer refusal;
     struct timer watch; /* for silence */
     struct timer reap;
 };
@@ -50,6 +55,7 @@
 }
 
 static void on_watch(void *ctx);
+static void on_refusal(void *ctx);
 
 struct localtarget *
 localtarget_create(struct node *node)
@@ -57,6 +63,7 @@
     struct localtarget *target = memory_zeroed(1, sizeof(*target));
     target->node = node;
     timer_init(&target->watch, node->runtime, on_watch, target);
+    timer_init(&target->refusal, node->runtime, on_refusal, target);
     timer_init(&target->reap, node->runtime, on_reap, target);
     return target;
 }
@@ -68,6 +75,7 @@
         return;
     }
     timer_stop(&target->watch);
+    timer_stop(&target->refusal);
     timer_stop(&target->reap);
     http_client_destroy(target->client);
     http_client_destroy(target->retired);
@@ -92,7 +100,9 @@
         LOG_STR("why", why),
         LOG_INT("silent_ms", (now_of(target) - target->heard_us) / US_PER_MS));
     target->present = false;
+    target->refused = false;
     timer_stop(&target->watch);
+    timer_stop(&target->refusal);
     if (target->probe != NULL) {
         http_call_cancel(target->probe);
         target->probe = NULL;
@@ -269,6 +279,10 @@
         }
         return;
     }
+    /* The latest life of that name, if the start of its life is not said. */
+    if (born_ms == 0 && strcmp(name, known->target) == 0) {
+        born_ms = known->born_ms;
+    }
     /* An announcement that it sent before may still arrive. */
     departures_note(&target->departures, name, born_ms, now_of(target));
     if (known->target[0] == '\0') {
@@ -324,7 +338,7 @@
     struct wire_health health;
     target->probe = NULL;
     if (result->outcome == HTTP_REFUSED) {
-        target_end(target, "refused", true);
+        localtarget_refused(target);
         return;
     }
     if (result->outcome != HTTP_ANSWERED) {
@@ -381,10 +395,27 @@
     probe(target);
 }
 
+/** What it ran has ended by itself if it is dead. */
+static void
+on_refusal(void *ctx)
+{
+    struct localtarget *target = ctx;
+    target_end(target, "refused", localgate_running(target->node->gate) == 0);
+}
+
 void
 localtarget_refused(struct localtarget *target)
 {
-    target_end(target, "refused", true);
+    if (target->present && !target->refused) {
+        target->refused = true;
+        timer_start(&target->refusal, REFUSAL_SETTLE_US);
+    }
+}
+
+bool
+localtarget_takes_connections(const struct localtarget *target)
+{
+    return target->present && !target->refused;
 }
 
 void
--- a/packages/node/localtarget.h
+++ b/packages/node/localtarget.h
@@ -28,6 +28,9 @@
 void localtarget_departed(struct localtarget *target, const char *name,
                           int64_t born_ms);
 
+/** True if there is a target that has not refused a connection. */
+bool localtarget_takes_connections(const struct localtarget *target);
+
 /** A connection was refused, or cut amid a request. */
 void localtarget_refused(struct localtarget *target);
 void localtarget_cut(struct localtarget *target);
