--- a/packages/base/test/histogram_test.cc
+++ b/packages/base/test/histogram_test.cc
@@ -82,54 +82,62 @@
     return got;
 }
 
-TEST(Log, AFloodStaysWithinTheRateAndIsCounted)
-{
-    int pipe_fds[2];
-    ASSERT_EQ(0, pipe2(pipe_fds, O_NONBLOCK));
-    FILE *stream = fdopen(pipe_fds[1], "w");
-    log_init(stream, LOG_LEVEL_INFO);
-    log_set_bound(pipe_fds[1], 100);
+/* A log into a pipe that is read all the time, 100 lines a second. */
+struct BoundedLog : testing::Test {
+    int pipe_fds[2] = {-1, -1};
+    FILE *stream = nullptr;
     std::string got;
+
+    void SetUp() override
+    {
+        ASSERT_EQ(0, pipe2(pipe_fds, O_NONBLOCK));
+        stream = fdopen(pipe_fds[1], "w");
+        log_init(stream, LOG_LEVEL_INFO);
+        log_set_bound(pipe_fds[1], 100);
+    }
+
+    void TearDown() override
+    {
+        log_set_bound(-1, 0);
+        log_init(stderr, LOG_LEVEL_WARNING);
+        fclose(stream);
+        close(pipe_fds[0]);
+    }
+
+    void Read()
+    {
+        got += ReadAll(pipe_fds[0]);
+    }
+};
+
+TEST_F(BoundedLog, AFloodStaysWithinTheRateAndIsCounted)
+{
     for (int i = 0; i < 2000; i++) {
         LOG_INFO("flood", LOG_INT("i", i));
-        got += ReadAll(pipe_fds[0]);
+        Read();
     }
     for (int i = 0; i < 20; i++) {
         LOG_WARN("important", LOG_INT("i", i));
-        got += ReadAll(pipe_fds[0]);
+        Read();
     }
     const auto lines = std::count(got.begin(), got.end(), '\n');
     EXPECT_LE(lines, 2 * 100 + 30);
     EXPECT_NE(std::string::npos, got.find("\"important\",\"i\":19"));
     EXPECT_GT(log_dropped(), 1500U);
-    log_set_bound(-1, 0);
-    log_init(stderr, LOG_LEVEL_WARNING);
-    fclose(stream);
-    close(pipe_fds[0]);
 }
 
 /* Whoever looks for a request finds how it ended, though not each step. */
-TEST(Log, StepsLeaveRoomForTheLinesThatCloseRequests)
+TEST_F(BoundedLog, StepsLeaveRoomForTheLinesThatCloseRequests)
 {
-    int pipe_fds[2];
-    ASSERT_EQ(0, pipe2(pipe_fds, O_NONBLOCK));
-    FILE *stream = fdopen(pipe_fds[1], "w");
-    log_init(stream, LOG_LEVEL_INFO);
-    log_set_bound(pipe_fds[1], 100);
-    std::string got;
     for (int i = 0; i < 500; i++) {
         LOG_STEP("step", LOG_INT("i", i));
-        got += ReadAll(pipe_fds[0]);
+        Read();
     }
     for (int i = 0; i < 40; i++) {
         LOG_INFO("closing", LOG_INT("i", i));
-        got += ReadAll(pipe_fds[0]);
+        Read();
     }
     EXPECT_NE(std::string::npos, got.find("\"closing\",\"i\":39"));
-    log_set_bound(-1, 0);
-    log_init(stderr, LOG_LEVEL_WARNING);
-    fclose(stream);
-    close(pipe_fds[0]);
 }
 
 TEST(Log, AFullPipeDropsLinesAndNeverBlocks)
