ingress: count attempts when a target may have got them, in one place

Cause: a hedge's timer of the first attempt went on after that attempt's connection was cut; the retry ran, and the timer sent the request to a third target, since a hedge was checked against ended attempts only when its timer was set. A route that allows two targets reached three (BUDGET, seen by the users on the large site with connections reset between instances).

Ruled out: the caller's own retry (it has another id), and the retry's check, which counts ended attempts rightly.

Change: fleet/attemptlimit counts an attempt from its sending until it is certain that no target has it; hedge and retry ask it at the moment they send.

--- a/packages/node/ingress.c
+++ b/packages/node/ingress.c
@@ -196,7 +196,7 @@
     call->ingress = ingress;
     call->http = request;
     call->id = read->id != NULL ? read->id : "";
-    call->reached_max = route->attempts;
+    attemptlimit_init(&call->limit, route->attempts);
     call->message.keyed = service->keyed;
     memcpy(call->service, service->name, sizeof(call->service));
     timer_init(&call->deadline, node->runtime, on_deadline, call);
--- a/packages/node/ingress_internal.h
+++ b/packages/node/ingress_internal.h
@@ -9,6 +9,7 @@
 
 #include <sys/queue.h>
 
+#include "fleet/attemptlimit.h"
 #include "http/httpserver.h"
 #include "node/ingress.h"
 #include "node/node_internal.h"
@@ -36,9 +37,8 @@
     struct relay_request message;
     char *path; /**< and query */
     char service[DECLARED_NAME_MAX + 1];
-    const char *id;       /**< given by the caller, or empty */
-    unsigned reached_max; /**< maximum for the next field */
-    unsigned reached;     /**< targets that may have received it */
+    const char *id; /**< given by the caller, or empty */
+    struct attemptlimit limit;
     unsigned attempt_count;
     bool may_have_run;
     bool hedged;
@@ -51,6 +51,7 @@
     int64_t wait_until_us;
     /** Named by the former owner, or NULL. */
     struct instancetable_instance *owner;
+    uint64_t owner_version;   /**< of the map that names it */
     enum relay_reason reason; /**< of the last failure */
     int64_t retry_after_us;
     const char *instance; /**< of the latest attempt */
--- a/packages/node/ingressanswer.c
+++ b/packages/node/ingressanswer.c
@@ -20,7 +20,7 @@
         LOG_STR("reason", relaytask_reason(call->reason)),
         LOG_STR("to", call->instance != NULL ? call->instance : ""),
         LOG_UINT("tries", call->attempt_count),
-        LOG_UINT("reached", call->reached),
+        LOG_UINT("reached", call->limit.reached),
         LOG_INT("took_ms", (node_now_us(node) - call->started_us) / US_PER_MS),
         LOG_INT("left_ms",
                 (call->deadline_us - node_now_us(node)) / US_PER_MS),
--- a/packages/node/ingressattempt.c
+++ b/packages/node/ingressattempt.c
@@ -115,6 +115,7 @@
     attempt->call = call;
     attempt->instance = instance;
     attempt->sent_us = now_us;
+    attemptlimit_begin(&call->limit);
     instancetable_record_sent(instance, now_us);
     if (call->attempt_count > 1 || log_sampled(call->id)) {
         LOG_STEP("sent", LOG_STR("id", call->id),
@@ -140,8 +141,7 @@
                            : call->objective_us;
     delay_us = delay_us > HEDGE_MIN_US ? delay_us : HEDGE_MIN_US;
     const bool may_hedge = call->message.idempotent && !call->message.keyed &&
-                           !call->hedged &&
-                           call->reached + 1 < call->reached_max;
+                           !call->hedged && attemptlimit_allows(&call->limit);
     if (may_hedge) {
         timer_start(&call->step, delay_us);
     }
@@ -180,7 +180,8 @@
         instance != NULL &&
         instance->reported_load + instance->sent_since_report <
             instance->instance_row.slots;
-    if (!has_free_slot || left_us < total_us * HEDGE_LEFT_PERCENT / 100 ||
+    if (!attemptlimit_allows(&call->limit) || !has_free_slot ||
+        left_us < total_us * HEDGE_LEFT_PERCENT / 100 ||
         !retrybudget_withdraw(call->budget)) {
         return;
     }
@@ -207,12 +208,12 @@
 may_retry(struct ingress_call *call)
 {
     struct ingress *ingress = call->ingress;
-    if (call->reached >= call->reached_max ||
+    if (!attemptlimit_allows(&call->limit) ||
         (call->may_have_run && !call->message.idempotent) ||
         call->deadline_us - ingress_now_us(call) < RETRY_TIME_LEFT_MIN_US) {
         return false;
     }
-    if (call->reached == 0) {
+    if (call->limit.reached == 0) {
         return true;
     }
     if (!retrybudget_withdraw(call->budget)) {
@@ -273,11 +274,11 @@
     const bool not_sent =
         status == RPC_NOT_SENT || status == RPC_REFUSED_BY_HOST;
     call->reason = RELAY_REASON_CONNECT;
+    attemptlimit_end(&call->limit, !not_sent);
     if (status != RPC_TIMED_OUT) {
         instancetable_record_unreachable(instance, ingress_now_us(call));
     }
     if (!not_sent) {
-        call->reached++;
         call->may_have_run = true;
         call->reason = RELAY_REASON_CUT;
     }
@@ -330,7 +331,8 @@
                                            reply->owner)
                       : NULL;
     call->retry_after_us = (int64_t)reply->retry_after_us;
-    call->reached += reply->reached ? 1 : 0;
+    attemptlimit_end(&call->limit,
+                     reply->reached || reply->outcome == RELAY_UNKNOWN);
     call->may_have_run = call->may_have_run || reply->outcome == RELAY_UNKNOWN;
     LOG_STEP("try_failed", LOG_STR("id", call->id),
              LOG_STR("to", instance->instance_row.instance),
