--- a/packages/fleet/keymap.c
+++ b/packages/fleet/keymap.c
@@ -15,7 +15,10 @@
 void
 keymap_init(struct keymap *map)
 {
-    *map = (struct keymap){.next_fence = 1, .count = 1};
+    *map = (struct keymap){.count = 1};
+    for (unsigned page = 0; page < KEYMAP_PAGES; page++) {
+        map->pages[page].next_fence = 1;
+    }
     map->segments = memory_calloc(1, sizeof(*map->segments));
     map->segments[0].last = LAST_KEY;
 }
@@ -36,7 +39,8 @@
 }
 
 static bool
-parse_segment(const json_t *item, struct keymap_segment *segment)
+parse_segment(const json_t *item, uint32_t page_last,
+              struct keymap_segment *segment)
 {
     const json_t *last = json_object_get(item, "last");
     const json_t *fence = json_object_get(item, "fence");
@@ -44,7 +48,8 @@
     if (!json_is_integer(last) || !json_is_integer(fence) ||
         !json_is_integer(started) ||
         json_integer_value(last) < segment->first ||
-        json_integer_value(last) > LAST_KEY || json_integer_value(fence) < 0) {
+        json_integer_value(last) > page_last ||
+        json_integer_value(fence) < 0) {
         return false;
     }
     segment->last = (uint32_t)json_integer_value(last);
@@ -58,75 +63,6 @@
                                sizeof(segment->token));
 }
 
-static bool
-parse_segments(const json_t *list, struct keymap *map)
-{
-    map->count = json_array_size(list);
-    if (map->count == 0 || map->count > DECLARED_KEY_COUNT) {
-        return false;
-    }
-    map->segments = memory_calloc(map->count, sizeof(*map->segments));
-    uint32_t first = 0;
-    for (size_t i = 0; i < map->count; i++) {
-        struct keymap_segment *segment = &map->segments[i];
-        segment->first = first;
-        if (first > LAST_KEY ||
-            !parse_segment(json_array_get(list, i), segment) ||
-            segment->fence >= map->next_fence) {
-            return false;
-        }
-        first = segment->last + 1;
-    }
-    return first == DECLARED_KEY_COUNT;
-}
-
-bool
-keymap_parse(struct keymap *map, const char *text, size_t size,
-             uint64_t version, struct error *err)
-{
-    json_t *document = json_loadb(text, size, 0, NULL);
-    struct keymap read = {.version = version};
-    const json_t *next = json_object_get(document, "next_fence");
-    bool ok = json_is_integer(next) && json_integer_value(next) > 0;
-    if (ok) {
-        read.next_fence = (uint64_t)json_integer_value(next);
-        ok = parse_segments(json_object_get(document, "segments"), &read);
-    }
-    json_decref(document);
-    if (!ok) {
-        keymap_clear(&read);
-        return error_set(err, ERROR_DOCUMENT_SYNTAX, "key map");
-    }
-    keymap_clear(map);
-    *map = read;
-    return true;
-}
-
-char *
-keymap_print(const struct keymap *map)
-{
-    json_t *list = json_array();
-    for (size_t i = 0; i < map->count; i++) {
-        const struct keymap_segment *segment = &map->segments[i];
-        json_array_append_new(
-            list,
-            json_pack("{s:i, s:s, s:s, s:I, s:I, s:s}", "last",
-                      (int)segment->last, "instance", segment->holder.instance,
-                      "target", segment->holder.target, "born_ms",
-                      (json_int_t)segment->holder.target_started_ms, "fence",
-                      (json_int_t)segment->fence, "token", segment->token));
-    }
-    json_t *document =
-        json_pack("{s:I, s:o}", "next_fence", (json_int_t)map->next_fence,
-                  "segments", list);
-    char *text = json_dumps(document, JSON_COMPACT);
-    json_decref(document);
-    if (text == NULL) {
-        abort();
-    }
-    return text;
-}
-
 static size_t
 find_index(const struct keymap *map, uint32_t key)
 {
@@ -177,42 +113,257 @@
     map->count -= end - index - 1;
 }
 
-void
-keymap_assign(struct keymap *map, uint32_t first, uint32_t last,
-              const struct keymap_holder *holder, const char *token)
+/** Makes the range one segment; its holder is that of the first key. */
+static void
+isolate_range(struct keymap *map, uint32_t first, uint32_t last)
 {
     split_before(map, first);
     if (last < LAST_KEY) {
         split_before(map, last + 1);
     }
-    const size_t index = find_index(map, first);
-    merge_range(map, index, find_index(map, last) + 1);
-    struct keymap_segment *segment = &map->segments[index];
+    merge_range(map, find_index(map, first), find_index(map, last) + 1);
+}
+
+/** A fence above all that the keys of the range ever had. */
+static uint64_t
+reserve_fence(struct keymap *map, uint32_t first, uint32_t last)
+{
+    uint64_t fence = 0;
+    for (unsigned page = keymap_page_of(first); page <= keymap_page_of(last);
+         page++) {
+        if (map->pages[page].next_fence > fence) {
+            fence = map->pages[page].next_fence;
+        }
+    }
+    for (unsigned page = keymap_page_of(first); page <= keymap_page_of(last);
+         page++) {
+        map->pages[page].next_fence = fence + 1;
+    }
+    return fence;
+}
+
+void
+keymap_assign(struct keymap *map, uint32_t first, uint32_t last,
+              const struct keymap_holder *holder, const char *token)
+{
+    isolate_range(map, first, last);
+    struct keymap_segment *segment = &map->segments[find_index(map, first)];
     segment->holder = *holder;
-    segment->fence = map->next_fence++;
+    segment->fence = reserve_fence(map, first, last);
     snprintf(segment->token, sizeof(segment->token), "%s",
              token != NULL ? token : "");
 }
 
+unsigned
+keymap_page_of(uint32_t key)
+{
+    return key / KEYMAP_PAGE_KEYS;
+}
+
+/** Finds the first keys from first on that the handover applies to.
+ * @return false if there are none */
+static bool
+next_given_up(const struct keymap *map, const struct keymap_handover *handover,
+              uint32_t first, struct keymap_segment *found)
+{
+    bool any = false;
+    uint32_t key = first;
+    while (key <= handover->last) {
+        const struct keymap_segment *segment = keymap_find(map, key);
+        const bool applies =
+            segment->fence <= handover->fence_max &&
+            strcmp(segment->holder.instance, handover->from) == 0;
+        if (any && !applies) {
+            return true;
+        }
+        if (applies) {
+            found->first = any ? found->first : key;
+            found->last = segment->last < handover->last ? segment->last
+                                                         : handover->last;
+            any = true;
+        }
+        key = segment->last + 1;
+    }
+    return any;
+}
+
+bool
+keymap_apply_handover(struct keymap *map,
+                      const struct keymap_handover *handover)
+{
+    struct keymap_segment keys = {.last = 0};
+    uint32_t from = handover->first;
+    bool applied = false;
+    while (from <= handover->last &&
+           next_given_up(map, handover, from, &keys)) {
+        keymap_assign(map, keys.first, keys.last, handover->to,
+                      handover->token);
+        applied = true;
+        from = keys.last + 1;
+    }
+    return applied;
+}
+
 bool
-keymap_merge(struct keymap *map, const struct keymap_holder *holder)
-{
-    bool merged = false;
-    for (size_t i = 0; i + 1 < map->count; i++) {
-        size_t end = i;
-        while (end < map->count &&
-               keymap_holder_equal(&map->segments[end].holder, holder)) {
-            end++;
+keymap_handover_pending(const struct keymap *map,
+                        const struct keymap_handover *handover)
+{
+    struct keymap_segment keys;
+    return next_given_up(map, handover, handover->first, &keys);
+}
+
+static uint32_t
+page_first(unsigned page)
+{
+    return page * KEYMAP_PAGE_KEYS;
+}
+
+static uint32_t
+page_last(unsigned page)
+{
+    return page_first(page) + KEYMAP_PAGE_KEYS - 1;
+}
+
+/** Parses the segments of a page, which must cover its keys in order. */
+static bool
+parse_segments(const json_t *list, unsigned page, uint64_t next_fence,
+               struct keymap_segment *segments)
+{
+    const size_t count = json_array_size(list);
+    uint32_t first = page_first(page);
+    for (size_t i = 0; i < count; i++) {
+        struct keymap_segment *segment = &segments[i];
+        segment->first = first;
+        if (first > page_last(page) ||
+            !parse_segment(json_array_get(list, i), page_last(page),
+                           segment) ||
+            segment->fence >= next_fence) {
+            return false;
         }
-        if (end <= i + 1) {
-            continue;
+        first = segment->last + 1;
+    }
+    return first == page_last(page) + 1;
+}
+
+static bool
+segment_same_assignment(const struct keymap_segment *a,
+                        const struct keymap_segment *b)
+{
+    return a->fence == b->fence && strcmp(a->token, b->token) == 0 &&
+           keymap_holder_equal(&a->holder, &b->holder);
+}
+
+/** Merges the segment that ends before the key with the one that begins there,
+ * if both were assigned as one: a page's row cut them. */
+static void
+join_at(struct keymap *map, uint32_t key)
+{
+    if (key == 0 || key > LAST_KEY) {
+        return;
+    }
+    const size_t index = find_index(map, key);
+    if (map->segments[index].first == key &&
+        segment_same_assignment(&map->segments[index - 1],
+                                &map->segments[index])) {
+        merge_range(map, index - 1, index + 1);
+    }
+}
+
+static void
+replace_page(struct keymap *map, unsigned page,
+             const struct keymap_segment *segments, size_t count)
+{
+    isolate_range(map, page_first(page), page_last(page));
+    const size_t index = find_index(map, page_first(page));
+    map->segments = memory_reallocarray(map->segments, map->count + count,
+                                        sizeof(*map->segments));
+    memmove(&map->segments[index + count], &map->segments[index + 1],
+            (map->count - index - 1) * sizeof(*map->segments));
+    memcpy(&map->segments[index], segments, count * sizeof(*segments));
+    map->count += count - 1;
+    join_at(map, page_last(page) + 1);
+    join_at(map, page_first(page));
+}
+
+bool
+keymap_parse_page(struct keymap *map, unsigned page, const char *text,
+                  size_t size, uint64_t version, struct error *err)
+{
+    json_t *document = json_loadb(text, size, 0, NULL);
+    const json_t *next = json_object_get(document, "next_fence");
+    const json_t *list = json_object_get(document, "segments");
+    const size_t count = json_array_size(list);
+    const bool plausible = json_is_integer(next) &&
+                           json_integer_value(next) > 0 && count > 0 &&
+                           count <= KEYMAP_PAGE_KEYS && page < KEYMAP_PAGES;
+    struct keymap_segment *segments =
+        memory_calloc(plausible ? count : 1, sizeof(*segments));
+    const bool ok =
+        plausible &&
+        parse_segments(list, page, (uint64_t)json_integer_value(next),
+                       segments);
+    if (ok) {
+        replace_page(map, page, segments, count);
+        map->pages[page].next_fence = (uint64_t)json_integer_value(next);
+        map->pages[page].version = version;
+    }
+    free(segments);
+    json_decref(document);
+    return ok || error_set(err, ERROR_DOCUMENT_SYNTAX, "key map");
+}
+
+/** The last key of the segment within the page. */
+static uint32_t
+last_in_page(const struct keymap_segment *segment, unsigned page)
+{
+    return segment->last < page_last(page) ? segment->last : page_last(page);
+}
+
+static json_t *
+segment_json(const struct keymap_segment *segment, unsigned page)
+{
+    return json_pack("{s:i, s:s, s:s, s:I, s:I, s:s}", "last",
+                     (int)last_in_page(segment, page), "instance",
+                     segment->holder.instance, "target",
+                     segment->holder.target, "born_ms",
+                     (json_int_t)segment->holder.target_started_ms, "fence",
+                     (json_int_t)segment->fence, "token", segment->token);
+}
+
+char *
+keymap_print_page(const struct keymap *map, unsigned page)
+{
+    json_t *list = json_array();
+    for (size_t i = find_index(map, page_first(page));
+         i < map->count && map->segments[i].first <= page_last(page); i++) {
+        json_array_append_new(list, segment_json(&map->segments[i], page));
+    }
+    json_t *document =
+        json_pack("{s:I, s:o}", "next_fence",
+                  (json_int_t)map->pages[page].next_fence, "segments", list);
+    char *text = json_dumps(document, JSON_COMPACT);
+    json_decref(document);
+    if (text == NULL) {
+        abort();
+    }
+    return text;
+}
+
+bool
+keymap_page_equal(const struct keymap *a, const struct keymap *b,
+                  unsigned page)
+{
+    uint32_t key = page_first(page);
+    while (key <= page_last(page)) {
+        const struct keymap_segment *in_a = keymap_find(a, key);
+        const struct keymap_segment *in_b = keymap_find(b, key);
+        if (last_in_page(in_a, page) != last_in_page(in_b, page) ||
+            !segment_same_assignment(in_a, in_b)) {
+            return false;
         }
-        merge_range(map, i, end);
-        map->segments[i].fence = map->next_fence++;
-        map->segments[i].token[0] = '\0';
-        merged = true;
+        key = last_in_page(in_a, page) + 1;
     }
-    return merged;
+    return true;
 }
 
 bool
--- a/packages/fleet/keymap.h
+++ b/packages/fleet/keymap.h
@@ -1,8 +1,10 @@
 /**
  * @file
  * Ownership of the keys of one service: contiguous segments, each with a
- * fence above all fences that its keys ever had. The map is one row of the
- * store and changes by compare-and-swap.
+ * fence above all fences that its keys ever had. The keys are divided into
+ * pages of equal size; each page is one row of the store and changes by
+ * compare-and-swap, so that owners of different pages don't conflict. Segments
+ * may span pages.
  */
 #ifndef CHESTNUTGAP_FLEET_KEYMAP_H
 #define CHESTNUTGAP_FLEET_KEYMAP_H
@@ -13,8 +15,9 @@
 
 #include "base/error.h"
 
-#define KEYMAP_NAME_MAX 127     /* bytes of an instance, target or token */
-#define KEYMAP_SEGMENTS_MAX 256 /* bounds the size of the row */
+#define KEYMAP_NAME_MAX 127 /* bytes of an instance, target or token */
+#define KEYMAP_PAGES 64
+#define KEYMAP_PAGE_KEYS 1024 /* keys in a page */
 
 /** One incarnation of a target at an instance. */
 struct keymap_holder {
@@ -32,10 +35,15 @@
     char token[KEYMAP_NAME_MAX + 1]; /**< handover token, or empty */
 };
 
+/** What a page keeps besides its segments. */
+struct keymap_page {
+    uint64_t version;    /**< of the row that it was read from; 0: no row */
+    uint64_t next_fence; /**< above all fences that its keys ever had */
+};
+
 /** The map of one service; copy it with keymap_copy(). */
 struct keymap {
-    uint64_t version; /**< of the row that it was read from; 0: no row */
-    uint64_t next_fence;
+    struct keymap_page pages[KEYMAP_PAGES];
     struct keymap_segment *segments; /**< cover all keys in order */
     size_t count;
 };
@@ -45,16 +53,23 @@
 void keymap_clear(struct keymap *map);
 void keymap_copy(struct keymap *to, const struct keymap *from);
 
+/** Page of a key. */
+unsigned keymap_page_of(uint32_t key);
+
 /**
- * Parses a row into an initialised map.
+ * Replaces a page of the map by a row of the store.
  *
  * @return false with err set, and the map unchanged, if it is not valid.
  */
-bool keymap_parse(struct keymap *map, const char *text, size_t size,
-                  uint64_t version, struct error *err);
+bool keymap_parse_page(struct keymap *map, unsigned page, const char *text,
+                       size_t size, uint64_t version, struct error *err);
 
-/** The row as JSON; the user frees it. */
-char *keymap_print(const struct keymap *map);
+/** The row of a page as JSON; the user frees it. */
+char *keymap_print_page(const struct keymap *map, unsigned page);
+
+/** True if owners, fences and tokens of a page are the same in both maps. */
+bool keymap_page_equal(const struct keymap *a, const struct keymap *b,
+                       unsigned page);
 
 const struct keymap_segment *keymap_find(const struct keymap *map,
                                          uint32_t key);
@@ -66,9 +81,25 @@
 void keymap_assign(struct keymap *map, uint32_t first, uint32_t last,
                    const struct keymap_holder *holder, const char *token);
 
-/** Merges adjacent segments of this holder (without an instance: those without
- * an owner) under a new fence. @return true if any were merged */
-bool keymap_merge(struct keymap *map, const struct keymap_holder *holder);
+/** A move of keys that their owner has given up, under fences up to the one
+ * given here. */
+struct keymap_handover {
+    uint32_t first;
+    uint32_t last;
+    const char *from; /**< the instance that gave them up */
+    uint64_t fence_max;
+    const struct keymap_holder *to;
+    const char *token; /**< or NULL */
+};
+
+/** Applies a handover to the keys that were not assigned anew since they were
+ * given up. @return false if there are none left */
+bool keymap_apply_handover(struct keymap *map,
+                           const struct keymap_handover *handover);
+
+/** True if some of the keys were not assigned anew since. */
+bool keymap_handover_pending(const struct keymap *map,
+                             const struct keymap_handover *handover);
 
 bool keymap_holder_equal(const struct keymap_holder *a,
                          const struct keymap_holder *b);
--- a/packages/fleet/test/keymap_test.cc
+++ b/packages/fleet/test/keymap_test.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <cstdlib>
 #include <cstring>
 #include <map>
@@ -26,8 +27,8 @@
     return holder;
 }
 
-/** Checks that segments cover each key once and fences are below next_fence.
- */
+/** Checks that segments cover each key once, with fences below the next ones
+ * of their pages. */
 void
 CheckComplete(const struct keymap &map)
 {
@@ -35,7 +36,10 @@
     for (size_t i = 0; i < map.count; i++) {
         ASSERT_EQ(first, map.segments[i].first);
         ASSERT_LE(map.segments[i].first, map.segments[i].last);
-        ASSERT_LT(map.segments[i].fence, map.next_fence);
+        for (unsigned page = keymap_page_of(map.segments[i].first);
+             page <= keymap_page_of(map.segments[i].last); page++) {
+            ASSERT_LT(map.segments[i].fence, map.pages[page].next_fence);
+        }
         first = map.segments[i].last + 1;
     }
     ASSERT_EQ(static_cast<uint32_t>(DECLARED_KEY_COUNT), first);
@@ -77,16 +81,104 @@
     }
 }
 
-TEST_F(Keymap, ParsesPrintedMapAndKeepsMapOnInvalidText)
+/** Copies all pages of a map by way of their rows. */
+void
+CopyByRows(const struct keymap &from, struct keymap *to)
+{
+    for (unsigned page = 0; page < KEYMAP_PAGES; page++) {
+        char *text = keymap_print_page(&from, page);
+        ASSERT_TRUE(keymap_parse_page(to, page, text, strlen(text), page + 9,
+                                      nullptr));
+        free(text);
+    }
+}
+
+TEST_F(Keymap, PagesKeepSegmentsThatSpanThem)
+{
+    struct random_state random;
+    struct keymap read;
+    random_seed(&random, 5);
+    keymap_init(&read);
+    for (int round = 0; round < 200; round++) {
+        const auto first =
+            static_cast<uint32_t>(random_below(&random, DECLARED_KEY_COUNT));
+        const uint32_t last =
+            first + static_cast<uint32_t>(random_below(
+                        &random,
+                        std::min<uint32_t>(6000, DECLARED_KEY_COUNT - first)));
+        const struct keymap_holder to = Holder(
+            std::string(1, static_cast<char>('a' + random_below(&random, 5))));
+        keymap_assign(&map, first, last, &to, "tok");
+        CopyByRows(map, &read);
+        CheckComplete(read);
+        ASSERT_LE(read.count, map.count);
+        for (unsigned page = 0; page < KEYMAP_PAGES; page++) {
+            ASSERT_TRUE(keymap_page_equal(&map, &read, page)) << page;
+            ASSERT_EQ(page + 9, read.pages[page].version);
+            ASSERT_EQ(map.pages[page].next_fence, read.pages[page].next_fence);
+        }
+    }
+    keymap_clear(&read);
+}
+
+/* A grant for each page would multiply the calls to targets. */
+TEST_F(Keymap, RangeAssignedAsOneIsOneSegmentAfterReading)
+{
+    const struct keymap_holder a = Holder("a");
+    struct keymap read;
+    keymap_init(&read);
+    keymap_assign(&map, 500, 30000, &a, "tok");
+    CopyByRows(map, &read);
+    EXPECT_EQ(3U, read.count);
+    EXPECT_EQ(500U, keymap_find(&read, 9000)->first);
+    EXPECT_EQ(30000U, keymap_find(&read, 9000)->last);
+    keymap_clear(&read);
+}
+
+TEST_F(Keymap, ChangeIsSeenInItsPagesOnly)
+{
+    struct keymap before;
+    const struct keymap_holder a = Holder("a");
+    keymap_copy(&before, &map);
+    keymap_assign(&map, 1023, 1024, &a, nullptr);
+    for (unsigned page = 0; page < KEYMAP_PAGES; page++) {
+        EXPECT_EQ(page > 1, keymap_page_equal(&before, &map, page)) << page;
+    }
+    keymap_clear(&before);
+}
+
+/* The owner learns late that its write took effect, and that the next owner
+ * has moved part of the keys on. */
+TEST_F(Keymap, HandoverDoesNotTakeKeysFromLaterOwners)
+{
+    const struct keymap_holder a = Holder("a");
+    const struct keymap_holder b = Holder("b");
+    const struct keymap_holder c = Holder("c");
+    keymap_assign(&map, 0, 9999, &a, nullptr);
+    const struct keymap_handover handover = {
+        500, 3000, "a", keymap_find(&map, 500)->fence, &b, "tok"};
+    EXPECT_TRUE(keymap_handover_pending(&map, &handover));
+    keymap_assign(&map, 500, 1200, &c, nullptr);
+    keymap_assign(&map, 2000, 2100, &a, nullptr);
+    EXPECT_TRUE(keymap_apply_handover(&map, &handover));
+    CheckComplete(map);
+    EXPECT_STREQ("c", keymap_find(&map, 1200)->holder.instance);
+    EXPECT_STREQ("b", keymap_find(&map, 1201)->holder.instance);
+    EXPECT_STREQ("a", keymap_find(&map, 2050)->holder.instance);
+    EXPECT_STREQ("b", keymap_find(&map, 3000)->holder.instance);
+    EXPECT_STREQ("a", keymap_find(&map, 3001)->holder.instance);
+    EXPECT_FALSE(keymap_handover_pending(&map, &handover));
+    EXPECT_FALSE(keymap_apply_handover(&map, &handover));
+}
+
+TEST_F(Keymap, KeepsMapOnInvalidText)
 {
     const struct keymap_holder a = Holder("a");
     keymap_assign(&map, 100, 200, &a, "tok");
-    char *text = keymap_print(&map);
+    char *text = keymap_print_page(&map, 0);
     struct keymap read;
     keymap_init(&read);
-    ASSERT_TRUE(keymap_parse(&read, text, strlen(text), 9, nullptr));
-    EXPECT_EQ(9U, read.version);
-    EXPECT_EQ(map.next_fence, read.next_fence);
+    ASSERT_TRUE(keymap_parse_page(&read, 0, text, strlen(text), 9, nullptr));
     EXPECT_STREQ("tok", keymap_find(&read, 150)->token);
     struct random_state random;
     random_seed(&random, 11);
@@ -97,29 +189,18 @@
             bad[random_below(&random, bad.size())] =
                 static_cast<char>(random_below(&random, 256));
         }
-        if (keymap_parse(&read, bad.data(), bad.size(), 9, nullptr)) {
+        if (keymap_parse_page(&read, 0, bad.data(), bad.size(), 9, nullptr)) {
             CheckComplete(read);
         }
     }
-    EXPECT_FALSE(keymap_parse(&read, "{}", 2, 9, nullptr));
+    EXPECT_FALSE(keymap_parse_page(&read, 0, "{}", 2, 9, nullptr));
+    EXPECT_FALSE(
+        keymap_parse_page(&read, 1, good.data(), good.size(), 9, nullptr));
     CheckComplete(read);
     keymap_clear(&read);
     free(text);
 }
 
-TEST_F(Keymap, MergesAdjacentSegmentsOfOneHolderUnderNewFence)
-{
-    const struct keymap_holder a = Holder("a");
-    keymap_assign(&map, 0, 99, &a, "x");
-    keymap_assign(&map, 100, 199, &a, "y");
-    const uint64_t before = map.next_fence;
-    EXPECT_TRUE(keymap_merge(&map, &a));
-    EXPECT_EQ(2U, map.count);
-    EXPECT_GE(map.segments[0].fence, before);
-    EXPECT_FALSE(keymap_merge(&map, &a));
-    CheckComplete(map);
-}
-
 struct Plan : Keymap {
     std::vector<struct keyplan_target> targets;
     struct keyload_curve *curve = keyload_curve_create();
--- /dev/null
+++ b/packages/node/feedrelay.c
@@ -0,0 +1,445 @@
+#include "node/feedrelay.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <sys/queue.h>
+
+#define LOG_MODULE "feedrelay"
+#include "base/log.h"
+#include "base/memory.h"
+#include "fleet/feedsource.h"
+#include "node/node_internal.h"
+#include "protocol/procedures.h"
+
+/* Pause between two answers of the store, so that one answer brings several
+ * changes. */
+#define STORE_PAUSE_US (200 * US_PER_MS)
+#define STORE_ANSWER_SLACK_US (3 * US_PER_SECOND)
+#define PEER_WAIT_US (1 * US_PER_SECOND)
+#define PEER_ANSWER_SLACK_US (300 * US_PER_MS)
+#define TABLES_MAX 2
+
+struct feedrelay_table {
+    struct feedrelay *relay;
+    const char *name;
+    const struct rowwatch *watch;
+    unsigned hops;         /* instances between this one and the store */
+    uint64_t peer_process; /* of the latest answer of an instance */
+    uint64_t peer_sequence;
+    int64_t next_store_read_us;
+};
+
+struct feedrelay_call {
+    LIST_ENTRY(feedrelay_call) link;
+    struct feedrelay_table *table;
+    uint64_t after;
+    int64_t wait_us;
+    rowstore_cb done;
+    void *ctx;
+    struct timer pause;
+    struct rowstore_call *store_call;
+    struct rpc_call *peer_call;
+    char peer[KEYMAP_NAME_MAX + 1];
+};
+
+/* A request of another instance that waits for changes. */
+struct waiting_request {
+    LIST_ENTRY(waiting_request) link;
+    struct feedrelay_table *table;
+    struct rpc_request *request;
+    uint64_t after;
+    uint64_t sequence;
+    struct timer timer;
+};
+
+LIST_HEAD(feedrelay_calls, feedrelay_call);
+LIST_HEAD(waiting_requests, waiting_request);
+
+struct feedrelay {
+    struct node *node;
+    struct feedsource source;
+    struct feedrelay_table tables[TABLES_MAX];
+    size_t table_count;
+    struct feedrelay_calls calls;
+    struct waiting_requests waiting;
+    struct counter *store_reads;
+    struct counter *peer_reads;
+    struct counter *peer_failures;
+};
+
+static struct feedrelay_table *
+find_table(struct feedrelay *relay, const char *name)
+{
+    for (size_t i = 0; i < relay->table_count; i++) {
+        if (strcmp(relay->tables[i].name, name) == 0) {
+            return &relay->tables[i];
+        }
+    }
+    return NULL;
+}
+
+/* The side that reads. */
+
+static void
+call_free(struct feedrelay_call *call)
+{
+    const struct rowstore *store = &call->table->relay->node->options.store;
+    timer_stop(&call->pause);
+    if (call->store_call != NULL) {
+        store->ops->cancel(store->impl, call->store_call);
+    }
+    if (call->peer_call != NULL) {
+        rpc_call_cancel(call->peer_call);
+    }
+    LIST_REMOVE(call, link);
+    free(call);
+}
+
+void
+feedrelay_cancel(struct feedrelay_call *call)
+{
+    call_free(call);
+}
+
+static void
+call_end(struct feedrelay_call *call, const struct rowstore_result *result)
+{
+    const rowstore_cb done = call->done;
+    void *ctx = call->ctx;
+    call_free(call);
+    done(ctx, result);
+}
+
+static void
+on_store_feed(void *ctx, const struct rowstore_result *result)
+{
+    struct feedrelay_call *call = ctx;
+    struct feedrelay_table *table = call->table;
+    const int64_t now_us = node_now_us(table->relay->node);
+    const bool ok = result->outcome == ROWSTORE_DONE ||
+                    result->outcome == ROWSTORE_HISTORY_GONE;
+    call->store_call = NULL;
+    feedsource_record_store(&table->relay->source, ok, now_us);
+    table->hops = 0;
+    table->next_store_read_us = now_us + STORE_PAUSE_US;
+    call_end(call, result);
+}
+
+static void
+on_pause_over(void *ctx)
+{
+    struct feedrelay_call *call = ctx;
+    struct feedrelay *relay = call->table->relay;
+    const struct rowstore *store = &relay->node->options.store;
+    relay->store_reads->value++;
+    call->store_call = store->ops->feed(
+        store->impl, call->table->name, call->after, call->wait_us,
+        call->wait_us + STORE_ANSWER_SLACK_US, on_store_feed, call);
+}
+
+static void
+read_store(struct feedrelay_call *call)
+{
+    timer_start_at(&call->pause, call->table->next_store_read_us);
+}
+
+static void
+deliver_peer_rows(struct feedrelay_call *call, const struct relay_feed *feed)
+{
+    const u_int count = feed->rows.rows_len;
+    struct rowstore_row *rows = memory_calloc(count + 1, sizeof(*rows));
+    char **values = memory_calloc(count + 1, sizeof(*values));
+    for (u_int i = 0; i < count; i++) {
+        const relay_row *row = &feed->rows.rows_val[i];
+        /* Values are used as strings. */
+        values[i] = memory_calloc(row->value.value_len + 1, 1);
+        memcpy(values[i], row->value.value_val, row->value.value_len);
+        rows[i] = (struct rowstore_row){
+            .key = row->key,
+            .version = row->row_version,
+            .removed = row->removed,
+            .value = values[i],
+            .size = row->value.value_len,
+        };
+    }
+    call_end(call, &(struct rowstore_result){
+                       .outcome = ROWSTORE_DONE,
+                       .rows = rows,
+                       .row_count = count,
+                       .version = feed->store_version,
+                   });
+    for (u_int i = 0; i < count; i++) {
+        free(values[i]);
+    }
+    free(values);
+    free(rows);
+}
+
+static void
+on_peer_feed(void *ctx, enum rpc_status status, const void *result)
+{
+    struct feedrelay_call *call = ctx;
+    struct feedrelay_table *table = call->table;
+    struct feedrelay *relay = table->relay;
+    const struct relay_feed *feed = result;
+    const bool ok =
+        status == RPC_OK && feed->in_touch && feed->hops < FEEDSOURCE_HOPS_MAX;
+    call->peer_call = NULL;
+    feedsource_record_peer(&relay->source, call->peer, ok,
+                           node_now_us(relay->node));
+    if (!ok) {
+        relay->peer_failures->value++;
+        LOG_INFO("peer_feed_failed", LOG_STR("peer", call->peer),
+                 LOG_STR("table", table->name), LOG_INT("status", status));
+        read_store(call);
+        return;
+    }
+    table->hops = feed->hops + 1;
+    table->peer_process = feed->process;
+    table->peer_sequence = feed->sequence;
+    deliver_peer_rows(call, feed);
+}
+
+static void
+read_peer(struct feedrelay_call *call,
+          const struct instancetable_instance *peer)
+{
+    struct feedrelay_table *table = call->table;
+    struct feedrelay *relay = table->relay;
+    memcpy(call->peer, peer->instance_row.instance, sizeof(call->peer));
+    const struct relay_feed_request request = {
+        .to = call->peer,
+        .table = (char *)table->name,
+        .after = call->after,
+        .process = table->peer_process,
+        .sequence = table->peer_sequence,
+        .wait_us = PEER_WAIT_US,
+    };
+    const struct rpc_call_spec spec = {
+        .peer = &peer->instance_row.address,
+        .channel = RPC_TCP,
+        .procedure = PROCEDURE_FEED,
+        .encode_args = (xdrproc_t)xdr_relay_feed_request,
+        .args = &request,
+        .decode_result = (xdrproc_t)xdr_relay_feed,
+        .result_size = sizeof(struct relay_feed),
+        .timeout_us = PEER_WAIT_US + PEER_ANSWER_SLACK_US,
+        .done = on_peer_feed,
+        .ctx = call,
+    };
+    relay->peer_reads->value++;
+    call->peer_call = rpc_call_start(relay->node->rpc, &spec);
+}
+
+const struct instancetable_instance *
+feedrelay_choose_peer(const struct feedrelay *relay)
+{
+    const struct node *node = relay->node;
+    const struct feedsource_self self = {
+        .instance = node->settings.instance,
+        .zone = node->settings.zone,
+        .started_ms = node->started_ms,
+    };
+    return feedsource_choose(&relay->source, &node->instancetable, &self,
+                             node_now_us(node));
+}
+
+void
+feedrelay_record_peer_failure(struct feedrelay *relay, const char *instance)
+{
+    feedsource_record_peer(&relay->source, instance, false,
+                           node_now_us(relay->node));
+}
+
+struct feedrelay_call *
+feedrelay_start(struct feedrelay *relay, const char *table, uint64_t after,
+                int64_t wait_us, rowstore_cb done, void *ctx)
+{
+    struct node *node = relay->node;
+    struct feedrelay_call *call = memory_calloc(1, sizeof(*call));
+    call->table = find_table(relay, table);
+    call->after = after;
+    call->wait_us = wait_us;
+    call->done = done;
+    call->ctx = ctx;
+    timer_init(&call->pause, node->runtime, on_pause_over, call);
+    LIST_INSERT_HEAD(&relay->calls, call, link);
+    const struct instancetable_instance *peer = feedrelay_choose_peer(relay);
+    if (peer != NULL) {
+        read_peer(call, peer);
+    }
+    else {
+        read_store(call);
+    }
+    return call;
+}
+
+/* The side that serves. */
+
+static void
+waiting_free(struct waiting_request *waiting)
+{
+    timer_stop(&waiting->timer);
+    LIST_REMOVE(waiting, link);
+    free(waiting);
+}
+
+struct row_list {
+    relay_row *rows;
+    u_int count;
+    size_t capacity;
+};
+
+static void
+add_row(void *ctx, const struct rowstore_row *row)
+{
+    struct row_list *list = ctx;
+    if (list->count == RELAY_ROWS_MAX) {
+        return;
+    }
+    if (list->count == list->capacity) {
+        list->capacity = list->capacity * 2 + 8;
+        list->rows = memory_reallocarray(list->rows, list->capacity,
+                                         sizeof(*list->rows));
+    }
+    list->rows[list->count++] = (relay_row){
+        .key = (char *)row->key,
+        .row_version = row->version,
+        .removed = row->removed,
+        .value = {(u_int)row->size, (char *)row->value},
+    };
+}
+
+/** Answers if there are changes, the source is lost, or the wait is over. */
+static void
+try_answer(struct waiting_request *waiting, bool wait_is_over)
+{
+    const struct feedrelay_table *table = waiting->table;
+    struct row_list list = {.rows = NULL};
+    const bool in_touch = rowwatch_is_reachable(table->watch);
+    rowwatch_list_changes(table->watch, waiting->after, waiting->sequence,
+                          add_row, &list);
+    if (list.count > 0 || !in_touch || wait_is_over) {
+        const struct relay_feed feed = {
+            .in_touch = in_touch,
+            .hops = table->hops,
+            .process = table->relay->node->options.seed,
+            .sequence = rowwatch_sequence(table->watch),
+            .store_version = rowwatch_version(table->watch),
+            .rows = {list.count, list.rows},
+        };
+        rpc_request_reply(waiting->request, &feed);
+        waiting_free(waiting);
+    }
+    free(list.rows);
+}
+
+static void
+on_wait_over(void *ctx)
+{
+    try_answer(ctx, true);
+}
+
+void
+feedrelay_table_changed(struct feedrelay *relay, const char *table)
+{
+    struct waiting_request *waiting = LIST_FIRST(&relay->waiting);
+    while (waiting != NULL) {
+        struct waiting_request *next = LIST_NEXT(waiting, link);
+        if (strcmp(waiting->table->name, table) == 0) {
+            try_answer(waiting, false);
+        }
+        waiting = next;
+    }
+}
+
+static void
+serve_feed(void *ctx, struct rpc_request *request, const void *args)
+{
+    struct feedrelay *relay = ctx;
+    struct node *node = relay->node;
+    const struct relay_feed_request *asked = args;
+    struct feedrelay_table *table = find_table(relay, asked->table);
+    if (strcmp(asked->to, node->settings.instance) != 0 || table == NULL) {
+        rpc_request_drop(request);
+        return;
+    }
+    struct waiting_request *waiting = memory_calloc(1, sizeof(*waiting));
+    const bool same_process = asked->process == node->options.seed;
+    waiting->table = table;
+    waiting->request = request;
+    waiting->after = asked->after;
+    waiting->sequence = same_process ? asked->sequence : 0;
+    timer_init(&waiting->timer, node->runtime, on_wait_over, waiting);
+    timer_start(&waiting->timer, asked->wait_us < PEER_WAIT_US
+                                     ? (int64_t)asked->wait_us
+                                     : PEER_WAIT_US);
+    LIST_INSERT_HEAD(&relay->waiting, waiting, link);
+    rpc_request_set_data(request, waiting);
+    try_answer(waiting, false);
+}
+
+static void
+serve_feed_cancelled(void *ctx, struct rpc_request *request)
+{
+    (void)ctx;
+    waiting_free(rpc_request_data(request));
+    rpc_request_drop(request);
+}
+
+struct feedrelay *
+feedrelay_create(struct node *node)
+{
+    struct feedrelay *relay = memory_calloc(1, sizeof(*relay));
+    struct counter_registry *counters = node->options.counters;
+    const struct rpc_procedure procedure = {
+        .number = PROCEDURE_FEED,
+        .channel = RPC_TCP,
+        .decode_args = (xdrproc_t)xdr_relay_feed_request,
+        .args_size = sizeof(struct relay_feed_request),
+        .encode_result = (xdrproc_t)xdr_relay_feed,
+        .handle = serve_feed,
+        .cancelled = serve_feed_cancelled,
+        .ctx = relay,
+    };
+    relay->node = node;
+    relay->store_reads = counter_add(counters, "feed_store_reads",
+                                     "reads of changed rows from the store");
+    relay->peer_reads =
+        counter_add(counters, "feed_peer_reads",
+                    "reads of changed rows from another instance");
+    relay->peer_failures =
+        counter_add(counters, "feed_peer_failures",
+                    "reads from another instance that failed");
+    rpc_node_serve(node->rpc, &procedure);
+    return relay;
+}
+
+void
+feedrelay_destroy(struct feedrelay *relay)
+{
+    if (relay == NULL) {
+        return;
+    }
+    struct waiting_request *waiting;
+    while ((waiting = LIST_FIRST(&relay->waiting)) != NULL) {
+        rpc_request_drop(waiting->request);
+        waiting_free(waiting);
+    }
+    struct feedrelay_call *call;
+    while ((call = LIST_FIRST(&relay->calls)) != NULL) {
+        call_free(call);
+    }
+    free(relay);
+}
+
+void
+feedrelay_add_table(struct feedrelay *relay, const char *table,
+                    const struct rowwatch *watch)
+{
+    relay->tables[relay->table_count++] = (struct feedrelay_table){
+        .relay = relay,
+        .name = table,
+        .watch = watch,
+    };
+}
--- a/packages/node/ingressattempt.c
+++ b/packages/node/ingressattempt.c
@@ -59,7 +59,7 @@
 }
 
 static struct instancetable_instance *
-choose_owner(const struct ingress_call *call)
+choose_owner(struct ingress_call *call)
 {
     const struct node *node = call->ingress->node;
     const struct node_keymap *keys = node_find_keymap(node, call->service);
@@ -69,7 +69,12 @@
     const struct keymap_segment *segment =
         keymap_find(&keys->map, call->message.key);
     struct instancetable_instance *owner = call->owner;
-    if (owner == NULL) {
+    call->message.map_version =
+        keys->map.pages[keymap_page_of(call->message.key)].version;
+    if (owner != NULL && call->owner_version > call->message.map_version) {
+        call->message.map_version = call->owner_version;
+    }
+    else {
         owner =
             instancetable_find(&node->instancetable, segment->holder.instance);
     }
@@ -330,6 +335,7 @@
                       ? instancetable_find(&call->ingress->node->instancetable,
                                            reply->owner)
                       : NULL;
+    call->owner_version = reply->map_version;
     call->retry_after_us = (int64_t)reply->retry_after_us;
     attemptlimit_end(&call->limit,
                      reply->reached || reply->outcome == RELAY_UNKNOWN);
--- a/packages/node/keyowner.c
+++ b/packages/node/keyowner.c
@@ -13,7 +13,8 @@
 
 /* The target answers a release only after running requests have ended. */
 #define HANDOVER_MAX_US (4 * US_PER_SECOND)
-#define STORE_ANSWER_SLACK_US (300 * US_PER_MS)
+/* Leases are written together with those of others, after a pause. */
+#define STORE_ANSWER_SLACK_US (900 * US_PER_MS)
 /* Upper bound on grants that an earlier process sent, which this one does not
  * know. */
 #define FORMER_GRANT_MAX_US (3500 * US_PER_MS)
@@ -58,7 +59,7 @@
     const struct rowstore *store = &keyowner->node->options.store;
     timer_stop(&keyowner->tick);
     if (keyowner->lease_call != NULL) {
-        store->ops->cancel(store->impl, keyowner->lease_call);
+        leasebatch_cancel(keyowner->lease_call);
     }
     if (keyowner->map_call != NULL) {
         store->ops->cancel(store->impl, keyowner->map_call);
@@ -75,7 +76,7 @@
     keyload_destroy(keyowner->load);
     free(keyowner->lease_write_text);
     free(keyowner->lease_stored);
-    free(keyowner->map_text);
+    keymapwrite_clear(&keyowner->map_write);
     free(keyowner);
 }
 
@@ -114,11 +115,26 @@
 bool
 keyowner_may_grant(const struct keyowner *keyowner)
 {
-    return keyowner_has_lease(keyowner) && keyowner->earlier_writes_excluded &&
+    return keyowner_has_lease(keyowner) &&
            rowwatch_version(keyowner->node->fleet_watch) >=
                keyowner->lease.acquired_version;
 }
 
+bool
+keyowner_pages_are_settled(const struct keyowner *keyowner, uint32_t first,
+                           uint32_t last)
+{
+    const struct node_keymap *keys = keyowner_keys(keyowner);
+    for (unsigned page = keymap_page_of(first); page <= keymap_page_of(last);
+         page++) {
+        if (keys == NULL || keys->map.pages[page].version <=
+                                keyowner->lease.acquired_version) {
+            return false;
+        }
+    }
+    return true;
+}
+
 struct key_grant *
 keyowner_find_grant(const struct keyowner *keyowner, uint32_t key)
 {
@@ -131,8 +147,16 @@
     return NULL;
 }
 
+uint64_t
+keyowner_map_version(const struct keyowner *keyowner, uint32_t key)
+{
+    const struct node_keymap *keys = keyowner_keys(keyowner);
+    return keys != NULL ? keys->map.pages[keymap_page_of(key)].version : 0;
+}
+
 enum keyowner_verdict
-keyowner_check(const struct keyowner *keyowner, uint32_t key)
+keyowner_check(const struct keyowner *keyowner, uint32_t key,
+               uint64_t map_version)
 {
     const struct key_grant *grant = keyowner_find_grant(keyowner, key);
     if (grant != NULL) {
@@ -148,7 +172,8 @@
         localtarget_holder(keyowner->node->target);
     const bool ours =
         keymap_holder_equal(&keymap_find(&keys->map, key)->holder, &own);
-    return ours ? KEYOWNER_WAIT : KEYOWNER_NOT_OWNER;
+    const bool behind = keyowner_map_version(keyowner, key) < map_version;
+    return ours || behind ? KEYOWNER_WAIT : KEYOWNER_NOT_OWNER;
 }
 
 const char *
@@ -194,9 +219,10 @@
 
 static void
 add_grant(struct keyowner *keyowner, const struct keymap_segment *segment,
-          uint32_t first, uint32_t last)
+          uint32_t first, uint32_t last, bool releasing)
 {
     struct key_grant *grant = memory_calloc(1, sizeof(*grant));
+    grant->releasing = releasing;
     grant->keyowner = keyowner;
     grant->first = first;
     grant->last = last;
@@ -205,6 +231,39 @@
     TAILQ_INSERT_TAIL(&keyowner->grants, grant, link);
 }
 
+static const struct handover *
+find_handover(const struct keyowner *keyowner, uint32_t key)
+{
+    const struct handover *handover;
+    TAILQ_FOREACH (handover, &keyowner->handovers, link) {
+        if (key >= handover->first && key <= handover->last) {
+            return handover;
+        }
+    }
+    return NULL;
+}
+
+/** Adds a grant for keys from first on, all or none of which are being handed
+ * over: the pages of a finished handover may become known one by one.
+ * @return its last key, at most last */
+static uint32_t
+cover_range(struct keyowner *keyowner, const struct keymap_segment *segment,
+            uint32_t first, uint32_t last)
+{
+    const struct handover *inside = find_handover(keyowner, first);
+    if (inside != NULL) {
+        last = inside->last < last ? inside->last : last;
+    }
+    const struct handover *other;
+    TAILQ_FOREACH (other, &keyowner->handovers, link) {
+        if (other->first > first && other->first <= last) {
+            last = other->first - 1;
+        }
+    }
+    add_grant(keyowner, segment, first, last, inside != NULL);
+    return last;
+}
+
 /** Adds grants for the keys of the segment that none covers yet. */
 static void
 cover_segment(struct keyowner *keyowner, const struct keymap_segment *segment)
@@ -223,8 +282,7 @@
                 last = other->first - 1;
             }
         }
-        add_grant(keyowner, segment, key, last);
-        key = last + 1;
+        key = cover_range(keyowner, segment, key, last) + 1;
     }
 }
 
@@ -381,6 +439,21 @@
     return covered == last - first + 1;
 }
 
+/** Of the grants within the range. */
+static uint64_t
+highest_fence(const struct keyowner *keyowner, uint32_t first, uint32_t last)
+{
+    const struct key_grant *grant;
+    uint64_t fence = 0;
+    TAILQ_FOREACH (grant, &keyowner->grants, link) {
+        if (grant->first >= first && grant->last <= last &&
+            grant->fence > fence) {
+            fence = grant->fence;
+        }
+    }
+    return fence;
+}
+
 bool
 keyowner_begin_handover(struct keyowner *keyowner, uint32_t first,
                         uint32_t last, const struct keymap_holder *to)
@@ -388,6 +461,7 @@
     const int64_t now_us = node_now_us(keyowner->node);
     if (!keyowner_may_grant(keyowner) || !keyowner_store_available(keyowner) ||
         !localtarget_is_present(keyowner->node->target) ||
+        !keyowner_pages_are_settled(keyowner, first, last) ||
         !can_hand_over(keyowner, first, last, now_us)) {
         return false;
     }
@@ -402,6 +476,7 @@
     if (last + 1 < DECLARED_KEY_COUNT) {
         split_grant_before(keyowner, last + 1);
     }
+    handover->fence_max = highest_fence(keyowner, first, last);
     LOG_INFO("handover_begun", LOG_UINT("first", first),
              LOG_UINT("last", last), LOG_STR("to", to->instance));
     keyownergrant_release(handover);
--- a/packages/node/keyowner.h
+++ b/packages/node/keyowner.h
@@ -25,9 +25,14 @@
 struct keyowner *keyowner_create(struct node *node);
 void keyowner_destroy(struct keyowner *keyowner);
 
-/** Whether the target may run a request for the key now. */
+/** Whether the target may run a request for the key now. map_version: of the
+ * key's page, as known to the sender; if it is later than the one known here,
+ * the sender may be right that this instance owns the key. */
 enum keyowner_verdict keyowner_check(const struct keyowner *keyowner,
-                                     uint32_t key);
+                                     uint32_t key, uint64_t map_version);
+
+/** Known version of the key's page; 0 if there is none. */
+uint64_t keyowner_map_version(const struct keyowner *keyowner, uint32_t key);
 
 /** Instance that owns the key according to the map; empty if none is known. */
 const char *keyowner_find_owner(const struct keyowner *keyowner, uint32_t key);
--- a/packages/node/keyowner_internal.h
+++ b/packages/node/keyowner_internal.h
@@ -13,6 +13,7 @@
 #include "fleet/keyload.h"
 #include "http/httpclient.h"
 #include "node/keyowner.h"
+#include "node/leasebatch.h"
 #include "node/node_internal.h"
 
 #define KEYOWNER_TICK_US (100 * US_PER_MS)
@@ -45,6 +46,7 @@
     struct keyowner *keyowner;
     uint32_t first;
     uint32_t last;
+    uint64_t fence_max; /**< of the keys when they were given up */
     struct keymap_holder to;
     char token[KEYMAP_NAME_MAX + 1];
     bool released;  /**< by the target; the map may be written */
@@ -88,7 +90,7 @@
     struct keyload *load;
     int64_t last_decay_us;
     struct keylease lease;
-    struct rowstore_call *lease_call;
+    struct leasebatch_write *lease_call;
     int64_t lease_write_started_us;
     char lease_key[KEYMAP_NAME_MAX + 1];
     char *lease_write_text;      /**< of the write in progress */
@@ -100,8 +102,7 @@
     bool promises_failed;
     int64_t promises_started_us;
     struct rowstore_call *map_call;
-    char *map_text;               /**< of the write in progress */
-    bool earlier_writes_excluded; /**< by former processes, to the map */
+    struct keymapwrite map_write; /**< of map_call */
     int64_t map_retry_at_us;
     bool map_write_unresolved; /**< an earlier write may still take effect */
     int64_t former_grants_end_us; /**< grants to former incarnations */
@@ -118,10 +119,14 @@
 
 bool keyowner_has_lease(const struct keyowner *keyowner);
 
-/** True if the lease holds, the map was read since it was acquired, and no
- * earlier process's write to the map can take effect. */
+/** True if the lease holds and the map was read since it was acquired. */
 bool keyowner_may_grant(const struct keyowner *keyowner);
 
+/** True if no write of an earlier process can change the owner of the keys any
+ * more: all their pages were written after the lease was acquired. */
+bool keyowner_pages_are_settled(const struct keyowner *keyowner,
+                                uint32_t first, uint32_t last);
+
 /** Drops grants that the map no longer allows and adds those it asks for. */
 void keyowner_sync_grants(struct keyowner *keyowner);
 
--- a/packages/node/keyownergrant.c
+++ b/packages/node/keyownergrant.c
@@ -177,7 +177,8 @@
     struct key_grant *grant;
     TAILQ_FOREACH (grant, &keyowner->grants, link) {
         if (grant->call == NULL && !grant->releasing &&
-            now_us >= grant->renew_at_us) {
+            now_us >= grant->renew_at_us &&
+            keyowner_pages_are_settled(keyowner, grant->first, grant->last)) {
             send_grant(grant);
         }
     }
--- a/packages/node/keyownerlease.c
+++ b/packages/node/keyownerlease.c
@@ -14,7 +14,9 @@
 #include "node/planner_internal.h"
 #include "node/relaytask.h"
 
-#define WRITE_TIMEOUT_US (1 * US_PER_SECOND)
+/* Peers that a lease names. They must promise, or wait for longer than the
+ * others before they take over. */
+#define PEERS_MAX 12
 #define PROMISE_INTERVAL_US (500 * US_PER_MS)
 
 /** Whether the instance can be asked for a promise. Leaving one out is safe:
@@ -28,22 +30,50 @@
            !planner_is_lost(node->planner, instance->instance_row.instance);
 }
 
+/** Lists the peers that started first, since these take over keys.
+ * @return their number */
+static size_t
+list_peers(const struct node *node,
+           const struct instancetable_instance *peers[PEERS_MAX])
+{
+    const struct instancetable_instance *instance;
+    const char *service = localtarget_service(node->target);
+    size_t count = 0;
+    LIST_FOREACH (instance, &node->instancetable.instances, link) {
+        const struct instancetable_row *instance_row = &instance->instance_row;
+        if (!can_promise(node, instance) ||
+            strcmp(instance_row->service, service) != 0 ||
+            strcmp(instance_row->instance, node->settings.instance) == 0) {
+            continue;
+        }
+        size_t index = count < PEERS_MAX ? count++ : PEERS_MAX;
+        while (index > 0 &&
+               instancetable_started_earlier(
+                   instance_row, &peers[index - 1]->instance_row)) {
+            if (index < PEERS_MAX) {
+                peers[index] = peers[index - 1];
+            }
+            index--;
+        }
+        if (index < PEERS_MAX) {
+            peers[index] = instance;
+        }
+    }
+    return count;
+}
+
 /** The row's text: the peers that must promise, and a number that tells
  * writes apart. */
 static char *
 make_lease_text(struct keyowner *keyowner)
 {
     const struct node *node = keyowner->node;
-    const struct instancetable_instance *instance;
+    const struct instancetable_instance *listed[PEERS_MAX];
+    const size_t count = list_peers(node, listed);
     json_t *peers = json_array();
-    const char *service = localtarget_service(node->target);
-    LIST_FOREACH (instance, &node->instancetable.instances, link) {
-        const struct instancetable_row *instance_row = &instance->instance_row;
-        if (can_promise(node, instance) &&
-            strcmp(instance_row->service, service) == 0 &&
-            strcmp(instance_row->instance, node->settings.instance) != 0) {
-            json_array_append_new(peers, json_string(instance_row->instance));
-        }
+    for (size_t i = 0; i < count; i++) {
+        json_array_append_new(peers,
+                              json_string(listed[i]->instance_row.instance));
     }
     json_t *document =
         json_pack("{s:o, s:I, s:I}", "peers", peers, "process",
@@ -84,7 +114,6 @@
         store_version);
     if (acquired) {
         LOG_INFO("lease_acquired", LOG_UINT("version", row_version));
-        keyowner->earlier_writes_excluded = false;
         rowwatch_refresh(keyowner->node->fleet_watch);
     }
     keyownermap_write_changes(keyowner);
@@ -145,20 +174,18 @@
 static void
 write_lease(struct keyowner *keyowner, int64_t now_us)
 {
-    const struct rowstore *store = &keyowner->node->options.store;
     if (keyowner->lease_write_text == NULL) {
         keyowner->lease_write_text = make_lease_text(keyowner);
         keyowner->lease_write_started_us = now_us;
     }
-    const struct rowstore_write write = {
-        .table = NODE_LEASE_TABLE,
+    const struct leasebatch_lease lease = {
         .key = keyowner->lease_key,
         .expected = keyowner->lease.version,
-        .value = keyowner->lease_write_text,
-        .size = strlen(keyowner->lease_write_text),
+        .text = keyowner->lease_write_text,
+        .urgent = !keyowner_has_lease(keyowner),
     };
-    keyowner->lease_call = store->ops->commit(
-        store->impl, &write, 1, WRITE_TIMEOUT_US, on_written, keyowner);
+    keyowner->lease_call =
+        leasebatch_start(keyowner->node->leases, &lease, on_written, keyowner);
 }
 
 static void
--- a/packages/node/keyownermap.c
+++ b/packages/node/keyownermap.c
@@ -11,6 +11,27 @@
 #define WRITE_TIMEOUT_US (1500 * US_PER_MS)
 #define RETRY_US (150 * US_PER_MS)
 
+static struct keymap_handover
+handover_spec(const struct handover *handover)
+{
+    return (struct keymap_handover){
+        .first = handover->first,
+        .last = handover->last,
+        .from = handover->keyowner->node->settings.instance,
+        .fence_max = handover->fence_max,
+        .to = &handover->to,
+        .token = handover->token,
+    };
+}
+
+/** True if all keys have a new holder, which may have moved them on. */
+static bool
+is_done(const struct handover *handover, const struct keymap *map)
+{
+    const struct keymap_handover spec = handover_spec(handover);
+    return !keymap_handover_pending(map, &spec);
+}
+
 void
 keyownermap_finish_handovers(struct keyowner *keyowner)
 {
@@ -22,10 +43,7 @@
     struct handover *handover = TAILQ_FIRST(&keyowner->handovers);
     while (handover != NULL) {
         struct handover *next = TAILQ_NEXT(handover, link);
-        const struct keymap_segment *segment =
-            keymap_find(map, handover->first);
-        if (handover->released &&
-            keymap_holder_equal(&segment->holder, &handover->to)) {
+        if (handover->released && is_done(handover, map)) {
             LOG_INFO("handover_done", LOG_UINT("first", handover->first),
                      LOG_UINT("last", handover->last),
                      LOG_STR("to", handover->to.instance),
@@ -61,12 +79,10 @@
 {
     struct keyowner *keyowner = ctx;
     struct node_keymap *keys = keyowner_keys(keyowner);
-    char *text = keyowner->map_text;
     keyowner->map_call = NULL;
-    keyowner->map_text = NULL;
     if (result->outcome != ROWSTORE_DONE &&
         result->outcome != ROWSTORE_CONFLICT) {
-        /* Retried with the same expected version until an answer shows
+        /* Retried with the same expected versions until an answer shows
          * whether the earlier write took effect. */
         keyowner->map_retry_at_us = node_now_us(keyowner->node) + RETRY_US;
         keyowner->map_write_unresolved = keyowner->map_write_unresolved ||
@@ -74,40 +90,44 @@
         if (!keyowner->map_write_unresolved) {
             drop_handovers(keyowner);
         }
-        free(text);
         return;
     }
     if (keys == NULL) {
-        free(text);
         return;
     }
     /* In either case, earlier writes can no longer take effect. */
-    keyowner->earlier_writes_excluded = true;
     keyowner->map_write_unresolved = false;
     if (result->outcome == ROWSTORE_DONE) {
-        node_publish_keymap(keyowner->node, keys, text, result->version);
-    }
-    for (size_t i = 0;
-         result->outcome == ROWSTORE_CONFLICT && i < result->row_count; i++) {
-        keyowner->earlier_writes_excluded = false;
-        rowwatch_apply_row(keyowner->node->fleet_watch, &result->rows[i]);
+        node_publish_keymap(keyowner->node, keys, &keyowner->map_write,
+                            result->version);
     }
-    free(text);
+    node_apply_keymap_conflict(keyowner->node, result);
     keyownermap_finish_handovers(keyowner);
     keyowner_sync_grants(keyowner);
     keyownermap_write_changes(keyowner);
     keyownergrant_send_due(keyowner);
 }
 
-/** Removes from the map former incarnations of the target that can no longer
- * use their keys. @return true if the map changed */
-static bool
-release_former_incarnations(struct keyowner *keyowner, struct keymap *map)
+/** Who gets the keys of former incarnations: the present one, which spares
+ * the planner an assignment, or nobody if it can't take keys. */
+static struct keymap_holder
+successor(const struct node *node)
 {
     static const struct keymap_holder no_holder;
+    const bool can_take = localtarget_is_serving(node->target) &&
+                          !node->stopping &&
+                          !node_zone_is_out((void *)node, node->settings.zone);
+    return can_take ? localtarget_holder(node->target) : no_holder;
+}
+
+/** Takes the keys of former incarnations of the target from them, as far as
+ * they can no longer use them. */
+static void
+replace_former_incarnations(struct keyowner *keyowner, struct keymap *map)
+{
     const struct node *node = keyowner->node;
     const struct keymap_holder own = localtarget_holder(node->target);
-    bool changed = false;
+    const struct keymap_holder to = successor(node);
     const bool over = node_now_us(node) >= keyowner->former_grants_end_us;
     const bool present = own.instance[0] != '\0' &&
                          node_now_us(node) >= keyowner->unresolved_until_us;
@@ -118,27 +138,43 @@
             !keymap_holder_equal(&segment->holder, &own);
         if (former && (over || (present && keyownergrant_release_stale(
                                                keyowner, segment)))) {
-            keymap_assign(map, segment->first, segment->last, &no_holder,
-                          NULL);
-            changed = true;
+            keymap_assign(map, segment->first, segment->last, &to, NULL);
         }
     }
-    return changed;
 }
 
-static bool
+static void
 apply_handovers(const struct keyowner *keyowner, struct keymap *map)
 {
     const struct handover *handover;
-    bool changed = false;
     TAILQ_FOREACH (handover, &keyowner->handovers, link) {
         if (handover->released) {
-            keymap_assign(map, handover->first, handover->last, &handover->to,
-                          handover->token);
-            changed = true;
+            const struct keymap_handover spec = handover_spec(handover);
+            keymap_apply_handover(map, &spec);
+        }
+    }
+}
+
+/** Pages with own keys that earlier processes may still change; writing them
+ * excludes that. */
+static uint64_t
+unsettled_pages(const struct keyowner *keyowner, const struct keymap *map)
+{
+    uint64_t pages = 0;
+    for (size_t i = 0; i < map->count; i++) {
+        const struct keymap_segment *segment = &map->segments[i];
+        if (strcmp(segment->holder.instance,
+                   keyowner->node->settings.instance) != 0) {
+            continue;
+        }
+        for (unsigned page = keymap_page_of(segment->first);
+             page <= keymap_page_of(segment->last); page++) {
+            if (map->pages[page].version <= keyowner->lease.acquired_version) {
+                pages |= UINT64_C(1) << page;
+            }
         }
     }
-    return changed;
+    return pages;
 }
 
 void
@@ -155,26 +191,16 @@
     }
     struct keymap map;
     keymap_copy(&map, &keys->map);
-    const bool released = release_former_incarnations(keyowner, &map);
-    const bool moved = apply_handovers(keyowner, &map);
-    const bool exclude_earlier =
-        !keyowner->earlier_writes_excluded && keys->map.version > 0;
-    if (keys->map.version == 0) {
-        keyowner->earlier_writes_excluded = true;
-    }
-    if (released || moved || exclude_earlier) {
-        char key[ROWSTORE_NAME_MAX + 1];
-        node_keymap_row_name(key, keys->service);
-        keyowner->map_text = keymap_print(&map);
-        const struct rowstore_write write = {
-            .table = NODE_TABLE,
-            .key = key,
-            .expected = keys->map.version,
-            .value = keyowner->map_text,
-            .size = strlen(keyowner->map_text),
-        };
+    replace_former_incarnations(keyowner, &map);
+    apply_handovers(keyowner, &map);
+    keymapwrite_clear(&keyowner->map_write);
+    if (keymapwrite_prepare(&keyowner->map_write, keys->service, &keys->map,
+                            &map, unsettled_pages(keyowner, &keys->map))) {
+        struct rowstore_write parts[KEYMAPWRITE_PAGES_MAX];
+        const size_t count =
+            keymapwrite_fill(&keyowner->map_write, &keys->map, parts);
         keyowner->map_call = store->ops->commit(
-            store->impl, &write, 1, WRITE_TIMEOUT_US, on_written, keyowner);
+            store->impl, parts, count, WRITE_TIMEOUT_US, on_written, keyowner);
     }
     keymap_clear(&map);
 }
--- a/packages/node/localgate.c
+++ b/packages/node/localgate.c
@@ -18,6 +18,8 @@
 /* Longest wait in the queue, in percent of the time left; shorter if the
  * target could not answer in what then remains. */
 #define QUEUE_WAIT_PERCENT 60
+#define KEY_WAIT_PERCENT 50 /* of the time until the objective */
+#define KEY_WAIT_MIN_US (100 * US_PER_MS)
 
 static void
 on_wake(void *ctx)
@@ -88,13 +90,15 @@
     struct localgate *gate = call->gate;
     const localgate_cb done = call->request != NULL ? call->done : NULL;
     void *ctx = call->ctx;
-    const bool keyed = call->keyed;
     const uint32_t key = call->key;
+    const bool names_owner =
+        reply->reason == RELAY_REASON_NOT_OWNER && call->keyed;
     call_free(call);
-    reply->owner =
-        (char *)(reply->reason == RELAY_REASON_NOT_OWNER && keyed
-                     ? keyowner_find_owner(gate->node->keyowner, key)
-                     : "");
+    reply->owner = "";
+    if (names_owner) {
+        reply->owner = (char *)keyowner_find_owner(gate->node->keyowner, key);
+        reply->map_version = keyowner_map_version(gate->node->keyowner, key);
+    }
     reply->load = localgate_load(gate);
     reply->cold = localgate_is_cold(gate);
     if (done != NULL) {
@@ -210,11 +214,21 @@
     gatesend_start(call);
 }
 
+/** Waits for the key, at most for a part of the time in which the answer still
+ * counts in full: what is refused then can be served on its return. */
 static void
 call_await_key(struct localgate_call *call)
 {
+    const int64_t objective_left_us =
+        call->queue_request.objective_deadline_us - call->arrived_us;
+    int64_t wait_us = objective_left_us * KEY_WAIT_PERCENT / 100;
+    wait_us = wait_us > KEY_WAIT_MIN_US ? wait_us : KEY_WAIT_MIN_US;
+    const int64_t until_us = call->arrived_us + wait_us;
     call->state = CALL_AWAITS_KEY;
-    timer_start_at(&call->timer, call->queue_request.start_deadline_us);
+    timer_start_at(&call->timer,
+                   until_us < call->queue_request.start_deadline_us
+                       ? until_us
+                       : call->queue_request.start_deadline_us);
 }
 
 /** Adds the call to the load of its key once, even if the queue is full. */
@@ -239,8 +253,8 @@
         return;
     }
     if (call->keyed) {
-        const enum keyowner_verdict verdict =
-            keyowner_check(gate->node->keyowner, call->key);
+        const enum keyowner_verdict verdict = keyowner_check(
+            gate->node->keyowner, call->key, call->request->map_version);
         if (verdict == KEYOWNER_NOT_OWNER) {
             call_refuse_later(call, RELAY_REASON_NOT_OWNER);
             return;
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -7,8 +7,10 @@
 #define LOG_MODULE "node"
 #include "base/log.h"
 #include "base/memory.h"
+#include "node/feedrelay.h"
 #include "node/ingress.h"
 #include "node/keyowner.h"
+#include "node/leasebatch.h"
 #include "node/localgate.h"
 #include "node/localtarget.h"
 #include "node/node_internal.h"
@@ -17,11 +19,6 @@
 #include "node/planner.h"
 #include "node/relaytask.h"
 
-/* Every change wakes the feeds of all instances. The pause grows with their
- * number, so that one answer of the feed brings several changes. */
-#define FEED_PAUSE_PER_INSTANCE_US (30 * US_PER_MS)
-#define FEED_PAUSE_MAX_US (3 * US_PER_SECOND)
-
 int64_t
 node_now_us(const struct node *node)
 {
@@ -89,38 +86,41 @@
         node->declared, name[0] != '\0' ? name : node->settings.service);
 }
 
-void
-node_keymap_row_name(char key[ROWSTORE_NAME_MAX + 1], const char *service)
-{
-    snprintf(key, ROWSTORE_NAME_MAX + 1, NODE_KEYS_KEY "%s", service);
-}
-
-/** Replaces the service's key map by a newer one, if it is valid. */
+/** Replaces a page of the service's key map by a newer one, if it is valid. */
 static void
-apply_keymap(struct node *node, const char *service, const char *text,
-             size_t size, uint64_t version)
+apply_keymap_page(struct node *node, const char *service, unsigned page,
+                  const struct rowstore_row *row)
 {
     struct error err = {.code = ERROR_NONE};
     struct node_keymap *keys = add_keymap(node, service);
-    if (!keymap_parse(&keys->map, text, size, version, &err)) {
+    if (!keymap_parse_page(&keys->map, page, row->value, row->size,
+                           row->version, &err)) {
         char description[ERROR_SUBJECT_SIZE * 2];
         LOG_ERR("keys_invalid", LOG_STR("service", service),
-                LOG_UINT("version", version),
+                LOG_UINT("page", page), LOG_UINT("version", row->version),
                 LOG_STR("error", error_describe(&err, description,
                                                 sizeof(description))));
         return;
     }
-    LOG_INFO("keys", LOG_STR("service", service), LOG_UINT("version", version),
-             LOG_UINT("segments", keys->map.count),
-             LOG_UINT("next_fence", keys->map.next_fence));
+    LOG_INFO("keys", LOG_STR("service", service), LOG_UINT("page", page),
+             LOG_UINT("version", row->version),
+             LOG_UINT("segments", keys->map.count));
 }
 
-void
-node_receive_keymap(struct node *node, const char *service, const char *text,
-                    uint64_t version)
+/** To be called once all pages of a transaction were applied. */
+static void
+keymaps_changed(struct node *node)
+{
+    keyowner_map_changed(node->keyowner);
+    ingress_owners_changed(node->ingress);
+}
+
+static void
+apply_newer_page(struct node *node, const char *service, unsigned page,
+                 const char *text, uint64_t version)
 {
     char key[ROWSTORE_NAME_MAX + 1];
-    node_keymap_row_name(key, service);
+    keymapwrite_row_name(key, service, page);
     if (rowwatch_version(node->fleet_watch) > 0) {
         rowwatch_apply_row(node->fleet_watch, &(struct rowstore_row){
                                                   .key = key,
@@ -131,6 +131,14 @@
     }
 }
 
+void
+node_receive_keymap_page(struct node *node, const char *service, unsigned page,
+                         const char *text, uint64_t version)
+{
+    apply_newer_page(node, service, page, text, version);
+    keymaps_changed(node);
+}
+
 /** True if the segment's keys had the same owner and fence before. */
 static bool
 has_same_fence(const struct keymap_segment *segment,
@@ -140,27 +148,59 @@
     return old->fence == segment->fence;
 }
 
-void
-node_publish_keymap(struct node *node, struct node_keymap *keys,
-                    const char *text, uint64_t version)
+/** Pushes a page to the owners of its changed segments. */
+static void
+push_page(struct node *node, const struct node_keymap *keys,
+          const struct keymap *before, const struct keymapwrite_page *page,
+          uint64_t version)
 {
-    struct keymap before;
-    keymap_copy(&before, &keys->map);
-    node_receive_keymap(node, keys->service, text, version);
     const char *pushed_to = "";
     for (size_t i = 0; i < keys->map.count; i++) {
         const struct keymap_segment *segment = &keys->map.segments[i];
         const char *owner = segment->holder.instance;
-        if (owner[0] != '\0' && strcmp(owner, pushed_to) != 0 &&
-            !has_same_fence(segment, &before)) {
-            relaytask_push_keymap(node->relay, owner, keys->service, version,
-                                  text);
+        if (keymap_page_of(segment->first) <= page->number &&
+            keymap_page_of(segment->last) >= page->number &&
+            owner[0] != '\0' && strcmp(owner, pushed_to) != 0 &&
+            !has_same_fence(segment, before)) {
+            relaytask_push_keymap(node->relay, owner, keys->service,
+                                  page->number, version, page->text);
             pushed_to = owner;
         }
     }
+}
+
+void
+node_publish_keymap(struct node *node, struct node_keymap *keys,
+                    const struct keymapwrite *write, uint64_t version)
+{
+    struct keymap before;
+    keymap_copy(&before, &keys->map);
+    for (size_t i = 0; i < write->count; i++) {
+        apply_newer_page(node, keys->service, write->pages[i].number,
+                         write->pages[i].text, version);
+    }
+    keymaps_changed(node);
+    for (size_t i = 0; i < write->count; i++) {
+        push_page(node, keys, &before, &write->pages[i], version);
+    }
     keymap_clear(&before);
 }
 
+void
+node_apply_keymap_conflict(struct node *node,
+                           const struct rowstore_result *result)
+{
+    char service[KEYMAP_NAME_MAX + 1];
+    unsigned page;
+    for (size_t i = 0;
+         result->outcome == ROWSTORE_CONFLICT && i < result->row_count; i++) {
+        if (keymapwrite_parse_row_name(result->rows[i].key, service, &page)) {
+            rowwatch_apply_row(node->fleet_watch, &result->rows[i]);
+        }
+    }
+    keymaps_changed(node);
+}
+
 /** Applies changed declarations of the operators. */
 static void
 apply_declared(struct node *node)
@@ -288,15 +328,14 @@
 {
     struct node *node = ctx;
     const size_t instance = strlen(NODE_INSTANCE_KEY);
-    const size_t keys = strlen(NODE_KEYS_KEY);
+    char service[KEYMAP_NAME_MAX + 1];
+    unsigned page;
     if (strncmp(row->key, NODE_INSTANCE_KEY, instance) == 0) {
         on_instance_row(node, row->key + instance, row);
     }
-    else if (strncmp(row->key, NODE_KEYS_KEY, keys) == 0 && !row->removed) {
-        apply_keymap(node, row->key + keys, row->value, row->size,
-                     row->version);
-        keyowner_map_changed(node->keyowner);
-        ingress_owners_changed(node->ingress);
+    else if (!row->removed &&
+             keymapwrite_parse_row_name(row->key, service, &page)) {
+        apply_keymap_page(node, service, page, row);
     }
 }
 
@@ -304,16 +343,9 @@
 on_fleet_settled(void *ctx)
 {
     struct node *node = ctx;
-    const int64_t pause_us =
-        (int64_t)instancetable_count(&node->instancetable) *
-        FEED_PAUSE_PER_INSTANCE_US;
-    rowwatch_set_feed_pause(node->fleet_watch, pause_us < FEED_PAUSE_MAX_US
-                                                   ? pause_us
-                                                   : FEED_PAUSE_MAX_US);
     ownrow_update(node->ownrow);
-    keyowner_map_changed(node->keyowner);
+    keymaps_changed(node);
     planner_changed(node->planner);
-    ingress_owners_changed(node->ingress);
 }
 
 static void
@@ -334,6 +366,7 @@
     struct rowwatch_options options = {
         .runtime = node->runtime,
         .store = &node->options.store,
+        .feeds = node->feeds,
         .table = node->wire->declared_table,
         .row = on_declared_row,
         .settled = on_declared_settled,
@@ -345,6 +378,9 @@
     options.settled = on_fleet_settled;
     options.reachable = on_store_reachable;
     node->fleet_watch = rowwatch_create(&options);
+    feedrelay_add_table(node->feeds, node->wire->declared_table,
+                        node->declared_watch);
+    feedrelay_add_table(node->feeds, NODE_TABLE, node->fleet_watch);
 }
 
 struct node *
@@ -369,6 +405,8 @@
     node->gate = localgate_create(node);
     node->keyowner = keyowner_create(node);
     node->relay = relaytask_create(node);
+    node->feeds = feedrelay_create(node);
+    node->leases = leasebatch_create(node);
     node->planner = planner_create(node);
     node->ingress = ingress_create(node);
     node->ownrow = ownrow_create(node);
@@ -405,6 +443,9 @@
     nodestop_destroy(node);
     rowwatch_destroy(node->declared_watch);
     rowwatch_destroy(node->fleet_watch);
+    feedrelay_destroy(node->feeds);
+    keyowner_destroy(node->keyowner);
+    leasebatch_destroy(node->leases);
     ownrow_destroy(node->ownrow);
     planner_destroy(node->planner);
     ingress_destroy(node->ingress);
@@ -414,7 +455,6 @@
     http_server_destroy(node->metrics);
     http_server_destroy(node->readiness);
     rpc_node_destroy(node->rpc);
-    keyowner_destroy(node->keyowner);
     localgate_destroy(node->gate);
     localtarget_destroy(node->target);
     nodemetrics_destroy(node->nodemetrics);
--- a/packages/node/node_internal.h
+++ b/packages/node/node_internal.h
@@ -16,6 +16,7 @@
 #include "fleet/instancetable.h"
 #include "fleet/keymap.h"
 #include "fleet/retrybudget.h"
+#include "node/keymapwrite.h"
 #include "node/node.h"
 #include "node/rowwatch.h"
 #include "protocol/generated/relay.h"
@@ -26,8 +27,10 @@
 #define NODE_INSTANCE_KEY "instance/"
 #define NODE_KEYS_KEY "keys/"
 
+struct feedrelay;
 struct ingress;
 struct keyowner;
+struct leasebatch;
 struct localgate;
 struct localtarget;
 struct nodemetrics;
@@ -75,6 +78,8 @@
     struct keyowner *keyowner;
     struct planner *planner;
     struct relaytask *relay;
+    struct feedrelay *feeds;
+    struct leasebatch *leases;
     struct ingress *ingress;
     struct ownrow *ownrow;
     struct nodemetrics *nodemetrics;
@@ -98,18 +103,19 @@
 struct node_keymap *node_find_keymap(const struct node *node,
                                      const char *service);
 
-/** Writes the key of the row that holds a service's key map. */
-void node_keymap_row_name(char key[ROWSTORE_NAME_MAX + 1],
-                          const char *service);
+/** Applies a newly written page of a key map, if newer than the known one. */
+void node_receive_keymap_page(struct node *node, const char *service,
+                              unsigned page, const char *text,
+                              uint64_t version);
 
-/** Applies a newly written key map, if it is newer than the known one. */
-void node_receive_keymap(struct node *node, const char *service,
-                         const char *text, uint64_t version);
-
-/** Applies a key map that this instance has just written, and pushes it to the
- * instances that own any of the changed segments. */
+/** Applies pages of a key map that this instance has just written, and pushes
+ * them to the instances that own any of the changed segments. */
 void node_publish_keymap(struct node *node, struct node_keymap *keys,
-                         const char *text, uint64_t version);
+                         const struct keymapwrite *write, uint64_t version);
+
+/** Applies the pages of key maps that a write conflicted with. */
+void node_apply_keymap_conflict(struct node *node,
+                                const struct rowstore_result *result);
 
 /** The declared service of the target, or NULL. */
 const struct declared_service *node_own_service(const struct node *node);
--- a/packages/node/planner.c
+++ b/packages/node/planner.c
@@ -68,7 +68,7 @@
         free(peer->steps);
         free(peer);
     }
-    free(planner->map_text);
+    keymapwrite_clear(&planner->map_write);
     free(planner);
 }
 
@@ -190,7 +190,6 @@
     struct planner *planner = ctx;
     struct node_keymap *keys = planner_keys(planner);
     struct watched_lease *lease = planner->takeover_lease;
-    char key[ROWSTORE_NAME_MAX + 1];
     planner->map_call = NULL;
     planner->takeover_lease = NULL;
     if (lease != NULL && result->outcome != ROWSTORE_UNKNOWN) {
@@ -200,12 +199,11 @@
     if (keys == NULL) {
         return;
     }
-    node_keymap_row_name(key, keys->service);
     if (result->outcome == ROWSTORE_DONE) {
-        node_publish_keymap(planner->node, keys, planner->map_text,
+        node_publish_keymap(planner->node, keys, &planner->map_write,
                             result->version);
     }
-    rowwatch_apply_conflict(planner->node->fleet_watch, result, key);
+    node_apply_keymap_conflict(planner->node, result);
 }
 
 void
@@ -214,21 +212,13 @@
 {
     const struct rowstore *store = &planner->node->options.store;
     const struct node_keymap *keys = planner_keys(planner);
-    char key[ROWSTORE_NAME_MAX + 1];
-    struct rowstore_write writes[2];
-    size_t count = 0;
-    node_keymap_row_name(key, keys->service);
-    free(planner->map_text);
-    planner->map_text = keymap_print(map);
-    writes[count++] = (struct rowstore_write){
-        .table = NODE_TABLE,
-        .key = key,
-        .expected = keys->map.version,
-        .value = planner->map_text,
-        .size = strlen(planner->map_text),
-    };
+    struct rowstore_write parts[KEYMAPWRITE_PAGES_MAX + 1];
+    keymapwrite_clear(&planner->map_write);
+    keymapwrite_prepare(&planner->map_write, keys->service, &keys->map, map,
+                        0);
+    size_t count = keymapwrite_fill(&planner->map_write, &keys->map, parts);
     if (lease != NULL) {
-        writes[count++] = (struct rowstore_write){
+        parts[count++] = (struct rowstore_write){
             .table = NODE_LEASE_TABLE,
             .key = lease->instance,
             .expected = lease->version,
@@ -238,7 +228,7 @@
     planner->takeover_lease = lease;
     planner->plans->value++;
     planner->map_call = store->ops->commit(
-        store->impl, writes, count, WRITE_TIMEOUT_US, on_written, planner);
+        store->impl, parts, count, WRITE_TIMEOUT_US, on_written, planner);
 }
 
 /** Writes the moves of keys without an owner into the map.
--- a/packages/node/planner_internal.h
+++ b/packages/node/planner_internal.h
@@ -62,7 +62,7 @@
     struct peer_loads peers;
     struct watched_leases leases;
     struct rowstore_call *map_call;
-    char *map_text;
+    struct keymapwrite map_write;         /* of map_call */
     struct watched_lease *takeover_lease; /* that map_call deletes, or NULL */
     int64_t plan_from_us;                 /* nothing is planned earlier */
     int64_t own_service_us;               /* smoothed */
--- a/packages/node/relaytask.c
+++ b/packages/node/relaytask.c
@@ -234,7 +234,10 @@
     struct relay_promised reply = {.promised = true};
     char *text = memory_calloc(keys->text.text_len + 1, 1);
     memcpy(text, keys->text.text_val, keys->text.text_len);
-    node_receive_keymap(relay->node, keys->service, text, keys->row_version);
+    if (keys->page < KEYMAP_PAGES) {
+        node_receive_keymap_page(relay->node, keys->service, keys->page, text,
+                                 keys->row_version);
+    }
     free(text);
     rpc_request_reply(request, &reply);
 }
@@ -440,7 +443,8 @@
 
 void
 relaytask_push_keymap(struct relaytask *relay, const char *instance,
-                      const char *service, uint64_t version, const char *text)
+                      const char *service, unsigned page, uint64_t version,
+                      const char *text)
 {
     const struct instancetable_instance *peer =
         instancetable_find(&relay->node->instancetable, instance);
@@ -452,6 +456,7 @@
     struct relay_query *query = query_create(relay, instance, NULL);
     const struct relay_keys keys = {
         .service = (char *)service,
+        .page = page,
         .row_version = version,
         .text = {(u_int)size, (char *)text},
     };
--- a/packages/node/relaytask.h
+++ b/packages/node/relaytask.h
@@ -55,8 +55,8 @@
                            relay_loads_cb done, void *ctx);
 
 void relaytask_push_keymap(struct relaytask *relay, const char *instance,
-                           const char *service, uint64_t version,
-                           const char *text);
+                           const char *service, unsigned page,
+                           uint64_t version, const char *text);
 
 void relaytask_order_move(struct relaytask *relay,
                           const struct instancetable_instance *instance,
--- a/packages/node/rowwatch.c
+++ b/packages/node/rowwatch.c
@@ -8,10 +8,10 @@
 #include "base/log.h"
 #include "base/memory.h"
 #include "base/runtime.h"
+#include "node/feedrelay.h"
 
 #define READ_TIMEOUT_US (1500 * US_PER_MS)
 #define FEED_WAIT_US (25 * US_PER_SECOND)
-#define FEED_TIMEOUT_US (FEED_WAIT_US + 3 * US_PER_SECOND)
 #define RETRY_MIN_US (50 * US_PER_MS)
 #define RETRY_MAX_US (900 * US_PER_MS)
 #define KEY_SUFFIX "\x01" /* appended to a key, starts after it */
@@ -21,7 +21,10 @@
     LIST_ENTRY(known_row) link;
     uint64_t version;
     uint64_t last_scan; /* number of the latest scan with it */
+    uint64_t sequence;  /* of its latest report */
     bool removed;
+    char *value;
+    size_t size;
     char key[];
 };
 
@@ -30,11 +33,12 @@
 struct rowwatch {
     struct rowwatch_options options;
     struct known_rows rows;
-    struct rowstore_call *call;
+    struct rowstore_call *scan;
+    struct feedrelay_call *feed;
     struct timer retry;
     int64_t retry_delay_us;
-    int64_t feed_pause_us;
-    uint64_t version; /* all rows up to it were reported */
+    uint64_t sequence; /* of the latest report */
+    uint64_t version;  /* all rows up to it were reported */
     uint64_t scan_number;
     uint64_t scan_version; /* of the scan's first answer */
     char *scan_next_key;
@@ -67,10 +71,14 @@
 watch_cancel(struct rowwatch *watch)
 {
     timer_stop(&watch->retry);
-    if (watch->call != NULL) {
+    if (watch->scan != NULL) {
         watch->options.store->ops->cancel(watch->options.store->impl,
-                                          watch->call);
-        watch->call = NULL;
+                                          watch->scan);
+        watch->scan = NULL;
+    }
+    if (watch->feed != NULL) {
+        feedrelay_cancel(watch->feed);
+        watch->feed = NULL;
     }
 }
 
@@ -84,6 +92,7 @@
     struct known_row *row;
     while ((row = LIST_FIRST(&watch->rows)) != NULL) {
         LIST_REMOVE(row, link);
+        free(row->value);
         free(row);
     }
     free(watch->scan_next_key);
@@ -113,6 +122,22 @@
     if (watch->options.reachable != NULL) {
         watch->options.reachable(watch->options.ctx, reachable);
     }
+    feedrelay_table_changed(watch->options.feeds, watch->options.table);
+}
+
+/** Keeps a row for instances that read from this one, and reports it. */
+static void
+store_and_report(struct rowwatch *watch, struct known_row *known,
+                 const struct rowstore_row *row)
+{
+    free(known->value);
+    known->value = memory_calloc(row->size + 1, 1);
+    memcpy(known->value, row->value, row->size);
+    known->size = row->size;
+    known->version = row->version;
+    known->removed = row->removed;
+    known->sequence = ++watch->sequence;
+    watch->options.row(watch->options.ctx, row);
 }
 
 /** Reports a row if it is newer than the version reported before. */
@@ -131,18 +156,18 @@
     if (row->version <= known->version) {
         return;
     }
-    const bool was_removed = known->removed;
-    known->version = row->version;
-    known->removed = row->removed;
-    if (!was_removed || !row->removed) {
-        watch->options.row(watch->options.ctx, row);
+    if (known->removed && row->removed) {
+        known->version = row->version;
+        return;
     }
+    store_and_report(watch, known, row);
 }
 
 void
 rowwatch_apply_row(struct rowwatch *watch, const struct rowstore_row *row)
 {
     report_row(watch, row);
+    feedrelay_table_changed(watch->options.feeds, watch->options.table);
 }
 
 void
@@ -174,15 +199,13 @@
             row->version > watch->scan_version) {
             continue;
         }
-        row->removed = true;
-        row->version = watch->scan_version;
-        watch->options.row(watch->options.ctx,
-                           &(struct rowstore_row){
-                               .key = row->key,
-                               .version = watch->scan_version,
-                               .removed = true,
-                               .value = "",
-                           });
+        store_and_report(watch, row,
+                         &(struct rowstore_row){
+                             .key = row->key,
+                             .version = watch->scan_version,
+                             .removed = true,
+                             .value = "",
+                         });
     }
 }
 
@@ -205,6 +228,7 @@
     watch->retry_delay_us = RETRY_MIN_US;
     set_reachable(watch, true);
     watch->options.settled(watch->options.ctx);
+    feedrelay_table_changed(watch->options.feeds, watch->options.table);
 }
 
 static void
@@ -221,7 +245,7 @@
 on_read(void *ctx, const struct rowstore_result *result)
 {
     struct rowwatch *watch = ctx;
-    watch->call = NULL;
+    watch->scan = NULL;
     if (result->outcome != ROWSTORE_DONE) {
         set_reachable(watch, false);
         retry_later(watch);
@@ -257,14 +281,14 @@
 on_feed(void *ctx, const struct rowstore_result *result)
 {
     struct rowwatch *watch = ctx;
-    watch->call = NULL;
+    watch->feed = NULL;
     switch (result->outcome) {
     case ROWSTORE_DONE:
         for (size_t i = 0; i < result->row_count; i++) {
             report_row(watch, &result->rows[i]);
         }
         finish_batch(watch, result->version);
-        timer_start(&watch->retry, watch->feed_pause_us);
+        watch_continue(watch);
         return;
     case ROWSTORE_HISTORY_GONE:
         LOG_INFO("history_gone", LOG_STR("table", watch->options.table),
@@ -283,17 +307,15 @@
 watch_continue(struct rowwatch *watch)
 {
     const struct rowstore *store = watch->options.store;
-    if (watch->call != NULL) {
+    if (watch->scan != NULL || watch->feed != NULL) {
         return;
     }
     if (!watch->scan_due) {
         /* After a failure the first call doesn't wait for changes, to find
          * out soon whether the store answers again. */
-        const bool was_reachable = watch->reachable;
-        const int64_t wait_us = was_reachable ? FEED_WAIT_US : 0;
-        watch->call = store->ops->feed(
-            store->impl, watch->options.table, watch->version, wait_us,
-            was_reachable ? FEED_TIMEOUT_US : READ_TIMEOUT_US, on_feed, watch);
+        watch->feed = feedrelay_start(
+            watch->options.feeds, watch->options.table, watch->version,
+            watch->reachable ? FEED_WAIT_US : 0, on_feed, watch);
         return;
     }
     if (watch->scan_next_key == NULL) {
@@ -303,7 +325,7 @@
         .table = watch->options.table,
         .from = watch->scan_next_key,
     };
-    watch->call =
+    watch->scan =
         store->ops->read(store->impl, &range, READ_TIMEOUT_US, on_read, watch);
 }
 
@@ -317,10 +339,36 @@
     watch_continue(watch);
 }
 
+bool
+rowwatch_is_reachable(const struct rowwatch *watch)
+{
+    return watch->reachable;
+}
+
+uint64_t
+rowwatch_sequence(const struct rowwatch *watch)
+{
+    return watch->sequence;
+}
+
 void
-rowwatch_set_feed_pause(struct rowwatch *watch, int64_t pause_us)
+rowwatch_list_changes(const struct rowwatch *watch, uint64_t after,
+                      uint64_t sequence,
+                      void (*row)(void *ctx, const struct rowstore_row *row),
+                      void *ctx)
 {
-    watch->feed_pause_us = pause_us;
+    const struct known_row *known;
+    LIST_FOREACH (known, &watch->rows, link) {
+        if (known->version > after && known->sequence > sequence) {
+            row(ctx, &(struct rowstore_row){
+                         .key = known->key,
+                         .version = known->version,
+                         .removed = known->removed,
+                         .value = known->value,
+                         .size = known->size,
+                     });
+        }
+    }
 }
 
 uint64_t
--- a/packages/node/rowwatch.h
+++ b/packages/node/rowwatch.h
@@ -1,8 +1,9 @@
 /**
  * @file
- * Follows one table of the store: scans it, then reads the feed of changes,
- * and scans it again when the feed's history is gone. A row is reported once
- * for each newer version; versions never decrease.
+ * Follows one table of the store: scans it, then reads the feed of changes
+ * from the store or another instance, and scans it again when the feed's
+ * history is gone. A row is reported once for each newer version; versions
+ * never decrease.
  */
 #ifndef CHESTNUTGAP_NODE_ROWWATCH_H
 #define CHESTNUTGAP_NODE_ROWWATCH_H
@@ -12,12 +13,14 @@
 
 #include "store/rowstore.h"
 
+struct feedrelay;
 struct runtime;
 struct rowwatch;
 
 struct rowwatch_options {
     struct runtime *runtime;
     const struct rowstore *store;
+    struct feedrelay *feeds;
     const char *table;
     void (*row)(void *ctx, const struct rowstore_row *row);
     /** All rows of a scan or of an answer of the feed were reported. */
@@ -34,9 +37,6 @@
 /** Scans the table again, to see all writes that were done before. */
 void rowwatch_refresh(struct rowwatch *watch);
 
-/** Sets the pause between an answer of the feed and the next request. */
-void rowwatch_set_feed_pause(struct rowwatch *watch, int64_t pause_us);
-
 /** Version of the store up to which all rows were reported; 0 if none yet. */
 uint64_t rowwatch_version(const struct rowwatch *watch);
 
@@ -50,6 +50,18 @@
                              const struct rowstore_result *result,
                              const char *key);
 
+/** True if the latest scan or feed succeeded. */
+bool rowwatch_is_reachable(const struct rowwatch *watch);
+
+/** Number of rows that were reported so far, in any version. */
+uint64_t rowwatch_sequence(const struct rowwatch *watch);
+
+/** Lists rows of later versions than after that were reported after the first
+ * sequence ones. */
+void rowwatch_list_changes(
+    const struct rowwatch *watch, uint64_t after, uint64_t sequence,
+    void (*row)(void *ctx, const struct rowstore_row *row), void *ctx);
+
 /** Known version of a row, 0 if there is none. */
 uint64_t rowwatch_row_version(const struct rowwatch *watch, const char *key);
 
--- a/packages/protocol/relay.x
+++ b/packages/protocol/relay.x
@@ -10,6 +10,8 @@
 const RELAY_BODY_MAX = 67108864;
 const RELAY_STEPS_MAX = 1024;
 const RELAY_MAP_MAX = 65536;
+const RELAY_ROW_MAX = 131072;
+const RELAY_ROWS_MAX = 65536;
 
 enum relay_outcome {
     RELAY_ANSWERED = 0,
@@ -46,6 +48,7 @@
     string id<RELAY_TEXT_MAX>;
     bool keyed;
     unsigned int key;
+    unsigned hyper map_version;         /* known to the sender, for this key */
     bool idempotent;
     unsigned int priority;              /* 0 is the most urgent */
     unsigned hyper left_us;             /* time until the deadline */
@@ -63,6 +66,7 @@
     relay_reason reason;
     bool reached;                       /* the target received the request */
     string owner<RELAY_TEXT_MAX>;       /* of the key if another, or empty */
+    unsigned hyper map_version;         /* that names the owner */
     unsigned hyper retry_after_us;      /* 0: none */
     unsigned int load;                  /* requests in progress there */
     bool cold;
@@ -104,9 +108,10 @@
     string from<RELAY_TEXT_MAX>;
 };
 
-/* A newly written key map, for the instances that use it. */
+/* A newly written page of a key map, for the instances that use it. */
 struct relay_keys {
     string service<RELAY_TEXT_MAX>;
+    unsigned int page;
     unsigned hyper row_version;
     opaque text<RELAY_MAP_MAX>;
 };
@@ -114,3 +119,52 @@
 struct relay_promised {
     bool promised;
 };
+
+/* Asks an instance for the rows of a table that it has learnt since it
+   answered before; it answers as soon as there are any. */
+struct relay_feed_request {
+    string to<RELAY_TEXT_MAX>;          /* the instance addressed */
+    string table<RELAY_TEXT_MAX>;
+    unsigned hyper after;               /* version that the asker knows */
+    unsigned hyper process;             /* of the last answer, or 0 */
+    unsigned hyper sequence;            /* likewise */
+    unsigned hyper wait_us;             /* longest wait for changes */
+};
+
+struct relay_row {
+    string key<RELAY_TEXT_MAX>;
+    unsigned hyper row_version;
+    bool removed;
+    opaque value<RELAY_ROW_MAX>;
+};
+
+struct relay_feed {
+    bool in_touch;                      /* it reads the store successfully */
+    unsigned int hops;                  /* instances between it and the store */
+    unsigned hyper process;             /* identifies its process */
+    unsigned hyper sequence;            /* of the latest row that it learnt */
+    unsigned hyper store_version;       /* up to which it knows all rows */
+    relay_row rows<RELAY_ROWS_MAX>;
+};
+
+/* Asks an instance to write a lease together with others. */
+struct relay_lease {
+    string to<RELAY_TEXT_MAX>;          /* the instance addressed */
+    string key<RELAY_TEXT_MAX>;
+    unsigned hyper expected;            /* version of the row; 0: no row */
+    bool urgent;
+    opaque text<RELAY_ROW_MAX>;
+};
+
+enum relay_write_outcome {
+    RELAY_WRITE_DONE = 0,
+    RELAY_WRITE_CONFLICT = 1,
+    RELAY_WRITE_REFUSED = 2,            /* and will not take effect */
+    RELAY_WRITE_UNKNOWN = 3             /* may take effect now or later */
+};
+
+struct relay_lease_written {
+    relay_write_outcome outcome;
+    unsigned hyper store_version;       /* if DONE */
+    relay_row row;                      /* if CONFLICT; version 0: no row */
+};
--- a/packages/store/rowstore.h
+++ b/packages/store/rowstore.h
@@ -11,8 +11,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#define ROWSTORE_NAME_MAX 199  /* bytes of a table's or row's name */
-#define ROWSTORE_WRITES_MAX 16 /* per transaction */
+#define ROWSTORE_NAME_MAX 199 /* bytes of a table's or row's name */
 
 enum rowstore_outcome {
     ROWSTORE_DONE,         /**< took effect, or the read succeeded */
