node: transactions through one instance of a zone; a hot key stays with its owner

The instance that read for its zone noticed after up to 28 s; owners that had released keys could not write the map, and their requests were refused as moving for 9 s; the planner ordered nothing for 28 s, since instances that had left kept its picture of the load incomplete.

Change: node/rowcommit commits for a zone, and for instances that the store turns away (was: leases only). Feed reads wait 1 s. fleet/keybalance leaves a key that alone exceeds a fair share where it is and moves the other keys of its owner away; moves only if a target is nearly full. Choice of an instance is a module of its own (fleet/instancechoice): a request leaves its zone if it would wait a fifth of its objective longer there, in place of a factor on latency.

Tests: Control.*, HotKey.*.

--- a/packages/fleet/instancetable.c
+++ b/packages/fleet/instancetable.c
@@ -1,6 +1,5 @@
 #include "fleet/instancetable.h"
 
-#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -8,19 +7,11 @@
 #include "base/memory.h"
 #include "base/runtime.h"
 
-#define SERVICE_DEFAULT_US (200 * US_PER_MS)
 #define SERVICE_SMOOTHING 16 /* a new answer has the weight 1/16 */
-#define SLOWNESS_HALF_LIFE_US (2.0 * US_PER_SECOND)
 #define FAILURE_SMOOTHING 16 /* a new request has the weight 1/16 */
 #define UNREACHABLE_BACKOFF_MIN_US (300 * US_PER_MS)
 #define UNREACHABLE_BACKOFF_DOUBLINGS_MAX 2
-#define OTHER_ZONE_FACTOR 1.15 /* traffic between zones is expensive */
-#define COLD_FACTOR 1.5
-#define OVERLOAD_PENALTY_US                                                   \
-    (1.0 * US_PER_SECOND) /* chosen only if all are overloaded */
 #define OVERLOAD_MAX_US (150 * US_PER_MS)
-#define UNANSWERED_FACTOR 4.0
-#define BUSY_SLOWDOWN 0.5 /* relative slowdown at full load */
 
 void
 instancetable_clear(struct instancetable *table)
@@ -100,132 +91,6 @@
     }
 }
 
-static bool
-is_excluded(const struct instancetable_criteria *criteria,
-            const struct instancetable_instance *instance)
-{
-    for (size_t i = 0; i < criteria->excluded_count; i++) {
-        if (criteria->excluded[i] == instance) {
-            return true;
-        }
-    }
-    return false;
-}
-
-static bool
-is_eligible(const struct instancetable_criteria *criteria,
-            const struct instancetable_instance *instance)
-{
-    const struct instancetable_row *row = &instance->instance_row;
-    return row->state == INSTANCETABLE_SERVING &&
-           strcmp(row->service, criteria->service) == 0 &&
-           criteria->now_us >= instance->unreachable_until_us &&
-           !is_excluded(criteria, instance) &&
-           !criteria->zone_is_out(criteria->ctx, row->zone);
-}
-
-/** Smoothed latency of the fastest eligible instance. */
-static int64_t
-fastest_us(const struct instancetable *table,
-           const struct instancetable_criteria *criteria)
-{
-    int64_t fastest = 0;
-    const struct instancetable_instance *instance;
-    LIST_FOREACH (instance, &table->instances, link) {
-        if (instance->service_us > 0 && is_eligible(criteria, instance) &&
-            (fastest == 0 || instance->service_us < fastest)) {
-            fastest = instance->service_us;
-        }
-    }
-    return fastest > 0 ? fastest : SERVICE_DEFAULT_US;
-}
-
-/** Estimated latency. Measured slowness decays over time, so that an instance
- * that was slow is tried again. */
-static double
-estimated_us(const struct instancetable_criteria *criteria,
-             const struct instancetable_instance *instance, int64_t fastest)
-{
-    const double excess_us = (double)(instance->service_us - fastest);
-    if (instance->service_us == 0 || excess_us <= 0) {
-        return (double)fastest;
-    }
-    const double age_us =
-        (double)(criteria->now_us - instance->last_result_us);
-    return (double)fastest + excess_us * exp2(-age_us / SLOWNESS_HALF_LIFE_US);
-}
-
-/** Penalty for an instance that has left requests unanswered for longer than
- * usual, so that a lost one gets no further requests. */
-static double
-unanswered_penalty_us(const struct instancetable_criteria *criteria,
-                      const struct instancetable_instance *instance,
-                      int64_t fastest)
-{
-    if (instance->outstanding == 0) {
-        return 0;
-    }
-    const int64_t usual_us =
-        instance->service_us > fastest ? instance->service_us : fastest;
-    const int64_t overdue_us =
-        criteria->now_us - instance->unanswered_since_us - 2 * usual_us;
-    return overdue_us > 0 ? UNANSWERED_FACTOR * (double)overdue_us : 0;
-}
-
-/** Expected latency with load, zone and penalties included. */
-static double
-expected_us(const struct instancetable_criteria *criteria,
-            const struct instancetable_instance *instance, int64_t fastest)
-{
-    const unsigned slots =
-        instance->instance_row.slots > 0 ? instance->instance_row.slots : 1;
-    unsigned load = instance->reported_load + instance->sent_since_report;
-    load = load > instance->outstanding ? load : instance->outstanding;
-    const double utilization = (double)(load + 1) / slots;
-    double time_us =
-        estimated_us(criteria, instance, fastest) *
-        (1.0 + BUSY_SLOWDOWN * (utilization < 1.0 ? utilization : 1.0));
-    if (utilization > 1.0) {
-        time_us *= utilization;
-    }
-    if (strcmp(instance->instance_row.zone, criteria->zone) != 0) {
-        time_us *= OTHER_ZONE_FACTOR;
-    }
-    if (instance->cold) {
-        time_us *= COLD_FACTOR;
-    }
-    time_us += unanswered_penalty_us(criteria, instance, fastest);
-    if (criteria->now_us < instance->overloaded_until_us) {
-        time_us += OVERLOAD_PENALTY_US;
-    }
-    const double success = 1.0 - instance->failure_rate;
-    return time_us / (success > 0.05 ? success * success : 0.0025);
-}
-
-struct instancetable_instance *
-instancetable_choose(const struct instancetable *table,
-                     const struct instancetable_criteria *criteria,
-                     struct random_state *random)
-{
-    struct instancetable_instance *best = NULL;
-    double best_us = 0;
-    const int64_t fastest = fastest_us(table, criteria);
-    struct instancetable_instance *instance;
-    LIST_FOREACH (instance, &table->instances, link) {
-        if (!is_eligible(criteria, instance)) {
-            continue;
-        }
-        /* Random jitter of 10 % keeps instances from choosing alike. */
-        const double time_us = expected_us(criteria, instance, fastest) *
-                               (0.9 + 0.2 * random_unit(random));
-        if (best == NULL || time_us < best_us) {
-            best = instance;
-            best_us = time_us;
-        }
-    }
-    return best;
-}
-
 void
 instancetable_record_sent(struct instancetable_instance *instance,
                           int64_t now_us)
--- a/packages/fleet/instancetable.h
+++ b/packages/fleet/instancetable.h
@@ -1,8 +1,7 @@
 /**
  * @file
  * Table of the known instances: the row that each writes to the store, and
- * the latency, load and failures observed here. Selects the instance for a
- * request without a key.
+ * the latency, load and failures observed here.
  */
 #ifndef CHESTNUTGAP_FLEET_INSTANCETABLE_H
 #define CHESTNUTGAP_FLEET_INSTANCETABLE_H
@@ -14,10 +13,8 @@
 
 #include "base/address.h"
 #include "base/error.h"
-#include "base/random.h"
 #include "fleet/keymap.h"
 
-#define INSTANCETABLE_EXCLUDED_MAX 8
 #define INSTANCETABLE_CRASH_SUSPECTS_MAX 64 /* reported by one instance */
 
 /** Whether an instance's target accepts requests. */
@@ -82,25 +79,6 @@
 /** Marks an instance as absent: its row was deleted. */
 void instancetable_remove(struct instancetable *table, const char *instance);
 
-/** Criteria for the choice of an instance. */
-struct instancetable_criteria {
-    const char *service;
-    const char *zone; /**< of the caller; preferred */
-    /** True for a zone that operators have taken out of service. */
-    bool (*zone_is_out)(void *ctx, const char *zone);
-    void *ctx;
-    const struct instancetable_instance *excluded[INSTANCETABLE_EXCLUDED_MAX];
-    size_t excluded_count;
-    int64_t now_us;
-};
-
-/** The instance with the shortest expected latency, or NULL if none is
- * eligible. */
-struct instancetable_instance *
-instancetable_choose(const struct instancetable *table,
-                     const struct instancetable_criteria *criteria,
-                     struct random_state *random);
-
 /** A request was sent to the instance, or has ended with any outcome. */
 void instancetable_record_sent(struct instancetable_instance *instance,
                                int64_t now_us);
--- a/packages/fleet/keyload.c
+++ b/packages/fleet/keyload.c
@@ -168,6 +168,16 @@
     return curve->prefix_sums[last + 1] - curve->prefix_sums[first];
 }
 
+bool
+keyload_curve_next_above(struct keyload_curve *curve, double min,
+                         uint32_t *key)
+{
+    while (*key < DECLARED_KEY_COUNT && curve->loads[*key] < min) {
+        (*key)++;
+    }
+    return *key < DECLARED_KEY_COUNT;
+}
+
 uint32_t
 keyload_curve_last_within(struct keyload_curve *curve, uint32_t first,
                           uint32_t last, double wanted)
--- a/packages/fleet/keyload.h
+++ b/packages/fleet/keyload.h
@@ -6,6 +6,7 @@
 #ifndef CHESTNUTGAP_FLEET_KEYLOAD_H
 #define CHESTNUTGAP_FLEET_KEYLOAD_H
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -48,6 +49,11 @@
 double keyload_curve_load(struct keyload_curve *curve, uint32_t first,
                           uint32_t last);
 
+/** Finds the first key from *key on with a load of at least min.
+ * @return false if there is none */
+bool keyload_curve_next_above(struct keyload_curve *curve, double min,
+                              uint32_t *key);
+
 /** The last key in first to last up to which the load is at most wanted, but
  * at least first. */
 uint32_t keyload_curve_last_within(struct keyload_curve *curve, uint32_t first,
--- a/packages/fleet/test/instancetable_test.cc
+++ b/packages/fleet/test/instancetable_test.cc
@@ -6,7 +6,7 @@
 
 extern "C" {
 #include "base/runtime.h"
-#include "fleet/instancetable.h"
+#include "fleet/instancechoice.h"
 #include "fleet/retrybudget.h"
 }
 
@@ -51,9 +51,9 @@
         return instancetable_update(&table, &row, version);
     }
 
-    struct instancetable_criteria Criteria(int64_t now_us = 0)
+    struct instancechoice_criteria Criteria(int64_t now_us = 0)
     {
-        struct instancetable_criteria criteria = {};
+        struct instancechoice_criteria criteria = {};
         criteria.service = "s";
         criteria.zone = "z1";
         criteria.zone_is_out = ZoneIsOut;
@@ -63,9 +63,9 @@
     }
 
     struct instancetable_instance *
-    Choose(const struct instancetable_criteria &criteria)
+    Choose(const struct instancechoice_criteria &criteria)
     {
-        return instancetable_choose(&table, &criteria, &random);
+        return instancechoice_pick(&table, &criteria, &random);
     }
 };
 
@@ -80,7 +80,7 @@
     zone_out = "";
     instancetable_record_unreachable(b, 0);
     EXPECT_EQ(a, Choose(Criteria()));
-    struct instancetable_criteria criteria = Criteria();
+    struct instancechoice_criteria criteria = Criteria();
     criteria.excluded[criteria.excluded_count++] = a;
     EXPECT_EQ(nullptr, Choose(criteria));
     criteria.now_us = 10 * US_PER_SECOND;
--- a/packages/fleet/test/keymap_test.cc
+++ b/packages/fleet/test/keymap_test.cc
@@ -289,6 +289,71 @@
     EXPECT_NEAR(0.5, keymap_share(&map, "a"), 0.02);
 }
 
+/** Load pattern: one key asks for more than one target can do. */
+struct HotKey : Plan {
+    static constexpr uint32_t key = 20000;
+    static constexpr uint32_t hot_load = 2600; /* of 10,000 in all */
+
+    HotKey()
+    {
+        for (int i = 0; i < 9; i++) {
+            AddTarget(std::string(1, static_cast<char>('a' + i)));
+        }
+        const struct keyload_step even[] = {{0, 7400}};
+        const struct keyload_step hot[] = {{key, hot_load}, {key + 1, 0}};
+        keyload_curve_add(curve, even, 1);
+        keyload_curve_add(curve, hot, 2);
+        for (uint32_t i = 0; i < 9; i++) {
+            const uint32_t last =
+                i == 8 ? DECLARED_KEY_COUNT - 1 : (i + 1) * 7281 - 1;
+            keymap_assign(&map, i * 7281, last, &targets[i].holder, nullptr);
+        }
+    }
+
+    /** Load of a target's keys without the hot one. */
+    double OtherLoad(const std::string &name)
+    {
+        double load = 0;
+        for (size_t i = 0; i < map.count; i++) {
+            const struct keymap_segment &segment = map.segments[i];
+            if (name == segment.holder.instance) {
+                load += keyload_curve_load(curve, segment.first, segment.last);
+            }
+        }
+        const bool owner = name == keymap_find(&map, key)->holder.instance;
+        return load - (owner ? keyload_curve_load(curve, key, key) : 0);
+    }
+};
+
+TEST_F(HotKey, StaysAndTheOtherKeysOfItsOwnerMove)
+{
+    const std::string owner = keymap_find(&map, key)->holder.instance;
+    for (int round = 0; round < 3; round++) {
+        for (const struct keyplan_move &move : Compute(1.2)) {
+            EXPECT_FALSE(move.first <= key && key <= move.last);
+        }
+    }
+    EXPECT_EQ(owner, keymap_find(&map, key)->holder.instance);
+    const double fair = (7400 * 1.05 + 500) / 8;
+    EXPECT_LT(OtherLoad(owner), fair * 0.1);
+    for (const auto &target : targets) {
+        EXPECT_LT(OtherLoad(target.holder.instance), fair * 1.3);
+    }
+    EXPECT_TRUE(Compute(1.2).empty());
+}
+
+/* One busy range does not keep another from being divided. */
+TEST_F(HotKey, DoesNotKeepOtherOwnersOverloaded)
+{
+    const struct keyload_step busy[] = {{50000, 3000}, {51000, 0}};
+    keyload_curve_add(curve, busy, 2);
+    const std::string other = keymap_find(&map, 50500)->holder.instance;
+    for (int round = 0; round < 3; round++) {
+        Compute(1.2);
+    }
+    EXPECT_LT(OtherLoad(other), (7400 + 3000) / 8 * 1.3);
+}
+
 TEST_F(Plan, AssignsAllUnownedKeysFromRandomMaps)
 {
     struct random_state random;
--- a/packages/node/feedrelay.c
+++ b/packages/node/feedrelay.c
@@ -14,7 +14,7 @@
 /* Pause between two answers of the store, so that one answer brings several
  * changes. */
 #define STORE_PAUSE_US (200 * US_PER_MS)
-#define STORE_ANSWER_SLACK_US (3 * US_PER_SECOND)
+#define STORE_ANSWER_SLACK_US (400 * US_PER_MS)
 #define PEER_WAIT_US (1 * US_PER_SECOND)
 #define PEER_ANSWER_SLACK_US (300 * US_PER_MS)
 #define TABLES_MAX 2
@@ -235,10 +235,14 @@
 feedrelay_choose_peer(const struct feedrelay *relay)
 {
     const struct node *node = relay->node;
+    const struct instancetable_instance *own =
+        instancetable_find(&node->instancetable, node->settings.instance);
+    /* The start that the others know, so that all agree on the order. */
     const struct feedsource_self self = {
         .instance = node->settings.instance,
         .zone = node->settings.zone,
-        .started_ms = node->started_ms,
+        .started_ms =
+            own != NULL ? own->instance_row.started_ms : node->started_ms,
     };
     return feedsource_choose(&relay->source, &node->instancetable, &self,
                              node_now_us(node));
@@ -251,6 +255,18 @@
                            node_now_us(relay->node));
 }
 
+void
+feedrelay_record_store_failure(struct feedrelay *relay)
+{
+    feedsource_record_store(&relay->source, false, node_now_us(relay->node));
+}
+
+bool
+feedrelay_store_is_failing(const struct feedrelay *relay)
+{
+    return node_now_us(relay->node) < relay->source.store_failing_until_us;
+}
+
 struct feedrelay_call *
 feedrelay_start(struct feedrelay *relay, const char *table, uint64_t after,
                 int64_t wait_us, rowstore_cb done, void *ctx)
--- a/packages/node/feedrelay.h
+++ b/packages/node/feedrelay.h
@@ -41,6 +41,12 @@
 const struct instancetable_instance *
 feedrelay_choose_peer(const struct feedrelay *relay);
 
+/** The store did not answer this instance. */
+void feedrelay_record_store_failure(struct feedrelay *relay);
+
+/** True if the store did not answer this instance lately. */
+bool feedrelay_store_is_failing(const struct feedrelay *relay);
+
 /** Excludes an instance for a while: it did not answer. */
 void feedrelay_record_peer_failure(struct feedrelay *relay,
                                    const char *instance);
--- a/packages/node/ingress_internal.h
+++ b/packages/node/ingress_internal.h
@@ -10,6 +10,7 @@
 #include <sys/queue.h>
 
 #include "fleet/attemptlimit.h"
+#include "fleet/instancechoice.h"
 #include "http/httpserver.h"
 #include "node/ingress.h"
 #include "node/node_internal.h"
@@ -56,7 +57,7 @@
     int64_t retry_after_us;
     const char *instance; /**< of the latest attempt */
     struct ingress_attempt attempts[INGRESS_CONCURRENT_MAX];
-    struct instancetable_instance *excluded[INSTANCETABLE_EXCLUDED_MAX];
+    struct instancetable_instance *excluded[INSTANCECHOICE_EXCLUDED_MAX];
     size_t excluded_count;
     struct retrybudget *budget; /**< of its service */
     struct timer deadline;
--- a/packages/node/ingressattempt.c
+++ b/packages/node/ingressattempt.c
@@ -53,7 +53,7 @@
 static void
 exclude(struct ingress_call *call, struct instancetable_instance *instance)
 {
-    if (call->excluded_count < INSTANCETABLE_EXCLUDED_MAX) {
+    if (call->excluded_count < INSTANCECHOICE_EXCLUDED_MAX) {
         call->excluded[call->excluded_count++] = instance;
     }
 }
@@ -87,16 +87,17 @@
 choose_any(const struct ingress_call *call)
 {
     struct node *node = call->ingress->node;
-    struct instancetable_criteria choice = {
+    struct instancechoice_criteria choice = {
         .service = call->service,
         .zone = node->settings.zone,
+        .objective_us = call->objective_us,
         .zone_is_out = node_zone_is_out,
         .ctx = node,
         .excluded_count = call->excluded_count,
         .now_us = ingress_now_us(call),
     };
     memcpy(choice.excluded, call->excluded, sizeof(choice.excluded));
-    return instancetable_choose(&node->instancetable, &choice, &node->random);
+    return instancechoice_pick(&node->instancetable, &choice, &node->random);
 }
 
 static void
--- a/packages/node/keyowner.c
+++ b/packages/node/keyowner.c
@@ -56,13 +56,12 @@
     if (keyowner == NULL) {
         return;
     }
-    const struct rowstore *store = &keyowner->node->options.store;
     timer_stop(&keyowner->tick);
     if (keyowner->lease_call != NULL) {
-        leasebatch_cancel(keyowner->lease_call);
+        rowcommit_cancel(keyowner->lease_call);
     }
     if (keyowner->map_call != NULL) {
-        store->ops->cancel(store->impl, keyowner->map_call);
+        rowcommit_cancel(keyowner->map_call);
     }
     struct handover *handover;
     while ((handover = TAILQ_FIRST(&keyowner->handovers)) != NULL) {
--- a/packages/node/keyowner_internal.h
+++ b/packages/node/keyowner_internal.h
@@ -13,8 +13,8 @@
 #include "fleet/keyload.h"
 #include "http/httpclient.h"
 #include "node/keyowner.h"
-#include "node/leasebatch.h"
 #include "node/node_internal.h"
+#include "node/rowcommit.h"
 
 #define KEYOWNER_TICK_US (100 * US_PER_MS)
 #define KEYOWNER_LOAD_HALF_LIFE_US (2 * US_PER_SECOND)
@@ -90,7 +90,7 @@
     struct keyload *load;
     int64_t last_decay_us;
     struct keylease lease;
-    struct leasebatch_write *lease_call;
+    struct rowcommit_call *lease_call;
     int64_t lease_write_started_us;
     char lease_key[KEYMAP_NAME_MAX + 1];
     char *lease_write_text;      /**< of the write in progress */
@@ -101,7 +101,7 @@
     unsigned promises_pending;
     bool promises_failed;
     int64_t promises_started_us;
-    struct rowstore_call *map_call;
+    struct rowcommit_call *map_call;
     struct keymapwrite map_write; /**< of map_call */
     int64_t map_retry_at_us;
     bool map_write_unresolved; /**< an earlier write may still take effect */
--- a/packages/node/keyownerlease.c
+++ b/packages/node/keyownerlease.c
@@ -178,14 +178,17 @@
         keyowner->lease_write_text = make_lease_text(keyowner);
         keyowner->lease_write_started_us = now_us;
     }
-    const struct leasebatch_lease lease = {
+    const struct rowstore_write write = {
+        .table = NODE_LEASE_TABLE,
         .key = keyowner->lease_key,
         .expected = keyowner->lease.version,
-        .text = keyowner->lease_write_text,
-        .urgent = !keyowner_has_lease(keyowner),
+        .value = keyowner->lease_write_text,
+        .size = strlen(keyowner->lease_write_text),
     };
-    keyowner->lease_call =
-        leasebatch_start(keyowner->node->leases, &lease, on_written, keyowner);
+    keyowner->lease_call = rowcommit_start(
+        keyowner->node->commits, &write, 1,
+        keyowner_has_lease(keyowner) ? ROWCOMMIT_LATER : ROWCOMMIT_SOON,
+        on_written, keyowner);
 }
 
 static void
--- a/packages/node/keyownermap.c
+++ b/packages/node/keyownermap.c
@@ -8,7 +8,6 @@
 #include "node/keyowner_internal.h"
 #include "node/localtarget.h"
 
-#define WRITE_TIMEOUT_US (1500 * US_PER_MS)
 #define RETRY_US (150 * US_PER_MS)
 
 static struct keymap_handover
@@ -181,7 +180,6 @@
 keyownermap_write_changes(struct keyowner *keyowner)
 {
     struct node *node = keyowner->node;
-    const struct rowstore *store = &node->options.store;
     struct node_keymap *keys = keyowner_keys(keyowner);
     if (keys == NULL || keyowner->map_call != NULL || !keyowner->lease.held ||
         node_now_us(node) < keyowner->map_retry_at_us ||
@@ -199,8 +197,8 @@
         struct rowstore_write parts[KEYMAPWRITE_PAGES_MAX];
         const size_t count =
             keymapwrite_fill(&keyowner->map_write, &keys->map, parts);
-        keyowner->map_call = store->ops->commit(
-            store->impl, parts, count, WRITE_TIMEOUT_US, on_written, keyowner);
+        keyowner->map_call = rowcommit_start(
+            node->commits, parts, count, ROWCOMMIT_SOON, on_written, keyowner);
     }
     keymap_clear(&map);
 }
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -10,7 +10,6 @@
 #include "node/feedrelay.h"
 #include "node/ingress.h"
 #include "node/keyowner.h"
-#include "node/leasebatch.h"
 #include "node/localgate.h"
 #include "node/localtarget.h"
 #include "node/node_internal.h"
@@ -18,6 +17,7 @@
 #include "node/ownrow.h"
 #include "node/planner.h"
 #include "node/relaytask.h"
+#include "node/rowcommit.h"
 
 int64_t
 node_now_us(const struct node *node)
@@ -406,7 +406,7 @@
     node->keyowner = keyowner_create(node);
     node->relay = relaytask_create(node);
     node->feeds = feedrelay_create(node);
-    node->leases = leasebatch_create(node);
+    node->commits = rowcommit_create(node);
     node->planner = planner_create(node);
     node->ingress = ingress_create(node);
     node->ownrow = ownrow_create(node);
@@ -445,9 +445,9 @@
     rowwatch_destroy(node->fleet_watch);
     feedrelay_destroy(node->feeds);
     keyowner_destroy(node->keyowner);
-    leasebatch_destroy(node->leases);
     ownrow_destroy(node->ownrow);
     planner_destroy(node->planner);
+    rowcommit_destroy(node->commits);
     ingress_destroy(node->ingress);
     relaytask_destroy(node->relay);
     http_server_destroy(node->callers);
--- a/packages/node/node_internal.h
+++ b/packages/node/node_internal.h
@@ -30,13 +30,13 @@
 struct feedrelay;
 struct ingress;
 struct keyowner;
-struct leasebatch;
 struct localgate;
 struct localtarget;
 struct nodemetrics;
 struct ownrow;
 struct planner;
 struct relaytask;
+struct rowcommit;
 
 struct node_keymap {
     LIST_ENTRY(node_keymap) link;
@@ -79,7 +79,7 @@
     struct planner *planner;
     struct relaytask *relay;
     struct feedrelay *feeds;
-    struct leasebatch *leases;
+    struct rowcommit *commits;
     struct ingress *ingress;
     struct ownrow *ownrow;
     struct nodemetrics *nodemetrics;
--- a/packages/node/ownrow.c
+++ b/packages/node/ownrow.c
@@ -9,14 +9,14 @@
 #include "base/memory.h"
 #include "node/localtarget.h"
 #include "node/node_internal.h"
+#include "node/rowcommit.h"
 
-#define WRITE_TIMEOUT_US (1500 * US_PER_MS)
 #define RETRY_DELAY_US (200 * US_PER_MS)
 
 struct ownrow {
     struct node *node;
     struct timer retry;
-    struct rowstore_call *call;
+    struct rowcommit_call *call;
     char key[KEYMAP_NAME_MAX + sizeof(NODE_INSTANCE_KEY)];
     char *stored_text;  /* in the store, or NULL */
     char *pending_text; /* of the write in progress */
@@ -47,10 +47,9 @@
     if (own == NULL) {
         return;
     }
-    const struct rowstore *store = &own->node->options.store;
     timer_stop(&own->retry);
     if (own->call != NULL) {
-        store->ops->cancel(store->impl, own->call);
+        rowcommit_cancel(own->call);
     }
     free(own->stored_text);
     free(own->pending_text);
@@ -109,7 +108,6 @@
 ownrow_update(struct ownrow *own)
 {
     struct node *node = own->node;
-    const struct rowstore *store = &node->options.store;
     /* The row's version is unknown until the table was read. */
     if (own->call != NULL || rowwatch_version(node->fleet_watch) == 0) {
         return;
@@ -133,8 +131,8 @@
         .value = text,
         .size = strlen(text),
     };
-    own->call = store->ops->commit(store->impl, &write, 1, WRITE_TIMEOUT_US,
-                                   on_written, own);
+    own->call = rowcommit_start(node->commits, &write, 1, ROWCOMMIT_SOON,
+                                on_written, own);
 }
 
 void
--- a/packages/node/planner.c
+++ b/packages/node/planner.c
@@ -12,20 +12,20 @@
 #include "node/localtarget.h"
 #include "node/planner_internal.h"
 #include "node/relaytask.h"
+#include "node/rowcommit.h"
 
 #define TICK_US (100 * US_PER_MS)
 /* Instances that started at the same time know each other by then. */
 #define START_DELAY_US (1500 * US_PER_MS)
-#define WRITE_TIMEOUT_US (1 * US_PER_SECOND)
 #define TAKEOVER_STAGGER_US (400 * US_PER_MS) /* between watchers */
 #define REBALANCE_INTERVAL_US (1 * US_PER_SECOND)
 #define SETTLE_US (1500 * US_PER_MS) /* until moves show in the loads */
-#define REBALANCE_TOLERANCE 1.2      /* times an owner's fair share */
+#define REBALANCE_TOLERANCE 1.25     /* times an owner's fair share */
 #define LOAD_AGE_MAX_US (3 * US_PER_SECOND)
 #define WEIGHT_MIN 0.5 /* of the average */
 #define WEIGHT_MAX 2.0
 #define COLD_TARGET_WEIGHT_FACTOR 0.4
-#define STRAINED_LOAD_PER_SLOT 0.5
+#define BUSY_LOAD_PER_SLOT 0.8 /* from here on requests soon wait */
 #define TARGETS_MAX 512
 
 static void on_tick(void *ctx);
@@ -53,10 +53,9 @@
     if (planner == NULL) {
         return;
     }
-    const struct rowstore *store = &planner->node->options.store;
     timer_stop(&planner->tick);
     if (planner->map_call != NULL) {
-        store->ops->cancel(store->impl, planner->map_call);
+        rowcommit_cancel(planner->map_call);
     }
     struct watched_lease *lease;
     while ((lease = LIST_FIRST(&planner->leases)) != NULL) {
@@ -210,7 +209,6 @@
 planner_write(struct planner *planner, const struct keymap *map,
               struct watched_lease *lease)
 {
-    const struct rowstore *store = &planner->node->options.store;
     const struct node_keymap *keys = planner_keys(planner);
     struct rowstore_write parts[KEYMAPWRITE_PAGES_MAX + 1];
     keymapwrite_clear(&planner->map_write);
@@ -227,8 +225,8 @@
     }
     planner->takeover_lease = lease;
     planner->plans->value++;
-    planner->map_call = store->ops->commit(
-        store->impl, parts, count, WRITE_TIMEOUT_US, on_written, planner);
+    planner->map_call = rowcommit_start(planner->node->commits, parts, count,
+                                        ROWCOMMIT_SOON, on_written, planner);
 }
 
 /** Writes the moves of keys without an owner into the map.
@@ -285,15 +283,14 @@
 /** True if some target's load is high enough to increase its latency. Only
  * then are moves between working targets justified. */
 static bool
-is_strained(const struct planner *planner)
+any_target_is_busy(const struct planner *planner)
 {
     const struct peer_load *peer;
-    if (planner->own_load_per_slot > STRAINED_LOAD_PER_SLOT) {
+    if (planner->own_load_per_slot > BUSY_LOAD_PER_SLOT) {
         return true;
     }
     LIST_FOREACH (peer, &planner->peers, link) {
-        if (peer->failures == 0 &&
-            peer->load_per_slot > STRAINED_LOAD_PER_SLOT) {
+        if (peer->failures == 0 && peer->load_per_slot > BUSY_LOAD_PER_SLOT) {
             return true;
         }
     }
@@ -333,7 +330,7 @@
     const bool settling = now_us < planner->settle_until_us;
     const bool rebalance = !needs.unowned && !needs.leaving && !settling &&
                            now_us >= planner->rebalance_at_us &&
-                           is_strained(planner);
+                           any_target_is_busy(planner);
     if (!needs.unowned && (settling || (!needs.leaving && !rebalance))) {
         return;
     }
--- a/packages/node/planner_internal.h
+++ b/packages/node/planner_internal.h
@@ -61,7 +61,7 @@
     struct timer tick;
     struct peer_loads peers;
     struct watched_leases leases;
-    struct rowstore_call *map_call;
+    struct rowcommit_call *map_call;
     struct keymapwrite map_write;         /* of map_call */
     struct watched_lease *takeover_lease; /* that map_call deletes, or NULL */
     int64_t plan_from_us;                 /* nothing is planned earlier */
--- a/packages/node/rowwatch.c
+++ b/packages/node/rowwatch.c
@@ -11,7 +11,8 @@
 #include "node/feedrelay.h"
 
 #define READ_TIMEOUT_US (1500 * US_PER_MS)
-#define FEED_WAIT_US (25 * US_PER_SECOND)
+/* Short, since a store that falls silent is noticed at its end only. */
+#define FEED_WAIT_US (1 * US_PER_SECOND)
 #define RETRY_MIN_US (50 * US_PER_MS)
 #define RETRY_MAX_US (900 * US_PER_MS)
 #define KEY_SUFFIX "\x01" /* appended to a key, starts after it */
--- a/packages/protocol/procedures.h
+++ b/packages/protocol/procedures.h
@@ -23,7 +23,7 @@
     PROCEDURE_PROMISE = 14, /* TCP: relay.x, not to take over keys */
     PROCEDURE_KEYS = 16,    /* TCP: relay.x, a newly written page of keys */
     PROCEDURE_FEED = 17,    /* TCP: relay.x, changed rows of the store */
-    PROCEDURE_LEASE = 18,   /* TCP: relay.x, a lease to be written */
+    PROCEDURE_COMMIT = 18,  /* TCP: relay.x, a transaction of the store */
     PROCEDURE_RELAY = 19,   /* TCP: relay.x, a request for a target */
 };
 
--- a/packages/protocol/relay.x
+++ b/packages/protocol/relay.x
@@ -12,6 +12,7 @@
 const RELAY_MAP_MAX = 65536;
 const RELAY_ROW_MAX = 131072;
 const RELAY_ROWS_MAX = 65536;
+const RELAY_PARTS_MAX = 64;
 
 enum relay_outcome {
     RELAY_ANSWERED = 0,
@@ -147,24 +148,31 @@
     relay_row rows<RELAY_ROWS_MAX>;
 };
 
-/* Asks an instance to write a lease together with others. */
-struct relay_lease {
-    string to<RELAY_TEXT_MAX>;          /* the instance addressed */
+/* Asks an instance to commit a transaction, together with others. */
+struct relay_part {
+    string table<RELAY_TEXT_MAX>;
     string key<RELAY_TEXT_MAX>;
     unsigned hyper expected;            /* version of the row; 0: no row */
-    bool urgent;
-    opaque text<RELAY_ROW_MAX>;
+    bool check_only;
+    bool removes;
+    opaque value<RELAY_ROW_MAX>;
+};
+
+struct relay_commit {
+    string to<RELAY_TEXT_MAX>;          /* the instance addressed */
+    bool soon;                          /* not to wait long for others */
+    relay_part parts<RELAY_PARTS_MAX>;
 };
 
-enum relay_write_outcome {
-    RELAY_WRITE_DONE = 0,
-    RELAY_WRITE_CONFLICT = 1,
-    RELAY_WRITE_REFUSED = 2,            /* and will not take effect */
-    RELAY_WRITE_UNKNOWN = 3             /* may take effect now or later */
+enum relay_commit_outcome {
+    RELAY_COMMIT_DONE = 0,
+    RELAY_COMMIT_CONFLICT = 1,
+    RELAY_COMMIT_REFUSED = 2,           /* and will not take effect */
+    RELAY_COMMIT_UNKNOWN = 3            /* may take effect now or later */
 };
 
-struct relay_lease_written {
-    relay_write_outcome outcome;
+struct relay_committed {
+    relay_commit_outcome outcome;
     unsigned hyper store_version;       /* if DONE */
-    relay_row row;                      /* if CONFLICT; version 0: no row */
+    relay_row rows<RELAY_PARTS_MAX>;    /* if CONFLICT: the present ones */
 };
