node: keys belong to instances; a restart of all changes no key map

The planner also waited for loads of instances that had left.

Change: an owner is an instance. Fences of grants are at least the version of the lease row as written since the process and the incarnation began; who takes keys away raises the fences of later owners above it. An owner's change of the map is conditional on its lease row, so a former process's change that lands late fails; the releases to former incarnations and the rewriting of pages are gone. Renewals that wait don't hold up changes that depend on the lease.

--- a/packages/fleet/keymap.c
+++ b/packages/fleet/keymap.c
@@ -44,9 +44,7 @@
 {
     const json_t *last = json_object_get(item, "last");
     const json_t *fence = json_object_get(item, "fence");
-    const json_t *started = json_object_get(item, "born_ms");
     if (!json_is_integer(last) || !json_is_integer(fence) ||
-        !json_is_integer(started) ||
         json_integer_value(last) < segment->first ||
         json_integer_value(last) > page_last ||
         json_integer_value(fence) < 0) {
@@ -54,11 +52,8 @@
     }
     segment->last = (uint32_t)json_integer_value(last);
     segment->fence = (uint64_t)json_integer_value(fence);
-    segment->holder.target_started_ms = json_integer_value(started);
     return jsonfield_copy_text(item, "instance", segment->holder.instance,
                                sizeof(segment->holder.instance)) &&
-           jsonfield_copy_text(item, "target", segment->holder.target,
-                               sizeof(segment->holder.target)) &&
            jsonfield_copy_text(item, "token", segment->token,
                                sizeof(segment->token));
 }
@@ -142,6 +137,18 @@
     return fence;
 }
 
+void
+keymap_raise_fence(struct keymap *map, uint32_t first, uint32_t last,
+                   uint64_t fence)
+{
+    for (unsigned page = keymap_page_of(first); page <= keymap_page_of(last);
+         page++) {
+        if (map->pages[page].next_fence <= fence) {
+            map->pages[page].next_fence = fence + 1;
+        }
+    }
+}
+
 void
 keymap_assign(struct keymap *map, uint32_t first, uint32_t last,
               const struct keymap_holder *holder, const char *token)
@@ -322,11 +329,9 @@
 static json_t *
 segment_json(const struct keymap_segment *segment, unsigned page)
 {
-    return json_pack("{s:i, s:s, s:s, s:I, s:I, s:s}", "last",
+    return json_pack("{s:i, s:s, s:I, s:s}", "last",
                      (int)last_in_page(segment, page), "instance",
-                     segment->holder.instance, "target",
-                     segment->holder.target, "born_ms",
-                     (json_int_t)segment->holder.target_started_ms, "fence",
+                     segment->holder.instance, "fence",
                      (json_int_t)segment->fence, "token", segment->token);
 }
 
@@ -370,9 +375,7 @@
 keymap_holder_equal(const struct keymap_holder *a,
                     const struct keymap_holder *b)
 {
-    return strcmp(a->instance, b->instance) == 0 &&
-           strcmp(a->target, b->target) == 0 &&
-           a->target_started_ms == b->target_started_ms;
+    return strcmp(a->instance, b->instance) == 0;
 }
 
 double
--- a/packages/fleet/keymap.h
+++ b/packages/fleet/keymap.h
@@ -19,11 +19,9 @@
 #define KEYMAP_PAGES 64
 #define KEYMAP_PAGE_KEYS 1024 /* keys in a page */
 
-/** One incarnation of a target at an instance. */
+/** The instance whose target may hold keys, in any of its incarnations. */
 struct keymap_holder {
     char instance[KEYMAP_NAME_MAX + 1]; /**< empty: none */
-    char target[KEYMAP_NAME_MAX + 1];
-    int64_t target_started_ms; /**< start of the incarnation */
 };
 
 /** Keys from first to last (inclusive) with the same owner and fence. */
@@ -74,6 +72,10 @@
 const struct keymap_segment *keymap_find(const struct keymap *map,
                                          uint32_t key);
 
+/** Has all later assignments of the keys use fences above the given one. */
+void keymap_raise_fence(struct keymap *map, uint32_t first, uint32_t last,
+                        uint64_t fence);
+
 /**
  * Assigns keys to a holder with a new fence. A holder without an instance
  * leaves them without an owner. token may be NULL.
--- a/packages/fleet/test/keymap_test.cc
+++ b/packages/fleet/test/keymap_test.cc
@@ -22,8 +22,6 @@
 {
     struct keymap_holder holder = {};
     strncpy(holder.instance, name.c_str(), KEYMAP_NAME_MAX);
-    strncpy(holder.target, ("t-" + name).c_str(), KEYMAP_NAME_MAX);
-    holder.target_started_ms = 5;
     return holder;
 }
 
--- a/packages/node/gatesend.c
+++ b/packages/node/gatesend.c
@@ -149,7 +149,6 @@
     struct localgate *gate = call->gate;
     const struct node *node = gate->node;
     const struct relay_request *request = call->request;
-    const struct keymap_holder holder = localtarget_holder(node->target);
     struct http_headers headers = {.items = NULL};
     for (u_int i = 0; i < request->fields.fields_len; i++) {
         const struct relay_field *field = &request->fields.fields_val[i];
@@ -158,7 +157,7 @@
     node->wire->add_target_fields(
         &headers,
         &(struct wire_target_fields){
-            .target = holder.target,
+            .target = localtarget_name(node->target),
             .caller = request->caller,
             .time_left_us = call->deadline_us - localgate_now_us(gate),
         });
--- a/packages/node/keymapwrite.c
+++ b/packages/node/keymapwrite.c
@@ -47,21 +47,13 @@
 
 bool
 keymapwrite_prepare(struct keymapwrite *write, const char *service,
-                    const struct keymap *before, const struct keymap *after,
-                    uint64_t forced)
+                    const struct keymap *before, const struct keymap *after)
 {
     write->count = 0;
     for (unsigned page = 0; page < KEYMAP_PAGES; page++) {
         if (write->count < KEYMAPWRITE_PAGES_MAX &&
             !keymap_page_equal(before, after, page)) {
             add_page(write, service, after, page);
-            forced &= ~(UINT64_C(1) << page);
-        }
-    }
-    for (unsigned page = 0; page < KEYMAP_PAGES; page++) {
-        if (write->count < KEYMAPWRITE_PAGES_MAX &&
-            (forced & (UINT64_C(1) << page)) != 0) {
-            add_page(write, service, after, page);
         }
     }
     return write->count > 0;
--- a/packages/node/keymapwrite.h
+++ b/packages/node/keymapwrite.h
@@ -25,14 +25,14 @@
 };
 
 /**
- * Prepares the write of the pages that differ between two maps and, if there
- * is room, of the pages in the bit set forced (bit 0: page 0).
+ * Prepares the write of the pages that differ between two maps, as far as one
+ * transaction has room for them.
  *
  * @return true if there is anything to write
  */
 bool keymapwrite_prepare(struct keymapwrite *write, const char *service,
                          const struct keymap *before,
-                         const struct keymap *after, uint64_t forced);
+                         const struct keymap *after);
 
 /** Fills in the parts of the transaction. Their strings belong to write.
  * @return their number */
--- a/packages/node/keyowner.c
+++ b/packages/node/keyowner.c
@@ -32,7 +32,6 @@
     TAILQ_INIT(&keyowner->grants);
     TAILQ_INIT(&keyowner->handovers);
     LIST_INIT(&keyowner->releases);
-    LIST_INIT(&keyowner->stale_releases);
     snprintf(keyowner->lease_key, sizeof(keyowner->lease_key), "%s",
              node->settings.instance);
     keyowner->grants_sent =
@@ -71,7 +70,6 @@
     while ((grant = TAILQ_FIRST(&keyowner->grants)) != NULL) {
         keyownergrant_free(grant);
     }
-    keyownergrant_drop_stale_releases(keyowner);
     keyload_destroy(keyowner->load);
     free(keyowner->lease_write_text);
     free(keyowner->lease_stored);
@@ -114,26 +112,11 @@
 bool
 keyowner_may_grant(const struct keyowner *keyowner)
 {
-    return keyowner_has_lease(keyowner) &&
+    return keyowner_has_lease(keyowner) && keyowner->fence_min > 0 &&
            rowwatch_version(keyowner->node->fleet_watch) >=
                keyowner->lease.acquired_version;
 }
 
-bool
-keyowner_pages_are_settled(const struct keyowner *keyowner, uint32_t first,
-                           uint32_t last)
-{
-    const struct node_keymap *keys = keyowner_keys(keyowner);
-    for (unsigned page = keymap_page_of(first); page <= keymap_page_of(last);
-         page++) {
-        if (keys == NULL || keys->map.pages[page].version <=
-                                keyowner->lease.acquired_version) {
-            return false;
-        }
-    }
-    return true;
-}
-
 struct key_grant *
 keyowner_find_grant(const struct keyowner *keyowner, uint32_t key)
 {
@@ -377,7 +360,7 @@
         }
         keyownergrant_free(grant);
     }
-    keyownergrant_drop_stale_releases(keyowner);
+    keyowner->fence_min = 0;
     if (proven_dead) {
         keyowner->former_grants_end_us = 0;
         keyowner->unresolved_until_us = 0;
@@ -388,6 +371,9 @@
 void
 keyowner_target_changed(struct keyowner *keyowner)
 {
+    if (keyowner->fence_min == 0) {
+        keyowner->lease.renew_us = 0;
+    }
     keyowner_sync_grants(keyowner);
     advance(keyowner);
 }
@@ -460,7 +446,7 @@
     const int64_t now_us = node_now_us(keyowner->node);
     if (!keyowner_may_grant(keyowner) || !keyowner_store_available(keyowner) ||
         !localtarget_is_present(keyowner->node->target) ||
-        !keyowner_pages_are_settled(keyowner, first, last) ||
+        now_us < keyowner->unresolved_until_us ||
         !can_hand_over(keyowner, first, last, now_us)) {
         return false;
     }
--- a/packages/node/keyowner_internal.h
+++ b/packages/node/keyowner_internal.h
@@ -25,7 +25,7 @@
     struct keyowner *keyowner;
     uint32_t first;
     uint32_t last;
-    uint64_t fence;
+    uint64_t fence;                  /**< of the map */
     char token[KEYMAP_NAME_MAX + 1]; /**< sent with the first grant */
     bool confirmed;                  /**< by the target */
     bool releasing;                  /**< being handed over */
@@ -66,30 +66,19 @@
 
 LIST_HEAD(release_list, release_call);
 
-/** Keys of a former incarnation that the present one is asked to release: a
- * grant meant for the former one may have reached it. */
-struct stale_release {
-    LIST_ENTRY(stale_release) link;
-    struct keyowner *keyowner;
-    uint32_t first;
-    uint32_t last;
-    uint64_t fence;
-    bool done;
-    struct http_call *call;
-};
-
-LIST_HEAD(stale_release_list, stale_release);
-
 struct keyowner {
     struct node *node;
     struct timer tick;
     struct key_grant_list grants;
     struct handover_list handovers;
     struct release_list releases;
-    struct stale_release_list stale_releases;
     struct keyload *load;
     int64_t last_decay_us;
     struct keylease lease;
+    /** Of a lease that was written since this process began and the present
+     * incarnation of the target was first heard of; 0: none yet. Grants have
+     * at least this fence, which is above those of former incarnations. */
+    uint64_t fence_min;
     struct rowcommit_call *lease_call;
     int64_t lease_write_started_us;
     char lease_key[KEYMAP_NAME_MAX + 1];
@@ -119,14 +108,10 @@
 
 bool keyowner_has_lease(const struct keyowner *keyowner);
 
-/** True if the lease holds and the map was read since it was acquired. */
+/** True if the lease holds, the map was read since it was acquired, and fences
+ * of the present incarnation of the target are known. */
 bool keyowner_may_grant(const struct keyowner *keyowner);
 
-/** True if no write of an earlier process can change the owner of the keys any
- * more: all their pages were written after the lease was acquired. */
-bool keyowner_pages_are_settled(const struct keyowner *keyowner,
-                                uint32_t first, uint32_t last);
-
 /** Drops grants that the map no longer allows and adds those it asks for. */
 void keyowner_sync_grants(struct keyowner *keyowner);
 
@@ -142,13 +127,6 @@
 /** Removes a handover, done or not; keys left here are granted again. */
 void keyownergrant_drop_handover(struct handover *handover);
 
-/** Has the present incarnation release a segment of a former one.
- * @return true once it has */
-bool keyownergrant_release_stale(struct keyowner *keyowner,
-                                 const struct keymap_segment *segment);
-
-void keyownergrant_drop_stale_releases(struct keyowner *keyowner);
-
 /* keyownerlease.c */
 
 /** Renews the lease when due; asks for promises if the store is late. */
--- a/packages/node/keyownergrant.c
+++ b/packages/node/keyownergrant.c
@@ -130,6 +130,14 @@
     }
 }
 
+/** Fence of the grant at the target. */
+static uint64_t
+target_fence(const struct key_grant *grant)
+{
+    const uint64_t fence_min = grant->keyowner->fence_min;
+    return grant->fence > fence_min ? grant->fence : fence_min;
+}
+
 static void
 send_grant(struct key_grant *grant)
 {
@@ -150,7 +158,7 @@
     const struct wire_grant order = {
         .first = grant->first,
         .last = grant->last,
-        .fence = grant->fence,
+        .fence = target_fence(grant),
         .hold_us = hold_us,
         .token = grant->token,
     };
@@ -177,8 +185,7 @@
     struct key_grant *grant;
     TAILQ_FOREACH (grant, &keyowner->grants, link) {
         if (grant->call == NULL && !grant->releasing &&
-            now_us >= grant->renew_at_us &&
-            keyowner_pages_are_settled(keyowner, grant->first, grant->last)) {
+            now_us >= grant->renew_at_us) {
             send_grant(grant);
         }
     }
@@ -251,7 +258,7 @@
     const struct wire_grant order = {
         .first = grant->first,
         .last = grant->last,
-        .fence = grant->fence,
+        .fence = target_fence(grant),
     };
     call->handover = handover;
     LIST_INSERT_HEAD(&handover->keyowner->releases, call, link);
@@ -260,73 +267,6 @@
                                     on_released, call);
 }
 
-static void
-on_stale_released(void *ctx, const struct http_result *result)
-{
-    struct stale_release *stale_release = ctx;
-    struct keyowner *keyowner = stale_release->keyowner;
-    stale_release->call = NULL;
-    if (result->outcome == HTTP_ANSWERED && result->status == STATUS_OK) {
-        stale_release->done = true;
-        keyownermap_write_changes(keyowner);
-    }
-}
-
-static void
-send_stale_release(struct stale_release *stale_release)
-{
-    struct node *node = stale_release->keyowner->node;
-    const struct wire_grant order = {
-        .first = stale_release->first,
-        .last = stale_release->last,
-        .fence = stale_release->fence,
-    };
-    stale_release->call = send_release_order(node, &order, CALL_TIMEOUT_US,
-                                             on_stale_released, stale_release);
-}
-
-bool
-keyownergrant_release_stale(struct keyowner *keyowner,
-                            const struct keymap_segment *segment)
-{
-    struct stale_release *stale_release;
-    LIST_FOREACH (stale_release, &keyowner->stale_releases, link) {
-        if (stale_release->first == segment->first &&
-            stale_release->last == segment->last &&
-            stale_release->fence == segment->fence) {
-            break;
-        }
-    }
-    if (stale_release == NULL) {
-        stale_release = memory_calloc(1, sizeof(*stale_release));
-        stale_release->keyowner = keyowner;
-        stale_release->first = segment->first;
-        stale_release->last = segment->last;
-        stale_release->fence = segment->fence;
-        LIST_INSERT_HEAD(&keyowner->stale_releases, stale_release, link);
-    }
-    if (!stale_release->done && stale_release->call == NULL) {
-        send_stale_release(stale_release);
-    }
-    return stale_release->done;
-}
-
-void
-keyownergrant_drop_stale_releases(struct keyowner *keyowner)
-{
-    struct stale_release *stale_release =
-        LIST_FIRST(&keyowner->stale_releases);
-    while (stale_release != NULL) {
-        struct stale_release *next = LIST_NEXT(stale_release, link);
-        if (stale_release->call != NULL) {
-            http_call_cancel(stale_release->call);
-        }
-        free(stale_release);
-        stale_release = next;
-    }
-    LIST_INIT(&keyowner->stale_releases);
-}
-
 void
 keyownergrant_release(struct handover *handover)
 {
--- a/packages/node/keyownerlease.c
+++ b/packages/node/keyownerlease.c
@@ -112,6 +112,15 @@
     const bool acquired = keylease_record_write(
         &keyowner->lease, keyowner->lease_write_started_us, row_version,
         store_version);
+    if (keyowner->fence_min == 0 &&
+        keyowner->lease_write_started_us >=
+            localtarget_present_since_us(keyowner->node->target)) {
+        keyowner->fence_min = row_version;
+    }
+    if (keyowner->fence_min == 0 &&
+        localtarget_is_present(keyowner->node->target)) {
+        keyowner->lease.renew_us = 0;
+    }
     if (acquired) {
         LOG_INFO("lease_acquired", LOG_UINT("version", row_version));
         rowwatch_refresh(keyowner->node->fleet_watch);
--- a/packages/node/keyownermap.c
+++ b/packages/node/keyownermap.c
@@ -9,6 +9,8 @@
 #include "node/localtarget.h"
 
 #define RETRY_US (150 * US_PER_MS)
+/* By then a renewal of the lease that was in progress is known. */
+#define CONFLICT_DELAY_US (40 * US_PER_MS)
 
 static struct keymap_handover
 handover_spec(const struct handover *handover)
@@ -100,6 +102,10 @@
         node_publish_keymap(keyowner->node, keys, &keyowner->map_write,
                             result->version);
     }
+    if (result->outcome == ROWSTORE_CONFLICT) {
+        keyowner->map_retry_at_us =
+            node_now_us(keyowner->node) + CONFLICT_DELAY_US;
+    }
     node_apply_keymap_conflict(keyowner->node, result);
     keyownermap_finish_handovers(keyowner);
     keyowner_sync_grants(keyowner);
@@ -107,37 +113,24 @@
     keyownergrant_send_due(keyowner);
 }
 
-/** Who gets the keys of former incarnations: the present one, which spares
- * the planner an assignment, or nobody if it can't take keys. */
-static struct keymap_holder
-successor(const struct node *node)
-{
-    static const struct keymap_holder no_holder;
-    const bool can_take = localtarget_is_serving(node->target) &&
-                          !node->stopping &&
-                          !node_zone_is_out((void *)node, node->settings.zone);
-    return can_take ? localtarget_holder(node->target) : no_holder;
-}
-
-/** Takes the keys of former incarnations of the target from them, as far as
- * they can no longer use them. */
+/** Frees the own keys if there has been no target for so long that none can
+ * hold them any more. */
 static void
-replace_former_incarnations(struct keyowner *keyowner, struct keymap *map)
+free_keys_without_target(const struct keyowner *keyowner, struct keymap *map)
 {
+    static const struct keymap_holder no_holder;
     const struct node *node = keyowner->node;
-    const struct keymap_holder own = localtarget_holder(node->target);
-    const struct keymap_holder to = successor(node);
-    const bool over = node_now_us(node) >= keyowner->former_grants_end_us;
-    const bool present = own.instance[0] != '\0' &&
-                         node_now_us(node) >= keyowner->unresolved_until_us;
+    const int64_t now_us = node_now_us(node);
+    if (localtarget_is_present(node->target) ||
+        now_us < keyowner->former_grants_end_us ||
+        now_us < keyowner->unresolved_until_us) {
+        return;
+    }
     for (size_t i = 0; i < map->count; i++) {
         const struct keymap_segment *segment = &map->segments[i];
-        const bool former =
-            strcmp(segment->holder.instance, node->settings.instance) == 0 &&
-            !keymap_holder_equal(&segment->holder, &own);
-        if (former && (over || (present && keyownergrant_release_stale(
-                                               keyowner, segment)))) {
-            keymap_assign(map, segment->first, segment->last, &to, NULL);
+        if (strcmp(segment->holder.instance, node->settings.instance) == 0) {
+            keymap_assign(map, segment->first, segment->last, &no_holder,
+                          NULL);
         }
     }
 }
@@ -154,26 +147,32 @@
     }
 }
 
-/** Pages with own keys that earlier processes may still change; writing them
- * excludes that. */
-static uint64_t
-unsettled_pages(const struct keyowner *keyowner, const struct keymap *map)
+/** Has the fences of later owners begin above those of the own grants. */
+static void
+raise_fences(const struct keyowner *keyowner, struct keymap *map)
 {
-    uint64_t pages = 0;
+    uint64_t fence = keyowner->fence_min;
+    fence = fence > keyowner->lease.version ? fence : keyowner->lease.version;
     for (size_t i = 0; i < map->count; i++) {
         const struct keymap_segment *segment = &map->segments[i];
         if (strcmp(segment->holder.instance,
-                   keyowner->node->settings.instance) != 0) {
-            continue;
-        }
-        for (unsigned page = keymap_page_of(segment->first);
-             page <= keymap_page_of(segment->last); page++) {
-            if (map->pages[page].version <= keyowner->lease.acquired_version) {
-                pages |= UINT64_C(1) << page;
-            }
+                   keyowner->node->settings.instance) == 0) {
+            keymap_raise_fence(map, segment->first, segment->last, fence);
         }
     }
-    return pages;
+}
+
+/** The transaction fails if another process got the lease meanwhile, which may
+ * have granted the keys. */
+static struct rowstore_write
+lease_condition(const struct keyowner *keyowner)
+{
+    return (struct rowstore_write){
+        .table = NODE_LEASE_TABLE,
+        .key = keyowner->lease_key,
+        .expected = keyowner->lease.version,
+        .check_only = true,
+    };
 }
 
 void
@@ -189,14 +188,16 @@
     }
     struct keymap map;
     keymap_copy(&map, &keys->map);
-    replace_former_incarnations(keyowner, &map);
+    raise_fences(keyowner, &map);
+    free_keys_without_target(keyowner, &map);
     apply_handovers(keyowner, &map);
     keymapwrite_clear(&keyowner->map_write);
     if (keymapwrite_prepare(&keyowner->map_write, keys->service, &keys->map,
-                            &map, unsettled_pages(keyowner, &keys->map))) {
-        struct rowstore_write parts[KEYMAPWRITE_PAGES_MAX];
-        const size_t count =
+                            &map)) {
+        struct rowstore_write parts[KEYMAPWRITE_PAGES_MAX + 1];
+        size_t count =
             keymapwrite_fill(&keyowner->map_write, &keys->map, parts);
+        parts[count++] = lease_condition(keyowner);
         keyowner->map_call = rowcommit_start(
             node->commits, parts, count, ROWCOMMIT_SOON, on_written, keyowner);
     }
--- a/packages/node/localtarget.c
+++ b/packages/node/localtarget.c
@@ -30,6 +30,7 @@
 struct localtarget {
     struct node *node;
     bool present;
+    int64_t present_since_us;
     struct wire_announcement announced; /* latest one */
     bool leaving;
     int64_t leaving_since_us;
@@ -143,6 +144,7 @@
         .answers_to_end = true,
     };
     target->present = true;
+    target->present_since_us = target_now_us(target);
     target->probe_failures = 0;
     target->client = http_client_create(target->node->runtime, &config,
                                         target->node->options.counters);
@@ -504,17 +506,26 @@
 struct keymap_holder
 localtarget_holder(const struct localtarget *target)
 {
-    struct keymap_holder holder = {.target_started_ms = 0};
+    struct keymap_holder holder = {.instance = ""};
     if (target->present) {
         snprintf(holder.instance, sizeof(holder.instance), "%s",
                  target->node->settings.instance);
-        snprintf(holder.target, sizeof(holder.target), "%s",
-                 target->announced.target);
-        holder.target_started_ms = target->announced.started_ms;
     }
     return holder;
 }
 
+const char *
+localtarget_name(const struct localtarget *target)
+{
+    return target->present ? target->announced.target : "";
+}
+
+int64_t
+localtarget_present_since_us(const struct localtarget *target)
+{
+    return target->present ? target->present_since_us : INT64_MAX;
+}
+
 struct http_client *
 localtarget_client(const struct localtarget *target)
 {
--- a/packages/node/localtarget.h
+++ b/packages/node/localtarget.h
@@ -59,6 +59,12 @@
  * is none. */
 struct keymap_holder localtarget_holder(const struct localtarget *target);
 
+/** Name of the present incarnation, or empty. */
+const char *localtarget_name(const struct localtarget *target);
+
+/** When the present incarnation was first heard of; INT64_MAX without one. */
+int64_t localtarget_present_since_us(const struct localtarget *target);
+
 /** For calls to the present incarnation; NULL if there is none. */
 struct http_client *localtarget_client(const struct localtarget *target);
 
--- a/packages/node/planner.c
+++ b/packages/node/planner.c
@@ -142,12 +142,9 @@
             .weight = capacity_of(planner, instance_row, &cold[count]),
             .can_receive = !out,
             .must_release_all = out,
-            .holder = {.target_started_ms = instance_row->target_started_ms},
         };
         memcpy(target->holder.instance, instance_row->instance,
                sizeof(target->holder.instance));
-        memcpy(target->holder.target, instance_row->target,
-               sizeof(target->holder.target));
         any_warm = any_warm || (!out && !cold[count]);
         count++;
     }
@@ -161,6 +158,17 @@
     return count;
 }
 
+/** False for instances that have left: their loads count no more, and nothing
+ * waits for them. */
+static bool
+is_present(const struct planner *planner, const struct peer_load *peer)
+{
+    const struct instancetable_instance *instance =
+        instancetable_find(&planner->node->instancetable, peer->instance);
+    return instance != NULL &&
+           planner_serves_own_service(planner, &instance->instance_row);
+}
+
 static struct keyload_curve *
 make_curve(const struct planner *planner, bool *complete)
 {
@@ -172,6 +180,9 @@
                       keyowner_load_steps(planner->node->keyowner, steps));
     *complete = true;
     LIST_FOREACH (peer, &planner->peers, link) {
+        if (!is_present(planner, peer)) {
+            continue;
+        }
         if (peer->received_us > 0 &&
             now_us - peer->received_us < LOAD_AGE_MAX_US) {
             keyload_curve_add(curve, peer->steps, peer->step_count);
@@ -212,8 +223,7 @@
     const struct node_keymap *keys = planner_keys(planner);
     struct rowstore_write parts[KEYMAPWRITE_PAGES_MAX + 1];
     keymapwrite_clear(&planner->map_write);
-    keymapwrite_prepare(&planner->map_write, keys->service, &keys->map, map,
-                        0);
+    keymapwrite_prepare(&planner->map_write, keys->service, &keys->map, map);
     size_t count = keymapwrite_fill(&planner->map_write, &keys->map, parts);
     if (lease != NULL) {
         parts[count++] = (struct rowstore_write){
@@ -290,7 +300,8 @@
         return true;
     }
     LIST_FOREACH (peer, &planner->peers, link) {
-        if (peer->failures == 0 && peer->load_per_slot > BUSY_LOAD_PER_SLOT) {
+        if (peer->failures == 0 && is_present(planner, peer) &&
+            peer->load_per_slot > BUSY_LOAD_PER_SLOT) {
             return true;
         }
     }
@@ -328,7 +339,7 @@
     const size_t count = list_targets(planner, targets);
     const struct map_needs needs = find_needs(&keys->map, targets, count);
     const bool settling = now_us < planner->settle_until_us;
-    const bool rebalance = !needs.unowned && !needs.leaving && !settling &&
+    const bool rebalance = !needs.unowned && !settling &&
                            now_us >= planner->rebalance_at_us &&
                            any_target_is_busy(planner);
     if (!needs.unowned && (settling || (!needs.leaving && !rebalance))) {
--- a/packages/node/planner_internal.h
+++ b/packages/node/planner_internal.h
@@ -46,6 +46,7 @@
     struct rowstore_call *call;
     bool version_known;
     uint64_t version;           /**< of the row; 0: there is none */
+    uint64_t store_version;     /**< of the store when it was read last */
     bool needs_promise;         /**< the row names this instance as a peer */
     int64_t unchanged_since_us; /**< when this version was first read here */
     int64_t next_read_us;
--- a/packages/node/plannertakeover.c
+++ b/packages/node/plannertakeover.c
@@ -96,6 +96,7 @@
         lease->unchanged_since_us = now_us;
     }
     lease->needs_promise = needs_promise;
+    lease->store_version = result->version;
 }
 
 static void
@@ -128,6 +129,9 @@
     for (size_t i = 0; i < map.count; i++) {
         const struct keymap_segment *segment = &map.segments[i];
         if (strcmp(segment->holder.instance, lease->instance) == 0) {
+            /* Fences of its grants are at most its lease's version. */
+            keymap_raise_fence(&map, segment->first, segment->last,
+                               lease->store_version);
             keymap_assign(&map, segment->first, segment->last, &no_holder,
                           NULL);
         }
--- a/packages/node/relaytask.c
+++ b/packages/node/relaytask.c
@@ -202,9 +202,8 @@
 {
     struct relaytask *relay = ctx;
     const struct relay_move *move = args;
-    struct keymap_holder to = {.target_started_ms = move->born_ms};
+    struct keymap_holder to;
     snprintf(to.instance, sizeof(to.instance), "%s", move->instance);
-    snprintf(to.target, sizeof(to.target), "%s", move->target);
     struct relay_promised reply = {.promised = false};
     if (is_addressed_to_self(relay, move->to) && move->first <= move->last &&
         move->last < DECLARED_KEY_COUNT) {
@@ -485,8 +484,6 @@
         .first = first,
         .last = last,
         .instance = (char *)to->instance,
-        .target = (char *)to->target,
-        .born_ms = to->target_started_ms,
     };
     struct rpc_call_spec spec = {
         .peer = &instance->instance_row.address,
--- a/packages/node/rowcommit.c
+++ b/packages/node/rowcommit.c
@@ -266,15 +266,18 @@
     return false;
 }
 
-/** Moves waiting calls into the transaction, one for each row. */
+/** Moves waiting calls of that urgency into the transaction, one for each
+ * row. */
 static void
-fill_transaction(struct transaction *transaction)
+fill_transaction(struct transaction *transaction,
+                 enum rowcommit_urgency urgency)
 {
     struct rowcommit *commit = transaction->commit;
     struct rowcommit_call *call = TAILQ_FIRST(&commit->waiting);
     while (call != NULL) {
         struct rowcommit_call *next = TAILQ_NEXT(call, link);
-        if (transaction->part_count + call->count <= ROWCOMMIT_PARTS_MAX &&
+        if (call->urgency == urgency &&
+            transaction->part_count + call->count <= ROWCOMMIT_PARTS_MAX &&
             !has_key_of(transaction, call)) {
             call_move(call, &commit->sent);
             call->transaction = transaction;
@@ -298,7 +301,10 @@
     }
     struct transaction *transaction = memory_calloc(1, sizeof(*transaction));
     transaction->commit = commit;
-    fill_transaction(transaction);
+    /* Changes of a map depend on a lease as it is, so they go before the
+     * renewals that wait. */
+    fill_transaction(transaction, ROWCOMMIT_SOON);
+    fill_transaction(transaction, ROWCOMMIT_LATER);
     LIST_INSERT_HEAD(&commit->transactions, transaction, link);
     commit->transactions_started->value++;
     commit->calls_committed->value += (int64_t)transaction->call_count;
@@ -517,10 +523,11 @@
             .size = part->value.value_len,
         };
     }
-    rpc_request_set_data(
-        request, call_create(commit, parts, count, on_served, request));
-    plan_flush(commit,
-               delay_of(asked->soon ? ROWCOMMIT_SOON : ROWCOMMIT_LATER));
+    struct rowcommit_call *call =
+        call_create(commit, parts, count, on_served, request);
+    call->urgency = asked->soon ? ROWCOMMIT_SOON : ROWCOMMIT_LATER;
+    rpc_request_set_data(request, call);
+    plan_flush(commit, delay_of(call->urgency));
 }
 
 static void
--- a/packages/protocol/relay.x
+++ b/packages/protocol/relay.x
@@ -97,9 +97,7 @@
     string to<RELAY_TEXT_MAX>;          /* the instance addressed */
     unsigned int first;
     unsigned int last;
-    string instance<RELAY_TEXT_MAX>;
-    string target<RELAY_TEXT_MAX>;
-    hyper born_ms;
+    string instance<RELAY_TEXT_MAX>;    /* that gets them */
 };
 
 /* Asks an instance for its loads, or for the promise not to take over the
