node: own zone first while it answers in time; bytes between zones by purpose

Under overload, requests started with hardly their usual time left and reached their deadline in a slot.

Change: an instance of the own zone that is expected to answer within three fifths of the objective is chosen before faster ones elsewhere. Counters other_zone_*_bytes. A request starts only while twice its usual time is left.

--- a/packages/fleet/instancechoice.c
+++ b/packages/fleet/instancechoice.c
@@ -10,7 +10,10 @@
 #define COLD_FACTOR 1.5
 #define UNANSWERED_FACTOR 4.0
 #define BUSY_SLOWDOWN 0.5 /* relative slowdown at full load */
-/* Of the objective; traffic between zones is expensive. */
+/* Traffic between zones is expensive: an instance of the own zone that is
+ * expected to answer within this part of the objective is good enough. */
+#define GOOD_ENOUGH_PERCENT 60
+/* Of the objective, for leaving the zone otherwise. */
 #define OTHER_ZONE_PERCENT 20
 #define OTHER_ZONE_MIN_US (10.0 * US_PER_MS)
 #define OVERLOAD_PENALTY_US                                                   \
@@ -129,13 +132,29 @@
     return time_us / (success > 0.05 ? success * success : 0.0025);
 }
 
+/** The best instance so far, of those looked at. */
+struct candidate {
+    struct instancetable_instance *instance;
+    double time_us;
+};
+
+static void
+consider(struct candidate *best, struct instancetable_instance *instance,
+         double time_us)
+{
+    if (best->instance == NULL || time_us < best->time_us) {
+        best->instance = instance;
+        best->time_us = time_us;
+    }
+}
+
 struct instancetable_instance *
 instancechoice_pick(const struct instancetable *table,
                     const struct instancechoice_criteria *criteria,
                     struct random_state *random)
 {
-    struct instancetable_instance *best = NULL;
-    double best_us = 0;
+    struct candidate best = {.instance = NULL};
+    struct candidate best_in_zone = {.instance = NULL};
     const int64_t fastest = fastest_us(table, criteria);
     struct instancetable_instance *instance;
     LIST_FOREACH (instance, &table->instances, link) {
@@ -145,10 +164,15 @@
         /* Random jitter of 10 % keeps instances from choosing alike. */
         const double time_us = expected_us(criteria, instance, fastest) *
                                (0.9 + 0.2 * random_unit(random));
-        if (best == NULL || time_us < best_us) {
-            best = instance;
-            best_us = time_us;
+        consider(&best, instance, time_us);
+        if (strcmp(instance->instance_row.zone, criteria->zone) == 0) {
+            consider(&best_in_zone, instance, time_us);
         }
     }
-    return best;
+    const double good_enough_us =
+        (double)criteria->objective_us * GOOD_ENOUGH_PERCENT / 100;
+    return best_in_zone.instance != NULL &&
+                   best_in_zone.time_us <= good_enough_us
+               ? best_in_zone.instance
+               : best.instance;
 }
--- a/packages/node/localgate.c
+++ b/packages/node/localgate.c
@@ -18,6 +18,9 @@
 /* Longest wait in the queue, in percent of the time left; shorter if the
  * target could not answer in what then remains. */
 #define QUEUE_WAIT_PERCENT 60
+/* Of the usual service time, left when a request starts: many take longer than
+ * usual, and one that reaches its deadline has used a slot for nothing. */
+#define SERVICE_RESERVE_PERCENT 200
 #define KEY_WAIT_PERCENT 50 /* of the time until the objective */
 #define KEY_WAIT_MIN_US (100 * US_PER_MS)
 
@@ -299,9 +302,10 @@
         servicetimes_mean_us(&gate->servicetimes, request->route,
                              targetqueue_service_us(gate->queue));
     const int64_t wait_max_us = left_us * QUEUE_WAIT_PERCENT / 100;
-    const int64_t wait_us = left_us - expected_service_us < wait_max_us
-                                ? left_us - expected_service_us
-                                : wait_max_us;
+    const int64_t needed_us =
+        expected_service_us * SERVICE_RESERVE_PERCENT / 100;
+    const int64_t wait_us =
+        left_us - needed_us < wait_max_us ? left_us - needed_us : wait_max_us;
     call->queue_request.priority = request->priority;
     call->queue_request.objective_deadline_us =
         call->arrived_us + request->due_us;
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -397,6 +397,7 @@
     LIST_INIT(&node->keys);
     LIST_INIT(&node->instancetable.instances);
     node->nodemetrics = nodemetrics_create(node);
+    zonetraffic_init(&node->zonetraffic, options->counters);
     if (!nodeservers_open(node, err)) {
         node_destroy(node);
         return NULL;
--- a/packages/node/node_internal.h
+++ b/packages/node/node_internal.h
@@ -19,6 +19,7 @@
 #include "node/keymapwrite.h"
 #include "node/node.h"
 #include "node/rowwatch.h"
+#include "node/zonetraffic.h"
 #include "protocol/generated/relay.h"
 #include "protocol/rpc.h"
 
@@ -77,6 +78,7 @@
     struct localgate *gate;
     struct keyowner *keyowner;
     struct planner *planner;
+    struct zonetraffic zonetraffic;
     struct relaytask *relay;
     struct feedrelay *feeds;
     struct rowcommit *commits;
--- a/packages/node/relaytask.c
+++ b/packages/node/relaytask.c
@@ -23,6 +23,7 @@
     struct relaytask *relay;
     struct localgate_call *local; /* NULL if another instance runs it */
     struct rpc_call *remote;
+    struct counter *body_bytes; /* NULL within the zone */
     relay_call_cb done;
     void *ctx;
 };
@@ -87,9 +88,21 @@
     call_end(ctx, RPC_OK, reply);
 }
 
+static void
+count_body(const struct relay_call *call, u_int size)
+{
+    if (call->body_bytes != NULL) {
+        call->body_bytes->value += size;
+    }
+}
+
 static void
 on_remote(void *ctx, enum rpc_status status, const void *result)
 {
+    const struct relay_reply *reply = result;
+    if (reply != NULL) {
+        count_body(ctx, reply->body.body_len);
+    }
     call_end(ctx, status, result);
 }
 
@@ -119,9 +132,12 @@
         .decode_result = (xdrproc_t)xdr_relay_reply,
         .result_size = sizeof(struct relay_reply),
         .timeout_us = timeout_us,
+        .bytes = zonetraffic_counter(node, ZONETRAFFIC_REQUESTS, instance),
         .done = on_remote,
         .ctx = call,
     };
+    call->body_bytes = zonetraffic_counter(node, ZONETRAFFIC_BODIES, instance);
+    count_body(call, request->body.body_len);
     call->remote = rpc_call_start(node->rpc, &spec);
     return call;
 }
@@ -377,6 +393,7 @@
         .args = &question,
         .decode_result = (xdrproc_t)xdr_relay_promised,
         .result_size = sizeof(struct relay_promised),
+        .bytes = zonetraffic_counter(relay->node, ZONETRAFFIC_KEYS, peer),
         .done = on_promise,
     };
     query_send(query, &spec);
@@ -411,6 +428,7 @@
         .args = &question,
         .decode_result = (xdrproc_t)xdr_relay_loads,
         .result_size = sizeof(struct relay_loads),
+        .bytes = zonetraffic_counter(relay->node, ZONETRAFFIC_LOADS, instance),
         .done = on_loads,
     };
     query_send(query, &spec);
@@ -466,6 +484,7 @@
         .args = &keys,
         .decode_result = (xdrproc_t)xdr_relay_promised,
         .result_size = sizeof(struct relay_promised),
+        .bytes = zonetraffic_counter(relay->node, ZONETRAFFIC_KEYS, peer),
         .done = on_pushed,
     };
     query_send(query, &spec);
@@ -492,6 +511,7 @@
         .args = &move,
         .decode_result = (xdrproc_t)xdr_relay_promised,
         .result_size = sizeof(struct relay_promised),
+        .bytes = zonetraffic_counter(relay->node, ZONETRAFFIC_KEYS, instance),
         .done = on_move,
     };
     query_send(query, &spec);
--- a/packages/protocol/rpc.h
+++ b/packages/protocol/rpc.h
@@ -16,6 +16,7 @@
 #include "base/address.h"
 #include "base/error.h"
 
+struct counter;
 struct counter_registry;
 struct runtime;
 
@@ -113,7 +114,8 @@
     xdrproc_t decode_result;
     size_t result_size;
     int64_t timeout_us;
-    rpc_done_cb done; /**< never called from rpc_call_start() */
+    struct counter *bytes; /**< of the call and its reply; may be NULL */
+    rpc_done_cb done;      /**< never called from rpc_call_start() */
     void *ctx;
 };
 
--- a/packages/protocol/rpc_internal.h
+++ b/packages/protocol/rpc_internal.h
@@ -130,6 +130,7 @@
     enum rpc_status failed_status; /* while in node->failed */
     xdrproc_t decode_result;
     size_t result_size;
+    struct counter *bytes; /* or NULL */
     rpc_done_cb done;
     void *ctx;
     struct timer timer;
--- a/packages/protocol/rpccall.c
+++ b/packages/protocol/rpccall.c
@@ -241,6 +241,7 @@
     call->peer = *spec->peer;
     call->decode_result = spec->decode_result;
     call->result_size = spec->result_size;
+    call->bytes = spec->bytes;
     call->done = spec->done;
     call->ctx = spec->ctx;
     timer_init(&call->timer, node->runtime, call_on_timeout, call);
@@ -248,6 +249,9 @@
     node->counters.calls->value++;
 
     const size_t size = rpc_call_size(spec->encode_args, spec->args);
+    if (call->bytes != NULL) {
+        call->bytes->value += (int64_t)(RPC_RECORD_MARK_SIZE + size);
+    }
     const size_t size_max = spec->channel == RPC_UDP ? RPC_DATAGRAM_MAX_BYTES
                                                      : RPC_RECORD_MAX_BYTES;
     if (size > size_max) {
@@ -306,6 +310,9 @@
         node->counters.late_replies->value++;
         return;
     }
+    if (call->bytes != NULL) {
+        call->bytes->value += (int64_t)(RPC_RECORD_MARK_SIZE + size);
+    }
     if (header->status != RPC_MESSAGE_OK) {
         rpc_call_end(call, call_status(header->status), NULL);
         return;
