http: bound what a server in trouble may send before an answer, within it and in all

Cause: empty lines, interim answers, answers to other requests and the zeros of a chunk size were read without end until the call's deadline, and each of up to 23 connections to a target could hold a body of 64 MiB in an instance of 160 MB.

Change: 64 KiB of bytes that are neither head nor body for one message, besides 8 for each byte of the body; 8 answers to other requests; 48 MiB of bodies of a target's answers together (16 each). Then the call ends as malformed, which counts as a failure of the target, and the connection is closed. A piece of which the parser takes nothing fails the message instead of looping.

--- a/packages/http/httpclient.c
+++ b/packages/http/httpclient.c
@@ -5,7 +5,8 @@
 #include "http/httpclient_internal.h"
 
 #define CONNECTIONS_MAX_DEFAULT 64
-#define BODY_MAX_DEFAULT (16u << 20) /* bytes */
+#define BODY_MAX_DEFAULT (16u << 20)   /* bytes */
+#define BODIES_MAX_DEFAULT (64u << 20) /* bytes */
 #define CONNECT_TIMEOUT_DEFAULT_US (1 * US_PER_SECOND)
 #define IDLE_TIMEOUT_DEFAULT_US (30 * US_PER_SECOND)
 #define TIMEOUT_CHECK_INTERVAL_US (1 * US_PER_SECOND)
@@ -91,6 +92,9 @@
     if (config->connections_max == 0) {
         config->connections_max = CONNECTIONS_MAX_DEFAULT;
     }
+    if (config->bodies_max == 0) {
+        config->bodies_max = BODIES_MAX_DEFAULT;
+    }
     if (config->body_max == 0) {
         config->body_max = BODY_MAX_DEFAULT;
     }
@@ -187,6 +191,12 @@
     http_client_assign_connections(client);
 }
 
+size_t
+http_client_body_bytes(const struct http_client *client)
+{
+    return client->body_bytes;
+}
+
 unsigned
 http_client_connections(const struct http_client *client)
 {
--- a/packages/http/httpclient.h
+++ b/packages/http/httpclient.h
@@ -38,6 +38,7 @@
     struct address address;
     unsigned connections_max; /**< Default 64 */
     size_t body_max;          /**< bytes of an answer's body. Default 16 MiB */
+    size_t bodies_max; /**< bytes of all bodies in progress. Default 64 MiB */
     int64_t connect_timeout_us; /**< Default 1 s */
     int64_t idle_timeout_us;    /**< Default 30 s */
     bool answers_to_end;        /**< a body may end with its connection */
@@ -97,6 +98,9 @@
 /** Number of open connections and connection attempts. */
 unsigned http_client_connections(const struct http_client *client);
 
+/** Bytes that the bodies of answers in progress hold. */
+size_t http_client_body_bytes(const struct http_client *client);
+
 /** Starts a call. It is queued while all connections are busy. */
 struct http_call *http_call_start(struct http_client *client,
                                   const struct http_call_spec *spec);
--- a/packages/http/httpclient_internal.h
+++ b/packages/http/httpclient_internal.h
@@ -49,6 +49,7 @@
     struct http_client_connection_list idle;
     struct http_client_connection_list busy;
     unsigned connection_count;
+    size_t body_bytes; /* of the answers in progress */
     struct event *failed_event;
     struct timer timeout_check_timer;
     struct http_client_counters counters;
@@ -61,7 +62,8 @@
     struct http_reader *reader;
     struct http_call *call; /* NULL while idle */
     bool connected;
-    bool stray_answer; /* got another call's answer: not reused */
+    unsigned stray_answers; /* to other calls: then it is not reused */
+    size_t body_bytes;      /* counted in the client's */
     int64_t connect_deadline_us;
     int64_t idle_since_us;
     int64_t idle_max_us; /* from the peer's Keep-Alive, 0: none */
--- a/packages/http/httpclientconnection.c
+++ b/packages/http/httpclientconnection.c
@@ -12,6 +12,7 @@
 #define IO_MAX_BYTES (256u << 10) /* of one read or write */
 /* Of the peer's idle timeout; then a connection is not reused. */
 #define IDLE_REUSE_PERCENT 70
+#define STRAY_ANSWERS_MAX 8 /* on one connection, for one call */
 
 static const struct keepalive client_keepalive = {
     .user_timeout_ms = 3000,
@@ -19,12 +20,21 @@
     .probes = 2,
 };
 
+/** Adjusts the client's count to what the connection's answer holds. */
+static void
+connection_count_body(struct http_client_connection *connection, size_t size)
+{
+    connection->client->body_bytes += size - connection->body_bytes;
+    connection->body_bytes = size;
+}
+
 void
 http_client_connection_close(struct http_client_connection *connection)
 {
     struct http_client *client = connection->client;
     LIST_REMOVE(connection, link);
     client->connection_count--;
+    connection_count_body(connection, 0);
     bufferevent_free(connection->bev);
     http_reader_destroy(connection->reader);
     free(connection);
@@ -58,6 +68,7 @@
         return;
     }
     http_reader_reset(connection->reader);
+    connection_count_body(connection, 0);
     connection->idle_since_us = runtime_now_us(client->runtime);
     LIST_REMOVE(connection, link);
     LIST_INSERT_HEAD(&client->idle, connection, link);
@@ -91,7 +102,7 @@
         client->counters.unexpected_bytes->value++;
     }
     const bool reusable = message->keep_alive && !excess_input &&
-                          !connection->stray_answer &&
+                          connection->stray_answers == 0 &&
                           evbuffer_get_length(output) == 0;
     connection_record_idle_timeout(connection, &message->headers);
     call->connection = NULL;
@@ -120,7 +131,7 @@
         return false;
     }
     connection->client->counters.stray_answers->value++;
-    connection->stray_answer = true;
+    connection->stray_answers++;
     http_reader_reset(reader);
     return true;
 }
@@ -136,9 +147,17 @@
         return;
     }
     http_reader_feed(connection->reader, bufferevent_get_input(bev));
-    while (connection_drop_stray(connection)) {
+    while (connection->stray_answers < STRAY_ANSWERS_MAX &&
+           connection_drop_stray(connection)) {
         http_reader_feed(connection->reader, bufferevent_get_input(bev));
     }
+    connection_count_body(
+        connection, http_reader_message(connection->reader)->body_capacity);
+    if (connection->stray_answers == STRAY_ANSWERS_MAX ||
+        client->body_bytes > client->config.bodies_max) {
+        http_client_connection_fail(connection, HTTP_MALFORMED);
+        return;
+    }
     const enum http_progress progress =
         http_reader_progress(connection->reader);
     if (progress == HTTP_PROGRESS_COMPLETE) {
--- a/packages/http/httpmessage.c
+++ b/packages/http/httpmessage.c
@@ -25,6 +25,7 @@
     bool has_length;
     uint64_t length;
     bool chunked;
+    size_t extra_bytes;              /* as limited by HTTP_EXTRA_MAX_BYTES */
     bool body_until_close;           /* body ends with the connection */
     char name[FIELD_NAME_MAX_BYTES]; /* of the field whose value follows */
     size_t name_size;
@@ -326,6 +327,7 @@
     reader->has_length = false;
     reader->length = 0;
     reader->chunked = false;
+    reader->extra_bytes = 0;
     reader->body_until_close = false;
 }
 
@@ -371,6 +373,19 @@
     reader->no_body = true;
 }
 
+/** Counts bytes that belong neither to a head nor to a body. */
+static void
+count_extra(struct http_reader *reader, size_t size)
+{
+    const size_t allowed =
+        HTTP_EXTRA_MAX_BYTES +
+        HTTP_EXTRA_PER_BODY_BYTE * reader->message.body_size;
+    reader->extra_bytes += size;
+    if (reader->extra_bytes > allowed) {
+        reader_fail(reader, 431);
+    }
+}
+
 /** Parses data, the first bytes of input, and drains what was parsed. */
 static void
 reader_parse(struct http_reader *reader, struct evbuffer *input,
@@ -396,12 +411,33 @@
 }
 
 static void
-skip_empty_lines(struct evbuffer *input)
+skip_empty_lines(struct http_reader *reader, struct evbuffer *input)
 {
     char c;
-    while (evbuffer_copyout(input, &c, 1) == 1 && (c == '\r' || c == '\n')) {
+    while (reader->progress != HTTP_PROGRESS_FAILED &&
+           evbuffer_copyout(input, &c, 1) == 1 && (c == '\r' || c == '\n')) {
         evbuffer_drain(input, 1);
+        count_extra(reader, 1);
+    }
+}
+
+/** Parses a piece of a body with its framing. */
+static void
+reader_feed_body(struct http_reader *reader, struct evbuffer *input,
+                 const void *data, size_t size)
+{
+    const size_t body_before = reader->message.body_size;
+    const size_t input_before = evbuffer_get_length(input);
+    reader_parse(reader, input, data, size);
+    const size_t parsed = input_before - evbuffer_get_length(input);
+    if (reader->progress != HTTP_PROGRESS_BODY) {
+        return;
+    }
+    if (parsed == 0) {
+        reader_fail(reader, 400);
+        return;
     }
+    count_extra(reader, parsed - (reader->message.body_size - body_before));
 }
 
 /**
@@ -413,7 +449,10 @@
 static bool
 reader_feed_head(struct http_reader *reader, struct evbuffer *input)
 {
-    skip_empty_lines(input);
+    skip_empty_lines(reader, input);
+    if (reader->progress == HTTP_PROGRESS_FAILED) {
+        return false;
+    }
     const struct evbuffer_ptr end =
         evbuffer_search(input, HEAD_END, HEAD_END_SIZE, NULL);
     const size_t available = evbuffer_get_length(input);
@@ -431,7 +470,8 @@
     }
     if (reader->kind == HTTP_MESSAGE_ANSWER && head_is_interim(head)) {
         evbuffer_drain(input, (size_t)size);
-        return true;
+        count_extra(reader, (size_t)size);
+        return reader->progress != HTTP_PROGRESS_FAILED;
     }
     reader_parse(reader, input, head, (size_t)size);
     if (reader->progress < HTTP_PROGRESS_BODY) {
@@ -491,7 +531,7 @@
     struct evbuffer_iovec piece;
     while (reader->progress == HTTP_PROGRESS_BODY &&
            evbuffer_peek(input, -1, NULL, &piece, 1) > 0) {
-        reader_parse(reader, input, piece.iov_base, piece.iov_len);
+        reader_feed_body(reader, input, piece.iov_base, piece.iov_len);
     }
 }
 
--- a/packages/http/httpmessage.h
+++ b/packages/http/httpmessage.h
@@ -14,6 +14,10 @@
 #define HTTP_METHOD_SIZE 32        /* bytes of a method, with the terminator */
 #define HTTP_TARGET_MAX_BYTES 8192 /* of path and query */
 #define HTTP_HEAD_MAX_BYTES 65536  /* before the body */
+/* Of one message: empty lines and interim answers before its head, the framing
+ * of chunks, and trailers; besides, some bytes for each byte of the body. */
+#define HTTP_EXTRA_MAX_BYTES 65536
+#define HTTP_EXTRA_PER_BODY_BYTE 8
 
 struct evbuffer;
 
--- a/packages/node/localtarget.c
+++ b/packages/node/localtarget.c
@@ -15,7 +15,8 @@
 
 #define CONNECT_TIMEOUT_US (400 * US_PER_MS)
 #define IDLE_TIMEOUT_US (8 * US_PER_SECOND)
-#define BODY_MAX ((size_t)64 << 20)
+#define BODY_MAX ((size_t)16 << 20)
+#define BODIES_MAX ((size_t)48 << 20) /* of all answers in progress */
 #define SPARE_CONNECTIONS 8 /* for grants and probes, besides the slots */
 #define PROBE_TIMEOUT_US (700 * US_PER_MS)
 #define PROBE_RETRY_DELAY_US (300 * US_PER_MS)
@@ -139,6 +140,7 @@
         .address = target->node->settings.target,
         .connections_max = connections_max(target),
         .body_max = BODY_MAX,
+        .bodies_max = BODIES_MAX,
         .connect_timeout_us = CONNECT_TIMEOUT_US,
         .idle_timeout_us = IDLE_TIMEOUT_US,
         .answers_to_end = true,
