node: a target that only falls silent goes on with what it runs

Cause: after three missing announcements and two unanswered probes, all requests that ran at the target were given up as unknown, also when it was only slow to report: an order that completed was told as 502.

Change: a silent target gets nothing new and loses its keys as before, but its connections stay until their requests end; a target of another incarnation at the same address ends them. Clients of former incarnations have a module of their own (node/retiredclients).

Result: RunningRequestsFinishWhileTheirTargetIsSilent: 502 before, 200 after, run once; nothing new is sent meanwhile, and it is used again once it reports.

--- a/packages/node/localtarget.c
+++ b/packages/node/localtarget.c
@@ -12,6 +12,7 @@
 #include "node/localgate.h"
 #include "node/node_internal.h"
 #include "node/ownrow.h"
+#include "node/retiredclients.h"
 
 #define CONNECT_TIMEOUT_US (400 * US_PER_MS)
 #define IDLE_TIMEOUT_US (8 * US_PER_SECOND)
@@ -39,23 +40,14 @@
     int64_t announced_us;
     int64_t cold_until_us;
     struct http_client *client;
-    struct http_client *retired_client; /* of a former incarnation */
+    struct retiredclients retired;
     struct http_call *probe_call;
     unsigned probe_failures;
     bool refused; /* refused a connection, may still answer */
     struct timer refusal_timer;
     struct timer heartbeat_timer;
-    struct timer free_timer;
 };
 
-static void
-on_free_client(void *ctx)
-{
-    struct localtarget *target = ctx;
-    http_client_destroy(target->retired_client);
-    target->retired_client = NULL;
-}
-
 static void on_heartbeat_missed(void *ctx);
 static void on_refusal_settled(void *ctx);
 
@@ -64,11 +56,11 @@
 {
     struct localtarget *target = memory_calloc(1, sizeof(*target));
     target->node = node;
+    target->retired.runtime = node->runtime;
     timer_init(&target->heartbeat_timer, node->runtime, on_heartbeat_missed,
                target);
     timer_init(&target->refusal_timer, node->runtime, on_refusal_settled,
                target);
-    timer_init(&target->free_timer, node->runtime, on_free_client, target);
     return target;
 }
 
@@ -80,9 +72,8 @@
     }
     timer_stop(&target->heartbeat_timer);
     timer_stop(&target->refusal_timer);
-    timer_stop(&target->free_timer);
     http_client_destroy(target->client);
-    http_client_destroy(target->retired_client);
+    retiredclients_clear(&target->retired);
     free(target);
 }
 
@@ -92,14 +83,10 @@
     return node_now_us(target->node);
 }
 
-/** Ends the present incarnation; its running requests are lost. proven_dead:
- * it certainly is no longer running. */
+/** Forgets the present incarnation. */
 static void
-target_end(struct localtarget *target, const char *why, bool proven_dead)
+target_leave(struct localtarget *target, const char *why)
 {
-    if (!target->present) {
-        return;
-    }
     LOG_WARN(
         "target_gone", LOG_STR("target", target->announced.target),
         LOG_STR("why", why),
@@ -113,16 +100,46 @@
         http_call_cancel(target->probe_call);
         target->probe_call = NULL;
     }
+}
+
+/** Ends the present incarnation; its running requests are lost. proven_dead:
+ * it certainly is no longer running. */
+static void
+target_end(struct localtarget *target, const char *why, bool proven_dead)
+{
+    if (!target->present) {
+        return;
+    }
+    target_leave(target, why);
     localgate_target_gone(target->node->gate);
     keyowner_target_gone(target->node->keyowner, proven_dead);
-    /* This may be called from a callback of the client. */
-    http_client_destroy(target->retired_client);
-    target->retired_client = target->client;
+    retiredclients_add(&target->retired, target->client, false);
     target->client = NULL;
-    timer_start(&target->free_timer, 0);
     ownrow_update(target->node->ownrow);
 }
 
+/** The present incarnation does not report. It gets nothing new, but may only
+ * be slow: what it runs goes on until its deadline. */
+static void
+target_fall_silent(struct localtarget *target)
+{
+    target_leave(target, "silent");
+    keyowner_target_gone(target->node->keyowner, false);
+    retiredclients_add(&target->retired, target->client, true);
+    target->client = NULL;
+    localgate_target_changed(target->node->gate);
+    ownrow_update(target->node->ownrow);
+}
+
+/** Another incarnation has taken the place of one that was silent. */
+static void
+end_silent(struct localtarget *target)
+{
+    if (!retiredclients_is_empty(&target->retired)) {
+        localgate_target_gone(target->node->gate);
+    }
+}
+
 static unsigned
 connections_max(const struct localtarget *target)
 {
@@ -252,6 +269,9 @@
         target_end(target, "another incarnation announced itself", false);
         target->leaving = false;
     }
+    if (!is_known_incarnation(target, announced)) {
+        end_silent(target);
+    }
     const bool leaving =
         announced->leaving ||
         departures_contains(&target->departures, announced->target,
@@ -360,7 +380,7 @@
     if (result->outcome != HTTP_ANSWERED) {
         target->probe_failures++;
         if (target->probe_failures >= PROBE_FAILURES_MAX) {
-            target_end(target, "silent", false);
+            target_fall_silent(target);
             return;
         }
         timer_start(&target->heartbeat_timer, PROBE_RETRY_DELAY_US);
