fuzz: libFuzzer programs for the readers of outside bytes

Cause: what callers, targets, instances, the store and operators send was tested with damaged copies of good messages only.

--- a/Makefile
+++ b/Makefile
@@ -3,11 +3,12 @@
 SEEDS ?= 1000
 SOAK_SEEDS ?= 5
 SECONDS ?= 30
+FUZZ_RUNS ?= 100000
 BENCHES = $(patsubst packages/%,%,$(wildcard packages/*/bench/bench_*.c))
 BENCH_NAMES = $(patsubst bench_%,%,$(basename $(notdir $(BENCHES)))) daemon
 
 .PHONY: all build deps test check-format check-docs lint unit sanitize demo proof bench \
-  soak platform-soak capacity clean $(addprefix bench-,$(BENCH_NAMES))
+  soak platform-soak capacity fuzz clean $(addprefix bench-,$(BENCH_NAMES))
 
 all: build
 
@@ -36,10 +37,17 @@
 	@cmake --build $(BUILD)-sanitize -j $(JOBS)
 	@sh .ci/unit $(BUILD)-sanitize
 
+# FUZZ_RUNS inputs for each reader of outside bytes.
+fuzz: deps
+	@CC=clang CXX=clang++ cmake -S . -B $(BUILD)-fuzz -G Ninja \
+	  -DCHESTNUTGAP_FUZZ=ON -DCHESTNUTGAP_SANITIZE=ON >/dev/null
+	@cmake --build $(BUILD)-fuzz -j $(JOBS) --target fuzzers >&2
+	@sh .ci/fuzz $(BUILD)-fuzz $(FUZZ_RUNS)
+
 capacity:
 	@python3 docs/capacity.py --check
 
-test: check-format check-docs capacity build lint unit proof sanitize
+test: check-format check-docs capacity build lint unit proof sanitize fuzz
 
 demo: build
 	@python3 demo/demo.py --build $(BUILD)
@@ -66,4 +74,4 @@
 	  $(SOAK_SEEDS) $(SECONDS)
 
 clean:
-	rm -rf $(BUILD) $(BUILD)-sanitize
+	rm -rf $(BUILD) $(BUILD)-sanitize $(BUILD)-fuzz
