--- a/packages/http/test/http_test.cc
+++ b/packages/http/test/http_test.cc
@@ -123,6 +123,58 @@
     EXPECT_EQ("right", results[1].body);
 }
 
+/** An answer that names its request; only the awaited one belongs. */
+struct NamedAnswers : HttpTest {
+    static std::string awaited;
+
+    static bool IsAwaited(void *ctx, const struct http_headers *headers)
+    {
+        (void)ctx;
+        const char *id = http_headers_find(headers, "X-Id");
+        return id != nullptr && id == awaited;
+    }
+
+    void Send(const std::string &id)
+    {
+        struct http_call_spec spec = {};
+        awaited = id;
+        spec.method = "GET";
+        spec.target = "/x";
+        spec.deadline_us = runtime_now_us(runtime) + 5 * US_PER_SECOND;
+        spec.belongs = IsAwaited;
+        spec.done = OnDone;
+        spec.ctx = this;
+        http_call_start(client, &spec);
+        Until([&] { return false; }, 20);
+    }
+
+    static void Answer(int fd, const std::string &id)
+    {
+        const std::string text = "HTTP/1.1 200 OK\r\nX-Id: " + id +
+                                 "\r\nContent-Length: 1\r\n\r\n" + id;
+        send(fd, text.data(), text.size(), MSG_NOSIGNAL);
+    }
+};
+
+std::string NamedAnswers::awaited;
+
+/* The copy arrives where the answer to the next request is due. */
+TEST_F(NamedAnswers, LateCopyIsNotGivenToTheNextRequest)
+{
+    StartClient(Listen(), 1);
+    Send("1");
+    const int fd = AcceptRequest();
+    Answer(fd, "1");
+    ASSERT_TRUE(Results(1));
+    Send("2");
+    Answer(fd, "1");
+    Answer(fd, "2");
+    ASSERT_TRUE(Results(2));
+    EXPECT_EQ("2", results[1].body);
+    Until([&] { return http_client_connections(client) == 0; }, 200);
+    EXPECT_EQ(0U, http_client_connections(client)); /* not used again */
+}
+
 TEST_F(HttpTest, DuplicateAnswerIsNotGivenToTheNextRequest)
 {
     const struct address address = Listen();
