--- a/packages/ctl/cmdexplainlog.c
+++ b/packages/ctl/cmdexplainlog.c
@@ -7,22 +7,12 @@
 
 #include "base/memory.h"
 #include "ctl/commands.h"
+#include "ctl/explainlog.h"
 
 #define KEY_PREFIX "key="
+#define ALL_REQUESTS "all"
 #define TIME_SIZE 26 /* bytes of a time with microseconds */
 
-/** A log line. */
-struct log_entry {
-    json_t *json;
-    const char *time;
-    size_t number; /* line number, from 0 */
-};
-
-struct log_entries {
-    struct log_entry *items;
-    size_t count;
-};
-
 /** The request or key to explain. */
 struct subject {
     const char *id;
@@ -32,8 +22,8 @@
     char to[TIME_SIZE + 1];
 };
 
-static const char *
-string_field(const struct log_entry *entry, const char *field)
+const char *
+log_entry_field(const struct log_entry *entry, const char *field)
 {
     const char *text = json_string_value(json_object_get(entry->json, field));
     return text != NULL ? text : "";
@@ -97,7 +87,7 @@
 is_about(const struct log_entry *entry, const struct subject *subject)
 {
     if (!subject->is_key) {
-        return strcmp(string_field(entry, "id"), subject->id) == 0;
+        return strcmp(log_entry_field(entry, "id"), subject->id) == 0;
     }
     const json_t *first = json_object_get(entry->json, "first");
     const json_t *last = json_object_get(entry->json, "last");
@@ -121,7 +111,7 @@
         "instance_lost", "zone_out",       "zone_in",         "stopping",
         "started",       "handover_begun", "handover_done",   "granted",
     };
-    const char *event = string_field(entry, "event");
+    const char *event = log_entry_field(entry, "event");
     for (size_t i = 0; i < sizeof(events) / sizeof(events[0]); i++) {
         if (strcmp(event, events[i]) == 0) {
             return true;
@@ -138,8 +128,8 @@
     for (size_t i = 0; i < entries->count; i++) {
         const struct log_entry *entry = &entries->items[i];
         if (is_about(entry, subject) &&
-            (strcmp(string_field(entry, "instance"), instance) == 0 ||
-             strcmp(string_field(entry, "to"), instance) == 0)) {
+            (strcmp(log_entry_field(entry, "instance"), instance) == 0 ||
+             strcmp(log_entry_field(entry, "to"), instance) == 0)) {
             return true;
         }
     }
@@ -152,8 +142,8 @@
     const char *key;
     json_t *value;
     printf("%s %s%-20s %s %s", entry->time, context ? "  ~ " : "",
-           string_field(entry, "instance"), string_field(entry, "module"),
-           string_field(entry, "event"));
+           log_entry_field(entry, "instance"),
+           log_entry_field(entry, "module"), log_entry_field(entry, "event"));
     json_object_foreach (entry->json, key, value) {
         static const char *const header_fields[] = {
             "time", "instance", "module", "event", "level"};
@@ -198,7 +188,7 @@
     const struct log_entry *end = NULL;
     for (size_t i = 0; i < entries->count; i++) {
         const struct log_entry *entry = &entries->items[i];
-        const char *event = string_field(entry, "event");
+        const char *event = log_entry_field(entry, "event");
         if (is_about(entry, subject) &&
             (strcmp(event, "request") == 0 || strcmp(event, "rejected") == 0 ||
              strcmp(event, "caller_left") == 0)) {
@@ -223,17 +213,19 @@
         const bool in_span = strncmp(entry->time, subject->from, 18) >= 0 &&
                              strcmp(entry->time, subject->to) <= 0;
         if (in_span && is_state_change(entry) &&
-            is_involved(entries, subject, string_field(entry, "instance"))) {
+            is_involved(entries, subject,
+                        log_entry_field(entry, "instance"))) {
             print_entry(entry, true);
         }
     }
     const struct log_entry *end = find_end(entries, subject);
     if (end != NULL && !subject->is_key) {
-        const char *reason = string_field(end, "reason");
-        printf("ended by %s: %s, reason %s\n", string_field(end, "instance"),
-               strcmp(string_field(end, "event"), "request") == 0
-                   ? string_field(end, "outcome")
-                   : string_field(end, "event"),
+        const char *reason = log_entry_field(end, "reason");
+        printf("ended by %s: %s, reason %s\n",
+               log_entry_field(end, "instance"),
+               strcmp(log_entry_field(end, "event"), "request") == 0
+                   ? log_entry_field(end, "outcome")
+                   : log_entry_field(end, "event"),
                reason[0] != '\0' ? reason : "none");
     }
 }
@@ -251,8 +243,12 @@
         return ctl_fail_with(ctl, CTL_FAILED, ERROR_DOCUMENT_UNREADABLE, "%s",
                              ctl->options.log_file);
     }
-    const bool found = find_span(&entries, &subject);
-    if (found) {
+    const bool all = strcmp(subject.id, ALL_REQUESTS) == 0;
+    const bool found = all || find_span(&entries, &subject);
+    if (all) {
+        explaincauses_print(&entries);
+    }
+    else if (found) {
         print_timeline(&entries, &subject);
     }
     for (size_t i = 0; i < entries.count; i++) {
--- a/packages/ctl/ctlmain.c
+++ b/packages/ctl/ctlmain.c
@@ -99,7 +99,7 @@
     {"service", OPTION_SERVICE, "NAME", 0, "Service of the key", 0},
     {"log", OPTION_LOG, "FILE", 0,
      "Print the timeline of a request id, or of key=NUMBER, from the log "
-     "lines in FILE (- is standard input)",
+     "lines in FILE (- is standard input); all sums all requests by cause",
      0},
     {0},
 };
--- a/packages/ctl/test/ctl_test.cc
+++ b/packages/ctl/test/ctl_test.cc
@@ -37,27 +37,21 @@
 
 class Ctl : public Session {};
 
-TEST(ExplainLog, PrintsOutcomeAndStateChangesOfInvolvedInstances)
+/** Output of explain SUBJECT for a log. */
+static std::string
+ExplainLog(const std::string &subject, const std::string &log)
 {
     char name[] = "/tmp/explainXXXXXX";
     const int fd = mkstemp(name);
-    ASSERT_GE(fd, 0);
-    const std::string log =
-        R"(noise
-  1.2 b {"time":"2026-01-01T00:00:02.300000Z","instance":"b","module":"gate","event":"refused","id":"r1","reason":2}
-{"time":"2026-01-01T00:00:02.100000Z","instance":"a","module":"ingress","event":"sent","id":"r1","to":"b"}
-{"time":"2026-01-01T00:00:02.200000Z","instance":"b","module":"target","event":"target_leaving","target":"t"}
-{"time":"2026-01-01T00:00:02.200000Z","instance":"c","module":"target","event":"target_leaving","target":"u"}
-{"time":"2026-01-01T00:00:02.400000Z","instance":"a","module":"ingress","event":"request","id":"r1","outcome":"not-run","reason":"leaving","to":"b"}
-{"time":"2026-01-01T00:00:02.400000Z","instance":"a","module":"ingress","event":"request","id":"r2","outcome":"not-run","reason":"full"}
-)";
-    ASSERT_EQ(static_cast<ssize_t>(log.size()),
+    EXPECT_GE(fd, 0);
+    EXPECT_EQ(static_cast<ssize_t>(log.size()),
               write(fd, log.data(), log.size()));
     close(fd);
     std::string program = BUILD_DIR "/chestnutgapctl";
-    FILE *output =
-        popen((program + " explain r1 --log " + name + " 2>&1").c_str(), "r");
-    ASSERT_NE(nullptr, output);
+    FILE *output = popen(
+        (program + " explain " + subject + " --log " + name + " 2>&1").c_str(),
+        "r");
+    EXPECT_NE(nullptr, output);
     std::string got;
     char buffer[4096];
     while (fgets(buffer, sizeof(buffer), output) != nullptr) {
@@ -65,6 +59,22 @@
     }
     EXPECT_EQ(0, pclose(output));
     unlink(name);
+    return got;
+}
+
+static const std::string log_of_three =
+    R"(noise
+  1.2 b {"time":"2026-01-01T00:00:02.300000Z","instance":"b","module":"gate","event":"refused","id":"r1","reason":2}
+{"time":"2026-01-01T00:00:02.100000Z","instance":"a","module":"ingress","event":"sent","id":"r1","to":"b"}
+{"time":"2026-01-01T00:00:02.200000Z","instance":"b","module":"target","event":"target_leaving","target":"t"}
+{"time":"2026-01-01T00:00:02.200000Z","instance":"c","module":"target","event":"target_leaving","target":"u"}
+{"time":"2026-01-01T00:00:02.400000Z","instance":"a","module":"ingress","event":"request","id":"r1","outcome":"not-run","reason":"leaving","to":"b"}
+{"time":"2026-01-01T00:00:02.400000Z","instance":"a","module":"ingress","event":"request","id":"r2","service":"s","outcome":"not-run","status":0,"reason":"full","took_ms":7}
+)";
+
+TEST(ExplainLog, PrintsOutcomeAndStateChangesOfInvolvedInstances)
+{
+    const std::string got = ExplainLog("r1", log_of_three);
     EXPECT_EQ(4, std::count(got.begin(), got.end(), '\n') - 1) << got;
     EXPECT_LT(got.find("ingress sent"), got.find("~ b"));
     EXPECT_LT(got.find("~ b"), got.find("gate refused"));
@@ -74,6 +84,14 @@
               got.find("ended by a: not-run, reason leaving\n"));
 }
 
+TEST(ExplainLog, SumsRequestsByCause)
+{
+    const std::string got = ExplainLog("all", log_of_three);
+    EXPECT_NE(std::string::npos, got.find("full")) << got;
+    EXPECT_NE(std::string::npos, got.find("leaving")) << got;
+    EXPECT_EQ(3, std::count(got.begin(), got.end(), '\n')) << got;
+}
+
 TEST_F(Ctl, ApplyingSession)
 {
     const std::string wrong = example("powys/state.json", "\"slots\": 20",
