node: a move waits only for requests of the keys that move; owners merge their segments

Change: keys with running requests (up to three in a range) are handed over by themselves; the others move at once. Each owner merges adjacent segments that moves have left, every 3 s, once its target holds them.

Found by the test: publishing a written map let the next write be prepared before its pages were pushed to the new owners: they were not pushed, or the next write's text under this one's version. Pages are pushed first now.

--- a/packages/node/keyowner.c
+++ b/packages/node/keyowner.c
@@ -15,6 +15,8 @@
 #define HANDOVER_MAX_US (4 * US_PER_SECOND)
 /* Leases are written together with those of others, after a pause. */
 #define STORE_ANSWER_SLACK_US (900 * US_PER_MS)
+/* Keys with running requests that are handed over by themselves. */
+#define RUNNING_KEYS_MAX 3
 /* Upper bound on grants that an earlier process sent, which this one does not
  * know. */
 #define FORMER_GRANT_MAX_US (3500 * US_PER_MS)
@@ -439,23 +441,17 @@
     return fence;
 }
 
-bool
-keyowner_begin_handover(struct keyowner *keyowner, uint32_t first,
-                        uint32_t last, const struct keymap_holder *to)
+/** Releases the keys at the target; they move once it has answered. */
+static void
+start_handover(struct keyowner *keyowner, uint32_t first, uint32_t last,
+               const struct keymap_holder *to)
 {
-    const int64_t now_us = node_now_us(keyowner->node);
-    if (!keyowner_may_grant(keyowner) || !keyowner_store_available(keyowner) ||
-        !localtarget_is_present(keyowner->node->target) ||
-        now_us < keyowner->unresolved_until_us ||
-        !can_hand_over(keyowner, first, last, now_us)) {
-        return false;
-    }
     struct handover *handover = memory_calloc(1, sizeof(*handover));
     handover->keyowner = keyowner;
     handover->first = first;
     handover->last = last;
     handover->to = *to;
-    handover->started_us = now_us;
+    handover->started_us = node_now_us(keyowner->node);
     TAILQ_INSERT_TAIL(&keyowner->handovers, handover, link);
     split_grant_before(keyowner, first);
     if (last + 1 < DECLARED_KEY_COUNT) {
@@ -465,6 +461,47 @@
     LOG_INFO("handover_begun", LOG_UINT("first", first),
              LOG_UINT("last", last), LOG_STR("to", to->instance));
     keyownergrant_release(handover);
+}
+
+/** Hands over keys of which requests run by themselves: the target releases
+ * keys only when their last request has ended, and the others need not wait
+ * for that. */
+static void
+start_handovers(struct keyowner *keyowner, uint32_t first, uint32_t last,
+                const struct keymap_holder *to)
+{
+    uint32_t running[RUNNING_KEYS_MAX];
+    const size_t count = localgate_running_keys(
+        keyowner->node->gate, first, last, running, RUNNING_KEYS_MAX);
+    if (count > RUNNING_KEYS_MAX) {
+        start_handover(keyowner, first, last, to);
+        return;
+    }
+    uint32_t next = first;
+    for (size_t i = 0; i < count; i++) {
+        if (running[i] > next) {
+            start_handover(keyowner, next, running[i] - 1, to);
+        }
+        start_handover(keyowner, running[i], running[i], to);
+        next = running[i] + 1;
+    }
+    if (next <= last) {
+        start_handover(keyowner, next, last, to);
+    }
+}
+
+bool
+keyowner_begin_handover(struct keyowner *keyowner, uint32_t first,
+                        uint32_t last, const struct keymap_holder *to)
+{
+    const int64_t now_us = node_now_us(keyowner->node);
+    if (!keyowner_may_grant(keyowner) || !keyowner_store_available(keyowner) ||
+        !localtarget_is_present(keyowner->node->target) ||
+        now_us < keyowner->unresolved_until_us ||
+        !can_hand_over(keyowner, first, last, now_us)) {
+        return false;
+    }
+    start_handovers(keyowner, first, last, to);
     localgate_keys_changed(keyowner->node->gate);
     return true;
 }
--- a/packages/node/keyownermap.c
+++ b/packages/node/keyownermap.c
@@ -9,6 +9,8 @@
 #include "node/localtarget.h"
 
 #define RETRY_US (150 * US_PER_MS)
+/* Between merges of an owner's segments. */
+#define MERGE_INTERVAL_US (3 * US_PER_SECOND)
 /* By then a renewal of the lease that was in progress is known. */
 #define CONFLICT_DELAY_US (40 * US_PER_MS)
 
@@ -147,6 +149,52 @@
     }
 }
 
+/** True if the segment is this instance's, its target holds all its keys, and
+ * none of them is being handed over. */
+static bool
+is_settled(const struct keyowner *keyowner,
+           const struct keymap_segment *segment)
+{
+    if (strcmp(segment->holder.instance, keyowner->node->settings.instance) !=
+        0) {
+        return false;
+    }
+    uint32_t key = segment->first;
+    while (key <= segment->last) {
+        const struct key_grant *grant = keyowner_find_grant(keyowner, key);
+        if (grant == NULL || !grant->confirmed || grant->releasing) {
+            return false;
+        }
+        key = grant->last + 1;
+    }
+    return true;
+}
+
+/** Merges adjacent own segments, which moves have left, as each is a grant to
+ * renew. */
+static void
+merge_segments(struct keyowner *keyowner, struct keymap *map)
+{
+    const int64_t now_us = node_now_us(keyowner->node);
+    if (now_us < keyowner->merge_at_us || !keyowner_may_grant(keyowner) ||
+        !TAILQ_EMPTY(&keyowner->handovers)) {
+        return;
+    }
+    const struct keymap_holder own =
+        localtarget_holder(keyowner->node->target);
+    keyowner->merge_at_us = now_us + MERGE_INTERVAL_US;
+    for (size_t i = 0; i + 1 < map->count; i++) {
+        const uint32_t first = map->segments[i].first;
+        size_t end = i;
+        while (end < map->count && is_settled(keyowner, &map->segments[end])) {
+            end++;
+        }
+        if (end > i + 1) {
+            keymap_assign(map, first, map->segments[end - 1].last, &own, NULL);
+        }
+    }
+}
+
 /** Has the fences of later owners begin above those of the own grants. */
 static void
 raise_fences(const struct keyowner *keyowner, struct keymap *map)
@@ -191,6 +239,7 @@
     raise_fences(keyowner, &map);
     free_keys_without_target(keyowner, &map);
     apply_handovers(keyowner, &map);
+    merge_segments(keyowner, &map);
     keymapwrite_clear(&keyowner->map_write);
     if (keymapwrite_prepare(&keyowner->map_write, keys->service, &keys->map,
                             &map)) {
--- a/packages/node/localgate.c
+++ b/packages/node/localgate.c
@@ -463,6 +463,41 @@
     readmit_waiting(gate);
 }
 
+/** Inserts a key in order unless it is there. @return the new number */
+static size_t
+insert_key(uint32_t *keys, size_t count, uint32_t key)
+{
+    size_t index = count;
+    while (index > 0 && keys[index - 1] >= key) {
+        index--;
+    }
+    if (index < count && keys[index] == key) {
+        return count;
+    }
+    memmove(&keys[index + 1], &keys[index], (count - index) * sizeof(*keys));
+    keys[index] = key;
+    return count + 1;
+}
+
+size_t
+localgate_running_keys(const struct localgate *gate, uint32_t first,
+                       uint32_t last, uint32_t *keys, size_t max)
+{
+    const struct localgate_call *call;
+    size_t count = 0;
+    TAILQ_FOREACH (call, &gate->calls, link) {
+        if (call->state != CALL_SENT || !call->keyed || call->key < first ||
+            call->key > last) {
+            continue;
+        }
+        if (count == max) {
+            return max + 1;
+        }
+        count = insert_key(keys, count, call->key);
+    }
+    return count;
+}
+
 unsigned
 localgate_load(const struct localgate *gate)
 {
--- a/packages/node/localgate.h
+++ b/packages/node/localgate.h
@@ -42,6 +42,11 @@
 /** Keys were granted, released or assigned to another owner. */
 void localgate_keys_changed(struct localgate *gate);
 
+/** Lists the keys from first to last of which requests run at the target, in
+ * order and each once. @return their number; max + 1 if there are more */
+size_t localgate_running_keys(const struct localgate *gate, uint32_t first,
+                              uint32_t last, uint32_t *keys, size_t max);
+
 /** Number of waiting and running requests. */
 unsigned localgate_load(const struct localgate *gate);
 
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -179,11 +179,12 @@
         apply_newer_page(node, keys->service, write->pages[i].number,
                          write->pages[i].text, version);
     }
-    keymaps_changed(node);
     for (size_t i = 0; i < write->count; i++) {
         push_page(node, keys, &before, &write->pages[i], version);
     }
     keymap_clear(&before);
+    /* May prepare the next write, in place of this one. */
+    keymaps_changed(node);
 }
 
 void
