--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -86,6 +86,21 @@
         node->declared, name[0] != '\0' ? name : node->settings.service);
 }
 
+/** True if the instance owns keys of the page. */
+static bool
+owns_keys_of(const struct node *node, const struct keymap *map, unsigned page)
+{
+    for (size_t i = 0; i < map->count; i++) {
+        const struct keymap_segment *segment = &map->segments[i];
+        if (keymap_page_of(segment->first) <= page &&
+            keymap_page_of(segment->last) >= page &&
+            strcmp(segment->holder.instance, node->settings.instance) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /** Replaces a page of the service's key map by a newer one, if it is valid. */
 static void
 apply_keymap_page(struct node *node, const char *service, unsigned page,
@@ -93,6 +108,7 @@
 {
     struct error err = {.code = ERROR_NONE};
     struct node_keymap *keys = add_keymap(node, service);
+    const bool owned = owns_keys_of(node, &keys->map, page);
     if (!keymap_parse_page(&keys->map, page, row->value, row->size,
                            row->version, &err)) {
         char description[ERROR_SUBJECT_SIZE * 2];
@@ -102,9 +118,12 @@
                                                 sizeof(description))));
         return;
     }
-    LOG_INFO("keys", LOG_STR("service", service), LOG_UINT("page", page),
-             LOG_UINT("version", row->version),
-             LOG_UINT("segments", keys->map.count));
+    /* Logged by owners only: all instances read all pages. */
+    if (owned || owns_keys_of(node, &keys->map, page)) {
+        LOG_INFO("keys", LOG_STR("service", service), LOG_UINT("page", page),
+                 LOG_UINT("version", row->version),
+                 LOG_UINT("segments", keys->map.count));
+    }
 }
 
 /** To be called once all pages of a transaction were applied. */
@@ -309,12 +328,14 @@
                 LOG_UINT("version", row->version));
         return;
     }
-    LOG_INFO("instance", LOG_STR("peer", instance),
-             LOG_STR("service", instance_row.service),
-             LOG_STR("target", instance_row.target),
-             LOG_INT("state", instance_row.state),
-             LOG_UINT("accused", instance_row.crash_suspect_count),
-             LOG_UINT("version", row->version));
+    if (strcmp(instance_row.zone, node->settings.zone) == 0) {
+        LOG_INFO("instance", LOG_STR("peer", instance),
+                 LOG_STR("service", instance_row.service),
+                 LOG_STR("target", instance_row.target),
+                 LOG_INT("state", instance_row.state),
+                 LOG_UINT("accused", instance_row.crash_suspect_count),
+                 LOG_UINT("version", row->version));
+    }
     instancetable_update(&node->instancetable, &instance_row, row->version);
     if (instance_row.departed &&
         strcmp(instance, node->settings.instance) == 0) {
