keyowner: no handover begins while segments are being merged

Cause, found by reading: a handover that begins while a merge is on its way would find its keys assigned anew, and end as done without having moved them. Change: it is declined then, as for any open write of its keys.

--- a/packages/node/keyowner.c
+++ b/packages/node/keyowner.c
@@ -496,7 +496,7 @@
 {
     const int64_t now_us = node_now_us(keyowner->node);
     if (!keyowner_may_grant(keyowner) || !keyowner_store_available(keyowner) ||
-        !localtarget_is_present(keyowner->node->target) ||
+        !localtarget_is_present(keyowner->node->target) || keyowner->merging ||
         now_us < keyowner->unresolved_until_us ||
         !can_hand_over(keyowner, first, last, now_us)) {
         return false;
--- a/packages/node/keyowner_internal.h
+++ b/packages/node/keyowner_internal.h
@@ -93,7 +93,8 @@
     struct rowcommit_call *map_call;
     struct keymapwrite map_write; /**< of map_call */
     int64_t map_retry_at_us;
-    int64_t merge_at_us;       /**< next merge of own segments */
+    int64_t merge_at_us; /**< next merge of own segments */
+    bool merging;        /**< map_call merges segments; none is handed over */
     bool map_write_unresolved; /**< an earlier write may still take effect */
     int64_t former_grants_end_us; /**< grants to former incarnations */
     int64_t unresolved_until_us;  /**< unanswered grants to them may still
--- a/packages/node/keyownermap.c
+++ b/packages/node/keyownermap.c
@@ -83,6 +83,7 @@
     struct keyowner *keyowner = ctx;
     struct node_keymap *keys = keyowner_keys(keyowner);
     keyowner->map_call = NULL;
+    keyowner->merging = false;
     if (result->outcome != ROWSTORE_DONE &&
         result->outcome != ROWSTORE_CONFLICT) {
         /* Retried with the same expected versions until an answer shows
@@ -183,6 +184,7 @@
     const struct keymap_holder own =
         localtarget_holder(keyowner->node->target);
     keyowner->merge_at_us = now_us + MERGE_INTERVAL_US;
+    keyowner->merging = true;
     for (size_t i = 0; i + 1 < map->count; i++) {
         const uint32_t first = map->segments[i].first;
         size_t end = i;
@@ -250,5 +252,8 @@
         keyowner->map_call = rowcommit_start(
             node->commits, parts, count, ROWCOMMIT_SOON, on_written, keyowner);
     }
+    else {
+        keyowner->merging = false;
+    }
     keymap_clear(&map);
 }
