node: a target that refuses connections goes on with what it runs

Change: if requests still run 50 ms after a refusal, the target gets nothing new and its connections stay until they end; only without any it counts as dead. Result: RunningRequestsFinishAfterTargetRefusesConnections: no answer of the target before, 200 after.

--- a/packages/node/localtarget.c
+++ b/packages/node/localtarget.c
@@ -118,12 +118,13 @@
     ownrow_update(target->node->ownrow);
 }
 
-/** The present incarnation does not report. It gets nothing new, but may only
- * be slow: what it runs goes on until its deadline. */
+/** The present incarnation does not report, or accepts no connections. It gets
+ * nothing new, but may only be slow or about to end: what it runs goes on
+ * until its deadline, or until the target closes the connection. */
 static void
-target_fall_silent(struct localtarget *target)
+target_suspend(struct localtarget *target, const char *why)
 {
-    target_leave(target, "silent");
+    target_leave(target, why);
     keyowner_target_gone(target->node->keyowner, false);
     retiredclients_add(&target->retired, target->client, true);
     target->client = NULL;
@@ -131,9 +132,9 @@
     ownrow_update(target->node->ownrow);
 }
 
-/** Another incarnation has taken the place of one that was silent. */
+/** Another incarnation has taken the place of a suspended one. */
 static void
-end_silent(struct localtarget *target)
+end_suspended(struct localtarget *target)
 {
     if (!retiredclients_is_empty(&target->retired)) {
         localgate_target_gone(target->node->gate);
@@ -270,7 +271,7 @@
         target->leaving = false;
     }
     if (!is_known_incarnation(target, announced)) {
-        end_silent(target);
+        end_suspended(target);
     }
     const bool leaving =
         announced->leaving ||
@@ -380,7 +381,7 @@
     if (result->outcome != HTTP_ANSWERED) {
         target->probe_failures++;
         if (target->probe_failures >= PROBE_FAILURES_MAX) {
-            target_fall_silent(target);
+            target_suspend(target, "silent");
             return;
         }
         timer_start(&target->heartbeat_timer, PROBE_RETRY_DELAY_US);
@@ -433,13 +434,17 @@
     probe(target);
 }
 
-/** Requests of a dead target have ended by now, so it is proven dead only if
- * none runs. */
+/** Connections of a dead target have closed by now. */
 static void
 on_refusal_settled(void *ctx)
 {
     struct localtarget *target = ctx;
-    target_end(target, "refused", localgate_running(target->node->gate) == 0);
+    if (localgate_running(target->node->gate) == 0) {
+        target_end(target, "refused", true);
+    }
+    else {
+        target_suspend(target, "refused");
+    }
 }
 
 void
