fleet: loads of keys don't depend on the moment of decay, and chance moves nothing

Cause: counts are halved every 2 s, at another moment in each instance, and a single request of a key was forgotten then: the load that the planner saw of an owner doubled and fell with the phase. Change: counts in sixteenths of a request; loads are scaled by the time since counts were halved; a target's load must exceed its share by a quarter and 1.5 standard deviations. Tests: ScaledLoadDoesNotDependOnTheMomentOfDecay, DifferencesByChanceMoveNothing.

--- a/packages/fleet/keybalance.c
+++ b/packages/fleet/keybalance.c
@@ -1,6 +1,7 @@
 /* Moves keys between working targets when their loads differ. A key that alone
  * asks for more than a fair share can't be divided: it stays where it is, and
  * the other keys of its owner are moved away from it. */
+#include <math.h>
 #include <stdlib.h>
 
 #include "base/memory.h"
@@ -11,6 +12,8 @@
 /* A move that keeps the receiver's keys together may be that much smaller. */
 #define ADJACENT_FACTOR 2.0
 
+#define CHANCE_DEVIATIONS 1.5 /* standard deviations */
+
 struct balance {
     struct keyplan *plan;
     double *fixed;     /* load of hot keys by target, divided by its weight */
@@ -53,6 +56,16 @@
     balance->fair_share = weight > 0 ? load / weight : load;
 }
 
+/** How much a load may differ by chance: requests arrive at random, so a count
+ * has about the deviation of its square root. */
+static double
+chance_deviation(const struct keyplan *plan, size_t target)
+{
+    const double weight = plan->input->targets[target].weight;
+    const double load = plan->loads[target] * weight;
+    return CHANCE_DEVIATIONS * sqrt(load * KEYLOAD_UNITS_PER_REQUEST) / weight;
+}
+
 /** Load above what the target should keep; 0 if it does not justify a move. */
 static double
 excess(const struct balance *balance, size_t target)
@@ -63,7 +76,8 @@
     }
     const double over = plan->loads[target] - balance->fair_share;
     const double tolerated =
-        balance->fair_share * (plan->input->tolerance - 1.0);
+        balance->fair_share * (plan->input->tolerance - 1.0) +
+        chance_deviation(plan, target);
     return over > tolerated ? over : 0;
 }
 
--- a/packages/fleet/keyload.c
+++ b/packages/fleet/keyload.c
@@ -10,10 +10,10 @@
 #define HOT_SHARE 64         /* a key with 1/64 of the load has its own step */
 #define STEPS_PER_HOT_KEY 2  /* its own and the one after it */
 #define BASE_LOAD_SHARE 0.05 /* of the load, added evenly over all keys */
-#define BASE_LOAD_MIN 20     /* requests, added likewise */
+#define BASE_LOAD_MIN (20 * KEYLOAD_UNITS_PER_REQUEST) /* added likewise */
 
 struct keyload {
-    uint16_t counts[DECLARED_KEY_COUNT];
+    uint16_t counts[DECLARED_KEY_COUNT]; /* KEYLOAD_UNITS_PER_REQUEST each */
 };
 
 struct keyload_curve {
@@ -38,8 +38,8 @@
 void
 keyload_record_request(struct keyload *load, uint32_t key)
 {
-    if (load->counts[key] < COUNT_MAX) {
-        load->counts[key]++;
+    if (load->counts[key] <= COUNT_MAX - KEYLOAD_UNITS_PER_REQUEST) {
+        load->counts[key] += KEYLOAD_UNITS_PER_REQUEST;
     }
 }
 
@@ -107,7 +107,7 @@
     for (size_t key = 0; key < DECLARED_KEY_COUNT; key++) {
         total += load->counts[key];
     }
-    const uint32_t hot_min = total / HOT_SHARE + 2;
+    const uint32_t hot_min = total / HOT_SHARE + 2 * KEYLOAD_UNITS_PER_REQUEST;
     for (uint32_t bucket = 0; bucket < DECLARED_KEY_COUNT;
          bucket += KEYLOAD_BUCKET_KEYS) {
         add_bucket(load, bucket, hot_min, &written);
@@ -115,6 +115,20 @@
     return written.count;
 }
 
+void
+keyload_scale(struct keyload_step *steps, size_t count, int64_t since_decay_us,
+              int64_t half_life_us)
+{
+    if (since_decay_us > half_life_us) {
+        since_decay_us = half_life_us;
+    }
+    const double factor =
+        2.0 * (double)half_life_us / (double)(half_life_us + since_decay_us);
+    for (size_t i = 0; i < count; i++) {
+        steps[i].load = (uint32_t)((double)steps[i].load * factor + 0.5);
+    }
+}
+
 struct keyload_curve *
 keyload_curve_create(void)
 {
--- a/packages/fleet/keyload.h
+++ b/packages/fleet/keyload.h
@@ -12,6 +12,9 @@
 
 #define KEYLOAD_BUCKET_KEYS 256 /* in one step; hot keys have their own */
 #define KEYLOAD_STEPS_MAX 1024
+/* Loads are counted in this unit, so that a single request of a key is not
+ * forgotten when counts are halved. */
+#define KEYLOAD_UNITS_PER_REQUEST 16
 
 /** Load of the keys from first to before the next step's first. */
 struct keyload_step {
@@ -31,12 +34,22 @@
 /** Halves all counts; call it once per half-life. */
 void keyload_decay(struct keyload *load);
 
+/**
+ * Turns counts into loads that can be compared between instances, whose counts
+ * are halved at different moments: just before they are halved, counts are
+ * twice as high as just after.
+ *
+ * @param since_decay_us time since counts were halved
+ */
+void keyload_scale(struct keyload_step *steps, size_t count,
+                   int64_t since_decay_us, int64_t half_life_us);
+
 /** Writes steps in key order and returns their number. Of adjacent steps
  * without load only the first is written, and none at the start. */
 size_t keyload_steps(const struct keyload *load,
                      struct keyload_step steps[KEYLOAD_STEPS_MAX]);
 
-/** Load by key, summed over the steps of several instances. */
+/** Load by key, summed over the scaled steps of several instances. */
 struct keyload_curve;
 
 struct keyload_curve *keyload_curve_create(void);
--- a/packages/fleet/test/keymap_test.cc
+++ b/packages/fleet/test/keymap_test.cc
@@ -243,7 +243,9 @@
 TEST_F(Plan, SpreadsUnownedKeysByLoad)
 {
     /* 200 adjacent keys have nearly half of the load. */
-    const struct keyload_step hot[] = {{0, 500}, {30000, 400}, {30200, 500}};
+    constexpr uint32_t unit = KEYLOAD_UNITS_PER_REQUEST;
+    const struct keyload_step hot[] = {
+        {0, 500 * unit}, {30000, 400 * unit}, {30200, 500 * unit}};
     keyload_curve_add(curve, hot, 3);
     for (const char *name : {"a", "b", "c", "d"}) {
         AddTarget(name);
@@ -252,7 +254,7 @@
     const auto loads = Loads();
     EXPECT_EQ(0U, loads.count(""));
     for (const auto &load : loads) {
-        EXPECT_NEAR(load.second, 1490.0 / 4, 60) << load.first;
+        EXPECT_NEAR(load.second / unit, 1490.0 / 4, 60) << load.first;
     }
 }
 
@@ -291,14 +293,16 @@
 struct HotKey : Plan {
     static constexpr uint32_t key = 20000;
     static constexpr uint32_t hot_load = 2600; /* of 10,000 in all */
+    static constexpr uint32_t unit = KEYLOAD_UNITS_PER_REQUEST;
 
     HotKey()
     {
         for (int i = 0; i < 9; i++) {
             AddTarget(std::string(1, static_cast<char>('a' + i)));
         }
-        const struct keyload_step even[] = {{0, 7400}};
-        const struct keyload_step hot[] = {{key, hot_load}, {key + 1, 0}};
+        const struct keyload_step even[] = {{0, 7400 * unit}};
+        const struct keyload_step hot[] = {{key, hot_load * unit},
+                                           {key + 1, 0}};
         keyload_curve_add(curve, even, 1);
         keyload_curve_add(curve, hot, 2);
         for (uint32_t i = 0; i < 9; i++) {
@@ -319,7 +323,8 @@
             }
         }
         const bool owner = name == keymap_find(&map, key)->holder.instance;
-        return load - (owner ? keyload_curve_load(curve, key, key) : 0);
+        load -= owner ? keyload_curve_load(curve, key, key) : 0;
+        return load / unit;
     }
 };
 
@@ -343,7 +348,7 @@
 /* One busy range does not keep another from being divided. */
 TEST_F(HotKey, DoesNotKeepOtherOwnersOverloaded)
 {
-    const struct keyload_step busy[] = {{50000, 3000}, {51000, 0}};
+    const struct keyload_step busy[] = {{50000, 3000 * unit}, {51000, 0}};
     keyload_curve_add(curve, busy, 2);
     const std::string other = keymap_find(&map, 50500)->holder.instance;
     for (int round = 0; round < 3; round++) {
@@ -400,14 +405,66 @@
     bool alone = false;
     for (size_t i = 0; i < count; i++) {
         sum += steps[i].load;
-        alone = alone || (steps[i].first == 1000 && steps[i].load >= 300 &&
+        alone = alone || (steps[i].first == 1000 &&
+                          steps[i].load >= 300 * KEYLOAD_UNITS_PER_REQUEST &&
                           steps[i + 1].first == 1001);
     }
-    EXPECT_EQ(600U, sum);
+    EXPECT_EQ(600U * KEYLOAD_UNITS_PER_REQUEST, sum);
     EXPECT_TRUE(alone);
     keyload_destroy(load);
 }
 
+/* Two owners with the same requests, whose counts are halved a second apart,
+ * have the same load. */
+TEST(Keyload, ScaledLoadDoesNotDependOnTheMomentOfDecay)
+{
+    constexpr int64_t half_life_us = 2000000;
+    struct keyload *loads[2] = {keyload_create(), keyload_create()};
+    std::vector<struct keyload_step> steps(KEYLOAD_STEPS_MAX);
+    double sums[2] = {0, 0};
+    for (int ms = 0; ms < 20700; ms += 10) {
+        for (int i = 0; i < 2; i++) {
+            if ((ms + 1000 * i) % 2000 == 0) {
+                keyload_decay(loads[i]);
+            }
+            keyload_record_request(loads[i],
+                                   static_cast<uint32_t>(ms * 7 % 60000));
+        }
+    }
+    for (int i = 0; i < 2; i++) {
+        const size_t count = keyload_steps(loads[i], steps.data());
+        keyload_scale(steps.data(), count, (20700 + 1000 * i) % 2000 * 1000,
+                      half_life_us);
+        for (size_t k = 0; k < count; k++) {
+            sums[i] += steps[k].load;
+        }
+        keyload_destroy(loads[i]);
+    }
+    EXPECT_NEAR(sums[0], sums[1], sums[0] * 0.06);
+}
+
+/* Load pattern: requests arrive at random, evenly over the keys. */
+TEST_F(Plan, DifferencesByChanceMoveNothing)
+{
+    struct random_state random;
+    random_seed(&random, 9);
+    constexpr uint32_t count = 64;
+    for (uint32_t i = 0; i < count; i++) {
+        AddTarget("t" + std::to_string(i));
+        keymap_assign(&map, i * 1024, i * 1024 + 1023, &targets[i].holder,
+                      nullptr);
+        uint32_t requests = 0;
+        for (int k = 0; k < 270; k++) {
+            requests += random_chance(&random, 0.1);
+        }
+        const struct keyload_step steps_of_target[] = {
+            {i * 1024, requests * KEYLOAD_UNITS_PER_REQUEST},
+            {(i + 1) * 1024, 0}};
+        keyload_curve_add(curve, steps_of_target, i + 1 < count ? 2 : 1);
+    }
+    EXPECT_LE(Compute(1.25).size(), 3U);
+}
+
 TEST(Keylease, LeaseEndIsCountedFromStartOfWrite)
 {
     struct keylease lease = {};
--- a/packages/node/keyowner.c
+++ b/packages/node/keyowner.c
@@ -188,7 +188,11 @@
 keyowner_load_steps(const struct keyowner *keyowner,
                     struct keyload_step *steps)
 {
-    return keyload_steps(keyowner->load, steps);
+    const size_t count = keyload_steps(keyowner->load, steps);
+    keyload_scale(steps, count,
+                  node_now_us(keyowner->node) - keyowner->last_decay_us,
+                  KEYOWNER_LOAD_HALF_LIFE_US);
+    return count;
 }
 
 /** True if the map gives the keys to this target, with the same fence. */
