--- a/packages/node/feedrelay.c
+++ b/packages/node/feedrelay.c
@@ -437,14 +437,18 @@
     if (relay == NULL) {
         return;
     }
-    struct waiting_request *waiting;
-    while ((waiting = LIST_FIRST(&relay->waiting)) != NULL) {
+    struct waiting_request *waiting = LIST_FIRST(&relay->waiting);
+    while (waiting != NULL) {
+        struct waiting_request *next = LIST_NEXT(waiting, link);
         rpc_request_drop(waiting->request);
         waiting_free(waiting);
+        waiting = next;
     }
-    struct feedrelay_call *call;
-    while ((call = LIST_FIRST(&relay->calls)) != NULL) {
+    struct feedrelay_call *call = LIST_FIRST(&relay->calls);
+    while (call != NULL) {
+        struct feedrelay_call *next = LIST_NEXT(call, link);
         call_free(call);
+        call = next;
     }
     free(relay);
 }
--- a/packages/node/retiredclients.c
+++ b/packages/node/retiredclients.c
@@ -57,8 +57,10 @@
 void
 retiredclients_clear(struct retiredclients *clients)
 {
-    struct retiredclient *retired;
-    while ((retired = LIST_FIRST(&clients->list)) != NULL) {
+    struct retiredclient *retired = LIST_FIRST(&clients->list);
+    while (retired != NULL) {
+        struct retiredclient *next = LIST_NEXT(retired, link);
         retired_free(retired);
+        retired = next;
     }
 }
