keyowner: a new incarnation gets grants only from a map read after its lease

Cause, found by reading: a handover whose answer was lost is forgotten when the target ends. The next incarnation's fence came from a lease that was written since, which excludes that the handover still lands, but the map known by then might be older than the handover. Change: the map is read again after that lease, and grants wait for it. Test: NewIncarnationDoesNotGetKeysThatWereGivenAway (two owners would be seen by its checks; it does not force the order in which the old map would win).

--- a/packages/node/keyowner.c
+++ b/packages/node/keyowner.c
@@ -114,9 +114,10 @@
 bool
 keyowner_may_grant(const struct keyowner *keyowner)
 {
+    const uint64_t known = rowwatch_version(keyowner->node->fleet_watch);
     return keyowner_has_lease(keyowner) && keyowner->fence_min > 0 &&
-           rowwatch_version(keyowner->node->fleet_watch) >=
-               keyowner->lease.acquired_version;
+           known >= keyowner->fence_min &&
+           known >= keyowner->lease.acquired_version;
 }
 
 struct key_grant *
--- a/packages/node/keyowner_internal.h
+++ b/packages/node/keyowner_internal.h
@@ -110,8 +110,8 @@
 
 bool keyowner_has_lease(const struct keyowner *keyowner);
 
-/** True if the lease holds, the map was read since it was acquired, and fences
- * of the present incarnation of the target are known. */
+/** True if the lease holds, fences of the present incarnation of the target
+ * are known, and the map was read since both. */
 bool keyowner_may_grant(const struct keyowner *keyowner);
 
 /** Drops grants that the map no longer allows and adds those it asks for. */
--- a/packages/node/keyownerlease.c
+++ b/packages/node/keyownerlease.c
@@ -112,9 +112,11 @@
     const bool acquired = keylease_record_write(
         &keyowner->lease, keyowner->lease_write_started_us, row_version,
         store_version);
-    if (keyowner->fence_min == 0 &&
+    const bool new_incarnation =
+        keyowner->fence_min == 0 &&
         keyowner->lease_write_started_us >=
-            localtarget_present_since_us(keyowner->node->target)) {
+            localtarget_present_since_us(keyowner->node->target);
+    if (new_incarnation) {
         keyowner->fence_min = row_version;
     }
     if (keyowner->fence_min == 0 &&
@@ -123,6 +125,10 @@
     }
     if (acquired) {
         LOG_INFO("lease_acquired", LOG_UINT("version", row_version));
+    }
+    if (acquired || new_incarnation) {
+        /* Changes of the map that depended on an earlier version of the row
+         * have taken effect by now or never will. */
         rowwatch_refresh(keyowner->node->fleet_watch);
     }
     keyownermap_write_changes(keyowner);
