--- a/packages/node/feedrelay.c
+++ b/packages/node/feedrelay.c
@@ -9,6 +9,7 @@
 #include "base/memory.h"
 #include "fleet/feedsource.h"
 #include "node/node_internal.h"
+#include "node/relayrows.h"
 #include "protocol/procedures.h"
 
 /* Pause between two answers of the store, so that one answer brings several
@@ -146,33 +147,15 @@
 static void
 deliver_peer_rows(struct feedrelay_call *call, const struct relay_feed *feed)
 {
-    const u_int count = feed->rows.rows_len;
-    struct rowstore_row *rows = memory_calloc(count + 1, sizeof(*rows));
-    char **values = memory_calloc(count + 1, sizeof(*values));
-    for (u_int i = 0; i < count; i++) {
-        const relay_row *row = &feed->rows.rows_val[i];
-        /* Values are used as strings. */
-        values[i] = memory_calloc(row->value.value_len + 1, 1);
-        memcpy(values[i], row->value.value_val, row->value.value_len);
-        rows[i] = (struct rowstore_row){
-            .key = row->key,
-            .version = row->row_version,
-            .removed = row->removed,
-            .value = values[i],
-            .size = row->value.value_len,
-        };
-    }
+    struct relayrows read;
+    relayrows_read(&read, feed->rows.rows_val, feed->rows.rows_len);
     call_end(call, &(struct rowstore_result){
                        .outcome = ROWSTORE_DONE,
-                       .rows = rows,
-                       .row_count = count,
+                       .rows = read.rows,
+                       .row_count = read.count,
                        .version = feed->store_version,
                    });
-    for (u_int i = 0; i < count; i++) {
-        free(values[i]);
-    }
-    free(values);
-    free(rows);
+    relayrows_clear(&read);
 }
 
 static void
@@ -318,12 +301,7 @@
         list->rows = memory_reallocarray(list->rows, list->capacity,
                                          sizeof(*list->rows));
     }
-    list->rows[list->count++] = (relay_row){
-        .key = (char *)row->key,
-        .row_version = row->version,
-        .removed = row->removed,
-        .value = {(u_int)row->size, (char *)row->value},
-    };
+    list->rows[list->count++] = relayrows_write(row);
 }
 
 /** Answers if there are changes, the source is lost, or the wait is over. */
--- a/packages/node/rowcommitpeer.c
+++ b/packages/node/rowcommitpeer.c
@@ -8,6 +8,7 @@
 #include "base/log.h"
 #include "base/memory.h"
 #include "node/feedrelay.h"
+#include "node/relayrows.h"
 #include "protocol/procedures.h"
 
 #define PEERS_MAX 4 /* that are asked before the store itself */
@@ -25,32 +26,15 @@
         [RELAY_COMMIT_REFUSED] = ROWSTORE_REFUSED,
         [RELAY_COMMIT_UNKNOWN] = ROWSTORE_UNKNOWN,
     };
-    struct rowstore_row rows[ROWCOMMIT_PARTS_MAX];
-    char *values[ROWCOMMIT_PARTS_MAX];
-    size_t count = 0;
-    for (u_int i = 0; i < answer->rows.rows_len && count < ROWCOMMIT_PARTS_MAX;
-         i++) {
-        const relay_row *row = &answer->rows.rows_val[i];
-        /* Values are used as strings. */
-        values[count] = memory_calloc(row->value.value_len + 1, 1);
-        memcpy(values[count], row->value.value_val, row->value.value_len);
-        rows[count] = (struct rowstore_row){
-            .key = row->key,
-            .version = row->row_version,
-            .value = values[count],
-            .size = row->value.value_len,
-        };
-        count++;
-    }
+    struct relayrows read;
+    relayrows_read(&read, answer->rows.rows_val, answer->rows.rows_len);
     rowcommit_call_end(call, &(struct rowstore_result){
                                  .outcome = outcomes[answer->outcome],
                                  .version = answer->store_version,
-                                 .rows = rows,
-                                 .row_count = count,
+                                 .rows = read.rows,
+                                 .row_count = read.count,
                              });
-    for (size_t i = 0; i < count; i++) {
-        free(values[i]);
-    }
+    relayrows_clear(&read);
 }
 
 static void
@@ -142,12 +126,7 @@
     for (size_t i = 0; result->outcome == ROWSTORE_CONFLICT &&
                        i < result->row_count && i < ROWCOMMIT_PARTS_MAX;
          i++) {
-        const struct rowstore_row *row = &result->rows[i];
-        rows[count++] = (relay_row){
-            .key = (char *)row->key,
-            .row_version = row->version,
-            .value = {(u_int)row->size, (char *)row->value},
-        };
+        rows[count++] = relayrows_write(&result->rows[i]);
     }
     const struct relay_committed answer = {
         .outcome = outcomes[result->outcome],
