http: listening sockets of tests hold all connections that a test opens

Cause: the socket of the test held 17 connections; the kernel repeated the other attempts after 1 s, which is also the time in which a connection must be open, so the order of two events of one poll decided. The product's own sockets are not touched.

--- a/packages/http/test/http_fixture.h
+++ b/packages/http/test/http_fixture.h
@@ -23,6 +23,10 @@
 #include "http/httpserver.h"
 }
 
+/* More than any test opens at once: the kernel repeats an attempt to connect
+ * that does not fit only after 1 s, when it may have timed out. */
+constexpr int CONNECTIONS_WAITING_MAX = 128;
+
 inline std::string
 Pattern(size_t size)
 {
@@ -84,7 +88,7 @@
         const int fd = socket(AF_INET, SOCK_STREAM, 0);
         auto *sa = reinterpret_cast<struct sockaddr *>(&address.storage);
         EXPECT_EQ(0, bind(fd, sa, address.length));
-        EXPECT_EQ(0, listen(fd, 16));
+        EXPECT_EQ(0, listen(fd, CONNECTIONS_WAITING_MAX));
         getsockname(fd, sa, &address.length);
         sockets.push_back(fd);
         return address;
