node: rows and maps without a value are read without passing NULL to memcpy

Harmless with this C library, undefined by the language. The same for a key map without text; and a written row with an empty value would have been taken for a removal. RelayRows.ReadsRemovedRowWithoutValue fails without the first change under sanitizers.

--- a/packages/node/relayrows.c
+++ b/packages/node/relayrows.c
@@ -13,7 +13,9 @@
     for (u_int i = 0; i < count; i++) {
         const u_int size = rows[i].value.value_len;
         char *value = memory_calloc(size + 1, 1);
-        memcpy(value, rows[i].value.value_val, size);
+        if (size > 0) {
+            memcpy(value, rows[i].value.value_val, size);
+        }
         read->rows[i] = (struct rowstore_row){
             .key = rows[i].key,
             .version = rows[i].row_version,
--- a/packages/node/relaytask.c
+++ b/packages/node/relaytask.c
@@ -248,7 +248,9 @@
     const struct relay_keys *keys = args;
     struct relay_promised reply = {.promised = true};
     char *text = memory_calloc(keys->text.text_len + 1, 1);
-    memcpy(text, keys->text.text_val, keys->text.text_len);
+    if (keys->text.text_len > 0) {
+        memcpy(text, keys->text.text_val, keys->text.text_len);
+    }
     if (keys->page < KEYMAP_PAGES) {
         node_receive_keymap_page(relay->node, keys->service, keys->page, text,
                                  keys->row_version);
--- a/packages/node/rowcommitpeer.c
+++ b/packages/node/rowcommitpeer.c
@@ -136,6 +136,17 @@
     rpc_request_reply(ctx, &answer);
 }
 
+/** NULL only if the part removes its row: a decoded value without bytes has no
+ * address. */
+static const char *
+part_value(const relay_part *part)
+{
+    if (part->removes) {
+        return NULL;
+    }
+    return part->value.value_len > 0 ? part->value.value_val : "";
+}
+
 static void
 serve_commit(void *ctx, struct rpc_request *request, const void *args)
 {
@@ -160,7 +171,7 @@
             .key = part->key,
             .expected = part->expected,
             .check_only = part->check_only,
-            .value = part->removes ? NULL : part->value.value_val,
+            .value = part_value(part),
             .size = part->value.value_len,
         };
     }
