--- a/packages/fleet/instancechoice.c
+++ b/packages/fleet/instancechoice.c
@@ -91,9 +91,8 @@
     return overdue_us > 0 ? UNANSWERED_FACTOR * (double)overdue_us : 0;
 }
 
-/** The time that a request rather waits in its own zone than to cross to
- * another. It depends on the objective: an answer that still is in time loses
- * nothing, and crossing costs the same for all. */
+/** Added to the expected latency in another zone. It grows with the objective:
+ * a request that has time left can wait in its own zone. */
 static double
 other_zone_penalty_us(const struct instancechoice_criteria *criteria)
 {
--- a/packages/node/localgate.c
+++ b/packages/node/localgate.c
@@ -217,8 +217,8 @@
     gatesend_start(call);
 }
 
-/** Waits for the key, at most for a part of the time in which the answer still
- * counts in full: what is refused then can be served on its return. */
+/** Waits for the key, at most for a part of the time until the latency
+ * objective, so that a retry by the caller can still meet it. */
 static void
 call_await_key(struct localgate_call *call)
 {
