keyowner: a log line tells how instances answered when asked not to take keys

Cause: while the store is away a lease is prolonged by promises of others. Change: line 'promises' for each round, with the number of answers of each kind and whether the lease was extended; it replaces lease_promised.

--- a/packages/node/keyowner_internal.h
+++ b/packages/node/keyowner_internal.h
@@ -14,6 +14,7 @@
 #include "http/httpclient.h"
 #include "node/keyowner.h"
 #include "node/node_internal.h"
+#include "node/relaytask.h"
 #include "node/rowcommit.h"
 
 #define KEYOWNER_TICK_US (100 * US_PER_MS)
@@ -88,7 +89,7 @@
     bool lease_write_done;       /**< the latest write took effect */
     bool lease_write_unresolved; /**< an earlier call may still write it */
     unsigned promises_pending;
-    bool promises_failed;
+    unsigned promises[RELAY_PROMISE_COUNT]; /**< answers of this round */
     int64_t promises_started_us;
     struct rowcommit_call *map_call;
     struct keymapwrite map_write; /**< of map_call */
--- a/packages/node/keyownerlease.c
+++ b/packages/node/keyownerlease.c
@@ -12,7 +12,6 @@
 #include "node/localgate.h"
 #include "node/localtarget.h"
 #include "node/planner_internal.h"
-#include "node/relaytask.h"
 
 /* Peers that a lease names. They must promise, or wait for longer than the
  * others before they take over. */
@@ -206,25 +205,39 @@
         on_written, keyowner);
 }
 
+/** All instances that were asked have answered, or did not in time. */
 static void
-on_promised(void *ctx, bool promised)
+finish_promises(struct keyowner *keyowner)
 {
-    struct keyowner *keyowner = ctx;
-    keyowner->promises_pending--;
-    keyowner->promises_failed = keyowner->promises_failed || !promised;
-    if (keyowner->promises_pending > 0 || keyowner->promises_failed) {
+    const unsigned *answers = keyowner->promises;
+    const bool extended = answers[RELAY_PROMISE_DECLINED] == 0 &&
+                          answers[RELAY_PROMISE_UNANSWERED] == 0;
+    LOG_INFO(
+        "promises", LOG_BOOL("extended", extended),
+        LOG_UINT("given", answers[RELAY_PROMISE_GIVEN]),
+        LOG_UINT("declined", answers[RELAY_PROMISE_DECLINED]),
+        LOG_UINT("refused_by_host", answers[RELAY_PROMISE_REFUSED_BY_HOST]),
+        LOG_UINT("unanswered", answers[RELAY_PROMISE_UNANSWERED]),
+        LOG_INT("lease_left_ms",
+                keyowner_lease_margin_us(keyowner) / US_PER_MS));
+    if (!extended) {
         return;
     }
-    const bool lapsed = !keyowner_has_lease(keyowner);
     keylease_record_promises(&keyowner->lease, keyowner->promises_started_us);
-    if (lapsed) {
-        LOG_INFO("lease_promised",
-                 LOG_INT("until_ms",
-                         keyowner->lease.promised_until_us / US_PER_MS));
-    }
     keyownergrant_send_due(keyowner);
 }
 
+static void
+on_promised(void *ctx, enum relay_promise promise)
+{
+    struct keyowner *keyowner = ctx;
+    keyowner->promises[promise]++;
+    keyowner->promises_pending--;
+    if (keyowner->promises_pending == 0) {
+        finish_promises(keyowner);
+    }
+}
+
 /** Asks all instances that could take over the keys not to. */
 static void
 ask_promises(struct keyowner *keyowner, int64_t now_us)
@@ -233,15 +246,17 @@
     const json_t *peers = json_object_get(document, "peers");
     const size_t count = json_array_size(peers);
     keyowner->promises_started_us = now_us;
-    keyowner->promises_failed = false;
-    keyowner->promises_pending = (unsigned)count + 1;
+    memset(keyowner->promises, 0, sizeof(keyowner->promises));
+    keyowner->promises_pending = (unsigned)count;
     for (size_t i = 0; i < count; i++) {
         relaytask_request_promise(keyowner->node->relay,
                                   json_string_value(json_array_get(peers, i)),
                                   on_promised, keyowner);
     }
     json_decref(document);
-    on_promised(keyowner, true);
+    if (count == 0) {
+        finish_promises(keyowner);
+    }
 }
 
 void
--- a/packages/node/relaytask.c
+++ b/packages/node/relaytask.c
@@ -34,7 +34,7 @@
     struct relaytask *relay;
     struct rpc_call *call;
     char instance[KEYMAP_NAME_MAX + 1];
-    void (*promised)(void *ctx, bool promised);
+    relay_promise_cb promised;
     relay_loads_cb loads;
     void *ctx;
 };
@@ -359,27 +359,33 @@
     query->call = rpc_call_start(query->relay->node->rpc, spec);
 }
 
+static enum relay_promise
+read_promise(enum rpc_status status, const struct relay_promised *reply)
+{
+    if (status == RPC_OK) {
+        return reply->promised ? RELAY_PROMISE_GIVEN : RELAY_PROMISE_DECLINED;
+    }
+    return status == RPC_REFUSED_BY_HOST ? RELAY_PROMISE_REFUSED_BY_HOST
+                                         : RELAY_PROMISE_UNANSWERED;
+}
+
 static void
 on_promise(void *ctx, enum rpc_status status, const void *result)
 {
     struct relay_query *query = ctx;
-    const struct relay_promised *reply = result;
     LIST_REMOVE(query, link);
-    /* An instance whose process is not running takes over no keys. Once
-     * started, it watches a lease for longer than a promise lasts. */
-    query->promised(query->ctx, status == RPC_REFUSED_BY_HOST ||
-                                    (status == RPC_OK && reply->promised));
+    query->promised(query->ctx, read_promise(status, result));
     free(query);
 }
 
 void
 relaytask_request_promise(struct relaytask *relay, const char *instance,
-                          void (*done)(void *ctx, bool promised), void *ctx)
+                          relay_promise_cb done, void *ctx)
 {
     const struct instancetable_instance *peer =
         instancetable_find(&relay->node->instancetable, instance);
     if (peer == NULL) {
-        done(ctx, false);
+        done(ctx, RELAY_PROMISE_UNANSWERED);
         return;
     }
     struct relay_query *query = query_create(relay, instance, ctx);
--- a/packages/node/relaytask.h
+++ b/packages/node/relaytask.h
@@ -41,10 +41,20 @@
                relay_call_cb done, void *ctx);
 void relaytask_cancel(struct relay_call *call);
 
+/** How an instance answered the request for a promise. */
+enum relay_promise {
+    RELAY_PROMISE_GIVEN,
+    RELAY_PROMISE_DECLINED,
+    RELAY_PROMISE_REFUSED_BY_HOST, /**< the connection was refused */
+    RELAY_PROMISE_UNANSWERED,
+};
+#define RELAY_PROMISE_COUNT (RELAY_PROMISE_UNANSWERED + 1)
+
+typedef void (*relay_promise_cb)(void *ctx, enum relay_promise promise);
+
 /** Asks an instance for a promise not to take over this one's keys. */
 void relaytask_request_promise(struct relaytask *relay, const char *instance,
-                               void (*done)(void *ctx, bool promised),
-                               void *ctx);
+                               relay_promise_cb done, void *ctx);
 
 /** loads is NULL if there was no answer. */
 typedef void (*relay_loads_cb)(void *ctx, const char *instance,
