keyowner: a refused connection is no promise not to take over the keys

Cause: an owner that does not reach the store prolongs its lease while all instances that its row names promise to wait. A refused connection counted as such a promise, as from a process that has ended. A partition that resets connections looks the same: the instance behind it is alive, reaches the store and takes over the keys 4.2 s after the last renewal, while the owner goes on for up to 30 s. Class: missing evidence taken as evidence of death. Change: only promises that were given prolong a lease.

--- a/packages/node/keyownerlease.c
+++ b/packages/node/keyownerlease.c
@@ -210,7 +210,10 @@
 finish_promises(struct keyowner *keyowner)
 {
     const unsigned *answers = keyowner->promises;
+    /* Without an answer nothing is known: an instance behind a partition
+     * that refuses connections may be alive and take over the keys. */
     const bool extended = answers[RELAY_PROMISE_DECLINED] == 0 &&
+                          answers[RELAY_PROMISE_REFUSED_BY_HOST] == 0 &&
                           answers[RELAY_PROMISE_UNANSWERED] == 0;
     LOG_INFO(
         "promises", LOG_BOOL("extended", extended),
