--- a/packages/node/rowwatch.c
+++ b/packages/node/rowwatch.c
@@ -257,6 +257,9 @@
     }
     if (result->version < watch->version) {
         /* A stale answer may lack rows, which would be reported removed. */
+        LOG_WARN("scan_stale", LOG_STR("table", watch->options.table),
+                 LOG_UINT("version", result->version),
+                 LOG_UINT("known_version", watch->version));
         retry_later(watch);
         return;
     }
