store: versions hold the era of the store, so that they rise after it returned from a copy

Cause: the store's versions go back then, and much rests on their only rising. A feed continued after a number that another change has now would miss rows. Class: a logical clock that others may reset. Change: the adapter reads the era that the store tells with all answers and puts it into the upper bits of all versions; nothing outside it compares bare numbers. So rows of the copy are newer than those before and are reported again; a feed after a version of an earlier era ends as 'history gone'; a condition on such a version can't hold, even if the number matches. Rows that the copy lacks are removed only if they are not written again within 1.5 s; an instance writes its own row again; a page of a key map that is gone has no owner. Fences rise with the versions. Line store_restored tells of it.

--- a/packages/fleet/keymap.c
+++ b/packages/fleet/keymap.c
@@ -319,6 +319,17 @@
     return ok || error_set(err, ERROR_DOCUMENT_SYNTAX, "key map");
 }
 
+void
+keymap_forget_page(struct keymap *map, unsigned page)
+{
+    const struct keymap_segment unowned = {
+        .first = page_first(page),
+        .last = page_last(page),
+    };
+    replace_page(map, page, &unowned, 1);
+    map->pages[page].version = 0;
+}
+
 /** The last key of the segment within the page. */
 static uint32_t
 last_in_page(const struct keymap_segment *segment, unsigned page)
--- a/packages/fleet/keymap.h
+++ b/packages/fleet/keymap.h
@@ -62,6 +62,10 @@
 bool keymap_parse_page(struct keymap *map, unsigned page, const char *text,
                        size_t size, uint64_t version, struct error *err);
 
+/** The row of a page is gone: its keys have no owner. Later fences are still
+ * above all that are known. */
+void keymap_forget_page(struct keymap *map, unsigned page);
+
 /** The row of a page as JSON; the user frees it. */
 char *keymap_print_page(const struct keymap *map, unsigned page);
 
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -109,8 +109,11 @@
     struct error err = {.code = ERROR_NONE};
     struct node_keymap *keys = add_keymap(node, service);
     const bool owned = owns_keys_of(node, &keys->map, page);
-    if (!keymap_parse_page(&keys->map, page, row->value, row->size,
-                           row->version, &err)) {
+    if (row->removed) {
+        keymap_forget_page(&keys->map, page);
+    }
+    else if (!keymap_parse_page(&keys->map, page, row->value, row->size,
+                                row->version, &err)) {
         char description[ERROR_SUBJECT_SIZE * 2];
         LOG_ERR("keys_invalid", LOG_STR("service", service),
                 LOG_UINT("page", page), LOG_UINT("version", row->version),
@@ -355,8 +358,7 @@
     if (strncmp(row->key, NODE_INSTANCE_KEY, instance) == 0) {
         on_instance_row(node, row->key + instance, row);
     }
-    else if (!row->removed &&
-             keymapwrite_parse_row_name(row->key, service, &page)) {
+    else if (keymapwrite_parse_row_name(row->key, service, &page)) {
         apply_keymap_page(node, service, page, row);
     }
 }
--- a/packages/node/ownrow.c
+++ b/packages/node/ownrow.c
@@ -119,7 +119,8 @@
         return;
     }
     char *text = own_text(own);
-    if (own->stored_text != NULL && strcmp(own->stored_text, text) == 0) {
+    if (own->stored_text != NULL && strcmp(own->stored_text, text) == 0 &&
+        rowwatch_has_value(node->fleet_watch, own->key, text)) {
         free(text);
         return;
     }
--- a/packages/node/rowcommit.c
+++ b/packages/node/rowcommit.c
@@ -154,6 +154,7 @@
     }
     rowcommit_call_end(call,
                        &(struct rowstore_result){.outcome = ROWSTORE_CONFLICT,
+                                                 .version = result->version,
                                                  .rows = rows,
                                                  .row_count = count});
 }
--- a/packages/node/rowwatch.c
+++ b/packages/node/rowwatch.c
@@ -15,6 +15,9 @@
 #define FEED_WAIT_US (1 * US_PER_SECOND)
 #define RETRY_MIN_US (50 * US_PER_MS)
 #define RETRY_MAX_US (900 * US_PER_MS)
+/* After the store returned from a copy, its users write again what they had
+ * written since. */
+#define RESTORED_SETTLE_US (1500 * US_PER_MS)
 #define KEY_SUFFIX "\x01" /* appended to a key, starts after it */
 
 /* A row that was reported. */
@@ -43,7 +46,8 @@
     uint64_t scan_number;
     uint64_t scan_version; /* of the scan's first answer */
     char *scan_next_key;
-    bool scan_due; /* before the feed continues */
+    int64_t settle_until_us; /* then rows that a copy lacked are reported */
+    bool scan_due;           /* before the feed continues */
     bool reachable;
     bool reachable_known;
 };
@@ -183,11 +187,27 @@
     }
 }
 
+/** False for a row that the copy lacked from which the store returned. */
+static bool
+row_exists(const struct rowwatch *watch, const struct known_row *row)
+{
+    return row != NULL && !row->removed &&
+           rowstore_era(row->version) >= rowstore_era(watch->version);
+}
+
 uint64_t
 rowwatch_row_version(const struct rowwatch *watch, const char *key)
 {
     const struct known_row *row = find_row(watch, key);
-    return row != NULL && !row->removed ? row->version : 0;
+    return row_exists(watch, row) ? row->version : 0;
+}
+
+bool
+rowwatch_has_value(const struct rowwatch *watch, const char *key,
+                   const char *value)
+{
+    const struct known_row *row = find_row(watch, key);
+    return row_exists(watch, row) && strcmp(row->value, value) == 0;
 }
 
 /** Reports rows as removed that a whole scan did not return. */
@@ -220,9 +240,25 @@
     }
 }
 
+/** True if the version shows that the store has returned from a copy. */
+static bool
+is_restored(const struct rowwatch *watch, uint64_t version)
+{
+    return watch->version > 0 &&
+           rowstore_era(version) > rowstore_era(watch->version);
+}
+
 static void
 finish_batch(struct rowwatch *watch, uint64_t version)
 {
+    if (is_restored(watch, version)) {
+        LOG_WARN("store_restored", LOG_STR("table", watch->options.table),
+                 LOG_UINT("era", rowstore_era(version)),
+                 LOG_UINT("version", version),
+                 LOG_UINT("known_version", watch->version));
+        watch->settle_until_us =
+            runtime_now_us(watch->options.runtime) + RESTORED_SETTLE_US;
+    }
     if (version > watch->version) {
         watch->version = version;
     }
@@ -235,7 +271,11 @@
 static void
 finish_scan(struct rowwatch *watch)
 {
-    report_missing(watch);
+    /* A row that the copy lacks may be written again soon. */
+    if (!is_restored(watch, watch->scan_version) &&
+        watch->settle_until_us == 0) {
+        report_missing(watch);
+    }
     free(watch->scan_next_key);
     watch->scan_next_key = NULL;
     watch->scan_due = false;
@@ -314,6 +354,11 @@
     if (watch->scan != NULL || watch->feed != NULL) {
         return;
     }
+    if (watch->settle_until_us > 0 &&
+        runtime_now_us(watch->options.runtime) >= watch->settle_until_us) {
+        watch->settle_until_us = 0;
+        watch->scan_due = true;
+    }
     if (!watch->scan_due) {
         /* After a failure the first call doesn't wait for changes, to find
          * out soon whether the store answers again. */
--- a/packages/node/rowwatch.h
+++ b/packages/node/rowwatch.h
@@ -3,7 +3,8 @@
  * Follows one table of the store: scans it, then reads the feed of changes
  * from the store or another instance, and scans it again when the feed's
  * history is gone. A row is reported once for each newer version; versions
- * never decrease.
+ * never decrease. Rows that are missing after the store returned from a copy
+ * are reported as removed only if they are not written again soon.
  */
 #ifndef CHESTNUTGAP_NODE_ROWWATCH_H
 #define CHESTNUTGAP_NODE_ROWWATCH_H
@@ -65,4 +66,8 @@
 /** Known version of a row, 0 if there is none. */
 uint64_t rowwatch_row_version(const struct rowwatch *watch, const char *key);
 
+/** True if the row is known to be in the store with that value. */
+bool rowwatch_has_value(const struct rowwatch *watch, const char *key,
+                        const char *value);
+
 #endif
--- a/packages/store/rowstore.h
+++ b/packages/store/rowstore.h
@@ -3,6 +3,11 @@
  * Interface of the platform's store of versioned rows with a change feed. One
  * counter, which rises with every transaction, gives all rows their versions,
  * so reading a row again resolves an unknown outcome.
+ *
+ * The store may return from an older copy of itself. Its counter then goes
+ * back, and a new era begins. Versions here hold the era in their upper bits,
+ * so that they always rise: all rows of an era, also those of the copy, have
+ * higher versions than any of an earlier era.
  */
 #ifndef CHESTNUTGAP_STORE_ROWSTORE_H
 #define CHESTNUTGAP_STORE_ROWSTORE_H
@@ -12,6 +17,17 @@
 #include <stdint.h>
 
 #define ROWSTORE_NAME_MAX 199 /* bytes of a table's or row's name */
+/* 5,000 transactions a second for 7 years; eras below 8,192 leave versions
+ * exact in JSON readers that use doubles. */
+#define ROWSTORE_COUNTER_BITS 40
+#define ROWSTORE_COUNTER_MAX ((UINT64_C(1) << ROWSTORE_COUNTER_BITS) - 1)
+
+/** The era that a version belongs to; 0: the store tells none. */
+static inline uint64_t
+rowstore_era(uint64_t version)
+{
+    return version >> ROWSTORE_COUNTER_BITS;
+}
 
 enum rowstore_outcome {
     ROWSTORE_DONE,         /**< took effect, or the read succeeded */
@@ -35,7 +51,8 @@
     enum rowstore_outcome outcome;
     const struct rowstore_row *rows; /**< if DONE or CONFLICT */
     size_t row_count;
-    uint64_t version; /**< latest version in the store at that time */
+    uint64_t version; /**< latest version in the store at that time; after a
+                         CONFLICT only its era is certain */
     bool more;        /**< a read's limit left out rows */
 };
 
