keyowner: after the store returned from a copy, owners claim the keys that they hold

Cause: the copy's key map gives keys to former owners, its leases are older or missing, and fences of the lost seconds are higher than those of the copy. A former owner, or one whose process starts anew, granted by the copy while the present owner went on under its lease. An owner whose lease holds goes on with the keys that it granted, and claims them in the copy's map in one transaction with its lease; until then it sends no grant, so its grants end with the lease that the store lost. 2. Keys of the copy's map that nobody claimed are granted only when the era is settled: 6.2 s after it was seen here, when each lease of the former era has ended. Instances that know the new era promise nothing to leases of the former one, rows of leases tell their era, and a missing row counts only in a settled era. 3. A row 'era' keeps the latest settled era for processes that start later. 4. Keys are assigned with fences of the era. Open handovers are dropped. Limit: an owner that is cut off from the store together with all instances that its lease names, for longer than 6.2 s across the return, still prolongs it.

--- /dev/null
+++ b/packages/fleet/keyera.c
@@ -0,0 +1,66 @@
+#include "fleet/keyera.h"
+
+#include <stdlib.h>
+
+#include <jansson.h>
+
+#include "store/rowstore.h"
+
+bool
+keyera_observe(struct keyera *era, uint64_t version, int64_t now_us)
+{
+    const uint64_t told = rowstore_era(version);
+    const bool first = !era->known;
+    if (!first && told <= era->era) {
+        return false;
+    }
+    era->known = true;
+    era->era = told;
+    era->seen_us = now_us;
+    return !first;
+}
+
+bool
+keyera_parse_settled(struct keyera *era, const char *text, size_t size)
+{
+    json_t *document = json_loadb(text, size, 0, NULL);
+    const json_t *settled = json_object_get(document, "settled");
+    const bool ok =
+        json_is_integer(settled) && json_integer_value(settled) >= 0;
+    if (ok) {
+        era->settled = (uint64_t)json_integer_value(settled);
+    }
+    json_decref(document);
+    return ok;
+}
+
+char *
+keyera_print_settled(const struct keyera *era)
+{
+    json_t *document = json_pack("{s:I}", "settled", (json_int_t)era->era);
+    char *text = json_dumps(document, JSON_COMPACT);
+    json_decref(document);
+    if (text == NULL) {
+        abort();
+    }
+    return text;
+}
+
+bool
+keyera_is_recorded(const struct keyera *era)
+{
+    return era->known && era->settled >= era->era;
+}
+
+bool
+keyera_is_settled(const struct keyera *era, int64_t now_us)
+{
+    return keyera_is_recorded(era) ||
+           (era->known && now_us - era->seen_us >= KEYERA_SETTLE_US);
+}
+
+bool
+keyera_is_present(const struct keyera *era, uint64_t fence)
+{
+    return rowstore_era(fence) >= era->era;
+}
--- /dev/null
+++ b/packages/fleet/keyera.h
@@ -0,0 +1,52 @@
+/**
+ * @file
+ * When keys may be granted after the store returned from an older copy of
+ * itself. Its key maps may then give keys to former owners, while the present
+ * ones hold them under leases that the copy does not show.
+ *
+ * Owners that live write again which keys they hold, in one transaction with
+ * their lease. Keys that nobody has claimed by the time that all leases of the
+ * former era have ended belong to whom the map says: the era is settled. A row
+ * keeps the latest settled era for processes that start later.
+ */
+#ifndef CHESTNUTGAP_FLEET_KEYERA_H
+#define CHESTNUTGAP_FLEET_KEYERA_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "fleet/keylease.h"
+
+/* A lease of the former era, and the promises that extend it: those are given
+ * only by instances that don't know of the new era yet. */
+#define KEYERA_SETTLE_US (KEYLEASE_TAKEOVER_US + KEYLEASE_PROMISE_US)
+
+/** All zero: nothing known. */
+struct keyera {
+    bool known;
+    uint64_t era;
+    int64_t seen_us;  /**< when this process learnt of it */
+    uint64_t settled; /**< latest era that the store's row says is settled */
+};
+
+/** The store told a version. @return true if it has returned from a copy since
+ * the version before */
+bool keyera_observe(struct keyera *era, uint64_t version, int64_t now_us);
+
+/** Reads the row of the latest settled era. False if it is not valid. */
+bool keyera_parse_settled(struct keyera *era, const char *text, size_t size);
+
+/** The row for the present era; the user frees it. */
+char *keyera_print_settled(const struct keyera *era);
+
+/** True if the row says that the present era is settled. */
+bool keyera_is_recorded(const struct keyera *era);
+
+/** True if no lease of a former era can hold any more. */
+bool keyera_is_settled(const struct keyera *era, int64_t now_us);
+
+/** True if keys with that fence were assigned in the present era. */
+bool keyera_is_present(const struct keyera *era, uint64_t fence);
+
+#endif
--- a/packages/node/keyowner.c
+++ b/packages/node/keyowner.c
@@ -196,10 +196,10 @@
     return count;
 }
 
-/** True if the map gives the keys to this target, with the same fence. */
-static bool
-grant_is_current(const struct key_grant *grant, const struct keymap *map,
-                 const struct keymap_holder *own)
+bool
+keyowner_grant_is_current(const struct key_grant *grant,
+                          const struct keymap *map,
+                          const struct keymap_holder *own)
 {
     const struct keymap_segment *segment = keymap_find(map, grant->first);
     return keymap_holder_equal(&segment->holder, own) &&
@@ -285,7 +285,8 @@
     while (grant != NULL) {
         struct key_grant *next = TAILQ_NEXT(grant, link);
         if (keys == NULL || own.instance[0] == '\0' ||
-            !grant_is_current(grant, &keys->map, &own)) {
+            (!keyowner_grant_is_current(grant, &keys->map, &own) &&
+             !(keyowner->claiming && grant->retained))) {
             keyownergrant_free(grant);
         }
         grant = next;
@@ -309,6 +310,7 @@
 static void
 advance(struct keyowner *keyowner)
 {
+    keyownerclaim_advance(keyowner);
     keyownerlease_renew(keyowner);
     keyownermap_write_changes(keyowner);
     keyownergrant_send_due(keyowner);
@@ -356,16 +358,7 @@
         keyownergrant_drop_handover(handover);
     }
     while ((grant = TAILQ_FIRST(&keyowner->grants)) != NULL) {
-        if (grant->latest_end_us > keyowner->former_grants_end_us) {
-            keyowner->former_grants_end_us = grant->latest_end_us;
-        }
-        const int64_t unresolved_until_us = grant->call != NULL
-                                                ? grant->latest_end_us
-                                                : grant->unresolved_until_us;
-        if (unresolved_until_us > keyowner->unresolved_until_us) {
-            keyowner->unresolved_until_us = unresolved_until_us;
-        }
-        keyownergrant_free(grant);
+        keyownergrant_forget(grant);
     }
     keyowner->fence_min = 0;
     if (proven_dead) {
@@ -421,6 +414,7 @@
             continue;
         }
         if (grant->releasing || grant->call != NULL ||
+            !keyownergrant_is_certain(grant) ||
             now_us < grant->unresolved_until_us) {
             return false;
         }
@@ -501,6 +495,7 @@
 {
     const int64_t now_us = node_now_us(keyowner->node);
     if (!keyowner_may_grant(keyowner) || !keyowner_store_available(keyowner) ||
+        keyowner->claiming ||
         !localtarget_is_present(keyowner->node->target) || keyowner->merging ||
         now_us < keyowner->unresolved_until_us ||
         !can_hand_over(keyowner, first, last, now_us)) {
--- a/packages/node/keyowner_internal.h
+++ b/packages/node/keyowner_internal.h
@@ -30,8 +30,9 @@
     char token[KEYMAP_NAME_MAX + 1]; /**< sent with the first grant */
     bool confirmed;                  /**< by the target */
     bool releasing;                  /**< being handed over */
-    int64_t start_until_us;          /**< requests may begin until then */
-    int64_t latest_end_us;       /**< end of all grants sent, at the latest */
+    bool retained;          /**< since before the store returned from a copy */
+    int64_t start_until_us; /**< requests may begin until then */
+    int64_t latest_end_us;  /**< end of all grants sent, at the latest */
     int64_t unresolved_until_us; /**< end of grants without an answer */
     int64_t renew_at_us;
     int64_t sent_us;           /**< when the latest call was sent */
@@ -97,6 +98,8 @@
     int64_t merge_at_us; /**< next merge of own segments */
     bool merging;        /**< map_call merges segments; none is handed over */
     bool map_write_unresolved; /**< an earlier write may still take effect */
+    bool claiming;       /**< keys are to be claimed; nothing is granted */
+    int64_t claim_at_us; /**< next attempt */
     int64_t former_grants_end_us; /**< grants to former incarnations */
     int64_t unresolved_until_us;  /**< unanswered grants to them may still
                                      arrive until then */
@@ -121,8 +124,20 @@
 struct key_grant *keyowner_find_grant(const struct keyowner *keyowner,
                                       uint32_t key);
 
+/** True if the map gives the keys to this target, with the same fence. */
+bool keyowner_grant_is_current(const struct key_grant *grant,
+                               const struct keymap *map,
+                               const struct keymap_holder *own);
+
 /* keyownergrant.c */
 
+/** True if no former owner can hold the keys: after the store returned from a
+ * copy, its map may be too old. */
+bool keyownergrant_is_certain(const struct key_grant *grant);
+
+/** Frees the grant, and remembers how long the target may hold its keys. */
+void keyownergrant_forget(struct key_grant *grant);
+
 void keyownergrant_send_due(struct keyowner *keyowner);
 void keyownergrant_release(struct handover *handover);
 void keyownergrant_free(struct key_grant *grant);
@@ -135,6 +150,22 @@
 /** Renews the lease when due; asks for promises if the store is late. */
 void keyownerlease_renew(struct keyowner *keyowner);
 
+/** The part of a transaction that writes the lease. */
+struct rowstore_write keyownerlease_part(struct keyowner *keyowner);
+
+/** The lease's row in the answer to a conflicting write, or NULL. */
+const struct rowstore_row *
+keyownerlease_find_row(const struct keyowner *keyowner,
+                       const struct rowstore_result *result);
+
+/** The write begun last took effect with that version. */
+void keyownerlease_written(struct keyowner *keyowner, uint64_t version);
+
+/* keyownerclaim.c */
+
+/** Claims the granted keys, if the store has returned from a copy. */
+void keyownerclaim_advance(struct keyowner *keyowner);
+
 /* keyownermap.c */
 
 /** Ends handovers that the map shows as done. */
--- a/packages/node/keyownergrant.c
+++ b/packages/node/keyownergrant.c
@@ -37,6 +37,30 @@
     free(grant);
 }
 
+void
+keyownergrant_forget(struct key_grant *grant)
+{
+    struct keyowner *keyowner = grant->keyowner;
+    const int64_t unresolved_until_us = grant->call != NULL
+                                            ? grant->latest_end_us
+                                            : grant->unresolved_until_us;
+    if (grant->latest_end_us > keyowner->former_grants_end_us) {
+        keyowner->former_grants_end_us = grant->latest_end_us;
+    }
+    if (unresolved_until_us > keyowner->unresolved_until_us) {
+        keyowner->unresolved_until_us = unresolved_until_us;
+    }
+    keyownergrant_free(grant);
+}
+
+bool
+keyownergrant_is_certain(const struct key_grant *grant)
+{
+    const struct node *node = grant->keyowner->node;
+    return grant->retained || keyera_is_present(&node->keyera, grant->fence) ||
+           keyera_is_settled(&node->keyera, node_now_us(node));
+}
+
 /** Sends a grant or a release to the present incarnation. */
 static struct http_call *
 send_order(struct node *node, const char *path, const char *body, size_t size,
@@ -178,14 +202,14 @@
 keyownergrant_send_due(struct keyowner *keyowner)
 {
     const int64_t now_us = node_now_us(keyowner->node);
-    if (!keyowner_may_grant(keyowner) ||
+    if (!keyowner_may_grant(keyowner) || keyowner->claiming ||
         localtarget_client(keyowner->node->target) == NULL) {
         return;
     }
     struct key_grant *grant;
     TAILQ_FOREACH (grant, &keyowner->grants, link) {
         if (grant->call == NULL && !grant->releasing &&
-            now_us >= grant->renew_at_us) {
+            now_us >= grant->renew_at_us && keyownergrant_is_certain(grant)) {
             send_grant(grant);
         }
     }
--- a/packages/node/keyownerlease.c
+++ b/packages/node/keyownerlease.c
@@ -75,9 +75,10 @@
                               json_string(listed[i]->instance_row.instance));
     }
     json_t *document =
-        json_pack("{s:o, s:I, s:I}", "peers", peers, "process",
+        json_pack("{s:o, s:I, s:I, s:I}", "peers", peers, "process",
                   (json_int_t)(node->options.seed >> 1), "number",
-                  (json_int_t)keyowner->lease_write_number++);
+                  (json_int_t)keyowner->lease_write_number++, "era",
+                  (json_int_t)node->keyera.era);
     char *text = json_dumps(document, JSON_COMPACT);
     json_decref(document);
     if (text == NULL) {
@@ -86,10 +87,9 @@
     return text;
 }
 
-/** The lease's row in the answer to a conflicting write, or NULL. */
-static const struct rowstore_row *
-conflicting_row(const struct keyowner *keyowner,
-                const struct rowstore_result *result)
+const struct rowstore_row *
+keyownerlease_find_row(const struct keyowner *keyowner,
+                       const struct rowstore_result *result)
 {
     for (size_t i = 0; i < result->row_count; i++) {
         if (strcmp(result->rows[i].key, keyowner->lease_key) == 0 &&
@@ -100,30 +100,29 @@
     return NULL;
 }
 
-static void
-lease_written(struct keyowner *keyowner, uint64_t row_version,
-              uint64_t store_version)
+void
+keyownerlease_written(struct keyowner *keyowner, uint64_t version)
 {
     free(keyowner->lease_stored);
     keyowner->lease_stored = keyowner->lease_write_text;
     keyowner->lease_write_text = NULL;
     keyowner->lease_write_unresolved = false;
     const bool acquired = keylease_record_write(
-        &keyowner->lease, keyowner->lease_write_started_us, row_version,
-        store_version);
+        &keyowner->lease, keyowner->lease_write_started_us, version, version);
     const bool new_incarnation =
         keyowner->fence_min == 0 &&
         keyowner->lease_write_started_us >=
             localtarget_present_since_us(keyowner->node->target);
     if (new_incarnation) {
-        keyowner->fence_min = row_version;
+        keyowner->fence_min = version;
+        keyowner->lease.acquired_version = version;
     }
     if (keyowner->fence_min == 0 &&
         localtarget_is_present(keyowner->node->target)) {
         keyowner->lease.renew_us = 0;
     }
     if (acquired) {
-        LOG_INFO("lease_acquired", LOG_UINT("version", row_version));
+        LOG_INFO("lease_acquired", LOG_UINT("version", version));
     }
     if (acquired || new_incarnation) {
         /* Changes of the map that depended on an earlier version of the row
@@ -137,10 +136,10 @@
 static void
 lease_conflict(struct keyowner *keyowner, const struct rowstore_result *result)
 {
-    const struct rowstore_row *row = conflicting_row(keyowner, result);
+    const struct rowstore_row *row = keyownerlease_find_row(keyowner, result);
     /* An earlier write whose outcome is unknown took effect. */
     if (row != NULL && strcmp(row->value, keyowner->lease_write_text) == 0) {
-        lease_written(keyowner, row->version, row->version);
+        keyownerlease_written(keyowner, row->version);
         return;
     }
     if (keyowner->lease.held) {
@@ -161,9 +160,12 @@
     struct keyowner *keyowner = ctx;
     keyowner->lease_call = NULL;
     keyowner->lease_write_done = result->outcome == ROWSTORE_DONE;
+    if (node_observe_version(keyowner->node, result->version)) {
+        return;
+    }
     switch (result->outcome) {
     case ROWSTORE_DONE:
-        lease_written(keyowner, result->version, result->version);
+        keyownerlease_written(keyowner, result->version);
         break;
     case ROWSTORE_CONFLICT:
         lease_conflict(keyowner, result);
@@ -184,21 +186,27 @@
     }
 }
 
-/** Writes the row; retries the same text while its outcome is unknown. */
-static void
-write_lease(struct keyowner *keyowner, int64_t now_us)
+/** Begins a write; the same text is retried while its outcome is unknown. */
+struct rowstore_write
+keyownerlease_part(struct keyowner *keyowner)
 {
     if (keyowner->lease_write_text == NULL) {
         keyowner->lease_write_text = make_lease_text(keyowner);
-        keyowner->lease_write_started_us = now_us;
+        keyowner->lease_write_started_us = node_now_us(keyowner->node);
     }
-    const struct rowstore_write write = {
+    return (struct rowstore_write){
         .table = NODE_LEASE_TABLE,
         .key = keyowner->lease_key,
         .expected = keyowner->lease.version,
         .value = keyowner->lease_write_text,
         .size = strlen(keyowner->lease_write_text),
     };
+}
+
+static void
+write_lease(struct keyowner *keyowner)
+{
+    const struct rowstore_write write = keyownerlease_part(keyowner);
     keyowner->lease_call = rowcommit_start(
         keyowner->node->commits, &write, 1,
         keyowner_has_lease(keyowner) ? ROWCOMMIT_LATER : ROWCOMMIT_SOON,
@@ -252,9 +260,9 @@
     memset(keyowner->promises, 0, sizeof(keyowner->promises));
     keyowner->promises_pending = (unsigned)count;
     for (size_t i = 0; i < count; i++) {
-        relaytask_request_promise(keyowner->node->relay,
-                                  json_string_value(json_array_get(peers, i)),
-                                  on_promised, keyowner);
+        relaytask_request_promise(
+            keyowner->node->relay, json_string_value(json_array_get(peers, i)),
+            keyowner->lease.version, on_promised, keyowner);
     }
     json_decref(document);
     if (count == 0) {
@@ -270,11 +278,12 @@
     const bool needed = keyowner_keys(keyowner) != NULL &&
                         (localtarget_is_present(keyowner->node->target) ||
                          keyowner_owns_keys(keyowner));
-    if (!needed) {
+    if (!needed || keyowner->claiming ||
+        rowwatch_version(keyowner->node->fleet_watch) == 0) {
         return;
     }
     if (keyowner->lease_call == NULL && now_us >= lease->renew_us) {
-        write_lease(keyowner, now_us);
+        write_lease(keyowner);
     }
     const bool overdue = lease->held && keyowner->lease_stored != NULL &&
                          now_us > lease->stored_until_us -
--- a/packages/node/keyownermap.c
+++ b/packages/node/keyownermap.c
@@ -84,6 +84,9 @@
     struct node_keymap *keys = keyowner_keys(keyowner);
     keyowner->map_call = NULL;
     keyowner->merging = false;
+    if (node_observe_version(keyowner->node, result->version)) {
+        return;
+    }
     if (result->outcome != ROWSTORE_DONE &&
         result->outcome != ROWSTORE_CONFLICT) {
         /* Retried with the same expected versions until an answer shows
@@ -231,7 +234,7 @@
     struct node *node = keyowner->node;
     struct node_keymap *keys = keyowner_keys(keyowner);
     if (keys == NULL || keyowner->map_call != NULL || !keyowner->lease.held ||
-        node_now_us(node) < keyowner->map_retry_at_us ||
+        keyowner->claiming || node_now_us(node) < keyowner->map_retry_at_us ||
         rowwatch_version(node->fleet_watch) <
             keyowner->lease.acquired_version) {
         return;
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -358,15 +358,33 @@
     if (strncmp(row->key, NODE_INSTANCE_KEY, instance) == 0) {
         on_instance_row(node, row->key + instance, row);
     }
+    else if (strcmp(row->key, NODE_ERA_KEY) == 0) {
+        if (!row->removed &&
+            !keyera_parse_settled(&node->keyera, row->value, row->size)) {
+            LOG_ERR("era_invalid", LOG_UINT("version", row->version));
+        }
+    }
     else if (keymapwrite_parse_row_name(row->key, service, &page)) {
         apply_keymap_page(node, service, page, row);
     }
 }
 
+bool
+node_observe_version(struct node *node, uint64_t version)
+{
+    if (!keyera_observe(&node->keyera, version, node_now_us(node))) {
+        return false;
+    }
+    keyowner_store_restored(node->keyowner);
+    planner_store_restored(node->planner);
+    return true;
+}
+
 static void
 on_fleet_settled(void *ctx)
 {
     struct node *node = ctx;
+    node_observe_version(node, rowwatch_version(node->fleet_watch));
     ownrow_update(node->ownrow);
     keymaps_changed(node);
     planner_changed(node->planner);
--- a/packages/node/node_internal.h
+++ b/packages/node/node_internal.h
@@ -14,6 +14,7 @@
 #include "base/runtime.h"
 #include "fleet/declared.h"
 #include "fleet/instancetable.h"
+#include "fleet/keyera.h"
 #include "fleet/keymap.h"
 #include "fleet/retrybudget.h"
 #include "node/keymapwrite.h"
@@ -27,6 +28,7 @@
 #define NODE_LEASE_TABLE "leases" /* rows of leases */
 #define NODE_INSTANCE_KEY "instance/"
 #define NODE_KEYS_KEY "keys/"
+#define NODE_ERA_KEY "era" /* the latest settled era */
 
 struct feedrelay;
 struct ingress;
@@ -70,6 +72,7 @@
     struct http_server *metrics;
     struct rowwatch *declared_watch;
     struct rowwatch *fleet_watch;
+    struct keyera keyera;
     struct declared *declared; /* NULL until it was read */
     struct node_zone_list zones_out;
     struct instancetable instancetable;
@@ -101,6 +104,10 @@
  * out. */
 int64_t node_zone_out_since_us(const struct node *node, const char *zone);
 
+/** The store told a version. @return true if it has returned from a copy since
+ * the version before; leases, writes and watches have been reset then. */
+bool node_observe_version(struct node *node, uint64_t version);
+
 /** The key map of a service, or NULL. */
 struct node_keymap *node_find_keymap(const struct node *node,
                                      const char *service);
--- a/packages/node/planner.c
+++ b/packages/node/planner.c
@@ -57,6 +57,9 @@
     if (planner->map_call != NULL) {
         rowcommit_cancel(planner->map_call);
     }
+    if (planner->era_call != NULL) {
+        rowcommit_cancel(planner->era_call);
+    }
     struct watched_lease *lease;
     while ((lease = LIST_FIRST(&planner->leases)) != NULL) {
         plannertakeover_free_lease(lease);
@@ -202,6 +205,7 @@
     struct watched_lease *lease = planner->takeover_lease;
     planner->map_call = NULL;
     planner->takeover_lease = NULL;
+    node_observe_version(planner->node, result->version);
     if (lease != NULL && result->outcome != ROWSTORE_UNKNOWN) {
         lease->takeover_pending = false;
         lease->version_known = false;
@@ -250,6 +254,8 @@
     keymap_copy(&map, &keys->map);
     for (size_t i = 0; i < count; i++) {
         if (moves[i].from.instance[0] == '\0') {
+            keymap_raise_fence(&map, moves[i].first, moves[i].last,
+                               rowwatch_version(planner->node->fleet_watch));
             keymap_assign(&map, moves[i].first, moves[i].last, &moves[i].to,
                           NULL);
             changed = true;
@@ -358,22 +364,81 @@
     };
     const size_t move_count = keyplan_compute(&input, moves);
     keyload_curve_destroy(input.curve);
-    if (!assign_unowned(planner, keys, moves, move_count)) {
+    /* Until then, keys that the map gives to nobody may have an owner. */
+    const bool may_assign = keyera_is_recorded(&planner->node->keyera);
+    if (!may_assign || !assign_unowned(planner, keys, moves, move_count)) {
         order_moves(planner, moves, move_count);
     }
 }
 
+static void
+on_era_recorded(void *ctx, const struct rowstore_result *result)
+{
+    struct planner *planner = ctx;
+    struct node *node = planner->node;
+    planner->era_call = NULL;
+    rowwatch_apply_conflict(node->fleet_watch, result, NODE_ERA_KEY);
+    if (result->outcome == ROWSTORE_DONE &&
+        !node_observe_version(node, result->version)) {
+        rowwatch_refresh(node->fleet_watch);
+    }
+}
+
+/** True if the store holds no keys, so that none can have an owner. */
+static bool
+is_first_start(const struct node_keymap *keys)
+{
+    for (unsigned page = 0; page < KEYMAP_PAGES; page++) {
+        if (keys->map.pages[page].version > 0) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/** Records that the era is settled, for processes that start later. */
+static void
+record_era(struct planner *planner, const struct node_keymap *keys,
+           int64_t now_us)
+{
+    struct node *node = planner->node;
+    const struct keyera *era = &node->keyera;
+    const uint64_t version =
+        rowwatch_row_version(node->fleet_watch, NODE_ERA_KEY);
+    const bool first_start = version == 0 && is_first_start(keys);
+    if (planner->era_call != NULL || keyera_is_recorded(era) ||
+        (!first_start && !keyera_is_settled(era, now_us))) {
+        return;
+    }
+    char *text = keyera_print_settled(era);
+    const struct rowstore_write write = {
+        .table = NODE_TABLE,
+        .key = NODE_ERA_KEY,
+        .expected = version,
+        .value = text,
+        .size = strlen(text),
+    };
+    planner->era_call = rowcommit_start(
+        node->commits, &write, 1, ROWCOMMIT_SOON, on_era_recorded, planner);
+    free(text);
+}
+
 static void
 planner_run(struct planner *planner)
 {
     const struct node *node = planner->node;
     const struct node_keymap *keys = planner_keys(planner);
     const int64_t now_us = node_now_us(node);
-    if (keys == NULL || rowwatch_version(node->fleet_watch) == 0 ||
-        now_us < planner->plan_from_us) {
+    if (keys == NULL || rowwatch_version(node->fleet_watch) == 0) {
         return;
     }
     const size_t rank = planner_rank(planner);
+    if (rank == 0) {
+        record_era(planner, keys, now_us);
+    }
+    if (now_us < planner->plan_from_us) {
+        return;
+    }
     const bool is_watcher = rank < PLANNER_WATCHERS;
     if (now_us >= planner->next_own_sample_us) {
         planner->next_own_sample_us = now_us + PLANNER_POLL_INTERVAL_US;
--- a/packages/node/planner.h
+++ b/packages/node/planner.h
@@ -9,6 +9,7 @@
 #define CHESTNUTGAP_NODE_PLANNER_H
 
 #include <stdbool.h>
+#include <stdint.h>
 
 struct node;
 struct planner;
@@ -17,9 +18,15 @@
 struct planner *planner_create(struct node *node);
 void planner_destroy(struct planner *planner);
 
-/** Another instance asks for a promise not to take over its keys.
- * @return false if a takeover may be in progress */
-bool planner_promise(struct planner *planner, const char *instance);
+/** Another instance asks for a promise not to take over its keys; its lease
+ * has that version.
+ * @return false if a takeover may be in progress, or if the lease is from
+ * before the store returned from a copy */
+bool planner_promise(struct planner *planner, const char *instance,
+                     uint64_t lease_version);
+
+/** The store has returned from a copy: leases are watched anew. */
+void planner_store_restored(struct planner *planner);
 
 /** The map, an instance, a zone or the configuration has changed. */
 void planner_changed(struct planner *planner);
--- a/packages/node/planner_internal.h
+++ b/packages/node/planner_internal.h
@@ -48,6 +48,7 @@
     uint64_t version;           /**< of the row; 0: there is none */
     uint64_t store_version;     /**< of the store when it was read last */
     bool needs_promise;         /**< the row names this instance as a peer */
+    bool is_present;            /**< the row was written in the present era */
     int64_t unchanged_since_us; /**< when this version was first read here */
     int64_t next_read_us;
     int64_t promised_until_us; /**< no takeover before then */
@@ -63,6 +64,7 @@
     struct peer_loads peers;
     struct watched_leases leases;
     struct rowcommit_call *map_call;
+    struct rowcommit_call *era_call;      /* records that the era is settled */
     struct keymapwrite map_write;         /* of map_call */
     struct watched_lease *takeover_lease; /* that map_call deletes, or NULL */
     int64_t plan_from_us;                 /* nothing is planned earlier */
--- a/packages/node/plannertakeover.c
+++ b/packages/node/plannertakeover.c
@@ -44,10 +44,12 @@
 }
 
 bool
-planner_promise(struct planner *planner, const char *instance)
+planner_promise(struct planner *planner, const char *instance,
+                uint64_t lease_version)
 {
     struct watched_lease *lease = find_or_add_lease(planner, instance);
-    if (lease->takeover_pending) {
+    if (lease->takeover_pending ||
+        !keyera_is_present(&planner->node->keyera, lease_version)) {
         return false;
     }
     lease->promised_until_us =
@@ -55,21 +57,34 @@
     return true;
 }
 
-/** Whether the row names this instance as a peer that must promise. */
-static bool
-needs_own_promise(const struct planner *planner,
-                  const struct rowstore_row *row)
+void
+planner_store_restored(struct planner *planner)
 {
-    bool found = false;
+    struct watched_lease *lease;
+    LIST_FOREACH (lease, &planner->leases, link) {
+        lease->version_known = false;
+        lease->next_read_us = 0;
+    }
+}
+
+/** Whether the row names this instance as a peer that must promise, and of
+ * which era it is. */
+static void
+read_row(struct watched_lease *lease, const struct rowstore_row *row)
+{
+    const struct node *node = lease->planner->node;
     json_t *document = json_loadb(row->value, row->size, 0, NULL);
     const json_t *peers = json_object_get(document, "peers");
+    const json_t *era = json_object_get(document, "era");
+    lease->needs_promise = false;
+    lease->is_present = (uint64_t)json_integer_value(era) >= node->keyera.era;
     for (size_t i = 0; i < json_array_size(peers); i++) {
         const char *name = json_string_value(json_array_get(peers, i));
-        found = found || (name != NULL &&
-                          strcmp(name, planner->node->settings.instance) == 0);
+        lease->needs_promise =
+            lease->needs_promise ||
+            (name != NULL && strcmp(name, node->settings.instance) == 0);
     }
     json_decref(document);
-    return found;
 }
 
 static void
@@ -79,15 +94,15 @@
     struct planner *planner = lease->planner;
     const int64_t now_us = node_now_us(planner->node);
     lease->call = NULL;
-    if (result->outcome != ROWSTORE_DONE) {
+    if (result->outcome != ROWSTORE_DONE ||
+        node_observe_version(planner->node, result->version)) {
         return;
     }
     uint64_t version = 0;
-    bool needs_promise = false;
     for (size_t i = 0; i < result->row_count; i++) {
         if (strcmp(result->rows[i].key, lease->instance) == 0) {
             version = result->rows[i].version;
-            needs_promise = needs_own_promise(planner, &result->rows[i]);
+            read_row(lease, &result->rows[i]);
         }
     }
     if (!lease->version_known || version != lease->version) {
@@ -95,7 +110,6 @@
         lease->version = version;
         lease->unchanged_since_us = now_us;
     }
-    lease->needs_promise = needs_promise;
     lease->store_version = result->version;
 }
 
@@ -147,6 +161,21 @@
     keymap_clear(&map);
 }
 
+/** How long a row must stay unchanged until its lease has ended. */
+static int64_t
+wait_us(const struct watched_lease *lease)
+{
+    if (!lease->is_present) {
+        /* The copy's row may name others than the one that was lost. */
+        return KEYERA_SETTLE_US;
+    }
+    /* An instance that isn't asked for promises also waits for the time in
+     * which promises can extend the lease. */
+    return lease->needs_promise
+               ? KEYLEASE_TAKEOVER_US
+               : KEYLEASE_TAKEOVER_US + KEYLEASE_PROMISED_MAX_US;
+}
+
 /** True if the lease has expired by the holder's clock too. */
 static bool
 is_expired(const struct watched_lease *lease, int64_t now_us, int64_t delay_us)
@@ -155,14 +184,10 @@
         return false;
     }
     if (lease->version == 0) {
-        return true;
+        /* A copy may lack the row. */
+        return keyera_is_settled(&lease->planner->node->keyera, now_us);
     }
-    /* An instance that isn't asked for promises also waits for the time in
-     * which promises can extend the lease. */
-    const int64_t wait_us =
-        lease->needs_promise ? KEYLEASE_TAKEOVER_US
-                             : KEYLEASE_TAKEOVER_US + KEYLEASE_PROMISED_MAX_US;
-    return now_us - lease->unchanged_since_us >= wait_us + delay_us;
+    return now_us - lease->unchanged_since_us >= wait_us(lease) + delay_us;
 }
 
 static bool
--- a/packages/node/relaytask.c
+++ b/packages/node/relaytask.c
@@ -236,7 +236,8 @@
     const struct relay_question *question = args;
     struct relay_promised reply = {
         .promised = is_addressed_to_self(relay, question->to) &&
-                    planner_promise(relay->node->planner, question->from),
+                    planner_promise(relay->node->planner, question->from,
+                                    question->lease_version),
     };
     rpc_request_reply(request, &reply);
 }
@@ -380,7 +381,8 @@
 
 void
 relaytask_request_promise(struct relaytask *relay, const char *instance,
-                          relay_promise_cb done, void *ctx)
+                          uint64_t lease_version, relay_promise_cb done,
+                          void *ctx)
 {
     const struct instancetable_instance *peer =
         instancetable_find(&relay->node->instancetable, instance);
@@ -393,6 +395,7 @@
     const struct relay_question question = {
         .to = (char *)instance,
         .from = relay->node->settings.instance,
+        .lease_version = lease_version,
     };
     struct rpc_call_spec spec = {
         .peer = &peer->instance_row.address,
--- a/packages/node/relaytask.h
+++ b/packages/node/relaytask.h
@@ -52,9 +52,11 @@
 
 typedef void (*relay_promise_cb)(void *ctx, enum relay_promise promise);
 
-/** Asks an instance for a promise not to take over this one's keys. */
+/** Asks an instance for a promise not to take over this one's keys, which are
+ * held under a lease of that version. */
 void relaytask_request_promise(struct relaytask *relay, const char *instance,
-                               relay_promise_cb done, void *ctx);
+                               uint64_t lease_version, relay_promise_cb done,
+                               void *ctx);
 
 /** loads is NULL if there was no answer. */
 typedef void (*relay_loads_cb)(void *ctx, const char *instance,
--- a/packages/protocol/relay.x
+++ b/packages/protocol/relay.x
@@ -105,6 +105,7 @@
 struct relay_question {
     string to<RELAY_TEXT_MAX>;          /* the instance addressed */
     string from<RELAY_TEXT_MAX>;
+    unsigned hyper lease_version;       /* asked for a promise: of its lease */
 };
 
 /* A newly written page of a key map, for the instances that use it. */
