keyowner: a grant that waited for a connection is not sent late

Cause: the duration of a grant is computed when its call begins. A call that finds all connections to the target busy waits, and the target counts the duration from the arrival, so the grant ends later than the lease that it rests on. Class: a duration is sent as if its sending took no time. Result: SessionLeases.GrantThatWaitsForConnectionEndsWithTheLease fails without the change (the target holds the key after the lease) and passes with it.

--- a/packages/node/keyownergrant.c
+++ b/packages/node/keyownergrant.c
@@ -64,7 +64,8 @@
 /** Sends a grant or a release to the present incarnation. */
 static struct http_call *
 send_order(struct node *node, const char *path, const char *body, size_t size,
-           int64_t timeout_us, http_done_cb done, void *ctx)
+           int64_t timeout_us, http_may_send_cb may_send, http_done_cb done,
+           void *ctx)
 {
     const struct http_call_spec spec = {
         .method = "POST",
@@ -74,6 +75,7 @@
         .body = body,
         .body_size = size,
         .deadline_us = node_now_us(node) + timeout_us,
+        .may_send = may_send,
         .done = done,
         .ctx = ctx,
     };
@@ -87,7 +89,7 @@
     char body[WIRE_BODY_MAX];
     const size_t size = node->wire->write_release(order, body);
     return send_order(node, node->wire->release_path, body, size, timeout_us,
-                      done, ctx);
+                      NULL, done, ctx);
 }
 
 /** The latest time at which the grant last sent may end at the target. */
@@ -162,6 +164,16 @@
     return grant->fence > fence_min ? grant->fence : fence_min;
 }
 
+/** False once the grant would last longer than was reckoned, as it has waited
+ * for a connection. */
+static bool
+may_send_grant(void *ctx)
+{
+    const struct key_grant *grant = ctx;
+    return node_now_us(grant->keyowner->node) <=
+           grant->sent_us + SEND_DELAY_MAX_US;
+}
+
 static void
 send_grant(struct key_grant *grant)
 {
@@ -194,8 +206,9 @@
                                ? latest_end_us
                                : grant->latest_end_us;
     keyowner->grants_sent->value++;
-    grant->call = send_order(node, node->wire->grant_path, body, size,
-                             CALL_TIMEOUT_US, on_granted, grant);
+    grant->call =
+        send_order(node, node->wire->grant_path, body, size, CALL_TIMEOUT_US,
+                   may_send_grant, on_granted, grant);
 }
 
 void
