keyowner: peers that an unanswered renewal names must promise too

Cause: an owner that does not reach the store asks the peers that its stored row names for promises. The row known to be stored may have been replaced by a renewal whose answer was lost, and this one may name another peer, which is not asked and takes over the keys 4.2 s later. Class: a write without an answer taken as not done. Change: peers of both texts are asked; one missing promise ends the lease. Result: SessionLeases.PeersOfUnansweredRenewalMustPromiseToo fails without the change (two owners of a key) and passes with it.

--- a/packages/node/keyownerlease.c
+++ b/packages/node/keyownerlease.c
@@ -249,25 +249,43 @@
     }
 }
 
-/** Asks all instances that could take over the keys not to. */
+/** Adds the peers that a lease's text names, each once. text: may be NULL. */
+static void
+add_named_peers(json_t *peers, const char *text)
+{
+    json_t *document = text != NULL ? json_loads(text, 0, NULL) : NULL;
+    const json_t *named = json_object_get(document, "peers");
+    for (size_t i = 0; i < json_array_size(named); i++) {
+        const char *name = json_string_value(json_array_get(named, i));
+        if (name != NULL) {
+            json_object_set_new(peers, name, json_true());
+        }
+    }
+    json_decref(document);
+}
+
+/** Asks all instances that could take over the keys not to: those that the row
+ * names, or the text that a write without an answer may have put there. */
 static void
 ask_promises(struct keyowner *keyowner, int64_t now_us)
 {
-    json_t *document = json_loads(keyowner->lease_stored, 0, NULL);
-    const json_t *peers = json_object_get(document, "peers");
-    const size_t count = json_array_size(peers);
+    json_t *peers = json_object();
+    add_named_peers(peers, keyowner->lease_stored);
+    add_named_peers(peers, keyowner->lease_write_text);
     keyowner->promises_started_us = now_us;
     memset(keyowner->promises, 0, sizeof(keyowner->promises));
-    keyowner->promises_pending = (unsigned)count;
-    for (size_t i = 0; i < count; i++) {
-        relaytask_request_promise(
-            keyowner->node->relay, json_string_value(json_array_get(peers, i)),
-            keyowner->lease.version, on_promised, keyowner);
-    }
-    json_decref(document);
-    if (count == 0) {
+    keyowner->promises_pending = (unsigned)json_object_size(peers);
+    if (keyowner->promises_pending == 0) {
         finish_promises(keyowner);
     }
+    const char *name;
+    json_t *value;
+    json_object_foreach (peers, name, value) {
+        relaytask_request_promise(keyowner->node->relay, name,
+                                  keyowner->lease.version, on_promised,
+                                  keyowner);
+    }
+    json_decref(peers);
 }
 
 void
