keyowner: leases name peers that answer

Cause: while the store is away, an owner needs the promises of the twelve peers that its lease names, those that started first. It queries only the first three, so it goes on naming a lost one of the others, and asks it in vain. Class: a list of who must answer is kept from who once started. Change: a lease names the five peers that started first and answered one of the latest two queries; all instances query these five each second. An instance that a lease does not name waits longer before it takes over, so leaving one out is safe.

--- a/packages/node/keyownerlease.c
+++ b/packages/node/keyownerlease.c
@@ -13,27 +13,25 @@
 #include "node/localtarget.h"
 #include "node/planner_internal.h"
 
-/* Peers that a lease names. They must promise, or wait for longer than the
- * others before they take over. */
-#define PEERS_MAX 12
 #define PROMISE_INTERVAL_US (500 * US_PER_MS)
 
-/** Whether the instance can be asked for a promise. Leaving one out is safe:
- * instances that the row doesn't name wait for longer than promises last. */
+/** Whether the instance is likely to answer when asked for a promise. Leaving
+ * one out is safe: instances that the row doesn't name wait for longer than
+ * promises last. */
 static bool
 can_promise(const struct node *node,
             const struct instancetable_instance *instance)
 {
     return instance->instance_row.state == INSTANCETABLE_SERVING &&
            instance->unreachable_count == 0 &&
-           !planner_is_lost(node->planner, instance->instance_row.instance);
+           planner_answers(node->planner, instance->instance_row.instance);
 }
 
 /** Lists the peers that started first, since these take over keys.
  * @return their number */
 static size_t
 list_peers(const struct node *node,
-           const struct instancetable_instance *peers[PEERS_MAX])
+           const struct instancetable_instance *peers[PLANNER_PEERS_NAMED])
 {
     const struct instancetable_instance *instance;
     const char *service = localtarget_service(node->target);
@@ -45,16 +43,17 @@
             strcmp(instance_row->instance, node->settings.instance) == 0) {
             continue;
         }
-        size_t index = count < PEERS_MAX ? count++ : PEERS_MAX;
+        size_t index =
+            count < PLANNER_PEERS_NAMED ? count++ : PLANNER_PEERS_NAMED;
         while (index > 0 &&
                instancetable_started_earlier(
                    instance_row, &peers[index - 1]->instance_row)) {
-            if (index < PEERS_MAX) {
+            if (index < PLANNER_PEERS_NAMED) {
                 peers[index] = peers[index - 1];
             }
             index--;
         }
-        if (index < PEERS_MAX) {
+        if (index < PLANNER_PEERS_NAMED) {
             peers[index] = instance;
         }
     }
@@ -67,7 +66,7 @@
 make_lease_text(struct keyowner *keyowner)
 {
     const struct node *node = keyowner->node;
-    const struct instancetable_instance *listed[PEERS_MAX];
+    const struct instancetable_instance *listed[PLANNER_PEERS_NAMED];
     const size_t count = list_peers(node, listed);
     json_t *peers = json_array();
     for (size_t i = 0; i < count; i++) {
--- a/packages/node/planner_internal.h
+++ b/packages/node/planner_internal.h
@@ -19,6 +19,9 @@
  * lost ones; the first of them plans. Later ones may be missing in leases,
  * which name only the peers known when they were written. */
 #define PLANNER_WATCHERS 3
+/* Number of instances, in the order of their start, that leases name: the
+ * watchers, and who replaces them if they are lost. */
+#define PLANNER_PEERS_NAMED 5
 
 /** Load that an instance of the service reported. */
 struct peer_load {
@@ -103,10 +106,13 @@
 double planner_smooth_load(double before, unsigned load, unsigned slots);
 
 /** Queries instances of the service for their loads: all of them if this
- * instance is a watcher, otherwise only the watchers. */
+ * instance is a watcher, otherwise only those that leases name. */
 void planner_poll_peers(struct planner *planner, bool is_watcher,
                         int64_t now_us);
 
+/** True if the instance has answered a query, and one of the latest two. */
+bool planner_answers(const struct planner *planner, const char *instance);
+
 /** True if several consecutive queries had no answer. */
 bool planner_is_lost(const struct planner *planner, const char *instance);
 
--- a/packages/node/plannerpeers.c
+++ b/packages/node/plannerpeers.c
@@ -33,6 +33,14 @@
     return strcmp(instance, planner->node->settings.instance) == 0;
 }
 
+bool
+planner_answers(const struct planner *planner, const char *instance)
+{
+    const struct peer_load *peer = planner_find_peer(planner, instance);
+    return peer != NULL && peer->received_us > 0 &&
+           peer->failures < FAILURES_MAX;
+}
+
 bool
 planner_is_lost(const struct planner *planner, const char *instance)
 {
@@ -162,8 +170,8 @@
         const char *name = instance->instance_row.instance;
         if (!planner_serves_own_service(planner, &instance->instance_row) ||
             planner_is_self(planner, name) ||
-            (!is_watcher &&
-             rank_of(planner, &instance->instance_row) >= PLANNER_WATCHERS)) {
+            (!is_watcher && rank_of(planner, &instance->instance_row) >=
+                                PLANNER_PEERS_NAMED)) {
             continue;
         }
         struct peer_load *peer = planner_find_peer(planner, name);
