localtarget: a leaving target that refuses connections may still hold its keys

Cause: a target that refuses a connection counted as dead once no request ran at it, so its keys were given away at once. One that leaves closes its listening socket and idle connections before it ends, and its grants last up to 3 s more; its keys had two holders. Class: missing evidence taken as evidence of death. Change: it counts as dead only if it was not leaving and no connection to it is left. Otherwise its keys wait for the end of its grants. Result: SessionLeases.LeavingTargetThatRefusesConnectionsMayHoldItsKeys fails without the change (two owners of a key) and passes with it.

--- a/packages/node/localtarget.c
+++ b/packages/node/localtarget.c
@@ -434,13 +434,21 @@
     probe(target);
 }
 
-/** Connections of a dead target have closed by now. */
+/** True if a target that refused a connection has certainly ended. Connections
+ * of a dead target have closed by now; one that leaves may have closed them
+ * itself before it ends. */
+static bool
+has_ended(const struct localtarget *target)
+{
+    return !target->leaving && http_client_connections(target->client) == 0;
+}
+
 static void
 on_refusal_settled(void *ctx)
 {
     struct localtarget *target = ctx;
     if (localgate_running(target->node->gate) == 0) {
-        target_end(target, "refused", true);
+        target_end(target, "refused", has_ended(target));
     }
     else {
         target_suspend(target, "refused");
