feedrelay: a log line tells when an instance begins to read from another

What callers saw: nothing by itself. Change: feed_source names the instance that a table is read from (empty: the store), and how many instances lay between before, whenever that changes.

--- a/packages/node/feedrelay.c
+++ b/packages/node/feedrelay.c
@@ -1,5 +1,6 @@
 #include "node/feedrelay.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/queue.h>
@@ -28,6 +29,7 @@
     uint64_t peer_process; /* of the latest answer of an instance */
     uint64_t peer_sequence;
     int64_t next_store_read_us;
+    char source[KEYMAP_NAME_MAX + 1]; /* instance of the latest call, or "" */
 };
 
 struct feedrelay_call {
@@ -250,6 +252,16 @@
     return node_now_us(relay->node) < relay->source.store_failing_until_us;
 }
 
+static void
+note_source(struct feedrelay_table *table, const char *source)
+{
+    if (strcmp(table->source, source) != 0) {
+        snprintf(table->source, sizeof(table->source), "%s", source);
+        LOG_INFO("feed_source", LOG_STR("table", table->name),
+                 LOG_STR("peer", source), LOG_UINT("hops", table->hops));
+    }
+}
+
 struct feedrelay_call *
 feedrelay_start(struct feedrelay *relay, const char *table, uint64_t after,
                 int64_t wait_us, rowstore_cb done, void *ctx)
@@ -264,6 +276,7 @@
     timer_init(&call->pause, node->runtime, on_pause_over, call);
     LIST_INSERT_HEAD(&relay->calls, call, link);
     const struct instancetable_instance *peer = feedrelay_choose_peer(relay);
+    note_source(call->table, peer != NULL ? peer->instance_row.instance : "");
     if (peer != NULL) {
         read_peer(call, peer);
     }
