feedrelay: what is read from an instance that started later is not passed on

Cause: the instance that the store turned away read from the one that had replaced it, which came back to it as soon as its exclusion was over. They then read from each other, and took each other's answers for the store's. The count of hops ended that, but in a table that rests each step of it takes 1 s. Meanwhile nobody in the zone read the store. Class: knowledge that goes in a circle is taken for new. Change: an instance passes on only what it has read from the store or from an instance that started before it; others are told that it has lost the store. An order by start has no circles.

--- a/packages/fleet/feedsource.c
+++ b/packages/fleet/feedsource.c
@@ -50,11 +50,10 @@
                : 1;
 }
 
-static bool
-started_before_self(const struct instancetable_instance *instance,
-                    const struct feedsource_self *self)
+bool
+feedsource_started_before(const struct instancetable_row *row,
+                          const struct feedsource_self *self)
 {
-    const struct instancetable_row *row = &instance->instance_row;
     return row->started_ms != self->started_ms
                ? row->started_ms < self->started_ms
                : strcmp(row->instance, self->instance) < 0;
@@ -73,7 +72,7 @@
     LIST_FOREACH (instance, &table->instances, link) {
         if (is_candidate(source, self, instance, now_us)) {
             candidates[count++] = instance;
-            rank += started_before_self(instance, self);
+            rank += feedsource_started_before(&instance->instance_row, self);
         }
     }
     const struct instancetable_instance *chosen = NULL;
--- a/packages/fleet/feedsource.h
+++ b/packages/fleet/feedsource.h
@@ -41,6 +41,13 @@
                   const struct instancetable *table,
                   const struct feedsource_self *self, int64_t now_us);
 
+/** True if that instance's process started before one's own. Only what was
+ * read from the store or from such an instance is passed on, so that
+ * instances never read in a circle, in which all would take what they know
+ * for new. */
+bool feedsource_started_before(const struct instancetable_row *row,
+                               const struct feedsource_self *self);
+
 /** A read from the instance succeeded or failed. */
 void feedsource_record_peer(struct feedsource *source, const char *instance,
                             bool ok, int64_t now_us);
--- a/packages/fleet/test/feedsource_test.cc
+++ b/packages/fleet/test/feedsource_test.cc
@@ -124,6 +124,23 @@
     EXPECT_EQ("store", Choose(0));
 }
 
+/* Of two instances that would read from each other, one must refuse. */
+TEST_F(Feedsource, OneOfTwoInstancesStartedBeforeTheOther)
+{
+    Add(0);
+    Add(1);
+    const struct instancetable_row *rows[] = {
+        &instancetable_find(&table, Name(0).c_str())->instance_row,
+        &instancetable_find(&table, Name(1).c_str())->instance_row,
+    };
+    const struct feedsource_self first = {rows[0]->instance, "z1", 1000};
+    struct feedsource_self second = {rows[1]->instance, "z1", 1001};
+    EXPECT_TRUE(feedsource_started_before(rows[0], &second));
+    EXPECT_FALSE(feedsource_started_before(rows[1], &first));
+    second.started_ms = 1000; /* at the same time: by name */
+    EXPECT_TRUE(feedsource_started_before(rows[0], &second));
+}
+
 TEST_F(Feedsource, AloneOrUnknownInstanceReadsTheStore)
 {
     EXPECT_EQ("store", Choose(5));
--- a/packages/node/feedrelay.c
+++ b/packages/node/feedrelay.c
@@ -26,6 +26,7 @@
     const char *name;
     const struct rowwatch *watch;
     unsigned hops;         /* instances between this one and the store */
+    bool passed_on;        /* other instances may read what was read last */
     uint64_t peer_process; /* of the latest answer of an instance */
     uint64_t peer_sequence;
     int64_t next_store_read_us;
@@ -43,6 +44,7 @@
     struct rowstore_call *store_call;
     struct rpc_call *peer_call;
     char peer[KEYMAP_NAME_MAX + 1];
+    bool peer_is_earlier; /* its process started before this one */
 };
 
 /* A request of another instance that waits for changes. */
@@ -124,6 +126,7 @@
     call->store_call = NULL;
     feedsource_record_store(&table->relay->source, ok, now_us);
     table->hops = 0;
+    table->passed_on = table->passed_on || ok;
     table->next_store_read_us = now_us + STORE_PAUSE_US;
     call_end(call, result);
 }
@@ -180,18 +183,36 @@
         return;
     }
     table->hops = feed->hops + 1;
+    table->passed_on = call->peer_is_earlier;
     table->peer_process = feed->process;
     table->peer_sequence = feed->sequence;
     deliver_peer_rows(call, feed);
 }
 
+static struct feedsource_self
+feed_self(const struct node *node)
+{
+    const struct instancetable_instance *own =
+        instancetable_find(&node->instancetable, node->settings.instance);
+    /* The start that the others know, so that all agree on the order. */
+    return (struct feedsource_self){
+        .instance = node->settings.instance,
+        .zone = node->settings.zone,
+        .started_ms =
+            own != NULL ? own->instance_row.started_ms : node->started_ms,
+    };
+}
+
 static void
 read_peer(struct feedrelay_call *call,
           const struct instancetable_instance *peer)
 {
     struct feedrelay_table *table = call->table;
     struct feedrelay *relay = table->relay;
+    const struct feedsource_self self = feed_self(relay->node);
     memcpy(call->peer, peer->instance_row.instance, sizeof(call->peer));
+    call->peer_is_earlier =
+        feedsource_started_before(&peer->instance_row, &self);
     const struct relay_feed_request request = {
         .to = call->peer,
         .table = (char *)table->name,
@@ -220,15 +241,7 @@
 feedrelay_choose_peer(const struct feedrelay *relay)
 {
     const struct node *node = relay->node;
-    const struct instancetable_instance *own =
-        instancetable_find(&node->instancetable, node->settings.instance);
-    /* The start that the others know, so that all agree on the order. */
-    const struct feedsource_self self = {
-        .instance = node->settings.instance,
-        .zone = node->settings.zone,
-        .started_ms =
-            own != NULL ? own->instance_row.started_ms : node->started_ms,
-    };
+    const struct feedsource_self self = feed_self(node);
     return feedsource_choose(&relay->source, &node->instancetable, &self,
                              node_now_us(node));
 }
@@ -323,7 +336,8 @@
 {
     const struct feedrelay_table *table = waiting->table;
     struct row_list list = {.rows = NULL};
-    const bool in_touch = rowwatch_is_reachable(table->watch);
+    const bool in_touch =
+        rowwatch_is_reachable(table->watch) && table->passed_on;
     rowwatch_list_changes(table->watch, waiting->after, waiting->sequence,
                           add_row, &list);
     if (list.count > 0 || !in_touch || wait_is_over) {
@@ -452,5 +466,6 @@
         .relay = relay,
         .name = table,
         .watch = watch,
+        .passed_on = true, /* the first read is a scan of the store */
     };
 }
