--- a/packages/node/feedrelay.c
+++ b/packages/node/feedrelay.c
@@ -1,5 +1,6 @@
 #include "node/feedrelay.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/queue.h>
@@ -25,9 +26,11 @@
     const char *name;
     const struct rowwatch *watch;
     unsigned hops;         /* instances between this one and the store */
+    bool passed_on;        /* other instances may read what was read last */
     uint64_t peer_process; /* of the latest answer of an instance */
     uint64_t peer_sequence;
     int64_t next_store_read_us;
+    char source[KEYMAP_NAME_MAX + 1]; /* instance of the latest call, or "" */
 };
 
 struct feedrelay_call {
@@ -41,6 +44,7 @@
     struct rowstore_call *store_call;
     struct rpc_call *peer_call;
     char peer[KEYMAP_NAME_MAX + 1];
+    bool peer_is_earlier; /* its process started before this one */
 };
 
 /* A request of another instance that waits for changes. */
@@ -122,6 +126,7 @@
     call->store_call = NULL;
     feedsource_record_store(&table->relay->source, ok, now_us);
     table->hops = 0;
+    table->passed_on = table->passed_on || ok;
     table->next_store_read_us = now_us + STORE_PAUSE_US;
     call_end(call, result);
 }
@@ -178,18 +183,36 @@
         return;
     }
     table->hops = feed->hops + 1;
+    table->passed_on = call->peer_is_earlier;
     table->peer_process = feed->process;
     table->peer_sequence = feed->sequence;
     deliver_peer_rows(call, feed);
 }
 
+static struct feedsource_self
+feed_self(const struct node *node)
+{
+    const struct instancetable_instance *own =
+        instancetable_find(&node->instancetable, node->settings.instance);
+    /* The start that the others know, so that all agree on the order. */
+    return (struct feedsource_self){
+        .instance = node->settings.instance,
+        .zone = node->settings.zone,
+        .started_ms =
+            own != NULL ? own->instance_row.started_ms : node->started_ms,
+    };
+}
+
 static void
 read_peer(struct feedrelay_call *call,
           const struct instancetable_instance *peer)
 {
     struct feedrelay_table *table = call->table;
     struct feedrelay *relay = table->relay;
+    const struct feedsource_self self = feed_self(relay->node);
     memcpy(call->peer, peer->instance_row.instance, sizeof(call->peer));
+    call->peer_is_earlier =
+        feedsource_started_before(&peer->instance_row, &self);
     const struct relay_feed_request request = {
         .to = call->peer,
         .table = (char *)table->name,
@@ -218,15 +241,7 @@
 feedrelay_choose_peer(const struct feedrelay *relay)
 {
     const struct node *node = relay->node;
-    const struct instancetable_instance *own =
-        instancetable_find(&node->instancetable, node->settings.instance);
-    /* The start that the others know, so that all agree on the order. */
-    const struct feedsource_self self = {
-        .instance = node->settings.instance,
-        .zone = node->settings.zone,
-        .started_ms =
-            own != NULL ? own->instance_row.started_ms : node->started_ms,
-    };
+    const struct feedsource_self self = feed_self(node);
     return feedsource_choose(&relay->source, &node->instancetable, &self,
                              node_now_us(node));
 }
@@ -250,6 +265,16 @@
     return node_now_us(relay->node) < relay->source.store_failing_until_us;
 }
 
+static void
+note_source(struct feedrelay_table *table, const char *source)
+{
+    if (strcmp(table->source, source) != 0) {
+        snprintf(table->source, sizeof(table->source), "%s", source);
+        LOG_INFO("feed_source", LOG_STR("table", table->name),
+                 LOG_STR("peer", source), LOG_UINT("hops", table->hops));
+    }
+}
+
 struct feedrelay_call *
 feedrelay_start(struct feedrelay *relay, const char *table, uint64_t after,
                 int64_t wait_us, rowstore_cb done, void *ctx)
@@ -264,6 +289,7 @@
     timer_init(&call->pause, node->runtime, on_pause_over, call);
     LIST_INSERT_HEAD(&relay->calls, call, link);
     const struct instancetable_instance *peer = feedrelay_choose_peer(relay);
+    note_source(call->table, peer != NULL ? peer->instance_row.instance : "");
     if (peer != NULL) {
         read_peer(call, peer);
     }
@@ -310,7 +336,8 @@
 {
     const struct feedrelay_table *table = waiting->table;
     struct row_list list = {.rows = NULL};
-    const bool in_touch = rowwatch_is_reachable(table->watch);
+    const bool in_touch =
+        rowwatch_is_reachable(table->watch) && table->passed_on;
     rowwatch_list_changes(table->watch, waiting->after, waiting->sequence,
                           add_row, &list);
     if (list.count > 0 || !in_touch || wait_is_over) {
@@ -439,5 +466,6 @@
         .relay = relay,
         .name = table,
         .watch = watch,
+        .passed_on = true, /* the first read is a scan of the store */
     };
 }
