rows: an answer without a valid era is a failure that changes nothing

An era that can't be one (too many digits, or beyond the bits that versions have) was taken, so all later answers were dropped as older and the process did not know the store any more; text after the digits was ignored. An answer without the header counted as of era 0, so a conflict or a refusal was reported as unknown, and its sender waited for what was certain never to take effect. Cause: the header was read by strtoull without a check. Class: outside bytes that are trusted. Change: an era is digits only and at most 2^23 - 1, so that versions fit signed 64-bit numbers in JSON.

--- a/packages/store/rowstore.h
+++ b/packages/store/rowstore.h
@@ -21,6 +21,8 @@
  * exact in JSON readers that use doubles. */
 #define ROWSTORE_COUNTER_BITS 40
 #define ROWSTORE_COUNTER_MAX ((UINT64_C(1) << ROWSTORE_COUNTER_BITS) - 1)
+/* Versions are fences too, which are signed numbers in JSON. */
+#define ROWSTORE_ERA_MAX ((UINT64_C(1) << (63 - ROWSTORE_COUNTER_BITS)) - 1)
 
 /** The era that a version belongs to; 0: the store tells none. */
 static inline uint64_t
