node: rows of a new era tell of the store's return before they are used

An instance that does not know yet that the store returned from a copy may get a page of the new era from another one: pushed after a handover, or relayed while that one still reads the table. It took the page, which also gives it keys as the copy has them, for one of its own era, in which all that the map says is certain, and granted keys that their present owner held. Cause: the era was taken from a whole read only, not from rows. Class: a fact that is used before the one that it depends on. Change: each row of the table tells its era before it is applied, so owners claim and nothing uncertain is granted.

--- a/packages/node/keyownerclaim.c
+++ b/packages/node/keyownerclaim.c
@@ -80,7 +80,6 @@
     if (!keyowner_has_lease(keyowner)) {
         give_up(keyowner);
     }
-    rowwatch_refresh(keyowner->node->fleet_watch);
 }
 
 static void
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -348,6 +348,18 @@
     }
 }
 
+/** Resets what rests on the former era if the version is of a new one. */
+static bool
+observe_era(struct node *node, uint64_t version)
+{
+    if (!keyera_observe(&node->keyera, version, node_now_us(node))) {
+        return false;
+    }
+    keyowner_store_restored(node->keyowner);
+    planner_store_restored(node->planner);
+    return true;
+}
+
 static void
 on_fleet_row(void *ctx, const struct rowstore_row *row)
 {
@@ -355,6 +367,9 @@
     const size_t instance = strlen(NODE_INSTANCE_KEY);
     char service[KEYMAP_NAME_MAX + 1];
     unsigned page;
+    /* Another instance may have read it: before it is used, keys are claimed
+     * that it may give to others. */
+    observe_era(node, row->version);
     if (strncmp(row->key, NODE_INSTANCE_KEY, instance) == 0) {
         on_instance_row(node, row->key + instance, row);
     }
@@ -372,11 +387,10 @@
 bool
 node_observe_version(struct node *node, uint64_t version)
 {
-    if (!keyera_observe(&node->keyera, version, node_now_us(node))) {
+    if (!observe_era(node, version)) {
         return false;
     }
-    keyowner_store_restored(node->keyowner);
-    planner_store_restored(node->planner);
+    rowwatch_refresh(node->fleet_watch);
     return true;
 }
 
