keyowner: keys that were uncertain are not claimed at a second return of the store

When the store returns from a copy again before the first return is settled, an instance claimed and granted keys that only the first copy's map gave to it, which it had granted to nobody yet, while their present owner held them: two owners of a key. Cause: at a return all listed grants were retained, also those that were never sent because they were uncertain. Class: a state between two events that was not thought of. Change: only grants that were certain in the former era are retained. Result: RestoreMoves.MovedKeysKeepOneOwnerWhenTheStoreGoesBackTwice fails without the change (second return 620 ms after the first) and passes with it for returns 20 to 680 ms apart; all tests Restore*, StoreEra* and Random* pass.

--- a/packages/node/keyowner.h
+++ b/packages/node/keyowner.h
@@ -13,6 +13,7 @@
 
 struct keyowner;
 struct keyload_step;
+struct keyera;
 struct node;
 
 enum keyowner_verdict {
@@ -70,7 +71,9 @@
 /** Time until the lease ends; negative if it has, 0 if there was none. */
 int64_t keyowner_lease_margin_us(const struct keyowner *keyowner);
 
-/** The store has returned from an older copy: claims the granted keys. */
-void keyowner_store_restored(struct keyowner *keyowner);
+/** The store has returned from an older copy, and ended the former era: claims
+ * the granted keys. */
+void keyowner_store_restored(struct keyowner *keyowner,
+                             const struct keyera *former);
 
 #endif
--- a/packages/node/keyownerclaim.c
+++ b/packages/node/keyownerclaim.c
@@ -13,14 +13,25 @@
 #define RETRY_US (300 * US_PER_MS)
 #define CONFLICT_DELAY_US (40 * US_PER_MS)
 
-/** Frees grants whose keys were being given away, and retains the others. */
+/** True if the keys may be held at the target: what the map of an earlier copy
+ * gave to this instance was granted only once it was certain. */
+static bool
+may_hold(const struct key_grant *grant, const struct keyera *former,
+         int64_t now_us)
+{
+    return grant->retained || keyera_is_certain(former, grant->fence, now_us);
+}
+
+/** Frees grants that were uncertain in the former era or whose keys were being
+ * given away, and retains the others. */
 static void
-retain_grants(struct keyowner *keyowner)
+retain_grants(struct keyowner *keyowner, const struct keyera *former)
 {
     struct key_grant *grant = TAILQ_FIRST(&keyowner->grants);
     while (grant != NULL) {
         struct key_grant *next = TAILQ_NEXT(grant, link);
-        if (grant->releasing) {
+        if (grant->releasing ||
+            !may_hold(grant, former, node_now_us(keyowner->node))) {
             keyownergrant_forget(grant);
         }
         else {
@@ -70,10 +81,10 @@
 }
 
 void
-keyowner_store_restored(struct keyowner *keyowner)
+keyowner_store_restored(struct keyowner *keyowner, const struct keyera *former)
 {
     cancel_writes(keyowner);
-    retain_grants(keyowner);
+    retain_grants(keyowner, former);
     keyowner->fence_min = 0;
     keyowner->claim_at_us = 0;
     keyowner->claiming = true;
--- a/packages/node/keyownergrant.c
+++ b/packages/node/keyownergrant.c
@@ -57,8 +57,8 @@
 keyownergrant_is_certain(const struct key_grant *grant)
 {
     const struct node *node = grant->keyowner->node;
-    return grant->retained || keyera_is_present(&node->keyera, grant->fence) ||
-           keyera_is_settled(&node->keyera, node_now_us(node));
+    return grant->retained ||
+           keyera_is_certain(&node->keyera, grant->fence, node_now_us(node));
 }
 
 /** Sends a grant or a release to the present incarnation. */
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -352,10 +352,11 @@
 static bool
 observe_era(struct node *node, uint64_t version)
 {
+    const struct keyera former = node->keyera;
     if (!keyera_observe(&node->keyera, version, node_now_us(node))) {
         return false;
     }
-    keyowner_store_restored(node->keyowner);
+    keyowner_store_restored(node->keyowner, &former);
     planner_store_restored(node->planner);
     return true;
 }
