keyera: a promise to an owner of the former era is kept in a settled era

An owner that does not reach the store goes on while its peers promise not to take its keys. If a peer that does not reach it either comes back first, after others have recorded that the era is settled (6.2 s after the return, the row is one for all services), it granted the keys by the copy's map at once, while its own promise of up to 2.1 s held. Cause: the record says that leases of the former era have ended, which those who wrote it can't know of owners and peers that were cut off together. Class: a promise that is forgotten when the situation changes. Change: promises that were given before the era was known, or before the first read of the store, are kept: the era is not settled for this process until they end, and it assigns no keys.

--- a/packages/fleet/keyera.c
+++ b/packages/fleet/keyera.c
@@ -6,6 +6,14 @@
 
 #include "store/rowstore.h"
 
+void
+keyera_promise(struct keyera *era, int64_t until_us)
+{
+    if (until_us > era->promised_until_us) {
+        era->promised_until_us = until_us;
+    }
+}
+
 bool
 keyera_observe(struct keyera *era, uint64_t version, int64_t now_us)
 {
@@ -17,6 +25,7 @@
     era->known = true;
     era->era = told;
     era->seen_us = now_us;
+    era->former_until_us = era->promised_until_us;
     return !first;
 }
 
@@ -55,8 +64,11 @@
 bool
 keyera_is_settled(const struct keyera *era, int64_t now_us)
 {
-    return keyera_is_recorded(era) ||
-           (era->known && now_us - era->seen_us >= KEYERA_SETTLE_US);
+    /* The owner that was promised may hold keys that the copy's map gives to
+     * this instance, and is not known to the others, which settled the era. */
+    return now_us >= era->former_until_us &&
+           (keyera_is_recorded(era) ||
+            (era->known && now_us - era->seen_us >= KEYERA_SETTLE_US));
 }
 
 bool
--- a/packages/fleet/keyera.h
+++ b/packages/fleet/keyera.h
@@ -28,8 +28,13 @@
     uint64_t era;
     int64_t seen_us;  /**< when this process learnt of it */
     uint64_t settled; /**< latest era that the store's row says is settled */
+    int64_t promised_until_us; /**< end of the latest promise to an owner */
+    int64_t former_until_us;   /**< of those given before this era was known */
 };
 
+/** An owner was promised that its keys are not taken before until_us. */
+void keyera_promise(struct keyera *era, int64_t until_us);
+
 /** The store told a version. @return true if it has returned from a copy since
  * the version before */
 bool keyera_observe(struct keyera *era, uint64_t version, int64_t now_us);
--- a/packages/fleet/test/keyera_test.cc
+++ b/packages/fleet/test/keyera_test.cc
@@ -60,4 +60,34 @@
     EXPECT_EQ(2U, era.settled);
 }
 
+/* Guards against an instance that takes keys because others have settled the
+ * era, while an owner still relies on its promise. */
+TEST(Keyera, PromiseOfTheFormerEraHoldsInASettledOne)
+{
+    struct keyera era = {};
+    keyera_observe(&era, Version(1, 90), 0);
+    keyera_promise(&era, 5000);
+    keyera_promise(&era, 4000);
+    ASSERT_TRUE(keyera_parse_settled(&era, "{\"settled\":2}", 13));
+    EXPECT_TRUE(keyera_is_settled(&era, 3000));
+    EXPECT_TRUE(keyera_observe(&era, Version(2, 50), 3000));
+    keyera_promise(&era, 9000); /* to an owner of the present era */
+    EXPECT_TRUE(keyera_is_recorded(&era));
+    EXPECT_FALSE(keyera_is_settled(&era, 4999));
+    EXPECT_FALSE(keyera_is_certain(&era, Version(1, 91), 4999));
+    EXPECT_TRUE(keyera_is_certain(&era, Version(2, 51), 4999));
+    EXPECT_TRUE(keyera_is_settled(&era, 5000));
+}
+
+/* The same for a process that promised before it had read the store. */
+TEST(Keyera, PromiseBeforeTheFirstReadHoldsInASettledEra)
+{
+    struct keyera era = {};
+    keyera_promise(&era, 5000);
+    keyera_observe(&era, Version(2, 50), 3000);
+    ASSERT_TRUE(keyera_parse_settled(&era, "{\"settled\":2}", 13));
+    EXPECT_FALSE(keyera_is_settled(&era, 4999));
+    EXPECT_TRUE(keyera_is_settled(&era, 5000));
+}
+
 } // namespace
--- a/packages/node/planner.c
+++ b/packages/node/planner.c
@@ -365,7 +365,9 @@
     const size_t move_count = keyplan_compute(&input, moves);
     keyload_curve_destroy(input.curve);
     /* Until then, keys that the map gives to nobody may have an owner. */
-    const bool may_assign = keyera_is_recorded(&planner->node->keyera);
+    const struct keyera *era = &planner->node->keyera;
+    const bool may_assign =
+        keyera_is_recorded(era) && keyera_is_settled(era, now_us);
     if (!may_assign || !assign_unowned(planner, keys, moves, move_count)) {
         order_moves(planner, moves, move_count);
     }
--- a/packages/node/plannertakeover.c
+++ b/packages/node/plannertakeover.c
@@ -54,6 +54,7 @@
     }
     lease->promised_until_us =
         node_now_us(planner->node) + KEYLEASE_PROMISE_US + PROMISE_MARGIN_US;
+    keyera_promise(&planner->node->keyera, lease->promised_until_us);
     return true;
 }
 
