keyowner: a map write without an answer is repeated as it was

Cause: after a write of the map with unknown outcome the owner prepared another one, of what was released by then. An answer to that one counted as proof that the earlier write could not take effect any more, though it may concern other pages: a conflict on one of them, or a write that had room for 48 pages only. A refusal of the next write then dropped the handover and granted its keys again, and the earlier write, carried out late, gave them to the new owner too. Class: a write without an answer taken as not done. Change: while the outcome is not known, the same write is sent, with the same conditions. Its success or conflict tells that no earlier sending can take effect. No handover begins while that write is a merge of segments. Result: SessionLeases.HandoverWithoutAnswerIsNotDroppedAfterOtherPagesWereWritten fails without the change (two owners of key 65344) and passes with it.

--- a/packages/node/keymapwrite.c
+++ b/packages/node/keymapwrite.c
@@ -37,10 +37,11 @@
 
 static void
 add_page(struct keymapwrite *write, const char *service,
-         const struct keymap *map, unsigned number)
+         const struct keymap *map, unsigned number, uint64_t expected)
 {
     struct keymapwrite_page *page = &write->pages[write->count++];
     page->number = number;
+    page->expected = expected;
     page->text = keymap_print_page(map, number);
     keymapwrite_row_name(page->key, service, number);
 }
@@ -53,22 +54,21 @@
     for (unsigned page = 0; page < KEYMAP_PAGES; page++) {
         if (write->count < KEYMAPWRITE_PAGES_MAX &&
             !keymap_page_equal(before, after, page)) {
-            add_page(write, service, after, page);
+            add_page(write, service, after, page, before->pages[page].version);
         }
     }
     return write->count > 0;
 }
 
 size_t
-keymapwrite_fill(const struct keymapwrite *write, const struct keymap *before,
-                 struct rowstore_write *parts)
+keymapwrite_fill(const struct keymapwrite *write, struct rowstore_write *parts)
 {
     for (size_t i = 0; i < write->count; i++) {
         const struct keymapwrite_page *page = &write->pages[i];
         parts[i] = (struct rowstore_write){
             .table = NODE_TABLE,
             .key = page->key,
-            .expected = before->pages[page->number].version,
+            .expected = page->expected,
             .value = page->text,
             .size = strlen(page->text),
         };
--- a/packages/node/keymapwrite.h
+++ b/packages/node/keymapwrite.h
@@ -15,6 +15,7 @@
 
 struct keymapwrite_page {
     unsigned number;
+    uint64_t expected; /**< version that the row must have */
     char *text;
     char key[ROWSTORE_NAME_MAX + 1];
 };
@@ -34,10 +35,9 @@
                          const struct keymap *before,
                          const struct keymap *after);
 
-/** Fills in the parts of the transaction. Their strings belong to write.
- * @return their number */
+/** Fills in the parts of the transaction, the same each time. Their strings
+ * belong to write. @return their number */
 size_t keymapwrite_fill(const struct keymapwrite *write,
-                        const struct keymap *before,
                         struct rowstore_write *parts);
 
 void keymapwrite_clear(struct keymapwrite *write);
--- a/packages/node/keyowner_internal.h
+++ b/packages/node/keyowner_internal.h
@@ -94,10 +94,11 @@
     int64_t promises_started_us;
     struct rowcommit_call *map_call;
     struct keymapwrite map_write; /**< of map_call */
+    uint64_t map_write_lease; /**< version of the lease that it depends on */
     int64_t map_retry_at_us;
     int64_t merge_at_us; /**< next merge of own segments */
     bool merging;        /**< map_call merges segments; none is handed over */
-    bool map_write_unresolved; /**< an earlier write may still take effect */
+    bool map_write_unresolved; /**< map_write may still take effect, or has */
     bool claiming;       /**< keys are to be claimed; nothing is granted */
     int64_t claim_at_us; /**< next attempt */
     int64_t former_grants_end_us; /**< grants to former incarnations */
--- a/packages/node/keyownerclaim.c
+++ b/packages/node/keyownerclaim.c
@@ -158,7 +158,7 @@
     make_map(keyowner, keys, &map);
     keymapwrite_clear(&keyowner->map_write);
     keymapwrite_prepare(&keyowner->map_write, keys->service, &keys->map, &map);
-    size_t count = keymapwrite_fill(&keyowner->map_write, &keys->map, parts);
+    size_t count = keymapwrite_fill(&keyowner->map_write, parts);
     parts[count++] = keyownerlease_part(keyowner);
     keyowner->lease_call =
         rowcommit_start(keyowner->node->commits, parts, count, ROWCOMMIT_SOON,
--- a/packages/node/keyownermap.c
+++ b/packages/node/keyownermap.c
@@ -83,27 +83,28 @@
     struct keyowner *keyowner = ctx;
     struct node_keymap *keys = keyowner_keys(keyowner);
     keyowner->map_call = NULL;
-    keyowner->merging = false;
     if (node_observe_version(keyowner->node, result->version)) {
         return;
     }
     if (result->outcome != ROWSTORE_DONE &&
         result->outcome != ROWSTORE_CONFLICT) {
-        /* Retried with the same expected versions until an answer shows
-         * whether the earlier write took effect. */
+        /* The same write is repeated until an answer shows whether it took
+         * effect. */
         keyowner->map_retry_at_us = node_now_us(keyowner->node) + RETRY_US;
         keyowner->map_write_unresolved = keyowner->map_write_unresolved ||
                                          result->outcome == ROWSTORE_UNKNOWN;
         if (!keyowner->map_write_unresolved) {
+            keyowner->merging = false;
             drop_handovers(keyowner);
         }
         return;
     }
+    /* In either case, the same earlier write can no longer take effect. */
+    keyowner->map_write_unresolved = false;
+    keyowner->merging = false;
     if (keys == NULL) {
         return;
     }
-    /* In either case, earlier writes can no longer take effect. */
-    keyowner->map_write_unresolved = false;
     if (result->outcome == ROWSTORE_DONE) {
         node_publish_keymap(keyowner->node, keys, &keyowner->map_write,
                             result->version);
@@ -223,11 +224,22 @@
     return (struct rowstore_write){
         .table = NODE_LEASE_TABLE,
         .key = keyowner->lease_key,
-        .expected = keyowner->lease.version,
+        .expected = keyowner->map_write_lease,
         .check_only = true,
     };
 }
 
+/** Sends the write that was prepared. */
+static void
+send_write(struct keyowner *keyowner)
+{
+    struct rowstore_write parts[KEYMAPWRITE_PAGES_MAX + 1];
+    size_t count = keymapwrite_fill(&keyowner->map_write, parts);
+    parts[count++] = lease_condition(keyowner);
+    keyowner->map_call = rowcommit_start(keyowner->node->commits, parts, count,
+                                         ROWCOMMIT_SOON, on_written, keyowner);
+}
+
 void
 keyownermap_write_changes(struct keyowner *keyowner)
 {
@@ -239,6 +251,10 @@
             keyowner->lease.acquired_version) {
         return;
     }
+    if (keyowner->map_write_unresolved) {
+        send_write(keyowner);
+        return;
+    }
     struct keymap map;
     keymap_copy(&map, &keys->map);
     raise_fences(keyowner, &map);
@@ -246,14 +262,10 @@
     apply_handovers(keyowner, &map);
     merge_segments(keyowner, &map);
     keymapwrite_clear(&keyowner->map_write);
+    keyowner->map_write_lease = keyowner->lease.version;
     if (keymapwrite_prepare(&keyowner->map_write, keys->service, &keys->map,
                             &map)) {
-        struct rowstore_write parts[KEYMAPWRITE_PAGES_MAX + 1];
-        size_t count =
-            keymapwrite_fill(&keyowner->map_write, &keys->map, parts);
-        parts[count++] = lease_condition(keyowner);
-        keyowner->map_call = rowcommit_start(
-            node->commits, parts, count, ROWCOMMIT_SOON, on_written, keyowner);
+        send_write(keyowner);
     }
     else {
         keyowner->merging = false;
--- a/packages/node/planner.c
+++ b/packages/node/planner.c
@@ -228,7 +228,7 @@
     struct rowstore_write parts[KEYMAPWRITE_PAGES_MAX + 1];
     keymapwrite_clear(&planner->map_write);
     keymapwrite_prepare(&planner->map_write, keys->service, &keys->map, map);
-    size_t count = keymapwrite_fill(&planner->map_write, &keys->map, parts);
+    size_t count = keymapwrite_fill(&planner->map_write, parts);
     if (lease != NULL) {
         parts[count++] = (struct rowstore_write){
             .table = NODE_LEASE_TABLE,
