feedsource: an instance remembers all that it could not read from

Cause: eight failed instances were remembered. One that the store turns away and that knows more of them asked the same ones in turn, and never one that reads the store; an instance that the store serves read it for itself. Class: a bound below the number of things that it is meant for. Change: 64, as many as an instance may choose from in a zone without a tree.

--- a/packages/fleet/feedsource.h
+++ b/packages/fleet/feedsource.h
@@ -13,7 +13,9 @@
 
 #define FEEDSOURCE_FANOUT 64 /* instances that read from one */
 #define FEEDSOURCE_HOPS_MAX 4
-#define FEEDSOURCE_FAILED_MAX 8
+/* As many as may have started before this one in a zone without a tree, so
+ * that all are asked before one is asked again. */
+#define FEEDSOURCE_FAILED_MAX 64
 
 /** An instance that could not be read from. */
 struct feedsource_failed {
--- a/packages/fleet/test/feedsource_test.cc
+++ b/packages/fleet/test/feedsource_test.cc
@@ -124,6 +124,22 @@
     EXPECT_EQ("store", Choose(0));
 }
 
+/* One that is turned away must not ask the same ones again before it has asked
+ * all: those that it asked first were forgotten. */
+TEST_F(Feedsource, RemembersAllThatFailed)
+{
+    constexpr int count = 30;
+    for (int i = 0; i < count; i++) {
+        Add(i);
+    }
+    feedsource_record_store(&source, false, now_us);
+    for (int i = 1; i < count - 1; i++) {
+        EXPECT_EQ(Name(i), Choose(0));
+        feedsource_record_peer(&source, Name(i).c_str(), false, now_us);
+    }
+    EXPECT_EQ(Name(count - 1), Choose(0));
+}
+
 /* Of two instances that would read from each other, one must refuse. */
 TEST_F(Feedsource, OneOfTwoInstancesStartedBeforeTheOther)
 {
