planner: only a bootstrap counts as the first start of all

A copy from before the first write of a key map holds neither maps nor the row of the settled era. A process that started into it took that for the first start of all, recorded the era as settled and assigned all keys after 1.5 s, while owners that had not reached the store yet held them under leases of up to 4 s and their promises. Cause: an empty store was taken as proof that nobody has keys. Class: missing evidence taken as evidence of absence. Change: the shortcut needs the platform's `bootstrap`, true only when the whole system starts for the first time, now a setting, and a process that has seen no return of the store. All others wait until leases have ended (6.2 s).

--- a/packages/fleet/keyera.c
+++ b/packages/fleet/keyera.c
@@ -23,6 +23,7 @@
         return false;
     }
     era->known = true;
+    era->restored = !first;
     era->era = told;
     era->seen_us = now_us;
     era->former_until_us = era->promised_until_us;
--- a/packages/fleet/keyera.h
+++ b/packages/fleet/keyera.h
@@ -25,6 +25,7 @@
 /** All zero: nothing known. */
 struct keyera {
     bool known;
+    bool restored; /**< the store has returned since this process started */
     uint64_t era;
     int64_t seen_us;  /**< when this process learnt of it */
     uint64_t settled; /**< latest era that the store's row says is settled */
--- a/packages/node/nodesettings.c
+++ b/packages/node/nodesettings.c
@@ -106,6 +106,8 @@
                   sizeof(settings->service));
     read_addresses(&object, settings);
     read_bounds(&object, settings);
+    document_bool(&object, "bootstrap", DOCUMENT_OPTIONAL,
+                  &settings->bootstrap);
     const int level =
         document_choice(&object, "log_level", DOCUMENT_OPTIONAL, level_names,
                         sizeof(level_names) / sizeof(level_names[0]));
--- a/packages/node/planner.c
+++ b/packages/node/planner.c
@@ -386,10 +386,15 @@
     }
 }
 
-/** True if the store holds no keys, so that none can have an owner. */
+/** True if no key has ever had an owner: the store holds none, and is no copy
+ * that lacks them. */
 static bool
-is_first_start(const struct node_keymap *keys)
+is_first_start(const struct node *node, const struct node_keymap *keys)
 {
+    if (!node->settings.bootstrap || node->keyera.restored ||
+        rowwatch_row_version(node->fleet_watch, NODE_ERA_KEY) > 0) {
+        return false;
+    }
     for (unsigned page = 0; page < KEYMAP_PAGES; page++) {
         if (keys->map.pages[page].version > 0) {
             return false;
@@ -407,9 +412,8 @@
     const struct keyera *era = &node->keyera;
     const uint64_t version =
         rowwatch_row_version(node->fleet_watch, NODE_ERA_KEY);
-    const bool first_start = version == 0 && is_first_start(keys);
     if (planner->era_call != NULL || keyera_is_recorded(era) ||
-        (!first_start && !keyera_is_settled(era, now_us))) {
+        (!is_first_start(node, keys) && !keyera_is_settled(era, now_us))) {
         return;
     }
     char *text = keyera_print_settled(era);
