--- a/packages/http/httpclient.h
+++ b/packages/http/httpclient.h
@@ -84,7 +84,7 @@
     void *ctx;
 };
 
-/** Adds its counters to the registry. Aborts when out of memory. */
+/** Adds its counters to the registry. Aborts if out of memory. */
 struct http_client *http_client_create(struct runtime *runtime,
                                        const struct http_client_config *config,
                                        struct counter_registry *counters);
--- a/packages/http/httpheaders.h
+++ b/packages/http/httpheaders.h
@@ -40,7 +40,7 @@
 /**
  * Adds a copy of a field.
  *
- * @return false on an invalid character, too many fields or no memory.
+ * @return false on an invalid character, too many fields or out of memory.
  */
 bool http_headers_add(struct http_headers *headers, const char *name,
                       const char *value);
--- a/packages/http/httpmessage.h
+++ b/packages/http/httpmessage.h
@@ -53,7 +53,7 @@
 /** Parser of the successive messages of a connection. */
 struct http_reader;
 
-/** body_max: limit of a body in bytes. NULL when out of memory. */
+/** body_max: limit of a body in bytes. NULL if out of memory. */
 struct http_reader *http_reader_create(enum http_message_kind kind,
                                        size_t body_max);
 void http_reader_destroy(struct http_reader *reader);
--- a/packages/http/httpproblem.h
+++ b/packages/http/httpproblem.h
@@ -26,7 +26,7 @@
 /**
  * Encodes the problem as JSON and sets its size.
  *
- * @return text to be freed with free(), or NULL when out of memory.
+ * @return text to be freed with free(), or NULL if out of memory.
  */
 char *http_problem_body(const struct http_problem *problem, size_t *size);
 
--- a/packages/http/httpserver_internal.h
+++ b/packages/http/httpserver_internal.h
@@ -127,7 +127,7 @@
 /** Frees a request, answered or not. */
 void http_request_free(struct http_request *request);
 
-/** A reader for one connection; NULL when out of memory. Idle connections
+/** A reader for one connection; NULL if out of memory. Idle connections
  * have none, which saves most of their memory. */
 struct http_reader *http_server_acquire_reader(struct http_server *server);
 
--- a/packages/placement/handovers.h
+++ b/packages/placement/handovers.h
@@ -19,7 +19,7 @@
 
 struct handovers;
 
-/** NULL when memory is short. */
+/** NULL if out of memory. */
 struct handovers *handovers_create(void);
 void handovers_destroy(struct handovers *handovers);
 
--- a/packages/placement/hotkeys.h
+++ b/packages/placement/hotkeys.h
@@ -24,7 +24,7 @@
 
 struct hotkeys;
 
-/** NULL when memory is short. */
+/** NULL if out of memory. */
 struct hotkeys *hotkeys_create(int64_t now_us);
 void hotkeys_destroy(struct hotkeys *hotkeys);
 
--- a/packages/placement/ownedset.h
+++ b/packages/placement/ownedset.h
@@ -50,7 +50,7 @@
 
 struct ownedset;
 
-/** NULL when memory is short. */
+/** NULL if out of memory. */
 struct ownedset *ownedset_create(void);
 void ownedset_destroy(struct ownedset *set);
 
--- a/packages/placement/ownertable.h
+++ b/packages/placement/ownertable.h
@@ -14,7 +14,7 @@
 
 struct ownertable;
 
-/** NULL when memory is short. */
+/** NULL if out of memory. */
 struct ownertable *ownertable_create(void);
 void ownertable_destroy(struct ownertable *table);
 
--- a/packages/placement/pagewriter.h
+++ b/packages/placement/pagewriter.h
@@ -47,7 +47,7 @@
     void *ctx;
 };
 
-/** NULL when memory is short. */
+/** NULL if out of memory. */
 struct pagewriter *pagewriter_create(const struct pagewriter_spec *spec,
                                      uint64_t seed);
 void pagewriter_destroy(struct pagewriter *writer);
--- a/packages/placement/peers.h
+++ b/packages/placement/peers.h
@@ -52,7 +52,7 @@
 
 struct peers;
 
-/** NULL when memory is short. */
+/** NULL if out of memory. */
 struct peers *peers_create(void);
 void peers_destroy(struct peers *peers);
 
--- a/packages/placement/placemodel.h
+++ b/packages/placement/placemodel.h
@@ -76,7 +76,7 @@
 /** Options of a run without faults, with Powys' latencies. */
 struct placemodel_options placemodel_defaults(void);
 
-/** NULL when memory is short. */
+/** NULL if out of memory. */
 struct placemodel *placemodel_create(const struct placemodel_options *options);
 void placemodel_destroy(struct placemodel *model);
 
--- a/packages/placement/placer.h
+++ b/packages/placement/placer.h
@@ -55,7 +55,7 @@
     double load_moved;
 };
 
-/** NULL when memory is short. */
+/** NULL if out of memory. */
 struct placer *placer_create(const struct placer_spec *spec,
                              const struct placer_limits *limits,
                              int64_t now_us);
--- a/packages/placement/placer_internal.h
+++ b/packages/placement/placer_internal.h
@@ -59,7 +59,7 @@
     int64_t now_us; /* time of the current input */
 };
 
-/** Appends an action, with the other fields 0. Aborts when memory is short. */
+/** Appends an action, with the other fields 0. Aborts if out of memory. */
 struct place_action *placer_add_action(struct placer *placer,
                                        enum place_action_type type);
 
--- a/packages/placement/shardmap.h
+++ b/packages/placement/shardmap.h
@@ -26,7 +26,7 @@
                                    const struct shardpage_entry *before,
                                    const struct shardpage_entry *after);
 
-/** NULL when memory is short. */
+/** NULL if out of memory. */
 struct shardmap *shardmap_create(void);
 void shardmap_destroy(struct shardmap *map);
 
--- a/packages/placement/zipfkeys.h
+++ b/packages/placement/zipfkeys.h
@@ -25,7 +25,7 @@
     ZIPF_RENDEZVOUS, /**< the member with the highest hash for the key */
 };
 
-/** Aborts when memory is short. */
+/** Aborts if out of memory. */
 struct zipfkeys *zipfkeys_create(size_t count, double exponent, uint64_t seed);
 void zipfkeys_destroy(struct zipfkeys *keys);
 
--- a/packages/protocol/xidtable.h
+++ b/packages/protocol/xidtable.h
@@ -27,7 +27,7 @@
 /** Frees the buckets, not the entries. */
 void xid_table_clear(struct xid_table *table);
 
-/** Adds an entry. Aborts when out of memory. */
+/** Adds an entry. Aborts if out of memory. */
 void xid_table_insert(struct xid_table *table, struct xid_entry *entry,
                       uint32_t xid);
 
--- a/packages/spread/config.h
+++ b/packages/spread/config.h
@@ -35,7 +35,7 @@
 typedef bool (*config_apply_cb)(void *ctx, uint64_t revision,
                                 const json_t *document);
 
-/** Starts with revision 0, no document. NULL when memory is short. */
+/** Starts with revision 0, no document. NULL if out of memory. */
 struct config *config_create(config_apply_cb apply, void *ctx);
 void config_destroy(struct config *config);
 
--- a/packages/spread/itemtable.h
+++ b/packages/spread/itemtable.h
@@ -34,7 +34,7 @@
 
 struct itemtable;
 
-/** NULL when memory is short. */
+/** NULL if out of memory. */
 struct itemtable *itemtable_create(void);
 void itemtable_destroy(struct itemtable *table);
 
--- a/packages/spread/spread.h
+++ b/packages/spread/spread.h
@@ -73,7 +73,7 @@
     int64_t throttled; /**< rounds stopped by the rate limit */
 };
 
-/** NULL when memory is short. */
+/** NULL if out of memory. */
 struct spread *spread_create(const struct spread_options *options,
                              int64_t now_us);
 void spread_destroy(struct spread *spread);
--- a/packages/spread/spreadmodel.h
+++ b/packages/spread/spreadmodel.h
@@ -32,7 +32,7 @@
 
 struct spreadmodel;
 
-/** NULL when memory is short. */
+/** NULL if out of memory. */
 struct spreadmodel *
 spreadmodel_create(const struct spreadmodel_options *options);
 void spreadmodel_destroy(struct spreadmodel *model);
--- a/packages/spread/spreadpeers.h
+++ b/packages/spread/spreadpeers.h
@@ -28,7 +28,7 @@
 
 struct spreadpeers;
 
-/** NULL when memory is short. */
+/** NULL if out of memory. */
 struct spreadpeers *spreadpeers_create(const char *zone, const char *region,
                                        enum spread_peer_policy policy);
 void spreadpeers_destroy(struct spreadpeers *peers);
--- a/packages/spread/spreadtask.h
+++ b/packages/spread/spreadtask.h
@@ -40,7 +40,7 @@
 };
 
 /** Serves PROCEDURE_SPREAD and PROCEDURE_FETCH on the node and starts to send.
- * NULL when memory is short. */
+ * NULL if out of memory. */
 struct spreadtask *spreadtask_create(const struct spreadtask_options *options);
 
 /** Cancels its calls. Destroy the node afterwards; it must not receive calls
--- a/packages/standin/loadkeys.h
+++ b/packages/standin/loadkeys.h
@@ -11,7 +11,7 @@
 struct load_keys;
 
 /** Keys are 0 to count-1; key n has weight 1/(n+1)^exponent (exponent 0:
- * uniform). Aborts when out of memory. */
+ * uniform). Aborts if out of memory. */
 struct load_keys *load_keys_create(size_t count, double exponent);
 void load_keys_destroy(struct load_keys *keys);
 
--- a/packages/standin/loadresult.h
+++ b/packages/standin/loadresult.h
@@ -13,7 +13,7 @@
 
 struct load_result;
 
-/** Aborts when out of memory. */
+/** Aborts if out of memory. */
 struct load_result *load_result_create(void);
 void load_result_destroy(struct load_result *result);
 
--- a/packages/standin/targetgrants.h
+++ b/packages/standin/targetgrants.h
@@ -12,7 +12,7 @@
 
 struct target_grants;
 
-/** Aborts when out of memory. */
+/** Aborts if out of memory. */
 struct target_grants *target_grants_create(void);
 void target_grants_destroy(struct target_grants *grants);
 
--- a/packages/standin/targetledger.h
+++ b/packages/standin/targetledger.h
@@ -26,7 +26,7 @@
 };
 
 /** Appends each start and end to file as a JSON line, unless file is NULL.
- * Aborts when out of memory; NULL if the file can't be opened. */
+ * Aborts if out of memory; NULL if the file can't be opened. */
 struct target_ledger *target_ledger_create(const char *file);
 void target_ledger_destroy(struct target_ledger *ledger);
 
