http, target: names with units, and names that say what they hold

body_max and bodies_max of the server, the message reader and the target are body_max_bytes and bodies_max_bytes; those of the client keep their names until node/localtarget.c, which sets them, is free to change. The call's "belongs" is answer_matches, HTTP_CUT is HTTP_CONNECTION_LOST (the counter keeps its name). The static functions of targetcall.c carry the name of their struct, since three other files have a call_end() too; the one of the bench that starts a server says so.

No change of behaviour: the tests http, target, daemon and standin pass.

--- a/packages/daemon/bench/bench_path.c
+++ b/packages/daemon/bench/bench_path.c
@@ -239,7 +239,7 @@
 }
 
 static int
-compare(const void *a, const void *b)
+compare_times(const void *a, const void *b)
 {
     const int64_t left = *(const int64_t *)a;
     const int64_t right = *(const int64_t *)b;
@@ -277,7 +277,8 @@
     }
     runtime_run(bench->runtime);
     const double used = cpu_seconds() - before;
-    qsort(bench->latencies_us, total, sizeof(*bench->latencies_us), compare);
+    qsort(bench->latencies_us, total, sizeof(*bench->latencies_us),
+          compare_times);
     return used;
 }
 
@@ -355,8 +356,8 @@
 }
 
 static struct http_server *
-serve(struct bench *bench,
-      void (*handle)(void *ctx, struct http_request *request))
+start_http_server(struct bench *bench,
+                  void (*handle)(void *ctx, struct http_request *request))
 {
     struct http_server_config config = {.handle = handle, .ctx = bench};
     address_parse("127.0.0.1:0", &config.address, NULL);
@@ -411,7 +412,7 @@
 {
     struct address any;
     address_parse("127.0.0.1:0", &any, NULL);
-    bench->target_http = serve(bench, on_target_request);
+    bench->target_http = start_http_server(bench, on_target_request);
     bench->target = target_create(
         bench->runtime, &(struct target_config){.announce_address = any},
         bench->counters, NULL);
@@ -421,7 +422,7 @@
     if (bench->target == NULL || bench->gate == NULL || bench->entry == NULL) {
         abort();
     }
-    bench->entry_http = serve(bench, on_entry_request);
+    bench->entry_http = start_http_server(bench, on_entry_request);
     rpc_node_serve(bench->gate,
                    &(struct rpc_procedure){
                        .number = PROCEDURE_FORWARD,
--- a/packages/daemon/daemon.c
+++ b/packages/daemon/daemon.c
@@ -42,15 +42,15 @@
     const struct settings *settings = &daemon->settings;
     const struct http_server_config http = {
         .address = settings->http.listen,
-        .body_max = settings->body_max_bytes,
-        .bodies_max = settings->memory_mb * BYTES_PER_MB,
+        .body_max_bytes = settings->body_max_bytes,
+        .bodies_max_bytes = settings->memory_mb * BYTES_PER_MB,
         .handle = on_request,
         .cancelled = on_cancelled,
         .ctx = daemon,
     };
     const struct target_config target = {
         .announce_address = settings->announce,
-        .body_max = settings->body_max_bytes,
+        .body_max_bytes = settings->body_max_bytes,
         .changed = daemonevents_target,
         .ctx = daemon,
     };
--- a/packages/http/bench/bench_http.c
+++ b/packages/http/bench/bench_http.c
@@ -150,7 +150,7 @@
 }
 
 static int
-compare(const void *a, const void *b)
+compare_times(const void *a, const void *b)
 {
     const int64_t left = *(const int64_t *)a;
     const int64_t right = *(const int64_t *)b;
@@ -183,7 +183,8 @@
     }
     runtime_run(bench->runtime);
     const double used = cpu_seconds() - before;
-    qsort(bench->latencies_us, total, sizeof(*bench->latencies_us), compare);
+    qsort(bench->latencies_us, total, sizeof(*bench->latencies_us),
+          compare_times);
     return used;
 }
 
--- a/packages/http/httpcall.c
+++ b/packages/http/httpcall.c
@@ -17,7 +17,7 @@
         [HTTP_NOT_SENT] = counters->not_sent,
         [HTTP_REFUSED] = counters->refused,
         [HTTP_TIMED_OUT] = counters->timed_out,
-        [HTTP_CUT] = counters->cut,
+        [HTTP_CONNECTION_LOST] = counters->cut,
         [HTTP_MALFORMED] = counters->malformed,
     };
     by_outcome[outcome]->value++;
@@ -108,7 +108,7 @@
     }
     call->client = client;
     call->may_send = spec->may_send;
-    call->belongs = spec->belongs;
+    call->answer_matches = spec->answer_matches;
     call->done = spec->done;
     call->ctx = spec->ctx;
     call->is_head = strcmp(spec->method, "HEAD") == 0;
--- a/packages/http/httpclient.c
+++ b/packages/http/httpclient.c
@@ -5,8 +5,8 @@
 #include "http/httpclient_internal.h"
 
 #define CONNECTIONS_MAX_DEFAULT 64
-#define BODY_MAX_DEFAULT (16u << 20)   /* bytes */
-#define BODIES_MAX_DEFAULT (64u << 20) /* bytes */
+#define BODY_MAX_DEFAULT_BYTES (16u << 20)
+#define BODIES_MAX_DEFAULT_BYTES (64u << 20)
 #define CONNECT_TIMEOUT_DEFAULT_US (1 * US_PER_SECOND)
 #define IDLE_TIMEOUT_DEFAULT_US (30 * US_PER_SECOND)
 #define TIMEOUT_CHECK_INTERVAL_US (1 * US_PER_SECOND)
@@ -93,10 +93,10 @@
         config->connections_max = CONNECTIONS_MAX_DEFAULT;
     }
     if (config->bodies_max == 0) {
-        config->bodies_max = BODIES_MAX_DEFAULT;
+        config->bodies_max = BODIES_MAX_DEFAULT_BYTES;
     }
     if (config->body_max == 0) {
-        config->body_max = BODY_MAX_DEFAULT;
+        config->body_max = BODY_MAX_DEFAULT_BYTES;
     }
     if (config->connect_timeout_us == 0) {
         config->connect_timeout_us = CONNECT_TIMEOUT_DEFAULT_US;
--- a/packages/http/httpclient.h
+++ b/packages/http/httpclient.h
@@ -26,12 +26,12 @@
 
 /** How a call ended. */
 enum http_outcome {
-    HTTP_ANSWERED,  /**< completely */
-    HTTP_NOT_SENT,  /**< no byte was sent: not run */
-    HTTP_REFUSED,   /**< connection refused: not run */
-    HTTP_TIMED_OUT, /**< the deadline passed; may have run */
-    HTTP_CUT,       /**< connection lost before the end; may have run */
-    HTTP_MALFORMED, /**< answer invalid or too large */
+    HTTP_ANSWERED,        /**< completely */
+    HTTP_NOT_SENT,        /**< no byte was sent: not run */
+    HTTP_REFUSED,         /**< connection refused: not run */
+    HTTP_TIMED_OUT,       /**< the deadline passed; may have run */
+    HTTP_CONNECTION_LOST, /**< connection lost before the end; may have run */
+    HTTP_MALFORMED,       /**< answer invalid or too large */
 };
 
 struct http_client_config {
@@ -77,9 +77,9 @@
     size_t header_count;
     const void *body;
     size_t body_size;
-    int64_t deadline_us;          /**< of the runtime's clock */
-    http_may_send_cb may_send;    /**< may be NULL */
-    http_answer_match_cb belongs; /**< may be NULL */
+    int64_t deadline_us;                 /**< of the runtime's clock */
+    http_may_send_cb may_send;           /**< may be NULL */
+    http_answer_match_cb answer_matches; /**< may be NULL */
     http_done_cb done; /**< called once, never within http_call_start() */
     void *ctx;
 };
--- a/packages/http/httpclient_internal.h
+++ b/packages/http/httpclient_internal.h
@@ -80,7 +80,7 @@
     enum http_outcome failed_outcome; /* while in client->failed */
     struct timer deadline;
     http_may_send_cb may_send;
-    http_answer_match_cb belongs;
+    http_answer_match_cb answer_matches;
     http_done_cb done;
     void *ctx;
 };
--- a/packages/http/httpclientconnection.c
+++ b/packages/http/httpclientconnection.c
@@ -125,9 +125,10 @@
 {
     const struct http_call *call = connection->call;
     struct http_reader *reader = connection->reader;
-    if (call->belongs == NULL ||
+    if (call->answer_matches == NULL ||
         http_reader_progress(reader) != HTTP_PROGRESS_COMPLETE ||
-        call->belongs(call->ctx, &http_reader_message(reader)->headers)) {
+        call->answer_matches(call->ctx,
+                             &http_reader_message(reader)->headers)) {
         return false;
     }
     connection->client->counters.stray_answers->value++;
@@ -207,7 +208,8 @@
         return;
     }
     const bool refused = !connection->connected && error == ECONNREFUSED;
-    http_client_connection_fail(connection, refused ? HTTP_REFUSED : HTTP_CUT);
+    http_client_connection_fail(connection,
+                                refused ? HTTP_REFUSED : HTTP_CONNECTION_LOST);
 }
 
 struct http_client_connection *
--- a/packages/http/httpconnection.c
+++ b/packages/http/httpconnection.c
@@ -230,7 +230,7 @@
                               http_reader_message(reader)->body_capacity);
         const enum http_progress progress = http_reader_progress(reader);
         if (connection->server->body_bytes >
-            connection->server->config.bodies_max) {
+            connection->server->config.bodies_max_bytes) {
             connection_refuse(connection, 503);
         }
         else if (progress == HTTP_PROGRESS_FAILED) {
--- a/packages/http/httpmessage.c
+++ b/packages/http/httpmessage.c
@@ -16,7 +16,7 @@
 
 struct http_reader {
     enum http_message_kind kind;
-    size_t body_max;
+    size_t body_max_bytes;
     htparser *parser;
     bool no_body;
     bool allow_body_until_close;
@@ -252,7 +252,7 @@
         reader->progress = HTTP_PROGRESS_BODY;
         return -1;
     }
-    if (reader->has_length && reader->length > reader->body_max) {
+    if (reader->has_length && reader->length > reader->body_max_bytes) {
         return reader_fail(reader, 413);
     }
     message->expects_100 =
@@ -270,7 +270,7 @@
 {
     struct http_reader *reader = htparser_get_userdata(parser);
     struct http_message *message = &reader->message;
-    if (size > reader->body_max - message->body_size) {
+    if (size > reader->body_max_bytes - message->body_size) {
         return reader_fail(reader, 413);
     }
     if (!reserve_body(reader, message->body_size + size)) {
@@ -332,14 +332,14 @@
 }
 
 struct http_reader *
-http_reader_create(enum http_message_kind kind, size_t body_max)
+http_reader_create(enum http_message_kind kind, size_t body_max_bytes)
 {
     struct http_reader *reader = calloc(1, sizeof(*reader));
     if (reader == NULL) {
         return NULL;
     }
     reader->kind = kind;
-    reader->body_max = body_max;
+    reader->body_max_bytes = body_max_bytes;
     reader->parser = htparser_new();
     if (reader->parser == NULL) {
         free(reader);
@@ -486,7 +486,7 @@
 {
     struct http_message *message = &reader->message;
     const size_t size = evbuffer_get_length(input);
-    if (size > reader->body_max - message->body_size) {
+    if (size > reader->body_max_bytes - message->body_size) {
         reader_fail(reader, 413);
         return;
     }
--- a/packages/http/httpmessage.h
+++ b/packages/http/httpmessage.h
@@ -53,9 +53,9 @@
 /** Parser of the successive messages of a connection. */
 struct http_reader;
 
-/** body_max: limit of a body in bytes. NULL if out of memory. */
+/** body_max_bytes: limit of a body. NULL if out of memory. */
 struct http_reader *http_reader_create(enum http_message_kind kind,
-                                       size_t body_max);
+                                       size_t body_max_bytes);
 void http_reader_destroy(struct http_reader *reader);
 
 /** Frees the message and prepares for the next one. */
--- a/packages/http/httpserver.c
+++ b/packages/http/httpserver.c
@@ -11,8 +11,8 @@
 #include "http/httpproblem.h"
 #include "http/httpserver_internal.h"
 
-#define BODY_MAX_DEFAULT (16u << 20)    /* bytes */
-#define BODIES_MAX_DEFAULT (256u << 20) /* bytes */
+#define BODY_MAX_DEFAULT_BYTES (16u << 20)
+#define BODIES_MAX_DEFAULT_BYTES (256u << 20)
 #define CONNECTIONS_MAX_DEFAULT 4096
 #define PIPELINE_MAX_DEFAULT 1
 #define RECEIVE_TIMEOUT_DEFAULT_US (60 * US_PER_SECOND)
@@ -114,11 +114,11 @@
 static void
 set_defaults(struct http_server_config *config)
 {
-    if (config->body_max == 0) {
-        config->body_max = BODY_MAX_DEFAULT;
+    if (config->body_max_bytes == 0) {
+        config->body_max_bytes = BODY_MAX_DEFAULT_BYTES;
     }
-    if (config->bodies_max == 0) {
-        config->bodies_max = BODIES_MAX_DEFAULT;
+    if (config->bodies_max_bytes == 0) {
+        config->bodies_max_bytes = BODIES_MAX_DEFAULT_BYTES;
     }
     if (config->connections_max == 0) {
         config->connections_max = CONNECTIONS_MAX_DEFAULT;
@@ -212,7 +212,8 @@
     if (server->spare_reader_count > 0) {
         return server->spare_readers[--server->spare_reader_count];
     }
-    return http_reader_create(HTTP_MESSAGE_REQUEST, server->config.body_max);
+    return http_reader_create(HTTP_MESSAGE_REQUEST,
+                              server->config.body_max_bytes);
 }
 
 void
--- a/packages/http/httpserver.h
+++ b/packages/http/httpserver.h
@@ -24,9 +24,9 @@
 
 /** Limits and handlers of a server. Zero selects the default. */
 struct http_server_config {
-    struct address address; /**< port 0 picks a port */
-    size_t body_max;        /**< bytes; above it 413. Default 16 MiB */
-    size_t bodies_max;      /**< bytes of all; above it 503. Default 256 MiB */
+    struct address address;     /**< port 0 picks a port */
+    size_t body_max_bytes;      /**< above it 413. Default 16 MiB */
+    size_t bodies_max_bytes;    /**< of all; above it 503. Default 256 MiB */
     unsigned connections_max;   /**< then accepting pauses. Default 4096 */
     unsigned pipeline_max;      /**< concurrent per connection. Default 1 */
     int64_t receive_timeout_us; /**< for a complete request. Default 60 s */
--- a/packages/http/test/http_test.cc
+++ b/packages/http/test/http_test.cc
@@ -81,7 +81,7 @@
         close(fd);
         sockets.pop_back();
         ASSERT_TRUE(Results(1)) << answer;
-        EXPECT_TRUE(results[0].outcome == HTTP_CUT ||
+        EXPECT_TRUE(results[0].outcome == HTTP_CONNECTION_LOST ||
                     results[0].outcome == HTTP_MALFORMED)
             << answer;
     }
@@ -141,7 +141,7 @@
         spec.method = "GET";
         spec.target = "/x";
         spec.deadline_us = runtime_now_us(runtime) + 5 * US_PER_SECOND;
-        spec.belongs = IsAwaited;
+        spec.answer_matches = IsAwaited;
         spec.done = OnDone;
         spec.ctx = this;
         http_call_start(client, &spec);
--- a/packages/http/test/httpendless_test.cc
+++ b/packages/http/test/httpendless_test.cc
@@ -40,7 +40,7 @@
         spec.method = "GET";
         spec.target = "/x";
         spec.deadline_us = runtime_now_us(runtime) + 60 * US_PER_SECOND;
-        spec.belongs = other_ids ? BelongsNever : nullptr;
+        spec.answer_matches = other_ids ? BelongsNever : nullptr;
         spec.done = OnDone;
         spec.ctx = this;
         http_call_start(client, &spec);
--- a/packages/http/test/httppipeline_test.cc
+++ b/packages/http/test/httppipeline_test.cc
@@ -125,11 +125,11 @@
     Call("GET", "/x");
     Serve("HTTP/1.1 200 OK\r\n\r\nno len", true);
     ASSERT_TRUE(Results(2));
-    EXPECT_EQ(HTTP_CUT, results[1].outcome);
+    EXPECT_EQ(HTTP_CONNECTION_LOST, results[1].outcome);
     Call("GET", "/x");
     Serve("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort", false);
     ASSERT_TRUE(Results(3));
-    EXPECT_EQ(HTTP_CUT, results[2].outcome);
+    EXPECT_EQ(HTTP_CONNECTION_LOST, results[2].outcome);
 }
 
 TEST_F(ToEnd, AnswerToAnotherCallIsDroppedAndNextAwaited)
@@ -140,7 +140,7 @@
     spec.method = "GET";
     spec.target = "/x";
     spec.deadline_us = runtime_now_us(runtime) + 5 * US_PER_SECOND;
-    spec.belongs = [](void *, const struct http_headers *headers) {
+    spec.answer_matches = [](void *, const struct http_headers *headers) {
         return std::string(http_headers_find(headers, "X-Id")) == "mine";
     };
     spec.done = OnDone;
--- a/packages/node/gatesend.c
+++ b/packages/node/gatesend.c
@@ -122,7 +122,7 @@
     case HTTP_TIMED_OUT:
         localgate_fail(call, RELAY_UNKNOWN, RELAY_REASON_DEADLINE, true);
         break;
-    case HTTP_CUT:
+    case HTTP_CONNECTION_LOST:
         gate->cut->value++;
         gatecrash_record_cut(&gate->crash, call->fingerprint,
                              localgate_now_us(gate));
@@ -177,7 +177,7 @@
             .body = request->body.body_val,
             .body_size = request->body.body_len,
             .deadline_us = call->deadline_us + TARGET_ANSWER_GRACE_US,
-            .belongs = is_own_answer,
+            .answer_matches = is_own_answer,
             .done = on_http_result,
             .ctx = call,
         });
--- a/packages/node/nodeservers.c
+++ b/packages/node/nodeservers.c
@@ -11,7 +11,7 @@
 #include "node/nodemetrics.h"
 
 #define PIPELINE_MAX 16
-#define CALLERS_BODY_MAX ((size_t)64 << 20)
+#define CALLERS_BODY_MAX_BYTES ((size_t)64 << 20)
 #define STATUS_OK 200
 #define STATUS_NOT_FOUND 404
 #define STATUS_UNAVAILABLE 503
@@ -76,7 +76,7 @@
     const bool callers = handle == ingress_handle;
     const struct http_server_config config = {
         .address = *address,
-        .body_max = callers ? CALLERS_BODY_MAX : 0,
+        .body_max_bytes = callers ? CALLERS_BODY_MAX_BYTES : 0,
         .pipeline_max = callers ? PIPELINE_MAX : 0,
         .handle = handle,
         .cancelled = callers ? ingress_cancelled : NULL,
--- a/packages/standin/targetserver.c
+++ b/packages/standin/targetserver.c
@@ -391,7 +391,7 @@
     }
     const struct http_server_config http = {
         .address = config->listen,
-        .body_max = REQUEST_BODY_BYTES_MAX,
+        .body_max_bytes = REQUEST_BODY_BYTES_MAX,
         .handle = on_request,
         .cancelled = on_cancelled,
         .ctx = server,
--- a/packages/standin/test/targetserver_test.cc
+++ b/packages/standin/test/targetserver_test.cc
@@ -210,7 +210,7 @@
 TEST_F(TargetServer, CutFaultTruncatesAnswersAndDrainRefusesRequests)
 {
     Call("POST", "/standin/faults", "{\"cut_answers_percent\":100}");
-    EXPECT_EQ(HTTP_CUT, Call("GET", "/a").outcome);
+    EXPECT_EQ(HTTP_CONNECTION_LOST, Call("GET", "/a").outcome);
     Call("POST", "/standin/faults", "{\"cut_answers_percent\":0}");
     Call("POST", "/chestnutgap/drain", "{}");
     EXPECT_EQ("draining", Call("GET", "/a").not_run);
--- a/packages/target/target.c
+++ b/packages/target/target.c
@@ -13,7 +13,7 @@
 
 #define ANNOUNCE_PATH "/v1/announce"
 #define WITHDRAW_PATH "/v1/withdraw"
-#define ANNOUNCE_BODY_MAX 65536 /* bytes */
+#define ANNOUNCE_BODY_MAX_BYTES 65536
 
 static void
 target_destroy_clients(struct target *target)
@@ -56,7 +56,7 @@
     struct http_client_config config = {
         .address = announcement->address,
         .connections_max = shared ? 1 : announcement->connections - 1,
-        .body_max = target->config.body_max,
+        .body_max = target->config.body_max_bytes,
     };
     target->requests =
         http_client_create(target->runtime, &config, target->registry);
@@ -236,7 +236,7 @@
 #undef TARGET_COUNTER_ADD
     const struct http_server_config server_config = {
         .address = config->announce_address,
-        .body_max = ANNOUNCE_BODY_MAX,
+        .body_max_bytes = ANNOUNCE_BODY_MAX_BYTES,
         .handle = on_request,
         .ctx = target,
     };
--- a/packages/target/target.h
+++ b/packages/target/target.h
@@ -43,7 +43,7 @@
 
 struct target_config {
     struct address announce_address; /**< port 0 picks a port */
-    size_t body_max;                 /**< bytes of an answer; 0: default */
+    size_t body_max_bytes;           /**< of an answer; 0: default */
     /** Called at each change, after the announcement was stored. Calls that a
      * crash disconnected have ended before. */
     void (*changed)(void *ctx, enum target_change change);
--- a/packages/target/targetcall.c
+++ b/packages/target/targetcall.c
@@ -24,7 +24,7 @@
 };
 
 static void
-call_free(struct target_call *call)
+target_call_free(struct target_call *call)
 {
     TAILQ_REMOVE(&call->target->calls, call, link);
     call->target->call_count--;
@@ -34,7 +34,7 @@
 }
 
 static void
-call_end(struct target_call *call, struct target_result *result)
+target_call_end(struct target_call *call, struct target_result *result)
 {
     struct target *target = call->target;
     const struct target_counters *counters = &target->counters;
@@ -52,16 +52,17 @@
     result->latency_us = runtime_now_us(target->runtime) - call->started_us;
     const target_done_cb done = call->done;
     void *ctx = call->ctx;
-    call_free(call);
+    target_call_free(call);
     done(ctx, result);
 }
 
 static void
-call_end_without_answer(struct target_call *call, enum target_outcome outcome,
-                        enum target_reason reason)
+target_call_end_unanswered(struct target_call *call,
+                           enum target_outcome outcome,
+                           enum target_reason reason)
 {
-    call_end(call,
-             &(struct target_result){.outcome = outcome, .reason = reason});
+    target_call_end(
+        call, &(struct target_result){.outcome = outcome, .reason = reason});
 }
 
 /** Retry-After in seconds, as milliseconds; 0 if there is none. */
@@ -95,7 +96,8 @@
 }
 
 static void
-call_end_answered(struct target_call *call, const struct http_result *answer)
+target_call_answered(struct target_call *call,
+                     const struct http_result *answer)
 {
     struct target_result result = {
         .outcome = TARGET_ANSWERED,
@@ -114,7 +116,7 @@
             call->target->counters.shed->value++;
         }
     }
-    call_end(call, &result);
+    target_call_end(call, &result);
 }
 
 static void
@@ -125,28 +127,31 @@
     const bool late = runtime_now_us(target->runtime) >= call->deadline_us;
     switch (result->outcome) {
     case HTTP_ANSWERED:
-        call_end_answered(call, result);
+        target_call_answered(call, result);
         break;
     case HTTP_NOT_SENT:
-        call_end_without_answer(call, TARGET_NOT_RUN,
-                                late ? TARGET_REASON_DEADLINE
-                                     : TARGET_REASON_CONNECT);
+        target_call_end_unanswered(call, TARGET_NOT_RUN,
+                                   late ? TARGET_REASON_DEADLINE
+                                        : TARGET_REASON_CONNECT);
         break;
     case HTTP_REFUSED:
-        call_end_without_answer(call, TARGET_NOT_RUN, TARGET_REASON_CONNECT);
+        target_call_end_unanswered(call, TARGET_NOT_RUN,
+                                   TARGET_REASON_CONNECT);
         /* Not target_lost(): this is a callback of the client. */
         target_probe_after_disconnect(target);
         break;
     case HTTP_TIMED_OUT:
         target_send_cancel(target, call->request_id);
-        call_end_without_answer(call, TARGET_UNKNOWN, TARGET_REASON_DEADLINE);
+        target_call_end_unanswered(call, TARGET_UNKNOWN,
+                                   TARGET_REASON_DEADLINE);
         break;
-    case HTTP_CUT:
-        call_end_without_answer(call, TARGET_UNKNOWN, TARGET_REASON_CUT);
+    case HTTP_CONNECTION_LOST:
+        target_call_end_unanswered(call, TARGET_UNKNOWN, TARGET_REASON_CUT);
         target_probe_after_disconnect(target);
         break;
     case HTTP_MALFORMED:
-        call_end_without_answer(call, TARGET_UNKNOWN, TARGET_REASON_MALFORMED);
+        target_call_end_unanswered(call, TARGET_UNKNOWN,
+                                   TARGET_REASON_MALFORMED);
         break;
     }
 }
@@ -154,7 +159,7 @@
 static void
 on_failure(void *ctx)
 {
-    call_end_without_answer(ctx, TARGET_NOT_RUN, TARGET_REASON_NO_TARGET);
+    target_call_end_unanswered(ctx, TARGET_NOT_RUN, TARGET_REASON_NO_TARGET);
 }
 
 /** Header fields of a request, with a buffer for numbers. */
@@ -265,7 +270,7 @@
     if (sent) {
         target_send_cancel(target, call->request_id);
     }
-    call_free(call);
+    target_call_free(call);
 }
 
 void
@@ -275,8 +280,9 @@
     if (call->http != NULL) {
         http_call_cancel(call->http);
     }
-    call_end_without_answer(call, sent ? TARGET_UNKNOWN : TARGET_NOT_RUN,
-                            sent ? TARGET_REASON_CUT : TARGET_REASON_CONNECT);
+    target_call_end_unanswered(call, sent ? TARGET_UNKNOWN : TARGET_NOT_RUN,
+                               sent ? TARGET_REASON_CUT
+                                    : TARGET_REASON_CONNECT);
 }
 
 void
@@ -285,5 +291,5 @@
     if (call->http != NULL) {
         http_call_cancel(call->http);
     }
-    call_free(call);
+    target_call_free(call);
 }
