store, placement: has_more, timeout_us, read_back_delay_us, one placetask_now_us()

store_read_result.more is has_more (the field of the wire stays "more"). The resolver's limit_us and retry_us say now which time they limit and what they delay; its functions are named after the read back that they do. Three files of the placement task had a now_of() of their own.

--- a/packages/ctl/ctl.c
+++ b/packages/ctl/ctl.c
@@ -7,7 +7,7 @@
 #include "store/storehttp.h"
 #include "store/storeresolver.h"
 
-#define RESOLVE_RETRY_US (100 * US_PER_MS)
+#define READ_BACK_DELAY_US (100 * US_PER_MS)
 #define STORE_CALL_TIMEOUT_US (2 * US_PER_SECOND)
 #define ERROR_TEXT_SIZE 512
 
@@ -27,8 +27,8 @@
     }
     ctl->store = store_http_store(ctl->http);
     const struct store_resolver_options resolve = {
-        .retry_us = RESOLVE_RETRY_US,
-        .limit_us = ctl->options.timeout_us,
+        .read_back_delay_us = READ_BACK_DELAY_US,
+        .timeout_us = ctl->options.timeout_us,
     };
     ctl->resolver = store_resolver_create(ctl->runtime, &ctl->store, &resolve);
     return true;
--- a/packages/ctl/ctlstore.c
+++ b/packages/ctl/ctlstore.c
@@ -10,7 +10,7 @@
     struct ctl *ctl;
     enum store_outcome outcome;
     struct ctl_rows *rows; /* receives the rows read */
-    bool more;
+    bool has_more;
 };
 
 static void
@@ -29,7 +29,7 @@
 {
     struct store_wait *call = ctx;
     call->outcome = result->outcome;
-    call->more = result->more;
+    call->has_more = result->has_more;
     for (size_t i = 0; i < result->row_count; i++) {
         append_row(call->rows, &result->rows[i]);
     }
@@ -88,12 +88,12 @@
         .prefix = scan->prefix,
         .after = scan->after,
     };
-    struct store_wait call = {.ctl = ctl, .rows = rows, .more = true};
+    struct store_wait call = {.ctl = ctl, .rows = rows, .has_more = true};
     *rows = (struct ctl_rows){.rows = NULL};
-    while (call.more) {
+    while (call.has_more) {
         store_scan(&ctl->store, &request, on_read, &call);
         runtime_run(ctl->runtime);
-        const bool timed_out = call.more && ctl_remaining_us(ctl) == 0;
+        const bool timed_out = call.has_more && ctl_remaining_us(ctl) == 0;
         if (call.outcome != STORE_COMMITTED || timed_out) {
             ctl_rows_clear(rows);
             return fail_read(ctl, scan->table);
--- a/packages/membership/memberpoll.c
+++ b/packages/membership/memberpoll.c
@@ -84,7 +84,7 @@
         struct member row;
         member_apply_store_row(task, &result->rows[i], &row);
     }
-    if (result->more && result->row_count > 0) {
+    if (result->has_more && result->row_count > 0) {
         const char *last = result->rows[result->row_count - 1].name;
         size_t length = strnlen(last, STORE_NAME_MAX);
         memcpy(poll->after, last, length);
--- a/packages/placement/placerpc.c
+++ b/packages/placement/placerpc.c
@@ -9,12 +9,6 @@
 
 #define CALL_TIMEOUT_US (300 * US_PER_MS)
 
-static int64_t
-now_of(const struct placetask *task)
-{
-    return runtime_now_us(task->options.runtime);
-}
-
 /* Fills the fields common to all calls. @return false if the peer's address is
  * not known. */
 static bool
@@ -41,7 +35,7 @@
     place_operation_end(operation);
     placer_receiver_answered(task->placer, shard, attempt,
                              status == RPC_OK && answer->accepted,
-                             now_of(task));
+                             placetask_now_us(task));
     placetask_run_actions(task);
 }
 
@@ -53,7 +47,7 @@
     struct member row;
     if (!prepare_call(task, action->peer, &row, spec)) {
         placer_receiver_answered(task->placer, action->shard, action->attempt,
-                                 false, now_of(task));
+                                 false, placetask_now_us(task));
         place_action_destroy(action);
         return;
     }
@@ -169,8 +163,8 @@
 {
     bool cold;
     bool wants_load;
-    placer_load_report(task->placer, now_of(task), &load->load, &cold,
-                       &load->cold_limit, &wants_load);
+    placer_load_report(task->placer, placetask_now_us(task), &load->load,
+                       &cold, &load->cold_limit, &wants_load);
     load->cold = cold;
     load->wants = wants_load;
     load->service = (char *)task->service;
@@ -183,7 +177,7 @@
     if (strcmp(load->service, task->service) == 0) {
         placer_record_peer_load(task->placer, load->instance, load->load,
                                 load->cold, load->cold_limit, load->wants,
-                                now_of(task));
+                                placetask_now_us(task));
     }
 }
 
@@ -237,10 +231,10 @@
 {
     struct placetask *task = ctx;
     const struct move_reserve *args = data;
-    reply_accepted(request,
-                   is_own_service(task, args->service) &&
-                       placer_receive_reservation(task->placer, args->weight,
-                                                  args->urgent, now_of(task)));
+    reply_accepted(request, is_own_service(task, args->service) &&
+                                placer_receive_reservation(
+                                    task->placer, args->weight, args->urgent,
+                                    placetask_now_us(task)));
 }
 
 static void
@@ -258,9 +252,10 @@
         .blob = args->blob.blob_val,
         .blob_size = args->blob.blob_len,
     };
-    reply_accepted(request, is_own_service(task, args->service) &&
-                                placer_receive_handover(task->placer, &offer,
-                                                        now_of(task)));
+    reply_accepted(request,
+                   is_own_service(task, args->service) &&
+                       placer_receive_handover(task->placer, &offer,
+                                               placetask_now_us(task)));
 }
 
 static void
--- a/packages/placement/placestore.c
+++ b/packages/placement/placestore.c
@@ -10,12 +10,6 @@
 
 #define SCAN_BATCH 256 /* rows per read */
 
-static int64_t
-now_of(const struct placetask *task)
-{
-    return runtime_now_us(task->options.runtime);
-}
-
 static json_t *
 changes_to_json(const struct page_write *write)
 {
@@ -60,7 +54,7 @@
     task->unknown->value += result->outcome == STORE_UNKNOWN;
     place_operation_end(operation);
     placer_committed(task->placer, txn_id, result->outcome, result->version,
-                     now_of(task));
+                     placetask_now_us(task));
     placetask_run_actions(task);
 }
 
@@ -114,7 +108,7 @@
     const bool present = ok && page_of_row(&result->rows[0], &page);
     place_operation_end(operation);
     placer_page_read(task->placer, number, ok, present ? &page : NULL,
-                     ok ? result->rows[0].version : 0, now_of(task));
+                     ok ? result->rows[0].version : 0, placetask_now_us(task));
     placetask_run_actions(task);
 }
 
@@ -157,7 +151,7 @@
            uint64_t version)
 {
     if (task->placer != NULL) {
-        placer_apply_page(task->placer, page, version, now_of(task));
+        placer_apply_page(task->placer, page, version, placetask_now_us(task));
         return;
     }
     shardmap_apply(task->map, page, version, NULL, NULL);
@@ -174,7 +168,8 @@
         task->known_version = scan->version;
     }
     if (scan->for_placer && task->placer != NULL) {
-        placer_pages_scanned(task->placer, ok, scan->version, now_of(task));
+        placer_pages_scanned(task->placer, ok, scan->version,
+                             placetask_now_us(task));
     }
     if (task->scan_wanted) {
         task->scan_wanted = false;
@@ -201,7 +196,7 @@
             apply_page(task, &page, result->rows[i].version);
         }
     }
-    if (result->more && result->row_count > 0) {
+    if (result->has_more && result->row_count > 0) {
         snprintf(scan->after, sizeof(scan->after), "%s",
                  result->rows[result->row_count - 1].name);
         scan_batch(task);
--- a/packages/placement/placetask.c
+++ b/packages/placement/placetask.c
@@ -12,8 +12,8 @@
 /* Limit for the reads of changed pages by all members together. */
 #define TOTAL_POLLS_PER_SECOND 200
 
-static int64_t
-now_of(const struct placetask *task)
+int64_t
+placetask_now_us(const struct placetask *task)
 {
     return runtime_now_us(task->options.runtime);
 }
@@ -130,7 +130,7 @@
     while ((action = placer_next_action(task->placer)) != NULL) {
         run_action(task, action);
     }
-    const int64_t now_us = now_of(task);
+    const int64_t now_us = placetask_now_us(task);
     int64_t due_us = placer_due_us(task->placer);
     if (due_us < now_us + RUN_DELAY_MIN_US) {
         due_us = now_us + RUN_DELAY_MIN_US;
@@ -148,7 +148,7 @@
     if (task->placer == NULL) {
         return;
     }
-    placer_run(task->placer, now_of(task));
+    placer_run(task->placer, placetask_now_us(task));
     placetask_run_actions(task);
     update_counters(task);
 }
@@ -276,7 +276,7 @@
     };
     const struct placer_limits limits = limits_of(state, service);
     member_copy_name(task->service, service->name);
-    task->placer = placer_create(&spec, &limits, now_of(task));
+    task->placer = placer_create(&spec, &limits, placetask_now_us(task));
     if (task->placer == NULL) {
         abort();
     }
@@ -371,9 +371,9 @@
     member_copy_name(info.zone, row->zone);
     if (own && member_is_live(row)) {
         placer_set_own_row(task->placer, row->self.incarnation, row->version,
-                           now_of(task));
+                           placetask_now_us(task));
     }
-    placer_update_member(task->placer, &info, now_of(task));
+    placer_update_member(task->placer, &info, placetask_now_us(task));
     placetask_run_actions(task);
 }
 
@@ -418,7 +418,8 @@
                   size_t blob_size)
 {
     if (task->placer != NULL) {
-        placer_drained(task->placer, shard, blob, blob_size, now_of(task));
+        placer_drained(task->placer, shard, blob, blob_size,
+                       placetask_now_us(task));
         placetask_run_actions(task);
     }
 }
@@ -427,14 +428,14 @@
 placetask_serves(const struct placetask *task, uint32_t shard, uint32_t *epoch)
 {
     return task->placer != NULL &&
-           placer_serves(task->placer, shard, now_of(task), epoch);
+           placer_serves(task->placer, shard, placetask_now_us(task), epoch);
 }
 
 bool
 placetask_drains(const struct placetask *task, uint32_t shard, uint32_t *epoch)
 {
     return task->placer != NULL &&
-           placer_drains(task->placer, shard, now_of(task), epoch);
+           placer_drains(task->placer, shard, placetask_now_us(task), epoch);
 }
 
 bool
@@ -474,7 +475,8 @@
         return false;
     }
     if (task->placer != NULL) {
-        placer_apply_page(task->placer, &page, version, now_of(task));
+        placer_apply_page(task->placer, &page, version,
+                          placetask_now_us(task));
         placetask_run_actions(task);
     }
     else {
--- a/packages/placement/placetask_internal.h
+++ b/packages/placement/placetask_internal.h
@@ -60,6 +60,9 @@
     struct counter *map_bytes;
 };
 
+/** The time of the runtime's clock. */
+int64_t placetask_now_us(const struct placetask *task);
+
 /** Creates an operation, which takes ownership of the action. */
 struct place_operation *place_operation_start(struct placetask *task,
                                               struct place_action *action);
--- a/packages/standin/bench/bench_store.c
+++ b/packages/standin/bench/bench_store.c
@@ -59,7 +59,7 @@
     double bytes; /* sent and received */
 };
 
-static void start_call(struct worker *worker);
+static void worker_start_call(struct worker *worker);
 
 static void
 call_ended(struct worker *worker, enum store_outcome outcome)
@@ -75,7 +75,7 @@
         runtime_stop(bench->runtime);
     }
     else if (bench->started < bench->total) {
-        start_call(worker);
+        worker_start_call(worker);
     }
 }
 
@@ -117,7 +117,7 @@
 }
 
 static void
-start_call(struct worker *worker)
+worker_start_call(struct worker *worker)
 {
     struct bench *bench = worker->bench;
     const size_t number = bench->started++;
@@ -172,7 +172,7 @@
 }
 
 static int
-compare(const void *a, const void *b)
+compare_times(const void *a, const void *b)
 {
     const int64_t left = *(const int64_t *)a;
     const int64_t right = *(const int64_t *)b;
@@ -190,10 +190,11 @@
     bench->total = total;
     for (size_t i = 0; i < parallel; i++) {
         workers[i] = (struct worker){.bench = bench};
-        start_call(&workers[i]);
+        worker_start_call(&workers[i]);
     }
     runtime_run(bench->runtime);
-    qsort(bench->latencies_us, total, sizeof(bench->latencies_us[0]), compare);
+    qsort(bench->latencies_us, total, sizeof(bench->latencies_us[0]),
+          compare_times);
     return cost_since(bench, &before);
 }
 
@@ -206,7 +207,7 @@
         exit(EXIT_FAILURE);
     }
     bench->rows += result->row_count;
-    if (!result->more) {
+    if (!result->has_more) {
         runtime_stop(bench->runtime);
         return;
     }
@@ -336,7 +337,7 @@
 
 /** Writes the port to the pipe and serves until killed. */
 static void
-serve(int port_pipe)
+run_store(int port_pipe)
 {
     struct address listen;
     struct runtime *runtime = runtime_create(NULL);
@@ -387,7 +388,7 @@
     }
     const pid_t server = fork();
     if (server == 0) {
-        serve(port_pipe[1]);
+        run_store(port_pipe[1]);
     }
     if (server < 0 ||
         read(port_pipe[0], &port, sizeof(port)) != sizeof(port)) {
--- a/packages/store/bench/bench_resolve.c
+++ b/packages/store/bench/bench_resolve.c
@@ -21,7 +21,7 @@
 #define DELAY_WRITES_PERCENT 10
 #define DELAY_WRITES_US 3000000    /* of delayed writes */
 #define STEP_MAX_US 20000          /* maximum between commits */
-#define RETRY_US 100000            /* before a read back */
+#define READ_BACK_DELAY_US 100000  /* before a read back */
 #define TIMEOUT_US 10000000        /* of a commit */
 #define SETTLE_US 60000000         /* after the last commit */
 #define GOAL_RESOLVE_MS 1000       /* a key must be served again within 1 s */
@@ -93,7 +93,7 @@
         attempt_end(attempt, result->outcome);
         return;
     }
-    timer_start(&attempt->timer, RETRY_US);
+    timer_start(&attempt->timer, READ_BACK_DELAY_US);
 }
 
 static void
@@ -125,7 +125,7 @@
 }
 
 static int
-compare(const void *a, const void *b)
+compare_times(const void *a, const void *b)
 {
     const int64_t left = *(const int64_t *)a;
     const int64_t right = *(const int64_t *)b;
@@ -162,8 +162,8 @@
     static struct simulation simulation;
     struct random_state random;
     const struct store_resolver_options options = {
-        .retry_us = RETRY_US,
-        .limit_us = TIMEOUT_US,
+        .read_back_delay_us = READ_BACK_DELAY_US,
+        .timeout_us = TIMEOUT_US,
     };
     const struct store_faults faults = {
         .latency_us = LATENCY_US,
@@ -191,7 +191,8 @@
         add_result(&simulation, i, results);
         store_txn_destroy(simulation.attempts[i].txn);
     }
-    qsort(results->resolve_us, results->resolved, sizeof(int64_t), compare);
+    qsort(results->resolve_us, results->resolved, sizeof(int64_t),
+          compare_times);
     store_memory_destroy(simulation.memory);
     store_resolver_destroy(simulation.resolver);
     runtime_destroy(simulation.runtime);
--- a/packages/store/store.h
+++ b/packages/store/store.h
@@ -49,7 +49,7 @@
     const struct store_row *rows;
     size_t row_count;
     uint64_t version; /**< the store's commit sequence number at the read */
-    bool more;        /**< a scan's limit left out rows after these */
+    bool has_more;    /**< a scan's limit left out rows after these */
 };
 
 typedef void (*store_commit_cb)(void *ctx,
--- a/packages/store/storecodec.c
+++ b/packages/store/storecodec.c
@@ -156,7 +156,7 @@
                                               txn, "value", row->value));
     }
     return json_pack("{s:I, s:b, s:o}", "version", (json_int_t)result->version,
-                     "more", result->more, "rows", rows);
+                     "more", result->has_more, "rows", rows);
 }
 
 static bool
@@ -224,7 +224,7 @@
         .rows = *rows,
         .row_count = count,
         .version = (uint64_t)json_integer_value(version),
-        .more = json_is_true(more),
+        .has_more = json_is_true(more),
     };
     return true;
 }
--- a/packages/store/storememory.c
+++ b/packages/store/storememory.c
@@ -46,7 +46,7 @@
     struct store_row *rows;
     size_t row_count;
     uint64_t version;
-    bool more;
+    bool has_more;
 };
 
 /** A write that is applied after its call ended as STORE_UNKNOWN. */
@@ -171,7 +171,7 @@
     }
     call->rows = memory_calloc(max, sizeof(call->rows[0]));
     call->row_count =
-        store_tables_scan(tables, &scan, call->rows, max, &call->more);
+        store_tables_scan(tables, &scan, call->rows, max, &call->has_more);
     for (size_t i = 0; i < call->row_count; i++) {
         json_incref(call->rows[i].value);
     }
@@ -241,7 +241,7 @@
             .rows = done ? call->rows : NULL,
             .row_count = done ? call->row_count : 0,
             .version = call->version,
-            .more = done && call->more,
+            .has_more = done && call->has_more,
         };
         call->callback.read(call->ctx, &result);
     }
--- a/packages/store/storeresolver.c
+++ b/packages/store/storeresolver.c
@@ -45,8 +45,8 @@
 
 /** Runs the callback, which may destroy the resolver. */
 static void
-settle(struct pending_commit *pending,
-       const struct store_commit_result *result)
+end_commit(struct pending_commit *pending,
+           const struct store_commit_result *result)
 {
     TAILQ_REMOVE(&pending->resolver->commits, pending, link);
     pending->callback(pending->ctx, result);
@@ -54,22 +54,22 @@
 }
 
 static void
-settle_unknown(struct pending_commit *pending)
+end_commit_unknown(struct pending_commit *pending)
 {
     const struct store_commit_result result = {.outcome = STORE_UNKNOWN};
     LOG_WARN("commit_unresolved", LOG_UINT("txn", store_txn_id(pending->txn)));
-    settle(pending, &result);
+    end_commit(pending, &result);
 }
 
 static void
-retry_later(struct pending_commit *pending)
+schedule_read_back(struct pending_commit *pending)
 {
     struct store_resolver *resolver = pending->resolver;
     if (runtime_now_us(resolver->runtime) >= pending->deadline_us) {
-        settle_unknown(pending);
+        end_commit_unknown(pending);
         return;
     }
-    timer_start(&pending->timer, resolver->options.retry_us);
+    timer_start(&pending->timer, resolver->options.read_back_delay_us);
 }
 
 static void
@@ -82,14 +82,14 @@
     /* An attempt of unknown outcome may have caused a later one's conflict,
      * which only reading back shows. */
     if (result->outcome == STORE_COMMITTED || !pending->outcome_unknown) {
-        settle(pending, result);
+        end_commit(pending, result);
         return;
     }
-    retry_later(pending);
+    schedule_read_back(pending);
 }
 
 static void
-commit(struct pending_commit *pending)
+send_commit(struct pending_commit *pending)
 {
     store_commit(&pending->resolver->store, pending->txn, on_commit, pending);
 }
@@ -99,11 +99,11 @@
 resolve_not_found(struct pending_commit *pending)
 {
     if (pending->failed_condition == NULL) {
-        commit(pending);
+        send_commit(pending);
         return;
     }
     if (!pending->unwritten_row) {
-        settle_unknown(pending);
+        end_commit_unknown(pending);
         return;
     }
     const struct store_commit_result result = {
@@ -111,7 +111,7 @@
         .table = pending->failed_condition->table,
         .row = pending->failed_condition->row,
     };
-    settle(pending, &result);
+    end_commit(pending, &result);
 }
 
 /** Version that a condition expects of the row, or 0. */
@@ -136,7 +136,7 @@
     struct pending_commit *pending = ctx;
     const struct store_txn *txn = pending->txn;
     if (result->outcome != STORE_COMMITTED) {
-        retry_later(pending);
+        schedule_read_back(pending);
         return;
     }
     const struct store_row *row = &result->rows[0];
@@ -153,7 +153,7 @@
             .outcome = STORE_COMMITTED,
             .version = row->version,
         };
-        settle(pending, &committed);
+        end_commit(pending, &committed);
         return;
     }
     if (row->version == expected_version(txn, pending->write)) {
@@ -182,7 +182,7 @@
 
 /** Reads back conditions, then writes, as the header's rules require. */
 static void
-on_retry(void *ctx)
+on_read_back(void *ctx)
 {
     struct pending_commit *pending = ctx;
     pending->failed_condition = NULL;
@@ -251,8 +251,8 @@
     pending->callback = callback;
     pending->ctx = ctx;
     pending->deadline_us =
-        runtime_now_us(resolver->runtime) + resolver->options.limit_us;
-    timer_init(&pending->timer, resolver->runtime, on_retry, pending);
+        runtime_now_us(resolver->runtime) + resolver->options.timeout_us;
+    timer_init(&pending->timer, resolver->runtime, on_read_back, pending);
     TAILQ_INSERT_TAIL(&resolver->commits, pending, link);
-    commit(pending);
+    send_commit(pending);
 }
--- a/packages/store/storeresolver.h
+++ b/packages/store/storeresolver.h
@@ -22,8 +22,8 @@
 #include "store/store.h"
 
 struct store_resolver_options {
-    int64_t retry_us; /**< delay before each read back */
-    int64_t limit_us; /**< timeout, then STORE_UNKNOWN */
+    int64_t read_back_delay_us; /**< before each read back */
+    int64_t timeout_us;         /**< then the outcome is STORE_UNKNOWN */
 };
 
 struct store_resolver;
--- a/packages/store/test/storememory_test.cc
+++ b/packages/store/test/storememory_test.cc
@@ -19,7 +19,7 @@
     uint64_t version = 0;
     std::string conflict_row;
     std::vector<std::string> rows;
-    bool more = false;
+    bool has_more = false;
 };
 
 void
@@ -38,7 +38,7 @@
     auto *answer = static_cast<Answer *>(ctx);
     answer->reads++;
     answer->outcome = result->outcome;
-    answer->more = result->more;
+    answer->has_more = result->has_more;
     answer->rows.clear();
     for (size_t i = 0; i < result->row_count; i++) {
         const struct store_row &row = result->rows[i];
@@ -123,12 +123,12 @@
     store_scan(&store, &scan, on_read, &answer);
     runtime_advance(runtime, 0);
     EXPECT_EQ((std::vector<std::string>{"x/2+"}), answer.rows);
-    EXPECT_TRUE(answer.more);
+    EXPECT_TRUE(answer.has_more);
     scan.after = "x/2";
     store_scan(&store, &scan, on_read, &answer);
     runtime_advance(runtime, 0);
     EXPECT_EQ((std::vector<std::string>{"x/3+"}), answer.rows);
-    EXPECT_FALSE(answer.more);
+    EXPECT_FALSE(answer.has_more);
     scan = {};
     scan.table = "t";
     scan.prefix = "";
