entry, node: shorter functions for replies; full_pause_until_us

on_reply() of an ingress attempt records, then handles the answer or its lack; choice_attempt_ended() applies the result in a function of its own. full_until_us says now that it is the pause after a full member.

No change of behaviour: the test entry passes.

--- a/packages/entry/choice.c
+++ b/packages/entry/choice.c
@@ -32,7 +32,7 @@
 choice_is_usable(const struct choice_member *member, int64_t now_us)
 {
     return !member->suspended && now_us >= member->draining_until_us &&
-           now_us >= member->full_until_us &&
+           now_us >= member->full_pause_until_us &&
            member->outstanding < member->attempt_limit;
 }
 
--- a/packages/entry/choice_internal.h
+++ b/packages/entry/choice_internal.h
@@ -34,7 +34,7 @@
     uint32_t limit;
     bool cold;
     int64_t draining_until_us;
-    int64_t full_until_us;
+    int64_t full_pause_until_us;
     /* Suspended because it was slow or failed. */
     bool suspended;
     bool unreachable; /* by the latest attempt */
--- a/packages/entry/choicefeedback.c
+++ b/packages/entry/choicefeedback.c
@@ -199,27 +199,11 @@
     }
 }
 
-void
-choice_attempt_ended(struct choice *choice, struct choice_attempt *attempt,
-                     int64_t now_us, enum choice_result result,
-                     const struct forward_load *load)
+static void
+choice_apply_result(struct choice *choice, struct choice_member *member,
+                    enum choice_result result, double latency_us,
+                    int64_t now_us)
 {
-    if (!attempt->active) {
-        return;
-    }
-    struct choice_member *member = &choice->members[attempt->member];
-    const double latency_us = (double)(now_us - attempt->started_us);
-    attempt->active = false;
-    TAILQ_REMOVE(&member->attempts, attempt, link);
-    member->outstanding--;
-    if (load != NULL) {
-        choice_apply_load(member, now_us, load);
-    }
-    if (result != CHOICE_ABANDONED) {
-        member->stall_expected_answers = 0;
-        member->stall_checked_us = now_us;
-        member->unreachable = result == CHOICE_UNREACHABLE;
-    }
     switch (result) {
     case CHOICE_ANSWERED:
         member->consecutive_losses = 0;
@@ -238,7 +222,7 @@
         choice_on_abandoned(choice, member, latency_us, now_us);
         break;
     case CHOICE_FULL:
-        member->full_until_us =
+        member->full_pause_until_us =
             now_us + (int64_t)(choice->baseline_us * FULL_PAUSE_RATIO);
         choice_on_refused(choice, member, now_us);
         break;
@@ -246,6 +230,30 @@
         choice_on_refused(choice, member, now_us);
         break;
     }
+}
+
+void
+choice_attempt_ended(struct choice *choice, struct choice_attempt *attempt,
+                     int64_t now_us, enum choice_result result,
+                     const struct forward_load *load)
+{
+    if (!attempt->active) {
+        return;
+    }
+    struct choice_member *member = &choice->members[attempt->member];
+    const double latency_us = (double)(now_us - attempt->started_us);
+    attempt->active = false;
+    TAILQ_REMOVE(&member->attempts, attempt, link);
+    member->outstanding--;
+    if (load != NULL) {
+        choice_apply_load(member, now_us, load);
+    }
+    if (result != CHOICE_ABANDONED) {
+        member->stall_expected_answers = 0;
+        member->stall_checked_us = now_us;
+        member->unreachable = result == CHOICE_UNREACHABLE;
+    }
+    choice_apply_result(choice, member, result, latency_us, now_us);
     if (member->removed && member->outstanding == 0) {
         choice_free_member(choice, member);
     }
--- a/packages/node/ingressattempt.c
+++ b/packages/node/ingressattempt.c
@@ -294,26 +294,19 @@
     call_failed(call, instance);
 }
 
+/** Records in the instance table what a reply tells about the instance. */
 static void
-on_reply(void *ctx, enum rpc_status status, const struct relay_reply *reply)
+record_reply(const struct ingress_attempt *attempt,
+             const struct relay_reply *reply)
 {
-    struct ingress_attempt *attempt = ctx;
-    struct ingress_call *call = attempt->call;
     struct instancetable_instance *instance = attempt->instance;
-    attempt->relay_call = NULL;
-    instancetable_record_ended(instance);
-    nodemetrics_record(call->ingress->node->nodemetrics, NODEMETRICS_RELAY,
-                       ingress_now_us(call) - attempt->sent_us);
-    if (status != RPC_OK) {
-        on_no_reply(call, instance, status);
-        return;
-    }
+    const int64_t now_us = ingress_now_us(attempt->call);
     const bool failed = reply->outcome == RELAY_UNKNOWN ||
                         reply->reason == RELAY_REASON_SHED ||
                         reply->reason == RELAY_REASON_CONNECT;
-    instancetable_record_reached(instance, ingress_now_us(call));
+    instancetable_record_reached(instance, now_us);
     if (reply->reason == RELAY_REASON_FULL) {
-        instancetable_record_overload(instance, ingress_now_us(call),
+        instancetable_record_overload(instance, now_us,
                                       (int64_t)reply->retry_after_us);
     }
     if (reply->reason == RELAY_REASON_LEAVING) {
@@ -322,14 +315,17 @@
     }
     instancetable_record_load(instance, reply->load, reply->cold);
     if (reply->outcome == RELAY_ANSWERED || failed) {
-        instancetable_record_result(instance, ingress_now_us(call),
-                                    ingress_now_us(call) - attempt->sent_us,
-                                    failed);
-    }
-    if (reply->outcome == RELAY_ANSWERED) {
-        on_answered(call, reply);
-        return;
+        instancetable_record_result(instance, now_us,
+                                    now_us - attempt->sent_us, failed);
     }
+}
+
+/** Handles a reply without an answer of the target. */
+static void
+on_not_answered(struct ingress_call *call,
+                struct instancetable_instance *instance,
+                const struct relay_reply *reply)
+{
     call->reason = reply->reason;
     call->timed_out = reply->reason == RELAY_REASON_DEADLINE;
     call->owner = reply->owner[0] != '\0'
@@ -349,3 +345,25 @@
              LOG_UINT("load", reply->load));
     call_failed(call, instance);
 }
+
+static void
+on_reply(void *ctx, enum rpc_status status, const struct relay_reply *reply)
+{
+    struct ingress_attempt *attempt = ctx;
+    struct ingress_call *call = attempt->call;
+    struct instancetable_instance *instance = attempt->instance;
+    attempt->relay_call = NULL;
+    instancetable_record_ended(instance);
+    nodemetrics_record(call->ingress->node->nodemetrics, NODEMETRICS_RELAY,
+                       ingress_now_us(call) - attempt->sent_us);
+    if (status != RPC_OK) {
+        on_no_reply(call, instance, status);
+        return;
+    }
+    record_reply(attempt, reply);
+    if (reply->outcome == RELAY_ANSWERED) {
+        on_answered(call, reply);
+        return;
+    }
+    on_not_answered(call, instance, reply);
+}
