ctl, membership, spread: logic that stood twice stands once

apply and diff load the file of the first argument by one function, both requests for a certificate fill their arguments by one, and the bytes of the entries of a message and a reply are counted by one. The size of a message was defined in spread.c and in spread_internal.h.

--- a/packages/ctl/cmdapply.c
+++ b/packages/ctl/cmdapply.c
@@ -187,11 +187,7 @@
 {
     json_t *document;
     struct state *state;
-    enum ctl_exit code = ctl_require_store(ctl);
-    if (code == CTL_OK) {
-        code =
-            ctl_load_state(ctl, ctl->options.arguments[0], &document, &state);
-    }
+    enum ctl_exit code = ctl_load_argument(ctl, &document, &state);
     if (code != CTL_OK) {
         return code;
     }
--- a/packages/ctl/ctlconfig.c
+++ b/packages/ctl/ctlconfig.c
@@ -17,6 +17,16 @@
     return ctl_fail_problems(ctl, name, &problems);
 }
 
+enum ctl_exit
+ctl_load_argument(struct ctl *ctl, json_t **document, struct state **state)
+{
+    const enum ctl_exit code = ctl_require_store(ctl);
+    if (code != CTL_OK) {
+        return code;
+    }
+    return ctl_load_state(ctl, ctl->options.arguments[0], document, state);
+}
+
 enum ctl_exit
 ctl_read_head(struct ctl *ctl, struct revision_head *head, uint64_t *version)
 {
--- a/packages/ctl/ctlconfig.h
+++ b/packages/ctl/ctlconfig.h
@@ -21,6 +21,10 @@
 enum ctl_exit ctl_load_state(struct ctl *ctl, const char *name,
                              json_t **document, struct state **state);
 
+/** Requires a store and loads the file that the first argument names. */
+enum ctl_exit ctl_load_argument(struct ctl *ctl, json_t **document,
+                                struct state **state);
+
 /** Reads the head's row. Prints errors. */
 enum ctl_exit ctl_read_head(struct ctl *ctl, struct revision_head *head,
                             uint64_t *version);
--- a/packages/membership/membercall.c
+++ b/packages/membership/membercall.c
@@ -100,3 +100,15 @@
     LIST_REMOVE(operation, link);
     free(operation);
 }
+
+struct lease_certify_args
+member_certify_args(const struct member *row,
+                    const struct member_ref *guardian)
+{
+    return (struct lease_certify_args){
+        .holder = row->self.incarnation,
+        .guardian = guardian->incarnation,
+        .row_version = row->version,
+        .lease_us = (u_int)row->lease_us,
+    };
+}
--- a/packages/membership/memberfence.c
+++ b/packages/membership/memberfence.c
@@ -64,12 +64,7 @@
     const struct member *row = fence_row(fence);
     struct address address;
     struct membertable_view view;
-    const struct lease_certify_args args = {
-        .holder = row->self.incarnation,
-        .guardian = guardian->incarnation,
-        .row_version = row->version,
-        .lease_us = (u_int)row->lease_us,
-    };
+    const struct lease_certify_args args = member_certify_args(row, guardian);
     if (member_ref_equal(guardian, &task->self.self)) {
         certify_locally(task, fence, guardian, &args);
         return;
--- a/packages/membership/membertask.c
+++ b/packages/membership/membertask.c
@@ -348,12 +348,8 @@
     for (size_t i = 0; i < row->guardians.count; i++) {
         const struct member_ref *guardian = &row->guardians.refs[i];
         struct address address;
-        const struct lease_certify_args args = {
-            .holder = row->self.incarnation,
-            .guardian = guardian->incarnation,
-            .row_version = row->version,
-            .lease_us = (u_int)row->lease_us,
-        };
+        const struct lease_certify_args args =
+            member_certify_args(row, guardian);
         if (member_ref_equal(guardian, &task->self.self)) {
             member_watch_probe(task, row->self.incarnation);
         }
--- a/packages/membership/membertask_internal.h
+++ b/packages/membership/membertask_internal.h
@@ -182,6 +182,12 @@
                        const struct address *address, const void *args);
 void member_call_cancel_all(struct membertask *task);
 
+/** Arguments of a call that asks the guardian to certify that it renews the
+ * lease of this row no more. */
+struct lease_certify_args
+member_certify_args(const struct member *row,
+                    const struct member_ref *guardian);
+
 struct member_operation *member_operation_start(struct membertask *task,
                                                 uint64_t owner_serial,
                                                 uint64_t txn_id);
--- a/packages/spread/spread.c
+++ b/packages/spread/spread.c
@@ -7,10 +7,9 @@
 
 #include "base/runtime.h"
 
-#define PUSHES_EXTRA 6                 /* per item, on top of ln(members) */
-#define BURST_SECONDS 3.0              /* of bytes_per_second, saved at most */
-#define SPREAD_MESSAGE_ITEM_BYTES 1200 /* most for items in a message */
-#define ITEMS_PER_BUCKET 8             /* expected in a section */
+#define PUSHES_EXTRA 6     /* per item, on top of ln(members) */
+#define BURST_SECONDS 3.0  /* of bytes_per_second, saved at most */
+#define ITEMS_PER_BUCKET 8 /* expected in a section */
 #define FETCH_RETRY_US INT64_C(1000000)
 
 struct spread *
@@ -285,16 +284,25 @@
     return count;
 }
 
+static size_t
+entries_bytes(const struct spread_entry *entries, u_int count)
+{
+    size_t bytes = 0;
+
+    for (u_int i = 0; i < count; i++) {
+        bytes += SPREAD_ENTRY_BYTES + strlen(entries[i].name) +
+                 entries[i].payload.payload_len;
+    }
+    return bytes;
+}
+
 size_t
 spread_message_bytes(const struct spread_message *message)
 {
-    size_t bytes = SPREAD_HEADER_BYTES + 40 + strlen(message->from);
+    const size_t bytes =
+        SPREAD_HEADER_BYTES + 40 + strlen(message->from) +
+        entries_bytes(message->items.items_val, message->items.items_len);
 
-    for (u_int i = 0; i < message->items.items_len; i++) {
-        const struct spread_entry *entry = &message->items.items_val[i];
-        bytes += SPREAD_ENTRY_BYTES + strlen(entry->name) +
-                 entry->payload.payload_len;
-    }
     return bytes + 4 * (size_t)message->sums.sums_len +
            8 * (size_t)message->wanted.wanted_len;
 }
@@ -302,13 +310,10 @@
 size_t
 spread_reply_bytes(const struct spread_reply *reply)
 {
-    size_t bytes = SPREAD_HEADER_BYTES + 24;
+    const size_t bytes =
+        SPREAD_HEADER_BYTES + 24 +
+        entries_bytes(reply->items.items_val, reply->items.items_len);
 
-    for (u_int i = 0; i < reply->items.items_len; i++) {
-        const struct spread_entry *entry = &reply->items.items_val[i];
-        bytes += SPREAD_ENTRY_BYTES + strlen(entry->name) +
-                 entry->payload.payload_len;
-    }
     return bytes + 4 * (size_t)reply->buckets.buckets_len +
            16 * (size_t)reply->known.known_len;
 }
