Static functions are named after what they do

find, take_over, probe, serve, settle, compare, start_call and load_item named different things in several folders. The name of a static function has its module's prefix or says what it acts on. A comment of the histogram said "at or cumulative" for "at or below".

--- a/packages/base/histogram.c
+++ b/packages/base/histogram.c
@@ -100,7 +100,7 @@
     return 0;
 }
 
-/** Durations in buckets that lie wholly at or cumulative the bound. */
+/** Durations in buckets that lie wholly at or below the bound. */
 static uint64_t
 count_up_to(const struct histogram *histogram, int64_t bound_us)
 {
--- a/packages/membership/bench/bench_lease.c
+++ b/packages/membership/bench/bench_lease.c
@@ -61,7 +61,7 @@
 }
 
 static int
-compare(const void *a, const void *b)
+compare_times(const void *a, const void *b)
 {
     const int64_t *left = a;
     const int64_t *right = b;
@@ -115,8 +115,8 @@
         times_us[seed - 1] = result.first_fence_us - config.kill_us;
         baseline_us[seed - 1] = store_lease_end_us(&random);
     }
-    qsort(times_us, RUNS, sizeof(times_us[0]), compare);
-    qsort(baseline_us, RUNS, sizeof(baseline_us[0]), compare);
+    qsort(times_us, RUNS, sizeof(times_us[0]), compare_times);
+    qsort(baseline_us, RUNS, sizeof(baseline_us[0]), compare_times);
     snprintf(figure, sizeof(figure), "lease_%s_to_fence_p50", name);
     print_with_baseline(figure, percentile_ms(times_us, RUNS, 50), "ms",
                         FENCE_GOAL_MS, percentile_ms(baseline_us, RUNS, 50));
--- a/packages/membership/memberwatch.c
+++ b/packages/membership/memberwatch.c
@@ -101,8 +101,8 @@
 }
 
 static void
-probe(struct membertask *task, struct member_contact *contact,
-      const struct member *row)
+probe_holder(struct membertask *task, struct member_contact *contact,
+             const struct member *row)
 {
     int64_t now_us = member_now_us(task);
     if (contact->last_probe_us != LEASE_NEVER_US &&
@@ -121,7 +121,7 @@
     struct member row;
     struct member_contact *contact = add_contact(task, holder);
     if (find_guarded_row(task, contact, &row)) {
-        probe(task, contact, &row);
+        probe_holder(task, contact, &row);
     }
 }
 
@@ -178,7 +178,7 @@
     if (!find_guarded_row(task, contact, &row)) {
         return;
     }
-    probe(task, contact, &row);
+    probe_holder(task, contact, &row);
     int64_t unresponsive_us = now_us - record->last_contact_us;
     int64_t fence_delay_us =
         record->lease_us * CERTIFY_PERCENT / 100 +
--- a/packages/membership/modelnet.c
+++ b/packages/membership/modelnet.c
@@ -37,7 +37,7 @@
 
 /** Handles a call at a node, whose process may be gone. */
 static void
-serve(struct model *model, const struct model_event *event)
+handle_call(struct model *model, const struct model_event *event)
 {
     struct model_node *node = &model->nodes[event->to];
     struct model_event *answer;
@@ -259,7 +259,7 @@
     }
     else if (event->kind == MODEL_RENEW || event->kind == MODEL_CERTIFY ||
              event->kind == MODEL_PROBE) {
-        serve(model, event);
+        handle_call(model, event);
     }
     else if (node->alive && event->generation == node->generation) {
         deliver_answer(model, event);
--- a/packages/placement/handovers.c
+++ b/packages/placement/handovers.c
@@ -57,7 +57,7 @@
 }
 
 static struct handover *
-find(const struct handovers *handovers, uint32_t shard)
+handovers_find(const struct handovers *handovers, uint32_t shard)
 {
     struct handover *handover;
 
@@ -86,7 +86,7 @@
 handovers_put(struct handovers *handovers, const struct handover_info *info,
               int64_t now_us)
 {
-    struct handover *handover = find(handovers, info->shard);
+    struct handover *handover = handovers_find(handovers, info->shard);
 
     if (handover != NULL && !is_later(handover, info)) {
         return false;
@@ -121,7 +121,7 @@
 handovers_extract(struct handovers *handovers, uint32_t shard, uint32_t epoch,
                   void **blob, size_t *blob_size)
 {
-    struct handover *handover = find(handovers, shard);
+    struct handover *handover = handovers_find(handovers, shard);
     bool found;
 
     if (handover == NULL) {
--- a/packages/placement/hotkeys.c
+++ b/packages/placement/hotkeys.c
@@ -108,7 +108,7 @@
 }
 
 static uint16_t
-find(const struct hotkeys *hotkeys, uint64_t hash)
+hotkeys_find_counter(const struct hotkeys *hotkeys, uint64_t hash)
 {
     uint16_t index = hotkeys->buckets[hash % BUCKETS];
 
@@ -163,7 +163,7 @@
     uint16_t index;
 
     decay(hotkeys, now_us);
-    index = find(hotkeys, hash);
+    index = hotkeys_find_counter(hotkeys, hash);
     if (index == NO_COUNTER) {
         index = allocate_counter(hotkeys, hash, shard);
     }
--- a/packages/placement/ownertable.c
+++ b/packages/placement/ownertable.c
@@ -57,7 +57,7 @@
 }
 
 static uint16_t
-find(const struct ownertable *table, const char *name)
+ownertable_find(const struct ownertable *table, const char *name)
 {
     uint16_t number = table->buckets[hash_string(name) % BUCKETS];
 
@@ -98,7 +98,7 @@
     if (name[0] == '\0') {
         return 0;
     }
-    number = find(table, name);
+    number = ownertable_find(table, name);
     if (number == 0) {
         uint16_t *bucket = bucket_of(table, name);
         number = allocate_number(table);
@@ -139,7 +139,7 @@
 uint32_t
 ownertable_shard_count(const struct ownertable *table, const char *name)
 {
-    uint16_t number = find(table, name);
+    uint16_t number = ownertable_find(table, name);
 
     return number == 0 ? 0 : table->owners[number].shards;
 }
--- a/packages/placement/pagewriter.c
+++ b/packages/placement/pagewriter.c
@@ -210,7 +210,7 @@
 
 /* True once no write of unknown outcome can take effect any more. */
 static bool
-settle(const struct pagewriter *writer, struct page_queue *queue)
+clear_resolved(const struct pagewriter *writer, struct page_queue *queue)
 {
     uint64_t version = shardmap_page_version(
         writer->spec.map, writer->spec.service, queue->page);
@@ -239,7 +239,7 @@
 static void
 end_decided_changes(struct pagewriter *writer, struct page_queue *queue)
 {
-    bool resolved = !has_unresolved(queue) || settle(writer, queue);
+    bool resolved = !has_unresolved(queue) || clear_resolved(writer, queue);
     struct shardpage page;
     struct shardchange *change = TAILQ_FIRST(&queue->changes);
 
--- a/packages/placement/placer.c
+++ b/packages/placement/placer.c
@@ -415,7 +415,7 @@
 }
 
 static void
-probe(struct placer *placer)
+exchange_load(struct placer *placer)
 {
     const struct peer *peer;
 
@@ -457,7 +457,7 @@
         placer_rebalance(placer);
     }
     if (now_us >= placer->load_exchange_due_us) {
-        probe(placer);
+        exchange_load(placer);
     }
     pagewriter_run(placer->writer, now_us);
 }
--- a/packages/protocol/bench/bench_rpc.c
+++ b/packages/protocol/bench/bench_rpc.c
@@ -87,7 +87,7 @@
     rpc_request_reply(request, args);
 }
 
-static void start_call(struct bench_call *bench_call);
+static void bench_call_start(struct bench_call *bench_call);
 
 static void
 on_done(void *ctx, enum rpc_status status, const void *result)
@@ -105,12 +105,12 @@
         runtime_stop(bench->runtime);
     }
     else if (bench->started < bench->total) {
-        start_call(bench_call);
+        bench_call_start(bench_call);
     }
 }
 
 static void
-start_call(struct bench_call *bench_call)
+bench_call_start(struct bench_call *bench_call)
 {
     struct bench *bench = bench_call->bench;
     static const uint64_t number = 1;
@@ -136,7 +136,7 @@
 }
 
 static int
-compare(const void *a, const void *b)
+compare_times(const void *a, const void *b)
 {
     const int64_t left = *(const int64_t *)a;
     const int64_t right = *(const int64_t *)b;
@@ -166,12 +166,13 @@
     const double before = cpu_seconds();
     for (size_t i = 0; i < outstanding; i++) {
         bench_calls[i] = (struct bench_call){.bench = bench};
-        start_call(&bench_calls[i]);
+        bench_call_start(&bench_calls[i]);
     }
     runtime_run(bench->runtime);
     const double used = cpu_seconds() - before;
     free(bench_calls);
-    qsort(bench->latencies_us, total, sizeof(*bench->latencies_us), compare);
+    qsort(bench->latencies_us, total, sizeof(*bench->latencies_us),
+          compare_times);
     return used;
 }
 
--- a/packages/spread/config.c
+++ b/packages/spread/config.c
@@ -75,8 +75,8 @@
 }
 
 static void
-take_over(struct config *config, uint64_t revision, const json_t *document,
-          const char *digest)
+config_put_in_force(struct config *config, uint64_t revision,
+                    const json_t *document, const char *digest)
 {
     json_decref(config->document);
     config->document = json_deep_copy(document);
@@ -111,7 +111,7 @@
                          "config")) {
         return CONFIG_SUPERSEDED;
     }
-    take_over(config, revision, document, digest);
+    config_put_in_force(config, revision, document, digest);
     return CONFIG_IN_FORCE;
 }
 
@@ -159,7 +159,7 @@
 }
 
 static struct member_ack *
-find(const struct config *config, const char *instance)
+config_find_ack(const struct config *config, const char *instance)
 {
     size_t bucket = hash_string(instance) % MEMBER_BUCKETS;
     struct member_ack *ack;
@@ -176,7 +176,7 @@
 config_add_member(struct config *config, const char *instance)
 {
     size_t bucket = hash_string(instance) % MEMBER_BUCKETS;
-    struct member_ack *ack = find(config, instance);
+    struct member_ack *ack = config_find_ack(config, instance);
 
     if (ack != NULL) {
         return;
@@ -192,7 +192,7 @@
 void
 config_remove_member(struct config *config, const char *instance)
 {
-    struct member_ack *ack = find(config, instance);
+    struct member_ack *ack = config_find_ack(config, instance);
 
     if (ack != NULL) {
         LIST_REMOVE(ack, link);
@@ -204,7 +204,7 @@
 config_record_acknowledged(struct config *config, const char *instance,
                            uint64_t revision)
 {
-    struct member_ack *ack = find(config, instance);
+    struct member_ack *ack = config_find_ack(config, instance);
 
     if (ack != NULL && revision > ack->revision) {
         ack->revision = revision;
@@ -214,7 +214,7 @@
 uint64_t
 config_acknowledged_revision(const struct config *config, const char *instance)
 {
-    const struct member_ack *ack = find(config, instance);
+    const struct member_ack *ack = config_find_ack(config, instance);
 
     return ack == NULL ? 0 : ack->revision;
 }
--- a/packages/spread/spreadtask.c
+++ b/packages/spread/spreadtask.c
@@ -224,7 +224,7 @@
 }
 
 static void
-serve(struct spreadtask *task)
+spreadtask_register_procedures(struct spreadtask *task)
 {
     struct rpc_procedure message = {
         .number = PROCEDURE_SPREAD,
@@ -293,7 +293,7 @@
         return NULL;
     }
     add_counters(task, options->counters);
-    serve(task);
+    spreadtask_register_procedures(task);
     timer_init(&task->timer, options->runtime, on_timer, task);
     timer_start(&task->timer, 0);
     return task;
--- a/packages/standin/loadrun.c
+++ b/packages/standin/loadrun.c
@@ -22,8 +22,8 @@
 #define TICK_INTERVAL_US (1 * US_PER_MS)
 
 /** One request and its retries. */
-struct load_item {
-    STAILQ_ENTRY(load_item) link;
+struct load_request {
+    STAILQ_ENTRY(load_request) link;
     struct load_run *run;
     struct timer retry_timer;
     bool is_order;
@@ -34,7 +34,7 @@
     char key[ID_SIZE];
 };
 
-STAILQ_HEAD(load_item_queue, load_item);
+STAILQ_HEAD(load_request_queue, load_request);
 
 /** A connection to one entry; carries at most one request at a time. */
 struct load_connection {
@@ -42,7 +42,7 @@
     struct load_run *run;
     const struct address *entry;
     struct evhttp_connection *http;
-    struct load_item *item;
+    struct load_request *request;
 };
 
 LIST_HEAD(load_connection_list, load_connection);
@@ -55,7 +55,7 @@
     struct random_state random;
     struct load_connection *connections;
     struct load_connection_list free;
-    struct load_item_queue waiting;
+    struct load_request_queue waiting;
     size_t waiting_count;
     size_t open; /* requests without a final outcome */
     uint64_t arrivals;
@@ -71,14 +71,16 @@
 static void run_send_waiting(struct load_run *run);
 
 static void
-log_outcome(const struct load_item *item, const char *outcome, int status)
+log_outcome(const struct load_request *request, const char *outcome,
+            int status)
 {
-    FILE *file = item->run->config.outcome_log;
-    if (file != NULL && item->is_order) {
+    FILE *file = request->run->config.outcome_log;
+    if (file != NULL && request->is_order) {
         fprintf(file,
                 "{\"id\":\"%s\",\"path\":\"%s\",\"sending\":%u,"
                 "\"told\":\"%s\",\"status\":%d}\n",
-                item->id, item->path, item->attempts, outcome, status);
+                request->id, request->path, request->attempts, outcome,
+                status);
     }
 }
 
@@ -91,71 +93,74 @@
 }
 
 static void
-run_enqueue(struct load_run *run, struct load_item *item)
+run_enqueue(struct load_run *run, struct load_request *request)
 {
-    STAILQ_INSERT_TAIL(&run->waiting, item, link);
+    STAILQ_INSERT_TAIL(&run->waiting, request, link);
     run->waiting_count++;
     run_send_waiting(run);
 }
 
 static void
-item_on_retry(void *ctx)
+request_on_retry(void *ctx)
 {
-    struct load_item *item = ctx;
-    run_enqueue(item->run, item);
+    struct load_request *request = ctx;
+    run_enqueue(request->run, request);
 }
 
 static void
-item_end(struct load_item *item)
+request_end(struct load_request *request)
 {
-    struct load_run *run = item->run;
+    struct load_run *run = request->run;
     const int64_t now_us = runtime_now_us(run->runtime);
-    load_result_add_latency(run->result, now_us - item->due_us);
-    free(item);
+    load_result_add_latency(run->result, now_us - request->due_us);
+    free(request);
     run->open--;
     run_check_done(run);
 }
 
 /** Records an attempt's outcome; retries an unanswered order, else ends the
- * item. */
+ * request. */
 static void
-item_finish_attempt(struct load_item *item, const char *outcome, int status)
+request_finish_attempt(struct load_request *request, const char *outcome,
+                       int status)
 {
-    struct load_run *run = item->run;
+    struct load_run *run = request->run;
     char text[16];
     snprintf(text, sizeof(text), "%d", status);
     load_result_count(run->result, "status", text);
     load_result_count(run->result, "outcome", outcome);
-    log_outcome(item, outcome, status);
-    const bool retry = item->is_order && strcmp(outcome, "answered") != 0 &&
-                       item->attempts <= run->config.retries_max;
+    log_outcome(request, outcome, status);
+    const bool retry = request->is_order && strcmp(outcome, "answered") != 0 &&
+                       request->attempts <= run->config.retries_max;
     if (!retry) {
         load_result_count(run->result,
-                          item->is_order ? "orders_end" : "gets_end", outcome);
-        item_end(item);
+                          request->is_order ? "orders_end" : "gets_end",
+                          outcome);
+        request_end(request);
         return;
     }
     load_result_count(run->result, "resent", outcome);
-    timer_start(&item->retry_timer, RETRY_DELAY_US);
+    timer_start(&request->retry_timer, RETRY_DELAY_US);
 }
 
 /** Whether the answer's body echoes the request's path and id. */
 static bool
-answer_matches_request(const struct load_item *item, struct evbuffer *body)
+answer_matches_request(const struct load_request *request,
+                       struct evbuffer *body)
 {
     char expected[PATH_SIZE + ID_SIZE + 32];
     snprintf(expected, sizeof(expected), "{\"path\":\"%s\",\"id\":\"%s%s",
-             item->path, item->id, item->is_order ? "\"" : "");
+             request->path, request->id, request->is_order ? "\"" : "");
     const size_t size = strlen(expected);
     const unsigned char *start = evbuffer_pullup(body, (ev_ssize_t)size);
     return start != NULL && memcmp(start, expected, size) == 0;
 }
 
 static const char *
-answer_outcome(struct evhttp_request *request, int status)
+answer_outcome(struct evhttp_request *http_request, int status)
 {
     const char *outcome = evhttp_find_header(
-        evhttp_request_get_input_headers(request), HTTP_OUTCOME_HEADER);
+        evhttp_request_get_input_headers(http_request), HTTP_OUTCOME_HEADER);
     if (outcome != NULL) {
         return outcome;
     }
@@ -163,22 +168,22 @@
 }
 
 static void
-check_answer(const struct load_item *item, struct evhttp_request *request,
-             int status)
+check_answer(const struct load_request *request,
+             struct evhttp_request *http_request, int status)
 {
-    struct load_run *run = item->run;
+    struct load_run *run = request->run;
     if (status != 200) {
         return;
     }
-    struct evbuffer *body = evhttp_request_get_input_buffer(request);
-    if (!answer_matches_request(item, body)) {
+    struct evbuffer *body = evhttp_request_get_input_buffer(http_request);
+    if (!answer_matches_request(request, body)) {
         load_result_count(run->result, "faults", "wrong_answer");
     }
     else if (run->config.answer_size > evbuffer_get_length(body)) {
         load_result_count(run->result, "faults", "short_answer");
     }
     const char *target = evhttp_find_header(
-        evhttp_request_get_input_headers(request), "Standin-Incarnation");
+        evhttp_request_get_input_headers(http_request), "Standin-Incarnation");
     if (target != NULL) {
         load_result_count(run->result, "targets", target);
     }
@@ -195,27 +200,29 @@
 }
 
 static void
-on_answer(struct evhttp_request *request, void *ctx)
+on_answer(struct evhttp_request *http_request, void *ctx)
 {
     struct load_connection *connection = ctx;
     struct load_run *run = connection->run;
-    struct load_item *item = connection->item;
-    if (item == NULL) {
+    struct load_request *request = connection->request;
+    if (request == NULL) {
         return;
     }
-    connection->item = NULL;
-    const int status =
-        request != NULL ? evhttp_request_get_response_code(request) : 0;
+    connection->request = NULL;
+    const int status = http_request != NULL
+                           ? evhttp_request_get_response_code(http_request)
+                           : 0;
     if (status == 0) {
         /* evhttp still uses the connection, so it isn't freed here; a new
          * one replaces it later. */
         connection_release(connection, false);
-        item_finish_attempt(item, "lost", 0);
+        request_finish_attempt(request, "lost", 0);
     }
     else {
-        check_answer(item, request, status);
+        check_answer(request, http_request, status);
         connection_release(connection, false);
-        item_finish_attempt(item, answer_outcome(request, status), status);
+        request_finish_attempt(request, answer_outcome(http_request, status),
+                               status);
     }
     run_send_waiting(run);
 }
@@ -242,10 +249,10 @@
 }
 
 static void
-add_body(struct evhttp_request *request, size_t size)
+add_body(struct evhttp_request *http_request, size_t size)
 {
     static const char block[4096];
-    struct evbuffer *output = evhttp_request_get_output_buffer(request);
+    struct evbuffer *output = evhttp_request_get_output_buffer(http_request);
     while (size > 0) {
         const size_t part = size < sizeof(block) ? size : sizeof(block);
         evbuffer_add(output, block, part);
@@ -254,37 +261,41 @@
 }
 
 static bool
-connection_send(struct load_connection *connection, struct load_item *item)
+connection_send(struct load_connection *connection,
+                struct load_request *request)
 {
     const struct load_config *config = &connection->run->config;
-    struct evhttp_request *request = evhttp_request_new(on_answer, connection);
+    struct evhttp_request *http_request =
+        evhttp_request_new(on_answer, connection);
     if (request == NULL) {
         return false;
     }
-    struct evkeyvalq *headers = evhttp_request_get_output_headers(request);
+    struct evkeyvalq *headers =
+        evhttp_request_get_output_headers(http_request);
     char host[ADDRESS_TEXT_SIZE];
     evhttp_add_header(headers, "Host",
                       address_format(connection->entry, host));
     if (config->key_header != NULL) {
-        evhttp_add_header(headers, config->key_header, item->key);
+        evhttp_add_header(headers, config->key_header, request->key);
     }
-    if (item->is_order) {
-        evhttp_add_header(headers, "Idempotency-Key", item->id);
-        add_body(request, config->body_size);
+    if (request->is_order) {
+        evhttp_add_header(headers, "Idempotency-Key", request->id);
+        add_body(http_request, config->body_size);
     }
     char target[PATH_SIZE + 32];
     if (config->answer_size > 0) {
-        snprintf(target, sizeof(target), "%s?size=%zu", item->path,
+        snprintf(target, sizeof(target), "%s?size=%zu", request->path,
                  config->answer_size);
     }
     else {
-        snprintf(target, sizeof(target), "%s", item->path);
+        snprintf(target, sizeof(target), "%s", request->path);
     }
-    connection->item = item;
-    item->attempts++;
-    return evhttp_make_request(
-               connection->http, request,
-               item->is_order ? EVHTTP_REQ_POST : EVHTTP_REQ_GET, target) == 0;
+    connection->request = request;
+    request->attempts++;
+    return evhttp_make_request(connection->http, http_request,
+                               request->is_order ? EVHTTP_REQ_POST
+                                                 : EVHTTP_REQ_GET,
+                               target) == 0;
 }
 
 static void
@@ -292,15 +303,15 @@
 {
     while (!STAILQ_EMPTY(&run->waiting) && !LIST_EMPTY(&run->free)) {
         struct load_connection *connection = LIST_FIRST(&run->free);
-        struct load_item *item = STAILQ_FIRST(&run->waiting);
+        struct load_request *request = STAILQ_FIRST(&run->waiting);
         LIST_REMOVE(connection, link);
         STAILQ_REMOVE_HEAD(&run->waiting, link);
         run->waiting_count--;
         if ((connection->http == NULL && !connection_open(connection)) ||
-            !connection_send(connection, item)) {
-            connection->item = NULL;
+            !connection_send(connection, request)) {
+            connection->request = NULL;
             connection_release(connection, connection->http != NULL);
-            item_finish_attempt(item, "lost", 0);
+            request_finish_attempt(request, "lost", 0);
             return;
         }
     }
@@ -316,27 +327,27 @@
     return now.tv_sec * INT64_C(1000) + now.tv_nsec / 1000000;
 }
 
-static struct load_item *
-item_create(struct load_run *run)
+static struct load_request *
+request_create(struct load_run *run)
 {
-    struct load_item *item = calloc(1, sizeof(*item));
-    if (item == NULL) {
+    struct load_request *request = calloc(1, sizeof(*request));
+    if (request == NULL) {
         abort();
     }
-    item->run = run;
-    timer_init(&item->retry_timer, run->runtime, item_on_retry, item);
-    item->is_order =
+    request->run = run;
+    timer_init(&request->retry_timer, run->runtime, request_on_retry, request);
+    request->is_order =
         random_chance(&run->random, run->config.order_percent / 100);
-    snprintf(item->key, sizeof(item->key), "key-%zu",
+    snprintf(request->key, sizeof(request->key), "key-%zu",
              load_keys_next(run->keys, &run->random));
-    snprintf(item->path, sizeof(item->path), "%s/%s", run->config.prefix,
-             item->key);
-    if (item->is_order) {
-        snprintf(item->id, sizeof(item->id),
+    snprintf(request->path, sizeof(request->path), "%s/%s", run->config.prefix,
+             request->key);
+    if (request->is_order) {
+        snprintf(request->id, sizeof(request->id),
                  "%013" PRId64 "-%016" PRIx64 "-%" PRIu64, wall_clock_ms(),
                  run->run_id, run->next_id++);
     }
-    return item;
+    return request;
 }
 
 /** Enqueues the requests that are due and schedules the next tick. */
@@ -359,10 +370,10 @@
             load_result_count(run->result, "faults", "not_offered");
             continue;
         }
-        struct load_item *item = item_create(run);
-        item->due_us = due_us;
+        struct load_request *request = request_create(run);
+        request->due_us = due_us;
         run->open++;
-        run_enqueue(run, item);
+        run_enqueue(run, request);
     }
     if (run->arrivals < total) {
         timer_start(&run->tick, TICK_INTERVAL_US);
@@ -411,8 +422,8 @@
     timer_stop(&run->tick);
     for (unsigned i = 0; i < run->config.connections; i++) {
         struct load_connection *connection = &run->connections[i];
-        free(connection->item);
-        connection->item = NULL;
+        free(connection->request);
+        connection->request = NULL;
         if (connection->http != NULL) {
             evhttp_connection_free(connection->http);
         }
--- a/packages/standin/programs/store_standin.c
+++ b/packages/standin/programs/store_standin.c
@@ -79,8 +79,8 @@
 }
 
 static int
-serve(const struct arguments *arguments, struct runtime *runtime,
-      struct store_memory *memory)
+run_server(const struct arguments *arguments, struct runtime *runtime,
+           struct store_memory *memory)
 {
     struct error err = {.code = ERROR_NONE};
     struct store_server *server =
@@ -126,7 +126,7 @@
         evsignal_new(runtime_event_base(runtime), SIGTERM, on_signal, runtime);
     event_add(terminate, NULL);
     struct store_memory *memory = store_memory_create(runtime, arguments.seed);
-    const int status = serve(&arguments, runtime, memory);
+    const int status = run_server(&arguments, runtime, memory);
     store_memory_destroy(memory);
     event_free(terminate);
     runtime_destroy(runtime);
--- a/packages/state/statediff.c
+++ b/packages/state/statediff.c
@@ -96,7 +96,8 @@
 
 /* The recursion ends at TREE_DEPTH_MAX. NOLINTNEXTLINE(misc-no-recursion) */
 static void
-compare(struct state_diff *diff, const struct tree_pair *pair, size_t depth)
+compare_trees(struct state_diff *diff, const struct tree_pair *pair,
+              size_t depth)
 {
     if (json_equal(pair->before, pair->after)) {
         return;
@@ -116,7 +117,7 @@
         };
         snprintf(field.path, sizeof(field.path), "%.127s/%.127s", pair->path,
                  names[i]);
-        compare(diff, &field, depth + 1);
+        compare_trees(diff, &field, depth + 1);
     }
     free(names);
 }
@@ -129,7 +130,7 @@
         .before = state_tree(before),
         .after = state_tree(after),
     };
-    compare(diff, &top, 0);
+    compare_trees(diff, &top, 0);
     json_decref(top.before);
     json_decref(top.after);
     return diff;
