--- a/packages/node/gatesend.c
+++ b/packages/node/gatesend.c
@@ -133,7 +133,7 @@
         localgate_fail(call, RELAY_UNKNOWN, RELAY_REASON_INVALID, true);
         break;
     }
-    localgate_run_queue(gate);
+    gateadmit_run_queue(gate);
 }
 
 static bool
--- a/packages/node/localgate_internal.h
+++ b/packages/node/localgate_internal.h
@@ -1,7 +1,7 @@
 /**
  * @file
- * Shared by the gate modules: admission of requests (localgate.c) and the HTTP
- * calls to the target (gatesend.c).
+ * Shared by the gate modules: the calls (localgate.c), their admission
+ * (gateadmit.c) and the HTTP calls to the target (gatesend.c).
  */
 #ifndef CHESTNUTGAP_NODE_LOCALGATE_INTERNAL_H
 #define CHESTNUTGAP_NODE_LOCALGATE_INTERNAL_H
@@ -72,8 +72,24 @@
 void localgate_fail(struct localgate_call *call, enum relay_outcome outcome,
                     enum relay_reason reason, bool reached);
 
+/* gateadmit.c */
+
+/** Sets the call's priority and deadlines in the queue. */
+void gateadmit_set_deadlines(struct localgate_call *call,
+                             const struct relay_request *request);
+
+/** Starts, queues or refuses a call that is not in the queue. */
+void gateadmit_call(struct localgate_call *call);
+
+/** Refuses in the next iteration of the event loop. */
+void gateadmit_refuse_later(struct localgate_call *call,
+                            enum relay_reason reason);
+
 /** Starts queued requests for which there are slots. */
-void localgate_run_queue(struct localgate *gate);
+void gateadmit_run_queue(struct localgate *gate);
+
+/** Reevaluates all waiting calls after conditions have changed. */
+void gateadmit_readmit_waiting(struct localgate *gate);
 
 /* gatesend.c */
 
