gate: a recorded order that is refused is released in the store

A gate remembered a sending that was cancelled before its row was written; a later sending ran; when the shard had left and come back without its table, that memory made the row count as one of no run.

Cause: a row of the runs table stood for a run that had begun, whether it had or not. That a row stood for no run (the target shed the order, no connection, the lease ended before the first byte, the caller left, the deadline passed while the write was outstanding) was known only to the memory of the gate that wrote it, by the row's name. Class: a fact that must outlive a move of its shard, and belongs to one version of a row, was kept with the process by name.

Change: rows have a state "released". A gate that refuses a recorded order writes it, on the condition that the row has the version of its own insert; any owner inserts over a released row, on the condition of that version. An insert that was given up stays in its batch while an attempt may still land, and is released when the batch is settled. All attempts of a batch have one transaction id, so none is forgotten after four of unknown outcome. The ring of 1,024 hashes of own rows is gone: the same gate reads the state, too.

Tests: handover_test, two gates and a store.

--- a/packages/gate/executions.c
+++ b/packages/gate/executions.c
@@ -7,21 +7,25 @@
 #include "base/hash.h"
 
 #define ROW_SIZE (STORE_NAME_MAX + 1)
-#define UNKNOWN_TXNS_MAX 4
 
 enum executions_kind {
     EXECUTIONS_KIND_INSERT,
-    EXECUTIONS_KIND_MARK,   /* finished */
-    EXECUTIONS_KIND_DELETE, /* retention has ended */
+    EXECUTIONS_KIND_RELEASE, /* the request of a recorded id has not run */
+    EXECUTIONS_KIND_MARK,    /* finished */
+    EXECUTIONS_KIND_DELETE,  /* retention has ended */
 };
 
 struct executions_item {
     TAILQ_ENTRY(executions_item) link;
     enum executions_kind kind;
-    struct executions_insert *insert; /* NULL once cancelled */
+    struct executions_insert *insert; /* NULL once cancelled or refused */
     int64_t deadline_us;              /* of an insert */
     int64_t due_us;                   /* of a delete */
     unsigned status;
+    uint32_t shard;
+    uint32_t key;
+    uint64_t replaces; /* version of the row, of an insert or release */
+    uint64_t row_hash;
     char row[ROW_SIZE];
 };
 
@@ -36,17 +40,12 @@
     struct executions_items waiting;
     struct executions_items batch; /* of the outstanding transaction */
     struct executions_items deletes;
-    size_t mark_count;
+    size_t kept_count;      /* marks and releases */
+    size_t unsettled_count; /* inserts and releases */
     bool outstanding;
-    uint64_t txn_id;
-    /* Attempts of this batch whose outcome is unknown. */
-    uint64_t unknown_txns[UNKNOWN_TXNS_MAX];
-    size_t unknown_count;
+    uint64_t txn_id; /* of all attempts of this batch */
+    bool may_land;   /* an attempt of this batch of unknown outcome */
     int64_t next_batch_us;
-    int64_t now_us;
-    /* Ring of row name hashes. */
-    uint64_t unresolved[EXECUTIONS_UNRESOLVED_MAX];
-    size_t unresolved_next;
     uint64_t commits;
 };
 
@@ -70,16 +69,39 @@
     return executions;
 }
 
+static bool
+executions_is_conditional(enum executions_kind kind)
+{
+    return kind == EXECUTIONS_KIND_INSERT || kind == EXECUTIONS_KIND_RELEASE;
+}
+
+static bool
+executions_is_kept(enum executions_kind kind)
+{
+    return kind == EXECUTIONS_KIND_MARK || kind == EXECUTIONS_KIND_RELEASE;
+}
+
+/* Frees an item that is in no list. */
 static void
-executions_free_items(struct executions_items *items)
+executions_free_item(struct executions *executions,
+                     struct executions_item *item)
+{
+    executions->unsettled_count -= executions_is_conditional(item->kind);
+    executions->kept_count -= executions_is_kept(item->kind);
+    if (item->insert != NULL) {
+        item->insert->item = NULL;
+    }
+    free(item);
+}
+
+static void
+executions_free_items(struct executions *executions,
+                      struct executions_items *items)
 {
     struct executions_item *item;
     while ((item = TAILQ_FIRST(items)) != NULL) {
         TAILQ_REMOVE(items, item, link);
-        if (item->insert != NULL) {
-            item->insert->item = NULL;
-        }
-        free(item);
+        executions_free_item(executions, item);
     }
 }
 
@@ -87,9 +109,9 @@
 executions_destroy(struct executions *executions)
 {
     if (executions != NULL) {
-        executions_free_items(&executions->waiting);
-        executions_free_items(&executions->batch);
-        executions_free_items(&executions->deletes);
+        executions_free_items(executions, &executions->waiting);
+        executions_free_items(executions, &executions->batch);
+        executions_free_items(executions, &executions->deletes);
         free(executions);
     }
 }
@@ -106,37 +128,21 @@
 }
 
 static struct executions_item *
-executions_item_create(const struct executions *executions,
+executions_item_create(struct executions *executions,
                        enum executions_kind kind, uint32_t key, const char *id)
 {
     struct executions_item *item = calloc(1, sizeof(*item));
     if (item != NULL) {
         item->kind = kind;
+        item->key = key;
         executions_row_name(executions, key, id, item->row);
+        item->row_hash = hash_string(item->row);
+        executions->unsettled_count += executions_is_conditional(kind);
+        executions->kept_count += executions_is_kept(kind);
     }
     return item;
 }
 
-static void
-executions_add_unresolved(struct executions *executions, const char *row)
-{
-    executions->unresolved[executions->unresolved_next++ %
-                           EXECUTIONS_UNRESOLVED_MAX] = hash_string(row);
-}
-
-static bool
-executions_take_unresolved(struct executions *executions, const char *row)
-{
-    const uint64_t hash = hash_string(row);
-    for (size_t i = 0; i < EXECUTIONS_UNRESOLVED_MAX; i++) {
-        if (executions->unresolved[i] == hash) {
-            executions->unresolved[i] = 0;
-            return true;
-        }
-    }
-    return false;
-}
-
 void
 executions_insert(struct executions *executions,
                   struct executions_insert *insert, uint32_t key,
@@ -148,6 +154,7 @@
         abort();
     }
     item->insert = insert;
+    item->shard = insert->shard;
     item->deadline_us = deadline_us;
     insert->item = item;
     TAILQ_INSERT_TAIL(&executions->waiting, item, link);
@@ -157,20 +164,58 @@
 executions_cancel(struct executions *executions,
                   struct executions_insert *insert)
 {
+    (void)executions;
     if (insert->item == NULL) {
         return;
     }
-    executions_add_unresolved(executions, insert->item->row);
     insert->item->insert = NULL;
     insert->item = NULL;
 }
 
 void
-executions_release(struct executions *executions, uint32_t key, const char *id)
+executions_release(struct executions *executions,
+                   const struct executions_insert *insert, uint32_t key,
+                   const char *id)
 {
-    char row[ROW_SIZE];
-    executions_row_name(executions, key, id, row);
-    executions_add_unresolved(executions, row);
+    if (executions->kept_count >= EXECUTIONS_KEPT_MAX) {
+        return; /* the row stays as started, which is safe */
+    }
+    struct executions_item *item =
+        executions_item_create(executions, EXECUTIONS_KIND_RELEASE, key, id);
+    if (item != NULL) {
+        item->shard = insert->shard;
+        item->replaces = insert->version;
+        TAILQ_INSERT_TAIL(&executions->waiting, item, link);
+    }
+}
+
+static size_t
+executions_count_unsettled(const struct executions_items *items,
+                           uint32_t shard)
+{
+    size_t count = 0;
+    const struct executions_item *item;
+    TAILQ_FOREACH (item, items, link) {
+        count += executions_is_conditional(item->kind) &&
+                 (item->shard == shard || item->key == shard);
+    }
+    return count;
+}
+
+size_t
+executions_unsettled_count(const struct executions *executions, uint32_t shard)
+{
+    if (executions->unsettled_count == 0) {
+        return 0;
+    }
+    return executions_count_unsettled(&executions->waiting, shard) +
+           executions_count_unsettled(&executions->batch, shard);
+}
+
+bool
+executions_settled(const struct executions *executions)
+{
+    return executions->unsettled_count == 0;
 }
 
 void
@@ -183,57 +228,71 @@
         delete_item->due_us = now_us + executions->config.retention_us;
         TAILQ_INSERT_TAIL(&executions->deletes, delete_item, link);
     }
-    if (executions->mark_count >= EXECUTIONS_MARKS_MAX) {
+    if (executions->kept_count >= EXECUTIONS_KEPT_MAX) {
         return; /* the row stays as started, which is safe */
     }
     struct executions_item *mark =
         executions_item_create(executions, EXECUTIONS_KIND_MARK, key, id);
     if (mark != NULL) {
         mark->status = status;
-        executions->mark_count++;
         TAILQ_INSERT_TAIL(&executions->waiting, mark, link);
     }
 }
 
+/* Ends an item that is in no list. */
 static void
 executions_end_item(struct executions *executions,
-                    struct executions_items *items,
                     struct executions_item *item,
                     enum executions_verdict verdict)
 {
-    TAILQ_REMOVE(items, item, link);
     struct executions_insert *insert = item->insert;
-    if (item->kind == EXECUTIONS_KIND_MARK) {
-        executions->mark_count--;
-    }
-    free(item);
+    executions_free_item(executions, item);
     if (insert != NULL) {
-        insert->item = NULL;
         executions->callback(executions->ctx, insert, verdict);
     }
 }
 
 static void
-executions_end_all(struct executions *executions,
-                   struct executions_items *items,
-                   enum executions_verdict verdict)
+executions_refuse_all(struct executions *executions,
+                      struct executions_items *items)
 {
-    struct executions_item *item = TAILQ_FIRST(items);
-    while (item != NULL) {
-        struct executions_item *next = TAILQ_NEXT(item, link);
-        executions_end_item(executions, items, item, verdict);
-        item = next;
+    struct executions_item *item;
+    while ((item = TAILQ_FIRST(items)) != NULL) {
+        TAILQ_REMOVE(items, item, link);
+        executions_end_item(executions, item, EXECUTIONS_REFUSED);
     }
 }
 
+/* The row of a request that was given up was written. Its release goes before
+ * what has been queued since, which may insert the id again. */
 static void
-executions_end_batch(struct executions *executions,
-                     enum executions_verdict verdict)
+executions_release_abandoned(struct executions *executions,
+                             struct executions_item *item, uint64_t version)
 {
-    executions->unknown_count = 0;
-    struct executions_items ended = TAILQ_HEAD_INITIALIZER(ended);
-    TAILQ_CONCAT(&ended, &executions->batch, link);
-    executions_end_all(executions, &ended, verdict);
+    item->kind = EXECUTIONS_KIND_RELEASE;
+    item->replaces = version;
+    executions->kept_count++;
+    TAILQ_INSERT_HEAD(&executions->waiting, item, link);
+}
+
+static void
+executions_on_written(struct executions *executions, uint64_t version)
+{
+    executions->may_land = false;
+    struct executions_items written = TAILQ_HEAD_INITIALIZER(written);
+    TAILQ_CONCAT(&written, &executions->batch, link);
+    struct executions_item *item;
+    while ((item = TAILQ_FIRST(&written)) != NULL) {
+        TAILQ_REMOVE(&written, item, link);
+        if (item->kind == EXECUTIONS_KIND_INSERT && item->insert == NULL) {
+            executions_release_abandoned(executions, item, version);
+            continue;
+        }
+        if (item->insert != NULL) {
+            item->insert->version = version;
+        }
+        executions_end_item(executions, item, EXECUTIONS_RECORDED);
+    }
 }
 
 /* The store applied nothing: refuses inserts and keeps marks for later. */
@@ -256,7 +315,7 @@
     }
     TAILQ_CONCAT(&kept, &executions->waiting, link);
     TAILQ_CONCAT(&executions->waiting, &kept, link);
-    executions_end_all(executions, &refused, EXECUTIONS_REFUSED);
+    executions_refuse_all(executions, &refused);
 }
 
 static struct executions_item *
@@ -264,7 +323,7 @@
 {
     struct executions_item *item;
     TAILQ_FOREACH (item, &executions->batch, link) {
-        if (item->kind == EXECUTIONS_KIND_INSERT &&
+        if (executions_is_conditional(item->kind) &&
             strcmp(item->row, row) == 0) {
             return item;
         }
@@ -273,24 +332,13 @@
 }
 
 static bool
-executions_is_own_txn(const struct executions *executions, uint64_t txn_id)
+executions_is_released(const struct store_row *row)
 {
-    for (size_t i = 0; i < executions->unknown_count; i++) {
-        if (executions->unknown_txns[i] == txn_id) {
-            return true;
-        }
-    }
-    return false;
+    return json_is_true(json_object_get(row->value, "released"));
 }
 
-static bool
-executions_is_holder(const struct executions *executions, const json_t *value)
-{
-    const char *holder = json_string_value(json_object_get(value, "holder"));
-    return holder != NULL && strcmp(holder, executions->config.holder) == 0;
-}
-
-/* Reads the conflicting row, which shows whether this holder inserted it. */
+/* Reads the conflicting row, which shows whether an earlier attempt of this
+ * batch took effect, or else what the row stands for. */
 static void
 executions_on_conflict_read(void *ctx, const struct store_read_result *result)
 {
@@ -300,21 +348,21 @@
         return; /* the batch is retried */
     }
     const struct store_row *row = &result->rows[0];
-    if (row->version == 0) {
-        return; /* never written: the batch is retried */
-    }
-    if (executions_is_own_txn(executions, row->txn_id)) {
-        executions_end_batch(executions, EXECUTIONS_RECORDED);
+    if (row->version > 0 && executions->may_land &&
+        row->txn_id == executions->txn_id) {
+        executions_on_written(executions, row->version);
         return;
     }
     struct executions_item *item = executions_find(executions, row->name);
-    if (item == NULL) {
+    if (item == NULL || row->version == item->replaces) {
+        return; /* no conflict any more: the batch is retried */
+    }
+    if (item->insert != NULL && executions_is_released(row)) {
+        item->replaces = row->version;
         return;
     }
-    const bool is_own = executions_is_holder(executions, row->value) &&
-                        executions_take_unresolved(executions, row->name);
-    executions_end_item(executions, &executions->batch, item,
-                        is_own ? EXECUTIONS_RECORDED : EXECUTIONS_PRESENT);
+    TAILQ_REMOVE(&executions->batch, item, link);
+    executions_end_item(executions, item, EXECUTIONS_PRESENT);
 }
 
 static void
@@ -324,7 +372,7 @@
     executions->outstanding = false;
     switch (result->outcome) {
     case STORE_COMMITTED:
-        executions_end_batch(executions, EXECUTIONS_RECORDED);
+        executions_on_written(executions, result->version);
         return;
     case STORE_CONFLICT:
         if (result->row == NULL) {
@@ -336,47 +384,37 @@
         return;
     case STORE_UNAVAILABLE:
         /* An earlier attempt may still take effect. */
-        if (executions->unknown_count == 0) {
+        if (!executions->may_land) {
             executions_on_unavailable(executions);
         }
         return;
     case STORE_UNKNOWN:
-        executions
-            ->unknown_txns[executions->unknown_count % UNKNOWN_TXNS_MAX] =
-            executions->txn_id;
-        if (executions->unknown_count < UNKNOWN_TXNS_MAX) {
-            executions->unknown_count++;
-        }
+        executions->may_land = true;
         return;
     }
 }
 
-/* Whether to refuse an insert, although its row may have been written or may
- * still be. */
 static bool
-executions_is_abandoned(const struct executions_item *item, bool sent,
-                        int64_t now_us)
+executions_is_late(const struct executions_item *item, int64_t now_us)
 {
-    if (item->kind != EXECUTIONS_KIND_INSERT) {
-        return false;
-    }
-    return now_us >= item->deadline_us || (item->insert == NULL && !sent);
+    return item->insert != NULL && now_us >= item->deadline_us;
 }
 
+/* Ends inserts that are late or cancelled, of which nothing is in the store.
+ * The list is whole again before the callbacks, which may count it. */
 static void
 executions_expire(struct executions *executions,
                   struct executions_items *items, int64_t now_us)
 {
-    struct executions_items refused = TAILQ_HEAD_INITIALIZER(refused);
+    struct executions_items ended = TAILQ_HEAD_INITIALIZER(ended);
     struct executions_items kept = TAILQ_HEAD_INITIALIZER(kept);
-    const bool sent = items == &executions->batch;
     struct executions_item *item = TAILQ_FIRST(items);
     TAILQ_INIT(items);
     while (item != NULL) {
         struct executions_item *next = TAILQ_NEXT(item, link);
-        if (executions_is_abandoned(item, sent, now_us)) {
-            executions_add_unresolved(executions, item->row);
-            TAILQ_INSERT_TAIL(&refused, item, link);
+        if (item->kind == EXECUTIONS_KIND_INSERT &&
+            (item->insert == NULL || executions_is_late(item, now_us))) {
+            TAILQ_INSERT_TAIL(&ended, item, link);
         }
         else {
             TAILQ_INSERT_TAIL(&kept, item, link);
@@ -384,33 +422,90 @@
         item = next;
     }
     TAILQ_CONCAT(items, &kept, link);
-    executions_end_all(executions, &refused, EXECUTIONS_REFUSED);
+    executions_refuse_all(executions, &ended);
 }
 
+/* Refuses late inserts that an attempt may still write. They stay in the
+ * batch: only its outcome shows what there is to release. */
+static void
+executions_refuse_late(struct executions *executions, int64_t now_us)
+{
+    struct executions_item *item;
+    TAILQ_FOREACH (item, &executions->batch, link) {
+        struct executions_insert *insert = item->insert;
+        if (executions_is_late(item, now_us)) {
+            executions_cancel(executions, insert);
+            executions->callback(executions->ctx, insert, EXECUTIONS_REFUSED);
+        }
+    }
+}
+
+static void
+executions_expire_batch(struct executions *executions, int64_t now_us)
+{
+    if (executions->may_land) {
+        executions_refuse_late(executions, now_us);
+    }
+    else {
+        executions_expire(executions, &executions->batch, now_us);
+    }
+}
+
+static bool
+executions_is_in_batch(const struct executions *executions,
+                       const struct executions_item *wanted)
+{
+    const struct executions_item *item;
+    TAILQ_FOREACH (item, &executions->batch, link) {
+        if (item->row_hash == wanted->row_hash) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* One transaction can't write a row twice: what follows waits for the next. */
 static void
 executions_fill_batch(struct executions *executions, int64_t now_us)
 {
     size_t count = 0;
     struct executions_item *item;
     while (count < EXECUTIONS_BATCH_MAX &&
-           (item = TAILQ_FIRST(&executions->waiting)) != NULL) {
+           (item = TAILQ_FIRST(&executions->waiting)) != NULL &&
+           !executions_is_in_batch(executions, item)) {
         TAILQ_REMOVE(&executions->waiting, item, link);
         TAILQ_INSERT_TAIL(&executions->batch, item, link);
         count++;
     }
     while (count < EXECUTIONS_BATCH_MAX &&
            (item = TAILQ_FIRST(&executions->deletes)) != NULL &&
-           item->due_us <= now_us) {
+           item->due_us <= now_us &&
+           !executions_is_in_batch(executions, item)) {
         TAILQ_REMOVE(&executions->deletes, item, link);
         TAILQ_INSERT_TAIL(&executions->batch, item, link);
         count++;
     }
 }
 
+static json_t *
+executions_value(const struct executions *executions,
+                 const struct executions_item *item)
+{
+    json_t *value =
+        json_pack("{s:s, s:i}", "holder", executions->config.holder, "status",
+                  (int)item->status);
+    if (item->kind == EXECUTIONS_KIND_RELEASE) {
+        json_object_set_new(value, "released", json_true());
+    }
+    return value;
+}
+
 static void
 executions_send_batch(struct executions *executions)
 {
-    executions->txn_id = random_u64(executions->random);
+    if (!executions->may_land) {
+        executions->txn_id = random_u64(executions->random);
+    }
     struct store_txn *txn = store_txn_create(executions->txn_id);
     const struct executions_item *item;
     TAILQ_FOREACH (item, &executions->batch, link) {
@@ -418,13 +513,11 @@
             store_txn_delete(txn, EXECUTIONS_TABLE, item->row);
             continue;
         }
-        if (item->kind == EXECUTIONS_KIND_INSERT) {
-            store_txn_expect(txn, EXECUTIONS_TABLE, item->row, 0);
+        if (executions_is_conditional(item->kind)) {
+            store_txn_expect(txn, EXECUTIONS_TABLE, item->row, item->replaces);
         }
-        json_t *value =
-            json_pack("{s:s, s:i}", "holder", executions->config.holder,
-                      "status", (int)item->status);
-        store_txn_put(txn, EXECUTIONS_TABLE, item->row, value);
+        store_txn_put(txn, EXECUTIONS_TABLE, item->row,
+                      executions_value(executions, item));
     }
     executions->outstanding = true;
     executions->commits++;
@@ -435,14 +528,13 @@
 void
 executions_tick(struct executions *executions, int64_t now_us)
 {
-    executions->now_us = now_us;
     executions_expire(executions, &executions->waiting, now_us);
     if (executions->outstanding || now_us < executions->next_batch_us) {
         return;
     }
-    executions_expire(executions, &executions->batch, now_us);
+    executions_expire_batch(executions, now_us);
     if (TAILQ_EMPTY(&executions->batch)) {
-        executions->unknown_count = 0;
+        executions->may_land = false;
         executions_fill_batch(executions, now_us);
     }
     if (!TAILQ_EMPTY(&executions->batch)) {
--- a/packages/gate/executions.h
+++ b/packages/gate/executions.h
@@ -2,8 +2,10 @@
  * @file
  * Records executed request ids in the store, for services with durable
  * at-most-once. An id is inserted by compare-and-swap before its request is
- * dispatched, so two owners can't both run it. Inserts and marks of a gate are
- * batched into transactions, of which one is outstanding at a time.
+ * dispatched, so two owners can't both run it. A row whose request will not
+ * run is released, so that a later owner can insert the id again. Inserts,
+ * releases and marks of a gate are batched into transactions, of which one is
+ * outstanding at a time.
  */
 #ifndef CHESTNUTGAP_GATE_EXECUTIONS_H
 #define CHESTNUTGAP_GATE_EXECUTIONS_H
@@ -18,10 +20,8 @@
 
 #define EXECUTIONS_TABLE "runs"
 #define EXECUTIONS_BATCH_MAX 256 /* rows per transaction */
-/* Finished marks kept while the store is down. */
-#define EXECUTIONS_MARKS_MAX 4096
-/* Rows that this holder may have written for requests that didn't run. */
-#define EXECUTIONS_UNRESOLVED_MAX 1024
+/* Finished marks and releases kept while the store is down. */
+#define EXECUTIONS_KEPT_MAX 4096
 #define EXECUTIONS_RETRY_AFTER_MS 1000
 
 enum executions_verdict {
@@ -30,9 +30,11 @@
     EXECUTIONS_REFUSED,  /**< not recorded in time; has not run */
 };
 
-/** An insert, embedded in the user's struct. Fields are private. */
+/** An insert, embedded in the user's struct. Set shard. */
 struct executions_insert {
-    struct executions_item *item;
+    uint32_t shard;               /**< that contains the key now */
+    struct executions_item *item; /* private */
+    uint64_t version;             /* private; of the recorded row */
 };
 
 /** Never called within executions_insert(). */
@@ -62,14 +64,29 @@
                        struct executions_insert *insert, uint32_t key,
                        const char *id, int64_t deadline_us);
 
-/** Drops the callback of the insert, which may still take effect. */
+/** Drops the callback of the insert. If its row was written, or may still be,
+ * the row will be released. */
 void executions_cancel(struct executions *executions,
                        struct executions_insert *insert);
 
-/** Allows a recorded id that was not dispatched to be inserted again. */
-void executions_release(struct executions *executions, uint32_t key,
+/** Allows any owner to insert a recorded id again, which did not run. */
+void executions_release(struct executions *executions,
+                        const struct executions_insert *insert, uint32_t key,
                         const char *id);
 
+/**
+ * Number of inserts and releases that the store has not settled yet. A planned
+ * move waits for 0: the next owner would take rows that stand for no run for
+ * requests that began.
+ *
+ * @param shard of the rows, or of the single key
+ */
+size_t executions_unsettled_count(const struct executions *executions,
+                                  uint32_t shard);
+
+/** Whether executions_unsettled_count() is 0 for all shards. */
+bool executions_settled(const struct executions *executions);
+
 /** Marks a recorded id as finished, and deletes it after retention_us. */
 void executions_finished(struct executions *executions, uint32_t key,
                          const char *id, unsigned status, int64_t now_us);
--- a/packages/gate/gate.c
+++ b/packages/gate/gate.c
@@ -152,6 +152,7 @@
         request->entry = result.entry;
         if (gate->executions != NULL) {
             request->state = GATE_STATE_RECORDING;
+            request->insert.shard = request->admission.shard;
             executions_insert(gate->executions, &request->insert, request->key,
                               request->id,
                               request->admission.entry.deadline_us);
--- a/packages/gate/gatefinish.c
+++ b/packages/gate/gatefinish.c
@@ -61,7 +61,8 @@
                     request->id);
     struct dedup_waiters waiters = TAILQ_HEAD_INITIALIZER(waiters);
     if (request->recorded) {
-        executions_release(gate->executions, request->key, request->id);
+        executions_release(gate->executions, &request->insert, request->key,
+                           request->id);
     }
     if (request->entry != NULL) {
         dedup_finish_not_run(gate->dedup, request->entry, &waiters);
