daemon: a shard is handed over after its refused orders' rows are released

Cause: a drain ended when no request of the shard was in progress; that the store still had a row to settle was no reason to wait. Class: a move that waits for requests, not for their traces.

Change: a drain also waits for the inserts and releases of the shard. The limits of a drain stay: one that lasts too long is cancelled, and the shard stays. Refusals are answered as before, at once.

--- a/packages/daemon/gatetask.c
+++ b/packages/daemon/gatetask.c
@@ -379,12 +379,22 @@
     drain_end(drain);
 }
 
+/* Whether requests of the shard are in progress, or rows of the store don't
+ * yet say that theirs have not run. */
+static bool
+gatetask_shard_is_busy(const struct gatetask *gate, uint32_t shard)
+{
+    return gatecall_count_of_shard(gate, shard) > 0 ||
+           (gate->executions != NULL &&
+            executions_unsettled_count(gate->executions, shard) > 0);
+}
+
 static void
 drain_check(struct gate_drain *drain)
 {
     struct gatetask *gate = drain->gate;
     if (drain->withdrawing ||
-        (!drain->resumed && gatecall_count_of_shard(gate, drain->shard) > 0)) {
+        (!drain->resumed && gatetask_shard_is_busy(gate, drain->shard))) {
         return;
     }
     const struct announcement *target = target_current(gate->options.target);
--- a/packages/daemon/gatetask.h
+++ b/packages/daemon/gatetask.h
@@ -108,7 +108,8 @@
 /** The single-key shard was merged back into shard base. */
 void gatetask_merge_key(struct gatetask *gate, uint32_t base, uint32_t key);
 
-/** Calls shard_idle once the shard has no requests in progress. */
+/** Calls shard_idle once the shard has no requests in progress and its rows of
+ * executions are settled. */
 void gatetask_drain_shard(struct gatetask *gate, uint32_t shard);
 
 /** Stops the drain of a shard whose move was cancelled. */
--- a/packages/daemon/test/daemon_test.cc
+++ b/packages/daemon/test/daemon_test.cc
@@ -4,11 +4,14 @@
 #include <netinet/in.h>
 #include <sys/socket.h>
 
+#include <algorithm>
+
 #include "deployment.h"
 
 extern "C" {
 #include "base/invariant.h"
 #include "base/random.h"
+#include "daemon/gatetask_internal.h"
 }
 
 namespace {
@@ -284,6 +287,112 @@
     EXPECT_EQ(0, invariant_violations(INVARIANT_GRACEFUL_STOP));
 }
 
+/* Keyed orders that are recorded in the store before they run. */
+std::string
+DurableOrders(int deadline_ms)
+{
+    return R"({
+  "zones": [{"name": "llanidloes", "region": "powys"},
+            {"name": "rhayader", "region": "powys"}],
+  "services": [
+    {"name": "orders", "path_prefix": "/orders",
+     "key": {"source": "path", "segment": 1}, "shards": 16,
+     "idempotent_methods": ["GET"], "slots": 20, "connections": 64,
+     "cold_limit": 20, "cold_start_ms": 0, "deadline_ms": )" +
+           std::to_string(deadline_ms) + R"(,
+     "deadline_max_ms": 8000, "targets_check_grants": false,
+     "durable_at_most_once": true}]
+})";
+}
+
+int64_t
+CountNotRun(const TestInstance &instance)
+{
+    return counter_add(instance.daemon->counters, "gate_not_run", "")->value;
+}
+
+size_t
+CountDrains(const struct gatetask *gate)
+{
+    size_t count = 0;
+    const struct gate_drain *drain;
+    LIST_FOREACH (drain, &gate->drains, link) {
+        count++;
+    }
+    return count;
+}
+
+/* Guards against: a shard is handed over while the store still says that an
+ * order began which its caller was told has not run. */
+TEST(Drain, ShardIsBusyUntilTheRowsOfItsRefusedOrdersAreReleased)
+{
+    Deployment deployment;
+    TestInstance &instance = deployment.Add("one", "llanidloes", "orders");
+    deployment.Apply(1, DurableOrders(450));
+    ASSERT_TRUE(deployment.Serves(0, "/orders/x"));
+    target_server_destroy(instance.target);
+    instance.target = nullptr;
+    const struct store_faults slow = {.latency_us = 300 * US_PER_MS};
+    store_memory_set_faults(deployment.memory, &slow);
+    deployment.Send(0, "POST", "/orders/x", "one", deployment.Id());
+    EXPECT_GT(CountNotRun(instance), 0);
+    struct gatetask *gate = instance.daemon->gate;
+    EXPECT_TRUE(LIST_EMPTY(&gate->calls));
+    for (uint32_t shard = 0; shard < 16; shard++) {
+        gatetask_drain_shard(gate, shard);
+    }
+    gatetask_check_drains(gate);
+    EXPECT_EQ(1U, CountDrains(gate)) << "the shard of the order";
+    EXPECT_TRUE(
+        deployment.RunUntil([&] { return CountDrains(gate) == 0; }, 2000));
+}
+
+/* Guards against: an order that was refused as not run just before a planned
+ * stop is unknown to the next owner for good. */
+TEST(PlannedStop, OrderRefusedAsNotRunRunsAtTheNextOwner)
+{
+    invariant_reset();
+    Deployment deployment;
+    deployment.Add("one", "llanidloes", "orders");
+    deployment.Add("two", "rhayader", "orders");
+    deployment.Apply(1, DurableOrders(450));
+    ASSERT_TRUE(deployment.Serves(0, "/orders/x"));
+    ASSERT_TRUE(deployment.Serves(1, "/orders/x"));
+    ASSERT_TRUE(deployment.RunUntil([&] {
+        return placetask_owned_count(
+                   deployment.instances[0]->daemon->placement) == 8;
+    }));
+    TestInstance &leaving = *deployment.instances[0];
+    target_server_destroy(leaving.target);
+    leaving.target = nullptr;
+    const struct store_faults slow = {.latency_us = 100 * US_PER_MS};
+    store_memory_set_faults(deployment.memory, &slow);
+    std::vector<std::string> ids;
+    std::vector<std::unique_ptr<Answer>> answers;
+    for (int i = 0; i < 16; i++) {
+        ids.push_back(deployment.Id());
+        answers.push_back(std::make_unique<Answer>());
+        deployment.Start(*http_server_address(leaving.daemon->http), "POST",
+                         "/orders/" + std::to_string(i), "one", ids.back(),
+                         answers.back().get());
+    }
+    ASSERT_TRUE(deployment.RunUntil([&] {
+        return std::all_of(answers.begin(), answers.end(),
+                           [](const auto &answer) { return answer->done; });
+    }));
+    EXPECT_GT(CountNotRun(leaving), 0);
+    daemon_shut_down(leaving.daemon);
+    ASSERT_TRUE(deployment.RunUntil(
+        [&] { return leaving.daemon->phase == DAEMON_FINISHING; }));
+    const struct store_faults none = {};
+    store_memory_set_faults(deployment.memory, &none);
+    for (int i = 0; i < 16; i++) {
+        const Answer again = deployment.Send(
+            1, "POST", "/orders/" + std::to_string(i), "one", ids[i]);
+        EXPECT_EQ(200U, again.status) << again.outcome_header;
+    }
+}
+
 TEST_F(DaemonTest, OnlyAHigherRevisionReplacesTheOneInForce)
 {
     std::string changed = STATE;
