daemon: a planned stop waits until refused orders' rows are released

What callers saw: not seen, found by review. The only instance of a service has nobody to give its shards to, so its planned stop ended as soon as no request was in progress. An order that it had just refused as not run was then unknown to the restarted process for good, if its row was not released yet.

Change: the daemon is drained when its rows are settled, too; drain_max_ms bounds the wait as before. With the store away a stop with rows to release takes until that limit; leaving the members table needs the store as well.

--- a/packages/daemon/gatetask.c
+++ b/packages/daemon/gatetask.c
@@ -478,6 +478,12 @@
     return LIST_EMPTY(&gate->calls);
 }
 
+bool
+gatetask_settled(const struct gatetask *gate)
+{
+    return gate->executions == NULL || executions_settled(gate->executions);
+}
+
 void
 gatetask_visit_loads(struct gatetask *gate, gateload_cb visit, void *ctx)
 {
--- a/packages/daemon/gatetask.h
+++ b/packages/daemon/gatetask.h
@@ -131,6 +131,9 @@
 /** True if no request waits or runs. */
 bool gatetask_idle(const struct gatetask *gate);
 
+/** True if the store knows of every recorded request that it has not run. */
+bool gatetask_settled(const struct gatetask *gate);
+
 /** Call after a change of ownership. */
 void gatetask_dispatch_queued(struct gatetask *gate);
 
--- a/packages/daemon/shutdown.c
+++ b/packages/daemon/shutdown.c
@@ -61,10 +61,12 @@
     return entrytask_count(daemon->entry) > 0 || !gatetask_idle(daemon->gate);
 }
 
+/* A restarted process would take rows that were not settled for requests that
+ * began. */
 static bool
 is_drained(const struct daemon *daemon)
 {
-    return !has_requests(daemon) &&
+    return !has_requests(daemon) && gatetask_settled(daemon->gate) &&
            (placetask_owned_count(daemon->placement) == 0 ||
             !has_receiver(daemon));
 }
--- a/packages/daemon/test/daemon_test.cc
+++ b/packages/daemon/test/daemon_test.cc
@@ -393,6 +393,30 @@
     }
 }
 
+/* Guards against: the only instance of a service ends while the store still
+ * says that an order began which was refused, so that after its restart the
+ * order is unknown for good. */
+TEST(PlannedStop, LastInstanceReleasesTheRowsOfRefusedOrders)
+{
+    invariant_reset();
+    Deployment deployment;
+    TestInstance &instance = deployment.Add("one", "llanidloes", "orders");
+    deployment.Apply(1, DurableOrders(450));
+    ASSERT_TRUE(deployment.Serves(0, "/orders/x"));
+    target_server_destroy(instance.target);
+    instance.target = nullptr;
+    const struct store_faults slow = {.latency_us = 300 * US_PER_MS};
+    store_memory_set_faults(deployment.memory, &slow);
+    deployment.Send(0, "POST", "/orders/x", "one", deployment.Id());
+    EXPECT_GT(CountNotRun(instance), 0);
+    EXPECT_FALSE(gatetask_settled(instance.daemon->gate));
+    daemon_shut_down(instance.daemon);
+    ASSERT_TRUE(deployment.RunUntil(
+        [&] { return instance.daemon->phase == DAEMON_FINISHING; }, 4000));
+    EXPECT_TRUE(gatetask_settled(instance.daemon->gate));
+    EXPECT_EQ(0, invariant_violations(INVARIANT_GRACEFUL_STOP));
+}
+
 TEST_F(DaemonTest, OnlyAHigherRevisionReplacesTheOneInForce)
 {
     std::string changed = STATE;
