--- a/packages/daemon/gatetask.h
+++ b/packages/daemon/gatetask.h
@@ -108,7 +108,8 @@
 /** The single-key shard was merged back into shard base. */
 void gatetask_merge_key(struct gatetask *gate, uint32_t base, uint32_t key);
 
-/** Calls shard_idle once the shard has no requests in progress. */
+/** Calls shard_idle once the shard has no requests in progress and its rows of
+ * executions are settled. */
 void gatetask_drain_shard(struct gatetask *gate, uint32_t shard);
 
 /** Stops the drain of a shard whose move was cancelled. */
@@ -130,6 +131,9 @@
 /** True if no request waits or runs. */
 bool gatetask_idle(const struct gatetask *gate);
 
+/** True if the store knows of every recorded request that it has not run. */
+bool gatetask_settled(const struct gatetask *gate);
+
 /** Call after a change of ownership. */
 void gatetask_dispatch_queued(struct gatetask *gate);
 
