base: the units of time stand in one header, and constants use them

US_PER_MS stood in runtime.h and six other files, so that decision units included the event loop for it or defined it again. It is in base/timeunits.h now; constants such as INT64_C(2500000) are 2500 * US_PER_MS. packages/gate keeps its own until it is free to change.

--- a/packages/base/document.c
+++ b/packages/base/document.c
@@ -6,7 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "base/runtime.h"
+#include "base/timeunits.h"
 
 #define DOCUMENT_LINE_SIZE 512
 #define DOCUMENT_READ_SIZE 65536
--- a/packages/base/runtime.h
+++ b/packages/base/runtime.h
@@ -12,9 +12,7 @@
 #include <stdint.h>
 
 #include "base/error.h"
-
-#define US_PER_MS INT64_C(1000)
-#define US_PER_SECOND INT64_C(1000000)
+#include "base/timeunits.h"
 
 struct event_base;
 struct runtime;
--- a/packages/entry/bench/bench_requests.c
+++ b/packages/entry/bench/bench_requests.c
@@ -12,11 +12,10 @@
 #include "base/invariant.h"
 #include "base/log.h"
 #include "base/random.h"
+#include "base/timeunits.h"
 #include "entry/choice.h"
 #include "entry/model.h"
 
-#define US_PER_MS INT64_C(1000)
-#define US_PER_SECOND INT64_C(1000000)
 #define SEED 7
 #define WARM_UP_US (4 * US_PER_SECOND)
 #define WINDOW_US (5 * US_PER_SECOND)
--- a/packages/entry/choice_internal.h
+++ b/packages/entry/choice_internal.h
@@ -5,9 +5,9 @@
 #ifndef CHESTNUTGAP_ENTRY_CHOICE_INTERNAL_H
 #define CHESTNUTGAP_ENTRY_CHOICE_INTERNAL_H
 
+#include "base/timeunits.h"
 #include "entry/choice.h"
 
-#define US_PER_MS INT64_C(1000)
 #define CHOICE_NAME_SIZE 64
 #define CHOICE_LATENCY_DEFAULT_US 10000.0
 #define CHOICE_PROBE_DELAY_MIN_US (100 * US_PER_MS)
--- a/packages/entry/model.c
+++ b/packages/entry/model.c
@@ -10,7 +10,7 @@
 #define GATE_TICK_US LIMIT_TICK_US
 #define SAME_HOST_DELAY_US 50
 #define SAME_ZONE_DELAY_US 250
-#define FINISH_STEP_US (100 * MODEL_US_PER_MS)
+#define FINISH_STEP_US (100 * US_PER_MS)
 #define FINISH_STEPS_MAX 600
 
 void *
@@ -128,7 +128,7 @@
 {
     return (struct dedup_time){
         .now_us = model->now_us,
-        .wall_ms = MODEL_WALL_START_MS + model->now_us / MODEL_US_PER_MS,
+        .wall_ms = MODEL_WALL_START_MS + model->now_us / US_PER_MS,
     };
 }
 
@@ -239,13 +239,13 @@
         .slots = 20,
         .connections = 130,
         .cold_limit = 2,
-        .cold_start_us = 2000 * MODEL_US_PER_MS,
-        .service_time_us = 10 * MODEL_US_PER_MS,
+        .cold_start_us = 2000 * US_PER_MS,
+        .service_time_us = 10 * US_PER_MS,
         .zone_delay_us = 1500,
         .rate = 0.7 * 4 * 20 * 100,
         .order_share = 0.1,
-        .deadline_us = 1000 * MODEL_US_PER_MS,
-        .retention_us = 60000 * MODEL_US_PER_MS,
+        .deadline_us = 1000 * US_PER_MS,
+        .retention_us = 60000 * US_PER_MS,
         .resends = 3,
         .retry_percent = 10,
         .hedge_percent = 3,
--- a/packages/entry/model_internal.h
+++ b/packages/entry/model_internal.h
@@ -6,6 +6,7 @@
 #define CHESTNUTGAP_ENTRY_MODEL_INTERNAL_H
 
 #include "base/random.h"
+#include "base/timeunits.h"
 #include "entry/choice.h"
 #include "entry/hedge.h"
 #include "entry/model.h"
@@ -13,15 +14,13 @@
 #include "entry/retry.h"
 #include "gate/gate.h"
 
-#define MODEL_US_PER_MS INT64_C(1000)
-#define MODEL_START_US (1000 * MODEL_US_PER_MS)
+#define MODEL_START_US (1000 * US_PER_MS)
 #define MODEL_WALL_START_MS INT64_C(1800000000000) /* wall clock at time 0 */
 #define MODEL_SHARDS 64
 #define MODEL_NO_ATTEMPT UINT64_MAX
 #define MODEL_ID_SIZE 32
-#define MODEL_GOSSIP_DELAY_US (300 * MODEL_US_PER_MS) /* to all members */
-#define MODEL_CRASH_PUSH_DELAY_US                                             \
-    (30 * MODEL_US_PER_MS) /* for crash reports */
+#define MODEL_GOSSIP_DELAY_US (300 * US_PER_MS)    /* to all members */
+#define MODEL_CRASH_PUSH_DELAY_US (30 * US_PER_MS) /* for crash reports */
 
 typedef void (*model_event_cb)(struct model *model, void *ctx, uint64_t arg);
 
--- a/packages/entry/modelentry.c
+++ b/packages/entry/modelentry.c
@@ -4,9 +4,9 @@
 #include "base/invariant.h"
 #include "entry/model_internal.h"
 
-#define RESEND_DELAY_US (50 * MODEL_US_PER_MS)
+#define RESEND_DELAY_US (50 * US_PER_MS)
 #define TIMER_BITS 16
-#define SLOW_REFUSAL_US (5 * MODEL_US_PER_MS)
+#define SLOW_REFUSAL_US (5 * US_PER_MS)
 #define IS_CAPACITY_REFUSAL(reason)                                           \
     ((reason) == FORWARD_REASON_OVERLOADED || (reason) == FORWARD_REASON_COLD)
 
--- a/packages/entry/modelfault.c
+++ b/packages/entry/modelfault.c
@@ -3,9 +3,9 @@
 #include <stdlib.h>
 
 #define FENCE_DELAY_US                                                        \
-    (1000 * MODEL_US_PER_MS) /* from the freeze to the new owners */
-#define LEASE_US (750 * MODEL_US_PER_MS)
-#define MOVE_POLL_US (20 * MODEL_US_PER_MS)
+    (1000 * US_PER_MS) /* from the freeze to the new owners */
+#define LEASE_US (750 * US_PER_MS)
+#define MOVE_POLL_US (20 * US_PER_MS)
 #define HANDOVER_BYTES_MAX (16u << 20)
 
 static void
--- a/packages/entry/modelgate.c
+++ b/packages/entry/modelgate.c
@@ -7,9 +7,9 @@
 #define LEASE_UNLIMITED_US (INT64_MAX / 2)
 #define SUSPECTS_MAX 256
 #define DEDUP_BYTES (16u << 20)
-#define CLOCK_MARGIN_US (500 * MODEL_US_PER_MS)
+#define CLOCK_MARGIN_US (500 * US_PER_MS)
 #define CONNECT_DELAY_US 100
-#define FROZEN_RETRY_US (10 * MODEL_US_PER_MS)
+#define FROZEN_RETRY_US (10 * US_PER_MS)
 
 static struct model_attempt *
 attempt_of(struct gate_request *request)
--- a/packages/entry/modelrandom.c
+++ b/packages/entry/modelrandom.c
@@ -3,9 +3,9 @@
 #include "base/invariant.h"
 #include "entry/model_internal.h"
 
-#define RUN_DURATION_US (6000 * MODEL_US_PER_MS)
-#define FAULT_INTERVAL_MIN_US (20 * MODEL_US_PER_MS)
-#define FAULT_INTERVAL_MAX_US (400 * MODEL_US_PER_MS)
+#define RUN_DURATION_US (6000 * US_PER_MS)
+#define FAULT_INTERVAL_MIN_US (20 * US_PER_MS)
+#define FAULT_INTERVAL_MAX_US (400 * US_PER_MS)
 #define TARGETS 6
 #define ZONES 3
 #define NO_INSTANCE UINT32_MAX
@@ -27,10 +27,10 @@
     config.zones = ZONES;
     config.slots = (unsigned)random_range(random, 2, 10);
     config.cold_limit = (unsigned)random_range(random, 1, 2);
-    config.cold_start_us = random_range(random, 100, 1500) * MODEL_US_PER_MS;
+    config.cold_start_us = random_range(random, 100, 1500) * US_PER_MS;
     config.rate = (double)random_range(random, 20, 70) * config.slots;
     config.order_share = 0.4;
-    config.retention_us = 30000 * MODEL_US_PER_MS;
+    config.retention_us = 30000 * US_PER_MS;
     config.lost_reply_share = random_chance(random, 0.5) ? 0.03 : 0;
     config.cut_answer_share = random_chance(random, 0.5) ? 0.01 : 0;
     config.start_warm = random_chance(random, 0.5);
--- a/packages/entry/modeltarget.c
+++ b/packages/entry/modeltarget.c
@@ -4,11 +4,11 @@
 
 /* Log-normal service times; the 99th percentile is 3.4 times the mean. */
 #define SERVICE_SIGMA 0.6
-#define RESTART_US (500 * MODEL_US_PER_MS)
-#define CRASH_AFTER_US (2 * MODEL_US_PER_MS)
+#define RESTART_US (500 * US_PER_MS)
+#define CRASH_AFTER_US (2 * US_PER_MS)
 /* A target crashes when it runs this many times its capacity for this long. */
 #define OVERLOAD_CRASH_RATIO 4
-#define OVERLOAD_CRASH_US (100 * MODEL_US_PER_MS)
+#define OVERLOAD_CRASH_US (100 * US_PER_MS)
 
 void
 model_target_init(struct model *model, unsigned number)
@@ -111,7 +111,7 @@
     const int64_t out_us = model->zone_out_since_us[instance->zone];
     model->counts.starts_in_zone_out +=
         model->zone_out[instance->zone] &&
-        model->now_us - out_us > 3000 * MODEL_US_PER_MS;
+        model->now_us - out_us > 3000 * US_PER_MS;
     model_trace(model, "%s target runs #%llu", instance->name,
                 (unsigned long long)attempt->call->number);
     if (attempt->call->kind == MODEL_CRASHING_READ ||
--- a/packages/entry/request_internal.h
+++ b/packages/entry/request_internal.h
@@ -5,9 +5,9 @@
 #ifndef CHESTNUTGAP_ENTRY_REQUEST_INTERNAL_H
 #define CHESTNUTGAP_ENTRY_REQUEST_INTERNAL_H
 
+#include "base/timeunits.h"
 #include "entry/request.h"
 
-#define US_PER_MS INT64_C(1000)
 #define NEVER_US INT64_MAX
 
 struct request_attempt {
--- a/packages/entry/requestkey.c
+++ b/packages/entry/requestkey.c
@@ -2,7 +2,8 @@
 
 #include <string.h>
 
-#define US_PER_MS INT64_C(1000)
+#include "base/timeunits.h"
+
 #define DEADLINE_DIGITS_MAX 9
 
 struct span {
--- a/packages/fleet/choicemodel.c
+++ b/packages/fleet/choicemodel.c
@@ -6,7 +6,7 @@
 #include <string.h>
 
 #include "base/memory.h"
-#include "base/runtime.h"
+#include "base/timeunits.h"
 #include "fleet/instancechoice.h"
 
 #define DURATION_US (30 * US_PER_SECOND)
--- a/packages/fleet/departures.c
+++ b/packages/fleet/departures.c
@@ -3,7 +3,7 @@
 #include <stdio.h>
 #include <string.h>
 
-#include "base/runtime.h"
+#include "base/timeunits.h"
 
 /* Announcements are delayed by seconds; a target without a known start may
  * return under the same name later. */
--- a/packages/fleet/instancechoice.c
+++ b/packages/fleet/instancechoice.c
@@ -3,7 +3,7 @@
 #include <math.h>
 #include <string.h>
 
-#include "base/runtime.h"
+#include "base/timeunits.h"
 
 #define SERVICE_DEFAULT_US (200 * US_PER_MS)
 #define SLOWNESS_HALF_LIFE_US (2.0 * US_PER_SECOND)
--- a/packages/fleet/instancetable.c
+++ b/packages/fleet/instancetable.c
@@ -5,7 +5,7 @@
 #include <string.h>
 
 #include "base/memory.h"
-#include "base/runtime.h"
+#include "base/timeunits.h"
 
 #define SERVICE_SMOOTHING 16 /* a new answer has the weight 1/16 */
 #define FAILURE_SMOOTHING 16 /* a new request has the weight 1/16 */
--- a/packages/fleet/targetqueue.c
+++ b/packages/fleet/targetqueue.c
@@ -3,7 +3,7 @@
 #include <stdlib.h>
 
 #include "base/memory.h"
-#include "base/runtime.h"
+#include "base/timeunits.h"
 
 #define COLD_WINDOW_US                                                        \
     (1100 * US_PER_MS) /* one second, and 10 % for clock differences */
--- a/packages/membership/fence.c
+++ b/packages/membership/fence.c
@@ -2,16 +2,18 @@
 
 #include <stdlib.h>
 
+#include "base/timeunits.h"
+
 #define GUARDIANS_MAX (2 * MEMBER_GUARDIANS_MAX)
-#define REQUEST_INTERVAL_US INT64_C(100000)
-#define RETRY_MIN_US INT64_C(100000) /* after a failed store operation */
-#define RETRY_MAX_US INT64_C(2000000)
+#define REQUEST_INTERVAL_US (100 * US_PER_MS)
+#define RETRY_MIN_US (100 * US_PER_MS) /* after a failed store operation */
+#define RETRY_MAX_US (2 * US_PER_SECOND)
 
 /**
  * Longest duration of an attempt, far below GUARDIAN_RETENTION_US, so that
  * certificates are used only while guardians still have them.
  */
-#define ATTEMPT_MAX_US INT64_C(10000000)
+#define ATTEMPT_MAX_US (10 * US_PER_SECOND)
 
 enum fence_step {
     STEP_READ,    /* the row is to be read */
--- a/packages/membership/guardian.h
+++ b/packages/membership/guardian.h
@@ -11,6 +11,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "base/timeunits.h"
 #include "membership/leaserules.h"
 #include "protocol/generated/lease.h"
 
@@ -19,7 +20,7 @@
  * certificate then is safe, since a holder whose lease lapsed longer ago than
  * LEASE_REGAIN_MAX_US never uses acknowledgements again.
  */
-#define GUARDIAN_RETENTION_US (INT64_C(24) * 3600 * 1000000)
+#define GUARDIAN_RETENTION_US (24 * 3600 * US_PER_SECOND)
 
 struct guardian;
 
--- a/packages/membership/lease.h
+++ b/packages/membership/lease.h
@@ -22,6 +22,7 @@
 #include <stdint.h>
 
 #include "base/random.h"
+#include "base/timeunits.h"
 #include "membership/leaserules.h"
 #include "membership/member.h"
 #include "protocol/generated/lease.h"
@@ -29,7 +30,7 @@
 
 /** A lease that lapsed longer ago than this is regained only by a write of
  * the row, not by acknowledged renewals. */
-#define LEASE_REGAIN_MAX_US (INT64_C(3600) * 1000000)
+#define LEASE_REGAIN_MAX_US (3600 * US_PER_SECOND)
 
 #define LEASE_NEVER_US INT64_MIN
 
--- a/packages/membership/leasewrite.c
+++ b/packages/membership/leasewrite.c
@@ -2,11 +2,13 @@
 
 #include <string.h>
 
-#define AVOID_GUARDIAN_US INT64_C(30000000) /* after a replacement */
-#define GUARDIAN_LOST_US INT64_C(2000000)   /* without a reply */
-#define REPLACEMENT_INTERVAL_US INT64_C(1000000)
-#define BACKOFF_MIN_US INT64_C(100000) /* after a failed write */
-#define BACKOFF_MAX_US INT64_C(2000000)
+#include "base/timeunits.h"
+
+#define AVOID_GUARDIAN_US (30 * US_PER_SECOND) /* after a replacement */
+#define GUARDIAN_LOST_US (2 * US_PER_SECOND)   /* without a reply */
+#define REPLACEMENT_INTERVAL_US (1 * US_PER_SECOND)
+#define BACKOFF_MIN_US (100 * US_PER_MS) /* after a failed write */
+#define BACKOFF_MAX_US (2 * US_PER_SECOND)
 
 void
 lease_back_off(struct lease *lease, int64_t now_us)
--- a/packages/membership/member.h
+++ b/packages/membership/member.h
@@ -14,11 +14,12 @@
 
 #include "base/address.h"
 #include "base/error.h"
+#include "base/timeunits.h"
 #include "state/state.h"
 
 #define MEMBER_TABLE "members"
 #define MEMBER_GUARDIANS_MAX 3
-#define MEMBER_DURATION_MAX_US INT64_C(10000000000000) /* 115 days */
+#define MEMBER_DURATION_MAX_US (10000000 * US_PER_SECOND) /* 115 days */
 #define MEMBER_INCARNATION_BITS 53 /* exact in every JSON parser */
 
 enum member_state {
--- a/packages/membership/membercall.c
+++ b/packages/membership/membercall.c
@@ -2,8 +2,10 @@
 
 #include <stdlib.h>
 
-#define CALL_TIMEOUT_US INT64_C(250000)
-#define PROBE_TIMEOUT_US INT64_C(500000)
+#include "base/timeunits.h"
+
+#define CALL_TIMEOUT_US (250 * US_PER_MS)
+#define PROBE_TIMEOUT_US (500 * US_PER_MS)
 
 static void
 on_call_done(void *ctx, enum rpc_status status, const void *result)
--- a/packages/membership/memberfence.c
+++ b/packages/membership/memberfence.c
@@ -7,8 +7,9 @@
 
 #define LOG_MODULE "membership"
 #include "base/log.h"
+#include "base/timeunits.h"
 
-#define ATTEMPT_PAUSE_US INT64_C(1000000) /* between attempts per holder */
+#define ATTEMPT_PAUSE_US (1 * US_PER_SECOND) /* for each holder */
 
 static struct member_fence *
 find_by_serial(struct membertask *task, uint64_t serial)
--- a/packages/membership/memberjoin.c
+++ b/packages/membership/memberjoin.c
@@ -4,10 +4,11 @@
 
 #define LOG_MODULE "membership"
 #include "base/log.h"
+#include "base/timeunits.h"
 
-#define CERTIFY_PERCENT 67             /* of a lease without contact */
-#define JOIN_ALONE_US INT64_C(2500000) /* wait for other members */
-#define PREDECESSOR_PAUSE_US INT64_C(1000000)
+#define CERTIFY_PERCENT 67               /* of a lease without contact */
+#define JOIN_ALONE_US (2500 * US_PER_MS) /* wait for other members */
+#define PREDECESSOR_PAUSE_US (1 * US_PER_SECOND)
 
 bool
 member_new_incarnation(struct membertask *task)
--- a/packages/membership/memberlease.c
+++ b/packages/membership/memberlease.c
@@ -1,10 +1,11 @@
 #include "membership/membertask_internal.h"
 
+#include "base/timeunits.h"
 #include "membership/guardianselect.h"
 #include "store/audit.h"
 
 /* A failed guardian is fenced by then. */
-#define GUARDIAN_UNRESPONSIVE_US INT64_C(1200000)
+#define GUARDIAN_UNRESPONSIVE_US (1200 * US_PER_MS)
 
 static void
 send_renewal(void *ctx, const struct member_ref *guardian, uint64_t version,
--- a/packages/membership/memberpoll.c
+++ b/packages/membership/memberpoll.c
@@ -3,11 +3,12 @@
 #include <string.h>
 
 #include "base/hash.h"
+#include "base/timeunits.h"
 
-#define POLL_INTERVAL_US INT64_C(1000000)        /* see is_poller() */
-#define NON_POLLER_INTERVAL_US INT64_C(60000000) /* of other members */
-#define POLL_RETRY_US INT64_C(500000)            /* after a failure */
-#define POLL_MISSING_ROW_DELAY_US INT64_C(20000)
+#define POLL_INTERVAL_US (1 * US_PER_SECOND)        /* see is_poller() */
+#define NON_POLLER_INTERVAL_US (60 * US_PER_SECOND) /* of other members */
+#define POLL_RETRY_US (500 * US_PER_MS)             /* after a failure */
+#define POLL_MISSING_ROW_DELAY_US (20 * US_PER_MS)
 #define POLLERS_PER_ZONE 5
 
 /** Counts the members of the zone that precede this one by hash. */
--- a/packages/membership/membertable.c
+++ b/packages/membership/membertable.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "base/hash.h"
+#include "base/timeunits.h"
 #include "membership/endpoint.h"
 #include "membership/stringtable.h"
 
@@ -12,7 +13,6 @@
 #define INDEX_LOAD_PERCENT 75 /* highest load factor of the hash index */
 #define GROWTH_DIVISOR 8      /* the table grows by an eighth */
 #define PERCENT 100
-#define US_PER_MS 1000
 
 /** Guardians as positions in the table. Packed to avoid padding. */
 struct packed_guardians {
--- a/packages/membership/membertask.c
+++ b/packages/membership/membertask.c
@@ -6,9 +6,10 @@
 
 #define LOG_MODULE "membership"
 #include "base/log.h"
+#include "base/timeunits.h"
 
-#define REPLACEMENT_JITTER_PER_MEMBER_US INT64_C(2000)
-#define ALERT_INTERVAL_US INT64_C(100000)
+#define REPLACEMENT_JITTER_PER_MEMBER_US (2 * US_PER_MS)
+#define ALERT_INTERVAL_US (100 * US_PER_MS)
 
 int64_t
 member_now_us(const struct membertask *task)
--- a/packages/membership/memberwatch.c
+++ b/packages/membership/memberwatch.c
@@ -4,25 +4,26 @@
 #include <string.h>
 
 #include "base/hash.h"
+#include "base/timeunits.h"
 #include "membership/leaserules.h"
 
-#define WATCH_INTERVAL_US INT64_C(50000)
-#define PAUSE_MIN_US INT64_C(200000) /* a later check counts as a pause */
-#define PROBE_PERCENT 50             /* of the lease without contact */
-#define CERTIFY_PERCENT 67           /* likewise; see guardian_create() */
-#define PROBE_INTERVAL_US INT64_C(100000)
-#define RANK_DELAY_US INT64_C(100000) /* between attempts of guardians */
-#define OVERDUE_INTERVAL_US INT64_C(10000000)
-#define TURN_PERIOD_MIN_US INT64_C(5000000)
-#define TURN_PERIOD_PER_MEMBER_US INT64_C(20000)
-#define DECLARED_LOST_INTERVAL_US INT64_C(1000000)
-#define DECLARED_LOST_TURN_US INT64_C(1500000) /* contains a check */
+#define WATCH_INTERVAL_US (50 * US_PER_MS)
+#define PAUSE_MIN_US (200 * US_PER_MS) /* a later check counts as a pause */
+#define PROBE_PERCENT 50               /* of the lease without contact */
+#define CERTIFY_PERCENT 67             /* likewise; see guardian_create() */
+#define PROBE_INTERVAL_US (100 * US_PER_MS)
+#define RANK_DELAY_US (100 * US_PER_MS) /* between attempts of guardians */
+#define OVERDUE_INTERVAL_US (10 * US_PER_SECOND)
+#define TURN_PERIOD_MIN_US (5 * US_PER_SECOND)
+#define TURN_PERIOD_PER_MEMBER_US (20 * US_PER_MS)
+#define DECLARED_LOST_INTERVAL_US (1 * US_PER_SECOND)
+#define DECLARED_LOST_TURN_US (1500 * US_PER_MS) /* contains a check */
 
 /**
  * A refused connection proves that the incarnation is gone only if a renewal
  * came from that address this recently.
  */
-#define ADDRESS_VALID_US INT64_C(10000000)
+#define ADDRESS_VALID_US (10 * US_PER_SECOND)
 
 static struct member_contact *
 find_contact(struct membertask *task, uint64_t holder)
--- a/packages/membership/model.c
+++ b/packages/membership/model.c
@@ -4,13 +4,15 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define TICK_MAX_US INT64_C(50000) /* longest time between ticks */
-#define START_US INT64_C(1000000)  /* simulated time at the start */
-#define RESTART_US INT64_C(200000) /* restart delay of a fenced holder */
-#define SUSPECT_PERCENT 67         /* of the lease without contact */
+#include "base/timeunits.h"
+
+#define TICK_MAX_US (50 * US_PER_MS) /* longest time between ticks */
+#define START_US (1 * US_PER_SECOND) /* simulated time at the start */
+#define RESTART_US (200 * US_PER_MS) /* restart delay of a fenced holder */
+#define SUSPECT_PERCENT 67           /* of the lease without contact */
 #define PROBE_PERCENT 50
-#define PROBE_INTERVAL_US INT64_C(100000)
-#define ATTEMPT_PAUSE_US INT64_C(1000000)
+#define PROBE_INTERVAL_US (100 * US_PER_MS)
+#define ATTEMPT_PAUSE_US (1 * US_PER_SECOND)
 #define RANDOM_ATTEMPT_PERCENT 1 /* of ticks that fence without suspicion */
 #define RENEWAL_SHORT_S 6        /* in a quarter of the runs with faults */
 #define RENEWAL_LONG_S 3600
--- a/packages/membership/modelfault.c
+++ b/packages/membership/modelfault.c
@@ -2,11 +2,13 @@
 
 #include <string.h>
 
-#define FAULT_GAP_MAX_US INT64_C(1500000) /* between starts of faults */
-#define FAULT_MIN_US INT64_C(100000)      /* length of a fault */
-#define FAULT_MAX_US INT64_C(5000000)
-#define LEASE_MIN_US INT64_C(400000)
-#define LEASE_MAX_US INT64_C(1500000)
+#include "base/timeunits.h"
+
+#define FAULT_GAP_MAX_US (1500 * US_PER_MS) /* between starts of faults */
+#define FAULT_MIN_US (100 * US_PER_MS)      /* length of a fault */
+#define FAULT_MAX_US (5 * US_PER_SECOND)
+#define LEASE_MIN_US (400 * US_PER_MS)
+#define LEASE_MAX_US (1500 * US_PER_MS)
 #define LOSS_MAX_PERCENT 60
 #define SECOND_FAULT_PERCENT 30 /* of faults that start with a second one */
 #define PERCENT 100
--- a/packages/membership/modelnet.c
+++ b/packages/membership/modelnet.c
@@ -2,13 +2,15 @@
 
 #include <stdlib.h>
 
+#include "base/timeunits.h"
+
 #define LATENCY_MIN_US INT64_C(500)
-#define LATENCY_MAX_US INT64_C(4000)
-#define SLOW_LATENCY_MAX_US INT64_C(1500000)
-#define STORE_LATENCY_MIN_US INT64_C(2000)
-#define STORE_LATENCY_MAX_US INT64_C(12000)
-#define STORE_TIMEOUT_US INT64_C(400000)
-#define STORE_LATE_MAX_US INT64_C(5000000)
+#define LATENCY_MAX_US (4 * US_PER_MS)
+#define SLOW_LATENCY_MAX_US (1500 * US_PER_MS)
+#define STORE_LATENCY_MIN_US (2 * US_PER_MS)
+#define STORE_LATENCY_MAX_US (12 * US_PER_MS)
+#define STORE_TIMEOUT_US (400 * US_PER_MS)
+#define STORE_LATE_MAX_US (5 * US_PER_SECOND)
 #define STORE_FAULT_PERCENT 60 /* of operations during a fault */
 #define PERCENT 100
 
--- a/packages/node/gatecrash.c
+++ b/packages/node/gatecrash.c
@@ -1,6 +1,6 @@
 #include "node/gatecrash.h"
 
-#include "base/runtime.h"
+#include "base/timeunits.h"
 
 /* How long before the crash a cut request counts as a suspect. */
 #define CUT_SUSPECT_US (1500 * US_PER_MS)
--- a/packages/node/nodesettings.c
+++ b/packages/node/nodesettings.c
@@ -2,7 +2,7 @@
 
 #include <string.h>
 
-#include "base/runtime.h"
+#include "base/timeunits.h"
 
 #define KIND_FIELD "platform"
 #define SECONDS_MAX 3600
--- a/packages/placement/handovers.h
+++ b/packages/placement/handovers.h
@@ -10,12 +10,13 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "base/timeunits.h"
 #include "state/state.h"
 
-#define HANDOVER_KEPT_US INT64_C(120000000) /* until expiry */
+#define HANDOVER_KEPT_US (120 * US_PER_SECOND) /* until expiry */
 
 /* Time for which the load of a handover counts as this instance's. */
-#define HANDOVER_LOAD_COUNTED_US INT64_C(3000000)
+#define HANDOVER_LOAD_COUNTED_US (3 * US_PER_SECOND)
 
 struct handovers;
 
--- a/packages/placement/hotkeys.h
+++ b/packages/placement/hotkeys.h
@@ -11,8 +11,10 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#define HOTKEYS_COUNTERS 512                   /* number of counted keys */
-#define HOTKEYS_HALF_LIFE_US INT64_C(20000000) /* of a counter */
+#include "base/timeunits.h"
+
+#define HOTKEYS_COUNTERS 512                      /* number of counted keys */
+#define HOTKEYS_HALF_LIFE_US (20 * US_PER_SECOND) /* of a counter */
 
 /** A counted key. */
 struct hotkey {
--- a/packages/placement/pagewriter.c
+++ b/packages/placement/pagewriter.c
@@ -4,8 +4,10 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/timeunits.h"
+
 /* No new moves are started for this time after the store failed. */
-#define FAILURE_BACKOFF_US INT64_C(3000000)
+#define FAILURE_BACKOFF_US (3 * US_PER_SECOND)
 
 /* Changes of one page that have not ended. */
 struct page_queue {
--- a/packages/placement/pagewriter.h
+++ b/packages/placement/pagewriter.h
@@ -10,14 +10,15 @@
 #define CHESTNUTGAP_PLACEMENT_PAGEWRITER_H
 
 #include "base/random.h"
+#include "base/timeunits.h"
 #include "placement/peers.h"
 #include "placement/shardchange.h"
 #include "placement/shardmap.h"
 #include "store/store.h"
 
 #define PAGE_WRITE_ATTEMPTS 4 /* until a change fails */
-#define PAGE_RETRY_MIN_US INT64_C(50000)
-#define PAGE_RETRY_MAX_US INT64_C(2000000)
+#define PAGE_RETRY_MIN_US (50 * US_PER_MS)
+#define PAGE_RETRY_MAX_US (2 * US_PER_SECOND)
 
 struct pagewriter;
 
--- a/packages/placement/peers.h
+++ b/packages/placement/peers.h
@@ -11,10 +11,11 @@
 #include <stdint.h>
 
 #include "base/random.h"
+#include "base/timeunits.h"
 #include "state/state.h"
 
-#define PEER_REPORT_FRESH_US INT64_C(10000000) /* maximum age of a report */
-#define PEER_PENDING_LOAD_US INT64_C(1000000)  /* until reports include it */
+#define PEER_REPORT_FRESH_US (10 * US_PER_SECOND) /* longest age of one */
+#define PEER_PENDING_LOAD_US (1 * US_PER_SECOND)  /* until reported */
 
 enum peer_state {
     PEER_UNKNOWN, /**< registered, but not active yet */
--- a/packages/placement/placemodel_internal.h
+++ b/packages/placement/placemodel_internal.h
@@ -8,16 +8,16 @@
 #include <sys/queue.h>
 
 #include "base/random.h"
-#include "base/runtime.h"
+#include "base/timeunits.h"
 #include "placement/placemodel.h"
 #include "placement/placer_internal.h"
 
 /* Between calls of placer_run() and checks. */
-#define PLACEMODEL_TICK_US INT64_C(20000)
-#define PLACEMODEL_LEASE_US INT64_C(750000) /* lease duration */
-#define PLACEMODEL_RENEW_US INT64_C(250000) /* between renewals */
+#define PLACEMODEL_TICK_US (20 * US_PER_MS)
+#define PLACEMODEL_LEASE_US (750 * US_PER_MS) /* lease duration */
+#define PLACEMODEL_RENEW_US (250 * US_PER_MS) /* between renewals */
 /* Until a commit without answer has an unknown outcome. */
-#define PLACEMODEL_ANSWER_LOST_US INT64_C(500000)
+#define PLACEMODEL_ANSWER_LOST_US (500 * US_PER_MS)
 #define PLACEMODEL_SERVICE "archebion"
 
 struct placemodel;
--- a/packages/placement/placemodelfaults.c
+++ b/packages/placement/placemodelfaults.c
@@ -2,10 +2,12 @@
 
 #include <string.h>
 
-#define OUTAGE_MAX_US INT64_C(8000000)
-#define PAUSE_MAX_US INT64_C(6000000)
-#define RESTART_DELAY_MAX_US INT64_C(10000000)
-#define ZONE_OUT_US INT64_C(10000000)
+#include "base/timeunits.h"
+
+#define OUTAGE_MAX_US (8 * US_PER_SECOND)
+#define PAUSE_MAX_US (6 * US_PER_SECOND)
+#define RESTART_DELAY_MAX_US (10 * US_PER_SECOND)
+#define ZONE_OUT_US (10 * US_PER_SECOND)
 
 /* Draws a fault that occurs once in every_s seconds on average. Called once
  * per tick. */
--- a/packages/placement/placemodelmember.c
+++ b/packages/placement/placemodelmember.c
@@ -3,10 +3,12 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define RPC_LOST_US INT64_C(300000) /* timeout of a lost call */
+#include "base/timeunits.h"
+
+#define RPC_LOST_US (300 * US_PER_MS) /* timeout of a lost call */
 #define SEND_PAGE_ATTEMPTS 3
-#define SCAN_PERIOD_US INT64_C(2000000)
-#define LOAD_PERIOD_US INT64_C(1000000)
+#define SCAN_PERIOD_US (2 * US_PER_SECOND)
+#define LOAD_PERIOD_US (1 * US_PER_SECOND)
 
 static bool
 message_is_lost(struct placemodel *model, unsigned from, unsigned to)
--- a/packages/placement/placemodelruns.c
+++ b/packages/placement/placemodelruns.c
@@ -5,12 +5,12 @@
 
 #include "base/invariant.h"
 #include "base/random.h"
-#include "base/runtime.h"
+#include "base/timeunits.h"
 
 #define FAULTS_US (20 * US_PER_SECOND)
 #define RECOVERY_US (20 * US_PER_SECOND)
 #define ALL_SERVED_CHECKS 50
-#define ALL_SERVED_CHECK_PERIOD_US INT64_C(10000)
+#define ALL_SERVED_CHECK_PERIOD_US (10 * US_PER_MS)
 
 static double
 value_or_zero(struct random_state *random, double chance, double value)
--- a/packages/placement/placemodelstore.c
+++ b/packages/placement/placemodelstore.c
@@ -3,12 +3,14 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define FENCE_MARGIN_US INT64_C(10000) /* after the end of the lease */
+#include "base/timeunits.h"
+
+#define FENCE_MARGIN_US (10 * US_PER_MS) /* after the end of the lease */
 /* For the certificates and the transaction of a fence. */
-#define FENCE_DELAY_US INT64_C(60000)
+#define FENCE_DELAY_US (60 * US_PER_MS)
 /* Until other members get a changed members row. */
-#define NOTIFY_DELAY_US INT64_C(200000)
-#define LATE_WRITE_MAX_US INT64_C(5000000)
+#define NOTIFY_DELAY_US (200 * US_PER_MS)
+#define LATE_WRITE_MAX_US (5 * US_PER_SECOND)
 
 static bool
 conditions_hold(struct placemodel *model, const struct page_write *write)
--- a/packages/placement/placer_internal.h
+++ b/packages/placement/placer_internal.h
@@ -6,15 +6,16 @@
 #define CHESTNUTGAP_PLACEMENT_PLACER_INTERNAL_H
 
 #include "base/random.h"
+#include "base/timeunits.h"
 #include "placement/placer.h"
 #include "placement/rebalance.h"
 
-#define EVACUATE_PERIOD_US INT64_C(20000)
-#define ASSIGN_PERIOD_US INT64_C(200000)
-#define REBALANCE_PERIOD_US INT64_C(1000000)
-#define LOAD_EXCHANGE_PERIOD_US INT64_C(500000)
-#define SCAN_RETRY_US INT64_C(500000)
-#define IDLE_PERIOD_US INT64_C(50000) /* between calls of placer_run() */
+#define EVACUATE_PERIOD_US (20 * US_PER_MS)
+#define ASSIGN_PERIOD_US (200 * US_PER_MS)
+#define REBALANCE_PERIOD_US (1 * US_PER_SECOND)
+#define LOAD_EXCHANGE_PERIOD_US (500 * US_PER_MS)
+#define SCAN_RETRY_US (500 * US_PER_MS)
+#define IDLE_PERIOD_US (50 * US_PER_MS) /* between calls of placer_run() */
 
 struct placer {
     char instance[STATE_NAME_MAX + 1];
--- a/packages/placement/placerassign.c
+++ b/packages/placement/placerassign.c
@@ -5,13 +5,14 @@
 #include <string.h>
 
 #include "base/hash.h"
+#include "base/timeunits.h"
 
 /* Delays after ownership is known, until shards without earlier owner are
  * claimed and shards of members that are gone are reassigned. */
-#define CLAIM_DELAY_US INT64_C(2000000)
-#define REPLACE_DELAY_US INT64_C(5000000)
-#define RANK_DELAY_US INT64_C(300000) /* between successive ranks */
-#define OWNERS_CHECK_PERIOD_US INT64_C(3000000)
+#define CLAIM_DELAY_US (2 * US_PER_SECOND)
+#define REPLACE_DELAY_US (5 * US_PER_SECOND)
+#define RANK_DELAY_US (300 * US_PER_MS) /* between successive ranks */
+#define OWNERS_CHECK_PERIOD_US (3 * US_PER_SECOND)
 #define REPLACE_CHOICES 3 /* random receivers compared for a shard */
 
 static struct shardchange *
--- a/packages/placement/placermove.c
+++ b/packages/placement/placermove.c
@@ -7,11 +7,12 @@
 #define LOG_MODULE "placement"
 #include "base/invariant.h"
 #include "base/log.h"
+#include "base/timeunits.h"
 
-#define RESERVE_TIMEOUT_US INT64_C(1000000)
-#define DRAIN_MARGIN_US INT64_C(1000000) /* added to the longest request */
-#define HANDOVER_TIMEOUT_US INT64_C(5000000)
-#define MOVE_RETRY_DELAY_US INT64_C(1000000) /* after a cancelled move */
+#define RESERVE_TIMEOUT_US (1 * US_PER_SECOND)
+#define DRAIN_MARGIN_US (1 * US_PER_SECOND) /* after the longest request */
+#define HANDOVER_TIMEOUT_US (5 * US_PER_SECOND)
+#define MOVE_RETRY_DELAY_US (1 * US_PER_SECOND) /* after a cancelled move */
 #define URGENT_AFTER_REFUSALS 3 /* an evacuation overrides the load limit */
 
 static void
--- a/packages/placement/placerplan.c
+++ b/packages/placement/placerplan.c
@@ -4,6 +4,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/timeunits.h"
+
 #define EVACUATION_MOVES_MAX 64 /* concurrent moves of an evacuation */
 #define EVACUATION_CHOICES 3    /* random receivers compared for a shard */
 #define REBALANCE_MOVES_MAX 8   /* concurrent moves of rebalancing */
@@ -16,7 +18,7 @@
 #define SPLIT_KEY_SHARE_MAX 0.9
 /* A single key with less than this share of the mean has low load. */
 #define COOL_LOAD_SHARE 0.01
-#define COOL_MERGE_DELAY_US INT64_C(60000000) /* low load before a merge */
+#define COOL_MERGE_DELAY_US (60 * US_PER_SECOND) /* of low load */
 
 /* Next page after one, cyclically, that has movable shards of this instance;
  * UINT32_MAX if there is none. evacuate() starts at a random page, so that
--- a/packages/settings/settings.c
+++ b/packages/settings/settings.c
@@ -5,7 +5,7 @@
 #include <stdio.h>
 #include <string.h>
 
-#include "base/runtime.h"
+#include "base/timeunits.h"
 
 #define STORE_TIMEOUT_MAX_MS 60000
 #define STORE_CONNECTIONS_MAX 64
--- a/packages/spread/spread.c
+++ b/packages/spread/spread.c
@@ -5,12 +5,12 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "base/runtime.h"
+#include "base/timeunits.h"
 
 #define PUSHES_EXTRA 6     /* per item, on top of ln(members) */
 #define BURST_SECONDS 3.0  /* of bytes_per_second, saved at most */
 #define ITEMS_PER_BUCKET 8 /* expected in a section */
-#define FETCH_RETRY_US INT64_C(1000000)
+#define FETCH_RETRY_US (1 * US_PER_SECOND)
 
 struct spread *
 spread_create(const struct spread_options *options, int64_t now_us)
--- a/packages/spread/spread.h
+++ b/packages/spread/spread.h
@@ -13,12 +13,13 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "base/timeunits.h"
 #include "protocol/generated/spread.h"
 #include "spread/spreadpeers.h"
 
 #define SPREAD_KIND_COUNT 4
-#define SPREAD_PUSH_INTERVAL_US INT64_C(200000)
-#define SPREAD_DIGEST_INTERVAL_US INT64_C(2500000) /* mean */
+#define SPREAD_PUSH_INTERVAL_US (200 * US_PER_MS)
+#define SPREAD_DIGEST_INTERVAL_US (2500 * US_PER_MS) /* mean */
 #define SPREAD_CONFIG_NAME "head" /* the only item of kind SPREAD_CONFIG */
 #define SPREAD_FANOUT 2           /* peers per push round */
 /* Control traffic is limited to 7 KB/s. As much is received as sent, and lease
--- a/packages/spread/spreadmodel.c
+++ b/packages/spread/spreadmodel.c
@@ -4,12 +4,12 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "base/runtime.h"
+#include "base/timeunits.h"
 #include "protocol/rpc.h"
 
-#define STEP_US INT64_C(5000)
+#define STEP_US (5 * US_PER_MS)
 #define POLL_INTERVAL_US US_PER_SECOND
-#define STORE_LATENCY_US INT64_C(5000)
+#define STORE_LATENCY_US (5 * US_PER_MS)
 #define FETCH_BYTES 400 /* overhead of a TCP fetch */
 #define EVENT_SLOTS 512 /* ring of steps, longer than any latency */
 
--- a/packages/spread/spreadtask.c
+++ b/packages/spread/spreadtask.c
@@ -12,8 +12,8 @@
 #include "protocol/procedures.h"
 #include "protocol/rpc.h"
 
-#define SEND_TIMEOUT_US INT64_C(1000000)
-#define FETCH_TIMEOUT_US INT64_C(3000000)
+#define SEND_TIMEOUT_US (1 * US_PER_SECOND)
+#define FETCH_TIMEOUT_US (3 * US_PER_SECOND)
 
 /* A call in progress. */
 struct spread_call {
--- a/packages/standin/faultsjson.c
+++ b/packages/standin/faultsjson.c
@@ -1,6 +1,6 @@
 #include "standin/faultsjson.h"
 
-#include "base/runtime.h"
+#include "base/timeunits.h"
 
 #define FAULT_TIME_MAX_MS INT64_C(3600000) /* one hour */
 #define PERCENT_MAX 100
--- a/packages/state/statejson.c
+++ b/packages/state/statejson.c
@@ -6,7 +6,7 @@
 #include <string.h>
 
 #include "base/hash.h"
-#include "base/runtime.h"
+#include "base/timeunits.h"
 
 static json_t *
 milliseconds(int64_t time_us)
--- a/packages/state/stateparse.c
+++ b/packages/state/stateparse.c
@@ -2,7 +2,7 @@
 #include <string.h>
 
 #include "base/memory.h"
-#include "base/runtime.h"
+#include "base/timeunits.h"
 #include "state/state.h"
 
 #define ZONES_MAX 256
--- a/packages/store/audit.c
+++ b/packages/store/audit.c
@@ -4,7 +4,7 @@
 #include <stdio.h>
 #include <time.h>
 
-#include "base/runtime.h"
+#include "base/timeunits.h"
 
 void
 audit_row_name(int64_t at_us, uint64_t txn_id, char name[AUDIT_ROW_NAME_SIZE])
