ctl test: no process is signalled for a program that was not started

Seen: the shell that ran the test ended three times with no other cause (02:13:30 and twice around 01:58). kill(-1, SIGTERM) reaches every process that the user may signal, so others' runs may have ended too. "ninja ctl_test" built neither store_standin nor the other programs that the test starts; posix_spawn() failed, the id stayed -1, and stop() gave it to kill().

Cause: the result of start() is used unchecked; class: an id that is not one given to a call for which it has another meaning. The signals of platform/test/soak.cc and bench_store.c were checked: both are guarded.

The test failed before, with kill() replaced by one that refuses ids up to 0: "SHIM refused kill(-1, 0)", no failure recorded. Without store_standin OwnersSession called kill(-1, 15) before and calls nothing now, and fails.

--- a/packages/ctl/test/ctl_test.cc
+++ b/packages/ctl/test/ctl_test.cc
@@ -1,5 +1,6 @@
 #include "session.h"
 
+#include <gtest/gtest-spi.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -158,6 +159,13 @@
     expect_golden("faults.txt");
 }
 
+/* Failure: a missing program has the id -1, by which a signal goes to all
+ * processes of the machine. Signal 0 only checks whether they exist. */
+TEST_F(Ctl, NoProcessIsSignalledForAProgramThatWasNotStarted)
+{
+    EXPECT_NONFATAL_FAILURE(send_signal(-1, 0), "not started");
+}
+
 TEST_F(Ctl, ConcurrentAppliesHaveOneWinnerThatTheOthersReport)
 {
     store_post("/v1/faults", R"({"latency_ms": 200})");
--- a/packages/ctl/test/session.cc
+++ b/packages/ctl/test/session.cc
@@ -107,12 +107,24 @@
     return pid;
 }
 
+void
+Session::send_signal(pid_t pid, int number)
+{
+    if (pid <= 0) {
+        ADD_FAILURE() << "the program was not started";
+        return;
+    }
+    kill(pid, number);
+}
+
 int
 Session::stop(pid_t pid)
 {
-    int status = -1;
-    kill(pid, SIGTERM);
-    waitpid(pid, &status, 0);
+    int status = 0;
+    send_signal(pid, SIGTERM);
+    if (pid <= 0 || waitpid(pid, &status, 0) != pid) {
+        return -1;
+    }
     return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
 }
 
@@ -132,7 +144,7 @@
 void
 Session::pause_store(bool pause) const
 {
-    kill(store_pid, pause ? SIGSTOP : SIGCONT);
+    send_signal(store_pid, pause ? SIGSTOP : SIGCONT);
 }
 
 pid_t
--- a/packages/ctl/test/session.h
+++ b/packages/ctl/test/session.h
@@ -81,6 +81,9 @@
     /** Starts a daemon without a target. */
     pid_t start_daemon(const std::string &instance, const std::string &zone);
 
+    /** Signals a program; fails the test if it was not started. */
+    static void send_signal(pid_t pid, int number);
+
     /** Stops a program with SIGTERM. @return its exit code */
     static int stop(pid_t pid);
 
