feedrelay: an instance that refuses is not treated like one that does not answer

Cause: each refusal doubled the time for which an instance was not asked, up to 32 s, and was followed by a read of the store. That is for instances that cost 1.3 s of waiting; a refusal costs nothing. Class: two kinds of failure under one rule. Change: who refuses is asked again after 2 s each time. After a refusal at once, and whenever the store does not serve the reader, the next instance is asked. After a refusal that took its time the store is read as before.

--- a/packages/fleet/feedsource.c
+++ b/packages/fleet/feedsource.c
@@ -84,6 +84,22 @@
     return chosen;
 }
 
+/** The entry of an instance, in place of an older one if there is none. */
+static struct feedsource_failed *
+add_failed(struct feedsource *source, const char *instance)
+{
+    struct feedsource_failed *failed =
+        (struct feedsource_failed *)find_failed(source, instance);
+    if (failed == NULL) {
+        failed = &source->failed[source->next_failed];
+        source->next_failed =
+            (source->next_failed + 1) % FEEDSOURCE_FAILED_MAX;
+        *failed = (struct feedsource_failed){.failures = 0};
+        snprintf(failed->instance, sizeof(failed->instance), "%s", instance);
+    }
+    return failed;
+}
+
 void
 feedsource_record_peer(struct feedsource *source, const char *instance,
                        bool ok, int64_t now_us)
@@ -96,13 +112,7 @@
         }
         return;
     }
-    if (failed == NULL) {
-        failed = &source->failed[source->next_failed];
-        source->next_failed =
-            (source->next_failed + 1) % FEEDSOURCE_FAILED_MAX;
-        *failed = (struct feedsource_failed){.failures = 0};
-        snprintf(failed->instance, sizeof(failed->instance), "%s", instance);
-    }
+    failed = add_failed(source, instance);
     const unsigned doublings = failed->failures < EXCLUSION_DOUBLINGS_MAX
                                    ? failed->failures
                                    : EXCLUSION_DOUBLINGS_MAX;
@@ -110,6 +120,15 @@
     failed->excluded_until_us = now_us + (EXCLUSION_MIN_US << doublings);
 }
 
+void
+feedsource_record_refusal(struct feedsource *source, const char *instance,
+                          int64_t now_us)
+{
+    struct feedsource_failed *failed = add_failed(source, instance);
+    failed->failures = 0;
+    failed->excluded_until_us = now_us + EXCLUSION_MIN_US;
+}
+
 void
 feedsource_record_store(struct feedsource *source, bool ok, int64_t now_us)
 {
--- a/packages/fleet/feedsource.h
+++ b/packages/fleet/feedsource.h
@@ -21,7 +21,7 @@
 struct feedsource_failed {
     char instance[KEYMAP_NAME_MAX + 1];
     int64_t excluded_until_us;
-    unsigned failures; /**< consecutive */
+    unsigned failures; /**< consecutive reads without an answer */
 };
 
 struct feedsource {
@@ -50,10 +50,15 @@
 bool feedsource_started_before(const struct instancetable_row *row,
                                const struct feedsource_self *self);
 
-/** A read from the instance succeeded or failed. */
+/** A read from the instance succeeded, or there was no answer in time. */
 void feedsource_record_peer(struct feedsource *source, const char *instance,
                             bool ok, int64_t now_us);
 
+/** The instance answered that it can't be read from. That costs no time, so it
+ * is asked again soon, however often it has said so. */
+void feedsource_record_refusal(struct feedsource *source, const char *instance,
+                               int64_t now_us);
+
 void feedsource_record_store(struct feedsource *source, bool ok,
                              int64_t now_us);
 
--- a/packages/fleet/test/feedsource_test.cc
+++ b/packages/fleet/test/feedsource_test.cc
@@ -140,6 +140,20 @@
     EXPECT_EQ(Name(count - 1), Choose(0));
 }
 
+/* Who refuses is asked again soon each time: that costs no time. */
+TEST_F(Feedsource, RefusalsDoNotExcludeForLonger)
+{
+    Add(0);
+    Add(1);
+    for (int i = 0; i < 5; i++) {
+        EXPECT_EQ(Name(0), Choose(1));
+        feedsource_record_refusal(&source, Name(0).c_str(), now_us);
+        EXPECT_EQ("store", Choose(1));
+        now_us += 2 * US_PER_SECOND;
+    }
+    EXPECT_EQ(Name(0), Choose(1));
+}
+
 /* Of two instances that would read from each other, one must refuse. */
 TEST_F(Feedsource, OneOfTwoInstancesStartedBeforeTheOther)
 {
--- a/packages/node/feedrelay.c
+++ b/packages/node/feedrelay.c
@@ -19,6 +19,8 @@
 #define STORE_ANSWER_SLACK_US (400 * US_PER_MS)
 #define PEER_WAIT_US (1 * US_PER_SECOND)
 #define PEER_ANSWER_SLACK_US (300 * US_PER_MS)
+/* An instance that refuses within this time leaves time to ask others. */
+#define PROMPT_US (100 * US_PER_MS)
 #define TABLES_MAX 2
 
 struct feedrelay_table {
@@ -41,6 +43,8 @@
     rowstore_cb done;
     void *ctx;
     struct timer pause;
+    unsigned peers_asked;
+    int64_t peer_asked_us; /* when the present one was asked */
     struct rowstore_call *store_call;
     struct rpc_call *peer_call;
     char peer[KEYMAP_NAME_MAX + 1];
@@ -163,6 +167,43 @@
     relayrows_clear(&read);
 }
 
+static void read_source(struct feedrelay_call *call);
+
+static bool
+can_be_used(enum rpc_status status, const struct relay_feed *feed)
+{
+    return status == RPC_OK && feed->in_touch &&
+           feed->hops < FEEDSOURCE_HOPS_MAX;
+}
+
+/** Reads from another instance or the store: the one that was asked can't be
+ * read from. If it took its time to say so, only the store is sure to answer
+ * soon, unless it does not serve this instance. */
+static void
+read_elsewhere(struct feedrelay_call *call, enum rpc_status status)
+{
+    struct feedrelay_table *table = call->table;
+    struct feedrelay *relay = table->relay;
+    const int64_t now_us = node_now_us(relay->node);
+    const bool is_prompt = now_us - call->peer_asked_us < PROMPT_US;
+    if (status == RPC_OK) {
+        feedsource_record_refusal(&relay->source, call->peer, now_us);
+    }
+    else {
+        feedsource_record_peer(&relay->source, call->peer, false, now_us);
+    }
+    relay->peer_failures->value++;
+    LOG_INFO("peer_feed_failed", LOG_STR("peer", call->peer),
+             LOG_STR("table", table->name), LOG_INT("status", status));
+    if (call->peers_asked < FEEDSOURCE_FAILED_MAX &&
+        (is_prompt || feedrelay_store_is_failing(relay))) {
+        read_source(call);
+    }
+    else {
+        read_store(call);
+    }
+}
+
 static void
 on_peer_feed(void *ctx, enum rpc_status status, const void *result)
 {
@@ -170,18 +211,13 @@
     struct feedrelay_table *table = call->table;
     struct feedrelay *relay = table->relay;
     const struct relay_feed *feed = result;
-    const bool ok =
-        status == RPC_OK && feed->in_touch && feed->hops < FEEDSOURCE_HOPS_MAX;
     call->peer_call = NULL;
-    feedsource_record_peer(&relay->source, call->peer, ok,
-                           node_now_us(relay->node));
-    if (!ok) {
-        relay->peer_failures->value++;
-        LOG_INFO("peer_feed_failed", LOG_STR("peer", call->peer),
-                 LOG_STR("table", table->name), LOG_INT("status", status));
-        read_store(call);
+    if (!can_be_used(status, feed)) {
+        read_elsewhere(call, status);
         return;
     }
+    feedsource_record_peer(&relay->source, call->peer, true,
+                           node_now_us(relay->node));
     table->hops = feed->hops + 1;
     table->passed_on = call->peer_is_earlier;
     table->peer_process = feed->process;
@@ -233,6 +269,8 @@
         .done = on_peer_feed,
         .ctx = call,
     };
+    call->peers_asked++;
+    call->peer_asked_us = node_now_us(relay->node);
     relay->peer_reads->value++;
     call->peer_call = rpc_call_start(relay->node->rpc, &spec);
 }
@@ -246,6 +284,31 @@
                              node_now_us(node));
 }
 
+static void
+note_source(struct feedrelay_table *table, const char *source)
+{
+    if (strcmp(table->source, source) != 0) {
+        snprintf(table->source, sizeof(table->source), "%s", source);
+        LOG_INFO("feed_source", LOG_STR("table", table->name),
+                 LOG_STR("peer", source), LOG_UINT("hops", table->hops));
+    }
+}
+
+/** Reads from the instance that is chosen now, or from the store. */
+static void
+read_source(struct feedrelay_call *call)
+{
+    const struct instancetable_instance *peer =
+        feedrelay_choose_peer(call->table->relay);
+    note_source(call->table, peer != NULL ? peer->instance_row.instance : "");
+    if (peer != NULL) {
+        read_peer(call, peer);
+    }
+    else {
+        read_store(call);
+    }
+}
+
 void
 feedrelay_record_peer_failure(struct feedrelay *relay, const char *instance)
 {
@@ -265,16 +328,6 @@
     return node_now_us(relay->node) < relay->source.store_failing_until_us;
 }
 
-static void
-note_source(struct feedrelay_table *table, const char *source)
-{
-    if (strcmp(table->source, source) != 0) {
-        snprintf(table->source, sizeof(table->source), "%s", source);
-        LOG_INFO("feed_source", LOG_STR("table", table->name),
-                 LOG_STR("peer", source), LOG_UINT("hops", table->hops));
-    }
-}
-
 struct feedrelay_call *
 feedrelay_start(struct feedrelay *relay, const char *table, uint64_t after,
                 int64_t wait_us, rowstore_cb done, void *ctx)
@@ -288,14 +341,7 @@
     call->ctx = ctx;
     timer_init(&call->pause, node->runtime, on_pause_over, call);
     LIST_INSERT_HEAD(&relay->calls, call, link);
-    const struct instancetable_instance *peer = feedrelay_choose_peer(relay);
-    note_source(call->table, peer != NULL ? peer->instance_row.instance : "");
-    if (peer != NULL) {
-        read_peer(call, peer);
-    }
-    else {
-        read_store(call);
-    }
+    read_source(call);
     return call;
 }
 
