keyowner: keys move only after the target has confirmed a grant of them

Cause: keys could be released and given away while no grant of the present process or segment had been confirmed, for instance as the first one found no free connection. An earlier grant without an answer, of a former process or of segments that were merged since, may still be carried out by the target, which has seen no higher fence; the keys then have two holders. Class: a write without an answer taken as not done. Change: a handover begins only once the target has confirmed grants of all its keys.

--- a/packages/node/keyowner.c
+++ b/packages/node/keyowner.c
@@ -402,7 +402,9 @@
     TAILQ_INSERT_AFTER(&keyowner->grants, grant, upper, link);
 }
 
-/** True if all keys are granted, and no grant call is open or unresolved. */
+/** True if the target has confirmed grants of all keys, and no grant call is
+ * open or unresolved. A grant of a former process or of a former segment may
+ * still be carried out until the target has seen the higher fence. */
 static bool
 can_hand_over(const struct keyowner *keyowner, uint32_t first, uint32_t last,
               int64_t now_us)
@@ -413,7 +415,7 @@
         if (grant->last < first || grant->first > last) {
             continue;
         }
-        if (grant->releasing || grant->call != NULL ||
+        if (!grant->confirmed || grant->releasing || grant->call != NULL ||
             !keyownergrant_is_certain(grant) ||
             now_us < grant->unresolved_until_us) {
             return false;
