keylease: an instance that a lease does not name waits for clock drift too

Cause: 2 % of clock drift were left for the 4 s of a lease, but none for the 30 s by which promises may extend it. On a clock that is 2 % slow such a lease ends after 34.68 s, and an instance that the row does not name took the keys over after 34.18 s. Class: a duration taken as the same on two clocks. Change: such an instance waits 34.78 s.

--- a/packages/fleet/keylease.h
+++ b/packages/fleet/keylease.h
@@ -24,6 +24,10 @@
 #define KEYLEASE_PROMISE_US (2 * US_PER_SECOND)
 /** Longest time that promises replace the store. */
 #define KEYLEASE_PROMISED_MAX_US (30 * US_PER_SECOND)
+/** Time that the row must stay unchanged for an instance that it does not
+ * name, as promises may extend the lease without it; 2 % for clock drift. */
+#define KEYLEASE_TAKEOVER_UNNAMED_US                                          \
+    (KEYLEASE_TAKEOVER_US + KEYLEASE_PROMISED_MAX_US * 102 / 100)
 
 /** State of this instance's own lease. All zero: none. */
 struct keylease {
--- a/packages/node/plannertakeover.c
+++ b/packages/node/plannertakeover.c
@@ -171,9 +171,8 @@
     }
     /* An instance that isn't asked for promises also waits for the time in
      * which promises can extend the lease. */
-    return lease->needs_promise
-               ? KEYLEASE_TAKEOVER_US
-               : KEYLEASE_TAKEOVER_US + KEYLEASE_PROMISED_MAX_US;
+    return lease->needs_promise ? KEYLEASE_TAKEOVER_US
+                                : KEYLEASE_TAKEOVER_UNNAMED_US;
 }
 
 /** True if the lease has expired by the holder's clock too. */
