keyowner: a page that was not read in the present era gives no keys

Rows that the copy lacks are kept for 1.5 s after the return is known, as they may be written again. Cause: a settled era made all that the map says certain, also pages of the former era. Change: in a settled era, keys are certain only if all their pages were read in it.

--- a/packages/fleet/keyera.c
+++ b/packages/fleet/keyera.c
@@ -77,9 +77,3 @@
 {
     return rowstore_era(fence) >= era->era;
 }
-
-bool
-keyera_is_certain(const struct keyera *era, uint64_t fence, int64_t now_us)
-{
-    return keyera_is_present(era, fence) || keyera_is_settled(era, now_us);
-}
--- a/packages/fleet/keyera.h
+++ b/packages/fleet/keyera.h
@@ -55,9 +55,4 @@
 /** True if keys with that fence were assigned in the present era. */
 bool keyera_is_present(const struct keyera *era, uint64_t fence);
 
-/** True if no former owner can hold keys that the map gives with that fence.
- */
-bool keyera_is_certain(const struct keyera *era, uint64_t fence,
-                       int64_t now_us);
-
 #endif
--- a/packages/fleet/test/keyera_test.cc
+++ b/packages/fleet/test/keyera_test.cc
@@ -74,8 +74,6 @@
     keyera_promise(&era, 9000); /* to an owner of the present era */
     EXPECT_TRUE(keyera_is_recorded(&era));
     EXPECT_FALSE(keyera_is_settled(&era, 4999));
-    EXPECT_FALSE(keyera_is_certain(&era, Version(1, 91), 4999));
-    EXPECT_TRUE(keyera_is_certain(&era, Version(2, 51), 4999));
     EXPECT_TRUE(keyera_is_settled(&era, 5000));
 }
 
--- a/packages/node/keyowner_internal.h
+++ b/packages/node/keyowner_internal.h
@@ -135,6 +135,10 @@
  * copy, its map may be too old. */
 bool keyownergrant_is_certain(const struct key_grant *grant);
 
+/** The same in an era that has just ended. */
+bool keyownergrant_was_certain(const struct key_grant *grant,
+                               const struct keyera *era);
+
 /** Frees the grant, and remembers how long the target may hold its keys. */
 void keyownergrant_forget(struct key_grant *grant);
 
--- a/packages/node/keyownerclaim.c
+++ b/packages/node/keyownerclaim.c
@@ -13,15 +13,6 @@
 #define RETRY_US (300 * US_PER_MS)
 #define CONFLICT_DELAY_US (40 * US_PER_MS)
 
-/** True if the keys may be held at the target: what the map of an earlier copy
- * gave to this instance was granted only once it was certain. */
-static bool
-may_hold(const struct key_grant *grant, const struct keyera *former,
-         int64_t now_us)
-{
-    return grant->retained || keyera_is_certain(former, grant->fence, now_us);
-}
-
 /** Frees grants that were uncertain in the former era or whose keys were being
  * given away, and retains the others. */
 static void
@@ -30,8 +21,9 @@
     struct key_grant *grant = TAILQ_FIRST(&keyowner->grants);
     while (grant != NULL) {
         struct key_grant *next = TAILQ_NEXT(grant, link);
-        if (grant->releasing ||
-            !may_hold(grant, former, node_now_us(keyowner->node))) {
+        /* What an earlier copy's map gives to this instance was granted only
+         * once it was certain. */
+        if (grant->releasing || !keyownergrant_was_certain(grant, former)) {
             keyownergrant_forget(grant);
         }
         else {
--- a/packages/node/keyownergrant.c
+++ b/packages/node/keyownergrant.c
@@ -53,12 +53,37 @@
     keyownergrant_free(grant);
 }
 
+/** True if all pages of the grant were read in that era. Others may be missing
+ * in the copy, or have been written by others since. */
+static bool
+pages_are_present(const struct key_grant *grant, const struct keyera *era)
+{
+    const struct node_keymap *keys = keyowner_keys(grant->keyowner);
+    if (keys == NULL) {
+        return false;
+    }
+    for (unsigned page = keymap_page_of(grant->first);
+         page <= keymap_page_of(grant->last); page++) {
+        if (!keyera_is_present(era, keys->map.pages[page].version)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+bool
+keyownergrant_was_certain(const struct key_grant *grant,
+                          const struct keyera *era)
+{
+    const int64_t now_us = node_now_us(grant->keyowner->node);
+    return grant->retained || keyera_is_present(era, grant->fence) ||
+           (keyera_is_settled(era, now_us) && pages_are_present(grant, era));
+}
+
 bool
 keyownergrant_is_certain(const struct key_grant *grant)
 {
-    const struct node *node = grant->keyowner->node;
-    return grant->retained ||
-           keyera_is_certain(&node->keyera, grant->fence, node_now_us(node));
+    return keyownergrant_was_certain(grant, &grant->keyowner->node->keyera);
 }
 
 /** Sends a grant or a release to the present incarnation. */
