rowwatch: while a scan fails, changes are read from other instances

After the store's return each instance scans its tables. One that the store turned away repeated the scan until it was answered and read nothing from other instances meanwhile, so it answered 404 on a route that had been added seconds before, for as long as it was turned away. Cause: a scan that is due comes before the feed, and only the feed goes through other instances. Class: a fallback that one of two ways lacks. Its answers after a return hold all rows, since all have newer versions.

--- a/packages/node/rowwatch.c
+++ b/packages/node/rowwatch.c
@@ -48,6 +48,7 @@
     char *scan_next_key;
     int64_t settle_until_us; /* then rows that a copy lacked are reported */
     bool scan_due;           /* before the feed continues */
+    int64_t scan_retry_us;   /* no scan before; the feed continues meanwhile */
     bool reachable;
     bool reachable_known;
 };
@@ -282,14 +283,30 @@
     finish_batch(watch, watch->scan_version);
 }
 
+/** Another instance may reach the store: once the table is known, its feed
+ * tells of changes until the next scan. */
+static void
+scan_failed(struct rowwatch *watch)
+{
+    if (watch->version == 0) {
+        set_reachable(watch, false);
+        retry_later(watch);
+        return;
+    }
+    free(watch->scan_next_key);
+    watch->scan_next_key = NULL;
+    watch->scan_retry_us =
+        runtime_now_us(watch->options.runtime) + RETRY_MAX_US;
+    watch_continue(watch);
+}
+
 static void
 on_read(void *ctx, const struct rowstore_result *result)
 {
     struct rowwatch *watch = ctx;
     watch->scan = NULL;
     if (result->outcome != ROWSTORE_DONE) {
-        set_reachable(watch, false);
-        retry_later(watch);
+        scan_failed(watch);
         return;
     }
     if (watch->scan_next_key == NULL) {
@@ -337,8 +354,13 @@
     case ROWSTORE_HISTORY_GONE:
         LOG_INFO("history_gone", LOG_STR("table", watch->options.table),
                  LOG_UINT("version", watch->version));
-        watch->scan_due = true;
-        watch_continue(watch);
+        if (!watch->scan_due) {
+            watch->scan_due = true;
+            watch_continue(watch);
+            return;
+        }
+        /* A scan has just failed. */
+        retry_later(watch);
         return;
     default:
         set_reachable(watch, false);
@@ -359,7 +381,8 @@
         watch->settle_until_us = 0;
         watch->scan_due = true;
     }
-    if (!watch->scan_due) {
+    if (!watch->scan_due ||
+        runtime_now_us(watch->options.runtime) < watch->scan_retry_us) {
         /* After a failure the first call doesn't wait for changes, to find
          * out soon whether the store answers again. */
         watch->feed = feedrelay_start(
