keyowner: pages that the copy lacks are claimed at once

If the copy was older than the first write of a page, its owner claimed it under the version that the page had before the return. That can't hold, so the claim failed until the missing page was forgotten, 1.5 s after the return was known; grants ended meanwhile and the keys were unserved. Cause: the row of a page is kept for 1.5 s, and its version served as the one in the store. Change: a claim takes pages of former eras for missing, which is so once the table was read in the present one.

--- a/packages/node/keyownerclaim.c
+++ b/packages/node/keyownerclaim.c
@@ -135,37 +135,55 @@
 
 /** The copy's map, with the keys that are granted here. */
 static void
-make_map(const struct keyowner *keyowner, const struct node_keymap *keys,
+make_map(const struct keyowner *keyowner, const struct keymap *stored,
          struct keymap *map)
 {
     const struct keymap_holder own =
         localtarget_holder(keyowner->node->target);
     const uint64_t fence = rowwatch_version(keyowner->node->fleet_watch);
     const struct key_grant *grant;
-    keymap_copy(map, &keys->map);
+    keymap_copy(map, stored);
     TAILQ_FOREACH (grant, &keyowner->grants, link) {
         if (grant->retained && own.instance[0] != '\0' &&
-            !keyowner_grant_is_current(grant, &keys->map, &own)) {
+            !keyowner_grant_is_current(grant, stored, &own)) {
             keymap_raise_fence(map, grant->first, grant->last, fence);
             keymap_assign(map, grant->first, grant->last, &own, NULL);
         }
     }
 }
 
+/** The map as it is in the store: pages that the copy lacks are still known
+ * from the former era. */
+static void
+make_stored_map(const struct keyowner *keyowner,
+                const struct node_keymap *keys, struct keymap *map)
+{
+    keymap_copy(map, &keys->map);
+    for (unsigned page = 0; page < KEYMAP_PAGES; page++) {
+        if (!keyera_is_present(&keyowner->node->keyera,
+                               map->pages[page].version)) {
+            keymap_forget_page(map, page);
+        }
+    }
+}
+
 static void
 write_claim(struct keyowner *keyowner, const struct node_keymap *keys)
 {
     struct rowstore_write parts[KEYMAPWRITE_PAGES_MAX + 1];
+    struct keymap stored;
     struct keymap map;
-    make_map(keyowner, keys, &map);
+    make_stored_map(keyowner, keys, &stored);
+    make_map(keyowner, &stored, &map);
     keymapwrite_clear(&keyowner->map_write);
-    keymapwrite_prepare(&keyowner->map_write, keys->service, &keys->map, &map);
-    size_t count = keymapwrite_fill(&keyowner->map_write, &keys->map, parts);
+    keymapwrite_prepare(&keyowner->map_write, keys->service, &stored, &map);
+    size_t count = keymapwrite_fill(&keyowner->map_write, &stored, parts);
     parts[count++] = keyownerlease_part(keyowner);
     keyowner->lease_call =
         rowcommit_start(keyowner->node->commits, parts, count, ROWCOMMIT_SOON,
                         on_claimed, keyowner);
     keymap_clear(&map);
+    keymap_clear(&stored);
 }
 
 void
