keyowner: an owner of more pages than a transaction holds claims all of them

A transaction has at most 48 pages, a key map 64. An owner whose map had changed in more pages since the copy claimed 48 of them and released the keys of the others, which had no owner until the era was settled. Cause: the limit was known to the list of pages only. Class: a silent limit. Change: as long as a claim fills a transaction, the rest is claimed by the next.

--- a/packages/node/keyowner.c
+++ b/packages/node/keyowner.c
@@ -286,7 +286,7 @@
         struct key_grant *next = TAILQ_NEXT(grant, link);
         if (keys == NULL || own.instance[0] == '\0' ||
             (!keyowner_grant_is_current(grant, &keys->map, &own) &&
-             !(keyowner->claiming && grant->retained))) {
+             !keyownerclaim_is_pending(grant))) {
             keyownergrant_free(grant);
         }
         grant = next;
@@ -387,9 +387,8 @@
     localgate_keys_changed(keyowner->node->gate);
 }
 
-/** Splits the grant that covers the key, so that one begins at the key. */
-static void
-split_grant_before(struct keyowner *keyowner, uint32_t key)
+void
+keyowner_split_grant_before(struct keyowner *keyowner, uint32_t key)
 {
     struct key_grant *grant = keyowner_find_grant(keyowner, key);
     if (grant == NULL || grant->first == key) {
@@ -452,9 +451,9 @@
     handover->to = *to;
     handover->started_us = node_now_us(keyowner->node);
     TAILQ_INSERT_TAIL(&keyowner->handovers, handover, link);
-    split_grant_before(keyowner, first);
+    keyowner_split_grant_before(keyowner, first);
     if (last + 1 < DECLARED_KEY_COUNT) {
-        split_grant_before(keyowner, last + 1);
+        keyowner_split_grant_before(keyowner, last + 1);
     }
     handover->fence_max = highest_fence(keyowner, first, last);
     LOG_INFO("handover_begun", LOG_UINT("first", first),
--- a/packages/node/keyowner_internal.h
+++ b/packages/node/keyowner_internal.h
@@ -98,8 +98,9 @@
     int64_t merge_at_us; /**< next merge of own segments */
     bool merging;        /**< map_call merges segments; none is handed over */
     bool map_write_unresolved; /**< an earlier write may still take effect */
-    bool claiming;       /**< keys are to be claimed; nothing is granted */
-    int64_t claim_at_us; /**< next attempt */
+    bool claiming;        /**< keys are to be claimed; nothing is granted */
+    uint32_t claim_first; /* keys below have been claimed */
+    int64_t claim_at_us;  /**< next attempt */
     int64_t former_grants_end_us; /**< grants to former incarnations */
     int64_t unresolved_until_us;  /**< unanswered grants to them may still
                                      arrive until then */
@@ -124,6 +125,9 @@
 struct key_grant *keyowner_find_grant(const struct keyowner *keyowner,
                                       uint32_t key);
 
+/** Splits the grant that covers the key, so that one begins at the key. */
+void keyowner_split_grant_before(struct keyowner *keyowner, uint32_t key);
+
 /** True if the map gives the keys to this target, with the same fence. */
 bool keyowner_grant_is_current(const struct key_grant *grant,
                                const struct keymap *map,
@@ -167,6 +171,9 @@
 
 /* keyownerclaim.c */
 
+/** True if the grant's keys are still to be claimed. */
+bool keyownerclaim_is_pending(const struct key_grant *grant);
+
 /** Claims the granted keys, if the store has returned from a copy. */
 void keyownerclaim_advance(struct keyowner *keyowner);
 
--- a/packages/node/keyownerclaim.c
+++ b/packages/node/keyownerclaim.c
@@ -79,12 +79,37 @@
     retain_grants(keyowner, former);
     keyowner->fence_min = 0;
     keyowner->claim_at_us = 0;
+    keyowner->claim_first = 0;
     keyowner->claiming = true;
     if (!keyowner_has_lease(keyowner)) {
         give_up(keyowner);
     }
 }
 
+bool
+keyownerclaim_is_pending(const struct key_grant *grant)
+{
+    return grant->keyowner->claiming && grant->retained &&
+           grant->first >= grant->keyowner->claim_first;
+}
+
+/** The pages of a transaction are limited: prepares the claim of the keys
+ * after those that were written. @return false if there can't be more */
+static bool
+claim_rest(struct keyowner *keyowner)
+{
+    const struct keymapwrite *write = &keyowner->map_write;
+    if (write->count < KEYMAPWRITE_PAGES_MAX ||
+        write->pages[write->count - 1].number + 1 == KEYMAP_PAGES) {
+        return false;
+    }
+    keyowner->claim_first =
+        (write->pages[write->count - 1].number + 1) * KEYMAP_PAGE_KEYS;
+    keyowner->claim_at_us = 0;
+    keyowner_split_grant_before(keyowner, keyowner->claim_first);
+    return true;
+}
+
 static void
 claimed(struct keyowner *keyowner, uint64_t version)
 {
@@ -92,7 +117,7 @@
     struct node_keymap *keys = keyowner_keys(keyowner);
     LOG_INFO("keys_claimed", LOG_UINT("version", version),
              LOG_UINT("pages", keyowner->map_write.count));
-    keyowner->claiming = false;
+    keyowner->claiming = claim_rest(keyowner);
     keyownerlease_written(keyowner, version);
     if (keys != NULL && keyowner->map_write.count > 0) {
         node_publish_keymap(node, keys, &keyowner->map_write, version);
@@ -144,7 +169,7 @@
     const struct key_grant *grant;
     keymap_copy(map, stored);
     TAILQ_FOREACH (grant, &keyowner->grants, link) {
-        if (grant->retained && own.instance[0] != '\0' &&
+        if (keyownerclaim_is_pending(grant) && own.instance[0] != '\0' &&
             !keyowner_grant_is_current(grant, stored, &own)) {
             keymap_raise_fence(map, grant->first, grant->last, fence);
             keymap_assign(map, grant->first, grant->last, &own, NULL);
