--- a/packages/node/keyownerclaim.c
+++ b/packages/node/keyownerclaim.c
@@ -13,15 +13,6 @@
 #define RETRY_US (300 * US_PER_MS)
 #define CONFLICT_DELAY_US (40 * US_PER_MS)
 
-/** True if the keys may be held at the target: what the map of an earlier copy
- * gave to this instance was granted only once it was certain. */
-static bool
-may_hold(const struct key_grant *grant, const struct keyera *former,
-         int64_t now_us)
-{
-    return grant->retained || keyera_is_certain(former, grant->fence, now_us);
-}
-
 /** Frees grants that were uncertain in the former era or whose keys were being
  * given away, and retains the others. */
 static void
@@ -30,8 +21,9 @@
     struct key_grant *grant = TAILQ_FIRST(&keyowner->grants);
     while (grant != NULL) {
         struct key_grant *next = TAILQ_NEXT(grant, link);
-        if (grant->releasing ||
-            !may_hold(grant, former, node_now_us(keyowner->node))) {
+        /* What an earlier copy's map gives to this instance was granted only
+         * once it was certain. */
+        if (grant->releasing || !keyownergrant_was_certain(grant, former)) {
             keyownergrant_forget(grant);
         }
         else {
@@ -87,12 +79,37 @@
     retain_grants(keyowner, former);
     keyowner->fence_min = 0;
     keyowner->claim_at_us = 0;
+    keyowner->claim_first = 0;
     keyowner->claiming = true;
     if (!keyowner_has_lease(keyowner)) {
         give_up(keyowner);
     }
 }
 
+bool
+keyownerclaim_is_pending(const struct key_grant *grant)
+{
+    return grant->keyowner->claiming && grant->retained &&
+           grant->first >= grant->keyowner->claim_first;
+}
+
+/** The pages of a transaction are limited: prepares the claim of the keys
+ * after those that were written. @return false if there can't be more */
+static bool
+claim_rest(struct keyowner *keyowner)
+{
+    const struct keymapwrite *write = &keyowner->map_write;
+    if (write->count < KEYMAPWRITE_PAGES_MAX ||
+        write->pages[write->count - 1].number + 1 == KEYMAP_PAGES) {
+        return false;
+    }
+    keyowner->claim_first =
+        (write->pages[write->count - 1].number + 1) * KEYMAP_PAGE_KEYS;
+    keyowner->claim_at_us = 0;
+    keyowner_split_grant_before(keyowner, keyowner->claim_first);
+    return true;
+}
+
 static void
 claimed(struct keyowner *keyowner, uint64_t version)
 {
@@ -100,7 +117,7 @@
     struct node_keymap *keys = keyowner_keys(keyowner);
     LOG_INFO("keys_claimed", LOG_UINT("version", version),
              LOG_UINT("pages", keyowner->map_write.count));
-    keyowner->claiming = false;
+    keyowner->claiming = claim_rest(keyowner);
     keyownerlease_written(keyowner, version);
     if (keys != NULL && keyowner->map_write.count > 0) {
         node_publish_keymap(node, keys, &keyowner->map_write, version);
@@ -143,37 +160,55 @@
 
 /** The copy's map, with the keys that are granted here. */
 static void
-make_map(const struct keyowner *keyowner, const struct node_keymap *keys,
+make_map(const struct keyowner *keyowner, const struct keymap *stored,
          struct keymap *map)
 {
     const struct keymap_holder own =
         localtarget_holder(keyowner->node->target);
     const uint64_t fence = rowwatch_version(keyowner->node->fleet_watch);
     const struct key_grant *grant;
-    keymap_copy(map, &keys->map);
+    keymap_copy(map, stored);
     TAILQ_FOREACH (grant, &keyowner->grants, link) {
-        if (grant->retained && own.instance[0] != '\0' &&
-            !keyowner_grant_is_current(grant, &keys->map, &own)) {
+        if (keyownerclaim_is_pending(grant) && own.instance[0] != '\0' &&
+            !keyowner_grant_is_current(grant, stored, &own)) {
             keymap_raise_fence(map, grant->first, grant->last, fence);
             keymap_assign(map, grant->first, grant->last, &own, NULL);
         }
     }
 }
 
+/** The map as it is in the store: pages that the copy lacks are still known
+ * from the former era. */
+static void
+make_stored_map(const struct keyowner *keyowner,
+                const struct node_keymap *keys, struct keymap *map)
+{
+    keymap_copy(map, &keys->map);
+    for (unsigned page = 0; page < KEYMAP_PAGES; page++) {
+        if (!keyera_is_present(&keyowner->node->keyera,
+                               map->pages[page].version)) {
+            keymap_forget_page(map, page);
+        }
+    }
+}
+
 static void
 write_claim(struct keyowner *keyowner, const struct node_keymap *keys)
 {
     struct rowstore_write parts[KEYMAPWRITE_PAGES_MAX + 1];
+    struct keymap stored;
     struct keymap map;
-    make_map(keyowner, keys, &map);
+    make_stored_map(keyowner, keys, &stored);
+    make_map(keyowner, &stored, &map);
     keymapwrite_clear(&keyowner->map_write);
-    keymapwrite_prepare(&keyowner->map_write, keys->service, &keys->map, &map);
+    keymapwrite_prepare(&keyowner->map_write, keys->service, &stored, &map);
     size_t count = keymapwrite_fill(&keyowner->map_write, parts);
     parts[count++] = keyownerlease_part(keyowner);
     keyowner->lease_call =
         rowcommit_start(keyowner->node->commits, parts, count, ROWCOMMIT_SOON,
                         on_claimed, keyowner);
     keymap_clear(&map);
+    keymap_clear(&stored);
 }
 
 void
