--- a/packages/ctl/ctldaemon.c
+++ b/packages/ctl/ctldaemon.c
@@ -150,7 +150,7 @@
     const struct http_client_config config = {
         .address = exchange->query->address,
         .connections_max = 1,
-        .body_max = ANSWER_SIZE_MAX,
+        .body_max_bytes = ANSWER_SIZE_MAX,
     };
     exchange->client =
         http_client_create(ctl->runtime, &config, ctl->counters);
--- a/packages/http/httpclient.c
+++ b/packages/http/httpclient.c
@@ -92,11 +92,11 @@
     if (config->connections_max == 0) {
         config->connections_max = CONNECTIONS_MAX_DEFAULT;
     }
-    if (config->bodies_max == 0) {
-        config->bodies_max = BODIES_MAX_DEFAULT_BYTES;
+    if (config->bodies_max_bytes == 0) {
+        config->bodies_max_bytes = BODIES_MAX_DEFAULT_BYTES;
     }
-    if (config->body_max == 0) {
-        config->body_max = BODY_MAX_DEFAULT_BYTES;
+    if (config->body_max_bytes == 0) {
+        config->body_max_bytes = BODY_MAX_DEFAULT_BYTES;
     }
     if (config->connect_timeout_us == 0) {
         config->connect_timeout_us = CONNECT_TIMEOUT_DEFAULT_US;
--- a/packages/http/httpclient.h
+++ b/packages/http/httpclient.h
@@ -37,11 +37,12 @@
 struct http_client_config {
     struct address address;
     unsigned connections_max; /**< Default 64 */
-    size_t body_max;          /**< bytes of an answer's body. Default 16 MiB */
-    size_t bodies_max; /**< bytes of all bodies in progress. Default 64 MiB */
+    size_t body_max_bytes;    /**< bytes of an answer's body. Default 16 MiB */
+    size_t bodies_max_bytes;  /**< bytes of all bodies in progress. Default 64
+                                 MiB */
     int64_t connect_timeout_us; /**< Default 1 s */
     int64_t idle_timeout_us;    /**< Default 30 s */
-    bool answers_to_end;        /**< a body may end with its connection */
+    bool body_may_end_at_close; /**< a body may end with its connection */
 };
 
 /** Result of a call, valid during the callback. */
--- a/packages/http/httpclientconnection.c
+++ b/packages/http/httpclientconnection.c
@@ -155,7 +155,7 @@
     connection_count_body(
         connection, http_reader_message(connection->reader)->body_capacity);
     if (connection->stray_answers == STRAY_ANSWERS_MAX ||
-        client->body_bytes > client->config.bodies_max) {
+        client->body_bytes > client->config.bodies_max_bytes) {
         http_client_connection_fail(connection, HTTP_MALFORMED);
         return;
     }
@@ -224,7 +224,7 @@
     connection->connect_deadline_us =
         runtime_now_us(client->runtime) + client->config.connect_timeout_us;
     connection->reader =
-        http_reader_create(HTTP_MESSAGE_ANSWER, client->config.body_max);
+        http_reader_create(HTTP_MESSAGE_ANSWER, client->config.body_max_bytes);
     connection->bev = bufferevent_socket_new(
         runtime_event_base(client->runtime), -1, BEV_OPT_CLOSE_ON_FREE);
     if (connection->reader == NULL || connection->bev == NULL ||
@@ -238,7 +238,7 @@
         free(connection);
         return NULL;
     }
-    if (client->config.answers_to_end) {
+    if (client->config.body_may_end_at_close) {
         http_reader_allow_body_until_close(connection->reader);
     }
     /* Set after the connect, which may report a failure at once. */
--- a/packages/http/test/httpendless_test.cc
+++ b/packages/http/test/httpendless_test.cc
@@ -20,9 +20,9 @@
         struct http_client_config config = {};
         config.address = Listen();
         config.connections_max = connections;
-        config.body_max = BODY_MAX;
-        config.bodies_max = BODIES_MAX;
-        config.answers_to_end = true;
+        config.body_max_bytes = BODY_MAX;
+        config.bodies_max_bytes = BODIES_MAX;
+        config.body_may_end_at_close = true;
         http_client_destroy(client);
         client = http_client_create(runtime, &config, counters);
     }
--- a/packages/http/test/httppipeline_test.cc
+++ b/packages/http/test/httppipeline_test.cc
@@ -108,7 +108,7 @@
         struct http_client_config config = {};
         config.address = address;
         config.connections_max = 1;
-        config.answers_to_end = true;
+        config.body_may_end_at_close = true;
         client = http_client_create(runtime, &config, counters);
     }
 };
--- a/packages/node/localtarget.c
+++ b/packages/node/localtarget.c
@@ -157,11 +157,11 @@
     const struct http_client_config config = {
         .address = target->node->settings.target,
         .connections_max = connections_max(target),
-        .body_max = BODY_MAX,
-        .bodies_max = BODIES_MAX,
+        .body_max_bytes = BODY_MAX,
+        .bodies_max_bytes = BODIES_MAX,
         .connect_timeout_us = CONNECT_TIMEOUT_US,
         .idle_timeout_us = IDLE_TIMEOUT_US,
-        .answers_to_end = true,
+        .body_may_end_at_close = true,
     };
     target->present = true;
     target->present_since_us = target_now_us(target);
--- a/packages/target/target.c
+++ b/packages/target/target.c
@@ -56,7 +56,7 @@
     struct http_client_config config = {
         .address = announcement->address,
         .connections_max = shared ? 1 : announcement->connections - 1,
-        .body_max = target->config.body_max_bytes,
+        .body_max_bytes = target->config.body_max_bytes,
     };
     target->requests =
         http_client_create(target->runtime, &config, target->registry);
