feedrelay: who may read on is decided by the order that is known now

Cause: whether an instance passes on what it reads was noted when its call began, by the start of the other process known then, and took effect when the call had been answered, up to 1 s later. After a restart of the other one, or while the call waited, instances read in a circle for some seconds. Class: a decision that outlives what it was made from. Change: an instance that begins to read from a later one refuses others at once, and the order is looked up again when the answer comes.

--- a/packages/node/feedrelay.c
+++ b/packages/node/feedrelay.c
@@ -48,7 +48,6 @@
     struct rowstore_call *store_call;
     struct rpc_call *peer_call;
     char peer[KEYMAP_NAME_MAX + 1];
-    bool peer_is_earlier; /* its process started before this one */
 };
 
 /* A request of another instance that waits for changes. */
@@ -167,6 +166,30 @@
     relayrows_clear(&read);
 }
 
+static struct feedsource_self
+feed_self(const struct node *node)
+{
+    const struct instancetable_instance *own =
+        instancetable_find(&node->instancetable, node->settings.instance);
+    /* The start that the others know, so that all agree on the order. */
+    return (struct feedsource_self){
+        .instance = node->settings.instance,
+        .zone = node->settings.zone,
+        .started_ms =
+            own != NULL ? own->instance_row.started_ms : node->started_ms,
+    };
+}
+
+/** True if the instance's process started before this one. */
+static bool
+is_earlier(const struct node *node,
+           const struct instancetable_instance *instance)
+{
+    const struct feedsource_self self = feed_self(node);
+    return instance != NULL &&
+           feedsource_started_before(&instance->instance_row, &self);
+}
+
 static void read_source(struct feedrelay_call *call);
 
 static bool
@@ -219,36 +242,26 @@
     feedsource_record_peer(&relay->source, call->peer, true,
                            node_now_us(relay->node));
     table->hops = feed->hops + 1;
-    table->passed_on = call->peer_is_earlier;
+    /* Meanwhile it may have started again. */
+    table->passed_on =
+        is_earlier(relay->node, instancetable_find(&relay->node->instancetable,
+                                                   call->peer));
     table->peer_process = feed->process;
     table->peer_sequence = feed->sequence;
     deliver_peer_rows(call, feed);
 }
 
-static struct feedsource_self
-feed_self(const struct node *node)
-{
-    const struct instancetable_instance *own =
-        instancetable_find(&node->instancetable, node->settings.instance);
-    /* The start that the others know, so that all agree on the order. */
-    return (struct feedsource_self){
-        .instance = node->settings.instance,
-        .zone = node->settings.zone,
-        .started_ms =
-            own != NULL ? own->instance_row.started_ms : node->started_ms,
-    };
-}
-
 static void
 read_peer(struct feedrelay_call *call,
           const struct instancetable_instance *peer)
 {
     struct feedrelay_table *table = call->table;
     struct feedrelay *relay = table->relay;
-    const struct feedsource_self self = feed_self(relay->node);
     memcpy(call->peer, peer->instance_row.instance, sizeof(call->peer));
-    call->peer_is_earlier =
-        feedsource_started_before(&peer->instance_row, &self);
+    if (table->passed_on && !is_earlier(relay->node, peer)) {
+        table->passed_on = false;
+        feedrelay_table_changed(relay, table->name);
+    }
     const struct relay_feed_request request = {
         .to = call->peer,
         .table = (char *)table->name,
