feedrelay: without the rows of the instances nothing is passed on

Cause: a process that started again and got no answers from the store could not finish its scan of the instances' rows. It read the configurations from an instance that had started before it by its old rows, and after it by everybody else's; the two read from each other. Class: a decision made from rows that are known to be old. Change: an instance that can't read the instances' rows refuses whoever asks.

--- a/packages/node/feedrelay.c
+++ b/packages/node/feedrelay.c
@@ -389,14 +389,22 @@
     list->rows[list->count++] = relayrows_write(row);
 }
 
+/** True if others may read the table from this instance. Without the rows of
+ * the instances it does not know which of them started before it. */
+static bool
+is_in_touch(const struct feedrelay_table *table)
+{
+    return rowwatch_is_reachable(table->watch) && table->passed_on &&
+           rowwatch_is_reachable(table->relay->node->fleet_watch);
+}
+
 /** Answers if there are changes, the source is lost, or the wait is over. */
 static void
 try_answer(struct waiting_request *waiting, bool wait_is_over)
 {
     const struct feedrelay_table *table = waiting->table;
     struct row_list list = {.rows = NULL};
-    const bool in_touch =
-        rowwatch_is_reachable(table->watch) && table->passed_on;
+    const bool in_touch = is_in_touch(table);
     rowwatch_list_changes(table->watch, waiting->after, waiting->sequence,
                           add_row, &list);
     if (list.count > 0 || !in_touch || wait_is_over) {
@@ -426,7 +434,8 @@
     struct waiting_request *waiting = LIST_FIRST(&relay->waiting);
     while (waiting != NULL) {
         struct waiting_request *next = LIST_NEXT(waiting, link);
-        if (strcmp(waiting->table->name, table) == 0) {
+        if (strcmp(waiting->table->name, table) == 0 ||
+            !is_in_touch(waiting->table)) {
             try_answer(waiting, false);
         }
         waiting = next;
