http: a stop's closing answer is the last of all requests that arrived

During a planned stop a caller that sent several requests at once on one connection got the first one's answer, with Connection: close, and no answer to the others.

Cause: an answer closed its connection if no other request was in the pipeline and none was being read. Requests that were read from the socket but not taken up yet did not count, so an answer given at once (a refusal late in the stop) cut them. And what was last when it was answered need not be last when it is written: behind an earlier answer still to come, requests were read and passed on, and cut when both were written. Class: the end of a connection was decided before the last thing that it depends on.

Change: an answer closes its connection only if the request is the first and the last of the pipeline and no byte of another has arrived. A connection that stays open because its answers came out of order is closed by a stopping server as idle ones are, after a second.

--- a/packages/http/httpconnection.c
+++ b/packages/http/httpconnection.c
@@ -269,6 +269,18 @@
     return true;
 }
 
+/** True if no other request of the connection has arrived, even in part, and
+ * none can before this answer is written. */
+static bool
+connection_has_only(const struct http_connection *connection,
+                    const struct http_request *request)
+{
+    const struct evbuffer *input = bufferevent_get_input(connection->bev);
+    return TAILQ_FIRST(&connection->pipeline) == request &&
+           TAILQ_NEXT(request, pipeline) == NULL && !connection->receiving &&
+           evbuffer_get_length(input) == 0;
+}
+
 /** True if the connection closes after the answer to this request. */
 static bool
 connection_closes_after(const struct http_connection *connection,
@@ -277,10 +289,8 @@
     if (!request->message->keep_alive) {
         return true;
     }
-    const bool last =
-        TAILQ_NEXT(request, pipeline) == NULL && !connection->receiving;
-    return last &&
-           (connection->server->stopping || connection->server->retiring);
+    return (connection->server->stopping || connection->server->retiring) &&
+           connection_has_only(connection, request);
 }
 
 void
@@ -318,8 +328,10 @@
         return;
     }
     if (connection->pipeline_count == 0 && !connection->receiving) {
-        connection_start_reading(connection,
-                                 connection->server->config.idle_timeout_us);
+        connection_start_reading(
+            connection, connection->server->stopping
+                            ? STOP_GRACE_US
+                            : connection->server->config.idle_timeout_us);
     }
     connection->state = HTTP_CONNECTION_READING;
     connection_feed(connection);
--- a/packages/http/test/httppipeline_test.cc
+++ b/packages/http/test/httppipeline_test.cc
@@ -87,6 +87,63 @@
     EXPECT_NE(std::string::npos, ReadRaw(next, "X-Path").find("200"));
 }
 
+/* Guards against: a planned stop closes the connection after an answer that is
+ * given at once, and cuts the requests that arrived with it. */
+TEST_F(Pipeline, RetiringServerAnswersAllThatArrivedWithARequest)
+{
+    http_server_retire(server);
+    std::string text;
+    for (int i = 0; i < 3; i++) {
+        text += "GET /x" + std::to_string(i) + " HTTP/1.1\r\nHost: a\r\n\r\n";
+    }
+    const int fd = ConnectRaw(text + "GET /par");
+    Until([] { return false; }, 50);
+    ASSERT_EQ(4, send(fd, "t HT", 4, MSG_NOSIGNAL));
+    Until([] { return false; }, 20);
+    const std::string rest = "TP/1.1\r\nHost: a\r\n\r\n";
+    ASSERT_EQ(static_cast<ssize_t>(rest.size()),
+              send(fd, rest.data(), rest.size(), MSG_NOSIGNAL));
+    const std::string received = ReadRaw(fd, "/part");
+    for (const char *path : {"/x0", "/x1", "/x2", "/part"}) {
+        EXPECT_NE(std::string::npos, received.find(path)) << received;
+    }
+    EXPECT_GT(received.find("Connection: close"), received.find("/x2"));
+}
+
+/* Guards against: an answer that was last when it was given, but had to wait
+ * for an earlier one, closes the connection before requests read since. */
+TEST_F(Pipeline, RetiringServerAnswersRequestsReadBehindAnAnswerThatWaits)
+{
+    const int fd = Hold(2);
+    Until([&] { return held.size() == 2; });
+    http_server_retire(server);
+    Reply(1, "second");
+    const std::string third = "GET /hold HTTP/1.1\r\nHost: a\r\n\r\n";
+    ASSERT_EQ(static_cast<ssize_t>(third.size()),
+              send(fd, third.data(), third.size(), MSG_NOSIGNAL));
+    ASSERT_TRUE(Until([&] { return held.size() == 3; }));
+    Reply(0, "first");
+    EXPECT_EQ(0, cancelled);
+    Reply(2, "third");
+    const std::string received = ReadRaw(fd, "third");
+    EXPECT_NE(std::string::npos, received.find("third")) << received;
+    EXPECT_GT(received.find("Connection: close"), received.find("second"));
+}
+
+/* Guards against: a stop waits for a connection that stayed open because its
+ * answers came out of order, until it has been idle for long. */
+TEST_F(Pipeline, StoppingServerSoonEndsConnectionsThatStayedOpen)
+{
+    Hold(2);
+    Until([&] { return held.size() == 2; });
+    bool stopped = false;
+    http_server_stop(
+        server, [](void *ctx) { *static_cast<bool *>(ctx) = true; }, &stopped);
+    Reply(1, "second");
+    Reply(0, "first");
+    EXPECT_TRUE(Until([&] { return stopped; }, 4000));
+}
+
 class ToEnd : public HttpTest {
   protected:
     void Serve(const std::string &answer, bool reset)
