keyera: the first serving instance of a service settles an era for all others

Owners that were cut off from the store together went on under each other's promises, while an instance that their leases do not name granted the same keys by the copy's map 6.2 s after the return: one whose target leaves, from which they had got the keys, or one told by a record that an instance of another service had written. Cause: each instance settled the era by its own clock. That is right only for those that the owners' leases name, whose promise is missing then. Class: a rule that holds for some is applied by all. Change: the row of the settled era is one for each service and is written only by its first serving instance, which leases name. Others wait for it, or for 34 s, the longest time that promises extend a lease. The same holds for takeovers under rows of a former era. The test of keyera that asked for 6.2 s asks that of the recording and 34 s of the others; in the test of the kept promise the row has its new name. Price: keys that nobody claimed stay unserved for longer than 6.2 s while the first serving instance of their service can't write, 34 s at most. Limit: an instance that is first only because it does not reach owners that are cut off from the store as well, and that they do not name, still settles too early.

--- a/packages/fleet/keyera.c
+++ b/packages/fleet/keyera.c
@@ -62,14 +62,27 @@
     return era->known && era->settled >= era->era;
 }
 
+/** True if the era has been known for that long, and promises that were given
+ * before have ended: the owners that got them may hold keys that the copy's
+ * map gives to this instance. */
+static bool
+is_known_for(const struct keyera *era, int64_t duration_us, int64_t now_us)
+{
+    return now_us >= era->former_until_us && era->known &&
+           now_us - era->seen_us >= duration_us;
+}
+
+bool
+keyera_may_record(const struct keyera *era, int64_t now_us)
+{
+    return is_known_for(era, KEYERA_SETTLE_US, now_us);
+}
+
 bool
 keyera_is_settled(const struct keyera *era, int64_t now_us)
 {
-    /* The owner that was promised may hold keys that the copy's map gives to
-     * this instance, and is not known to the others, which settled the era. */
-    return now_us >= era->former_until_us &&
-           (keyera_is_recorded(era) ||
-            (era->known && now_us - era->seen_us >= KEYERA_SETTLE_US));
+    return is_known_for(
+        era, keyera_is_recorded(era) ? 0 : KEYERA_UNNAMED_SETTLE_US, now_us);
 }
 
 bool
--- a/packages/fleet/keyera.h
+++ b/packages/fleet/keyera.h
@@ -6,8 +6,9 @@
  *
  * Owners that live write again which keys they hold, in one transaction with
  * their lease. Keys that nobody has claimed by the time that all leases of the
- * former era have ended belong to whom the map says: the era is settled. A row
- * keeps the latest settled era for processes that start later.
+ * former era have ended belong to whom the map says: the era is settled. The
+ * first serving instance of a service knows that first, since leases name it,
+ * and records it in a row for all others.
  */
 #ifndef CHESTNUTGAP_FLEET_KEYERA_H
 #define CHESTNUTGAP_FLEET_KEYERA_H
@@ -18,9 +19,12 @@
 
 #include "fleet/keylease.h"
 
-/* A lease of the former era, and the promises that extend it: those are given
- * only by instances that don't know of the new era yet. */
+/* A lease of the former era that names this instance, and the promises that
+ * extend it: this instance gives none after it has learnt of the new era. */
 #define KEYERA_SETTLE_US (KEYLEASE_TAKEOVER_US + KEYLEASE_PROMISE_US)
+/* Leases that may not name this instance. */
+#define KEYERA_UNNAMED_SETTLE_US                                              \
+    (KEYLEASE_TAKEOVER_US + KEYLEASE_PROMISED_MAX_US)
 
 /** All zero: nothing known. */
 struct keyera {
@@ -49,6 +53,11 @@
 /** True if the row says that the present era is settled. */
 bool keyera_is_recorded(const struct keyera *era);
 
+/** True if no lease of a former era that names this instance can hold any
+ * more.
+ */
+bool keyera_may_record(const struct keyera *era, int64_t now_us);
+
 /** True if no lease of a former era can hold any more. */
 bool keyera_is_settled(const struct keyera *era, int64_t now_us);
 
--- a/packages/fleet/test/keyera_test.cc
+++ b/packages/fleet/test/keyera_test.cc
@@ -38,8 +38,10 @@
     EXPECT_TRUE(keyera_observe(&era, Version(2, 50), 1000));
     EXPECT_FALSE(keyera_observe(&era, Version(1, 91), 1001));
     EXPECT_FALSE(keyera_is_recorded(&era));
-    EXPECT_FALSE(keyera_is_settled(&era, 1000 + KEYERA_SETTLE_US - 1));
-    EXPECT_TRUE(keyera_is_settled(&era, 1000 + KEYERA_SETTLE_US));
+    EXPECT_FALSE(keyera_may_record(&era, 1000 + KEYERA_SETTLE_US - 1));
+    EXPECT_TRUE(keyera_may_record(&era, 1000 + KEYERA_SETTLE_US));
+    EXPECT_FALSE(keyera_is_settled(&era, 1000 + KEYERA_UNNAMED_SETTLE_US - 1));
+    EXPECT_TRUE(keyera_is_settled(&era, 1000 + KEYERA_UNNAMED_SETTLE_US));
     EXPECT_FALSE(keyera_is_present(&era, Version(1, 91)));
     EXPECT_TRUE(keyera_is_present(&era, Version(2, 51)));
 }
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -366,6 +366,7 @@
 {
     struct node *node = ctx;
     const size_t instance = strlen(NODE_INSTANCE_KEY);
+    const size_t era = strlen(NODE_ERA_KEY);
     char service[KEYMAP_NAME_MAX + 1];
     unsigned page;
     /* Another instance may have read it: before it is used, keys are claimed
@@ -374,8 +375,9 @@
     if (strncmp(row->key, NODE_INSTANCE_KEY, instance) == 0) {
         on_instance_row(node, row->key + instance, row);
     }
-    else if (strcmp(row->key, NODE_ERA_KEY) == 0) {
-        if (!row->removed &&
+    else if (strncmp(row->key, NODE_ERA_KEY, era) == 0) {
+        if (strcmp(row->key + era, node->settings.service) == 0 &&
+            !row->removed &&
             !keyera_parse_settled(&node->keyera, row->value, row->size)) {
             LOG_ERR("era_invalid", LOG_UINT("version", row->version));
         }
--- a/packages/node/node_internal.h
+++ b/packages/node/node_internal.h
@@ -28,7 +28,7 @@
 #define NODE_LEASE_TABLE "leases" /* rows of leases */
 #define NODE_INSTANCE_KEY "instance/"
 #define NODE_KEYS_KEY "keys/"
-#define NODE_ERA_KEY "era" /* the latest settled era */
+#define NODE_ERA_KEY "era/" /* the latest settled era of a service */
 
 struct feedrelay;
 struct ingress;
--- a/packages/node/planner.c
+++ b/packages/node/planner.c
@@ -36,6 +36,8 @@
     struct planner *planner = memory_calloc(1, sizeof(*planner));
     planner->node = node;
     planner->plan_from_us = node_now_us(node) + START_DELAY_US;
+    snprintf(planner->era_key, sizeof(planner->era_key), NODE_ERA_KEY "%s",
+             node->settings.service);
     planner->takeovers =
         counter_add(node->options.counters, "planner_takes",
                     "instances whose keys were taken over after "
@@ -379,7 +381,7 @@
     struct planner *planner = ctx;
     struct node *node = planner->node;
     planner->era_call = NULL;
-    rowwatch_apply_conflict(node->fleet_watch, result, NODE_ERA_KEY);
+    rowwatch_apply_conflict(node->fleet_watch, result, planner->era_key);
     if (result->outcome == ROWSTORE_DONE &&
         !node_observe_version(node, result->version)) {
         rowwatch_refresh(node->fleet_watch);
@@ -392,7 +394,7 @@
 is_first_start(const struct node *node, const struct node_keymap *keys)
 {
     if (!node->settings.bootstrap || node->keyera.restored ||
-        rowwatch_row_version(node->fleet_watch, NODE_ERA_KEY) > 0) {
+        rowwatch_row_version(node->fleet_watch, node->planner->era_key) > 0) {
         return false;
     }
     for (unsigned page = 0; page < KEYMAP_PAGES; page++) {
@@ -403,7 +405,8 @@
     return true;
 }
 
-/** Records that the era is settled, for processes that start later. */
+/** Records that the era is settled. Leases don't name an instance whose target
+ * leaves, so it can't tell. */
 static void
 record_era(struct planner *planner, const struct node_keymap *keys,
            int64_t now_us)
@@ -411,15 +414,17 @@
     struct node *node = planner->node;
     const struct keyera *era = &node->keyera;
     const uint64_t version =
-        rowwatch_row_version(node->fleet_watch, NODE_ERA_KEY);
+        rowwatch_row_version(node->fleet_watch, planner->era_key);
     if (planner->era_call != NULL || keyera_is_recorded(era) ||
-        (!is_first_start(node, keys) && !keyera_is_settled(era, now_us))) {
+        !localtarget_is_serving(node->target) ||
+        strcmp(keys->service, node->settings.service) != 0 ||
+        (!is_first_start(node, keys) && !keyera_may_record(era, now_us))) {
         return;
     }
     char *text = keyera_print_settled(era);
     const struct rowstore_write write = {
         .table = NODE_TABLE,
-        .key = NODE_ERA_KEY,
+        .key = planner->era_key,
         .expected = version,
         .value = text,
         .size = strlen(text),
--- a/packages/node/planner_internal.h
+++ b/packages/node/planner_internal.h
@@ -64,6 +64,7 @@
     struct peer_loads peers;
     struct watched_leases leases;
     struct rowcommit_call *map_call;
+    char era_key[KEYMAP_NAME_MAX + sizeof(NODE_ERA_KEY)];
     struct rowcommit_call *era_call;      /* records that the era is settled */
     struct keymapwrite map_write;         /* of map_call */
     struct watched_lease *takeover_lease; /* that map_call deletes, or NULL */
--- a/packages/node/plannertakeover.c
+++ b/packages/node/plannertakeover.c
@@ -166,10 +166,6 @@
 static int64_t
 wait_us(const struct watched_lease *lease)
 {
-    if (!lease->is_present) {
-        /* The copy's row may name others than the one that was lost. */
-        return KEYERA_SETTLE_US;
-    }
     /* An instance that isn't asked for promises also waits for the time in
      * which promises can extend the lease. */
     return lease->needs_promise
@@ -184,8 +180,9 @@
     if (!lease->version_known || now_us < lease->promised_until_us) {
         return false;
     }
-    if (lease->version == 0) {
-        /* A copy may lack the row. */
+    if (lease->version == 0 || !lease->is_present) {
+        /* A copy may lack the row, or its row name others than the one that
+         * was lost. */
         return keyera_is_settled(&lease->planner->node->keyera, now_us);
     }
     return now_us - lease->unchanged_since_us >= wait_us(lease) + delay_us;
