--- a/packages/membership/guardian.h
+++ b/packages/membership/guardian.h
@@ -20,7 +20,7 @@
  * certificate then is safe, since a holder whose lease lapsed longer ago than
  * LEASE_REGAIN_MAX_US never uses acknowledgements again.
  */
-#define GUARDIAN_RETENTION_US (24 * 3600 * US_PER_SECOND)
+#define GUARDIAN_RETENTION_US (INT64_C(24) * 3600 * US_PER_SECOND)
 
 struct guardian;
 
