keymap: ranges that are assigned together share a fence

A new incarnation gets at least the version of a lease written for it, on the assumption that no fence is above that. Class: two counters taken for one. Change: ranges of one write share the lowest fence that is above all that their keys ever had, which is at most the version of the transaction. Result: SessionLeases.NewIncarnationGetsHigherFencesAfterManyMoves fails without the change (equal fences) and passes with it.

--- a/packages/fleet/keymap.c
+++ b/packages/fleet/keymap.c
@@ -18,6 +18,7 @@
     *map = (struct keymap){.count = 1};
     for (unsigned page = 0; page < KEYMAP_PAGES; page++) {
         map->pages[page].next_fence = 1;
+        map->pages[page].write_fence = 1;
     }
     map->segments = memory_calloc(1, sizeof(*map->segments));
     map->segments[0].last = LAST_KEY;
@@ -119,20 +120,35 @@
     merge_range(map, find_index(map, first), find_index(map, last) + 1);
 }
 
-/** A fence above all that the keys of the range ever had. */
+/** The lowest fence that is above all that the keys of the range ever had. */
 static uint64_t
-reserve_fence(struct keymap *map, uint32_t first, uint32_t last)
+lowest_fence(const struct keymap *map, uint32_t first, uint32_t last)
 {
     uint64_t fence = 0;
     for (unsigned page = keymap_page_of(first); page <= keymap_page_of(last);
          page++) {
-        if (map->pages[page].next_fence > fence) {
-            fence = map->pages[page].next_fence;
+        if (map->pages[page].write_fence > fence) {
+            fence = map->pages[page].write_fence;
         }
     }
+    for (size_t i = find_index(map, first); i <= find_index(map, last); i++) {
+        if (map->segments[i].fence >= fence) {
+            fence = map->segments[i].fence + 1;
+        }
+    }
+    return fence;
+}
+
+/** A fence above all that the keys of the range ever had. */
+static uint64_t
+reserve_fence(struct keymap *map, uint32_t first, uint32_t last)
+{
+    const uint64_t fence = lowest_fence(map, first, last);
     for (unsigned page = keymap_page_of(first); page <= keymap_page_of(last);
          page++) {
-        map->pages[page].next_fence = fence + 1;
+        if (map->pages[page].next_fence <= fence) {
+            map->pages[page].next_fence = fence + 1;
+        }
     }
     return fence;
 }
@@ -143,8 +159,12 @@
 {
     for (unsigned page = keymap_page_of(first); page <= keymap_page_of(last);
          page++) {
-        if (map->pages[page].next_fence <= fence) {
-            map->pages[page].next_fence = fence + 1;
+        struct keymap_page *raised = &map->pages[page];
+        if (raised->next_fence <= fence) {
+            raised->next_fence = fence + 1;
+        }
+        if (raised->write_fence <= fence) {
+            raised->write_fence = fence + 1;
         }
     }
 }
@@ -153,10 +173,11 @@
 keymap_assign(struct keymap *map, uint32_t first, uint32_t last,
               const struct keymap_holder *holder, const char *token)
 {
+    const uint64_t fence = reserve_fence(map, first, last);
     isolate_range(map, first, last);
     struct keymap_segment *segment = &map->segments[find_index(map, first)];
     segment->holder = *holder;
-    segment->fence = reserve_fence(map, first, last);
+    segment->fence = fence;
     snprintf(segment->token, sizeof(segment->token), "%s",
              token != NULL ? token : "");
 }
@@ -312,6 +333,7 @@
     if (ok) {
         replace_page(map, page, segments, count);
         map->pages[page].next_fence = (uint64_t)json_integer_value(next);
+        map->pages[page].write_fence = map->pages[page].next_fence;
         map->pages[page].version = version;
     }
     free(segments);
@@ -327,6 +349,7 @@
         .last = page_last(page),
     };
     replace_page(map, page, &unowned, 1);
+    map->pages[page].write_fence = map->pages[page].next_fence;
     map->pages[page].version = 0;
 }
 
--- a/packages/fleet/keymap.h
+++ b/packages/fleet/keymap.h
@@ -37,6 +37,10 @@
 struct keymap_page {
     uint64_t version;    /**< of the row that it was read from; 0: no row */
     uint64_t next_fence; /**< above all fences that its keys ever had */
+    /** Of keys that are assigned in this map; above all fences that they had
+     * when it was read. Ranges that are assigned together share it, so that
+     * fences do not get ahead of the store's versions. */
+    uint64_t write_fence;
 };
 
 /** The map of one service; copy it with keymap_copy(). */
