review: names and comments of feedrelay and keyera that needed their file

Cause: PROMPT_US did not say what is prompt, passed_on read like something that had happened, and keyera.h's comments were no sentences about what follows. Change: PROMPT_REFUSAL_US, may_pass_on, four comments. No change of behaviour.

--- a/packages/fleet/keyera.h
+++ b/packages/fleet/keyera.h
@@ -19,13 +19,13 @@
 
 #include "fleet/keylease.h"
 
-/* A lease of the former era that names this instance, and the promises that
- * extend it: this instance gives none after it has learnt of the new era. */
+/* Longest time for which a lease of the former era that names this instance
+ * holds, with promises: this instance gives none in the new era. */
 #define KEYERA_SETTLE_US (KEYLEASE_TAKEOVER_US + KEYLEASE_PROMISE_US)
-/* Leases that may not name this instance. */
+/* The same for leases that may not name this instance. */
 #define KEYERA_UNNAMED_SETTLE_US KEYLEASE_TAKEOVER_UNNAMED_US
 
-/** All zero: nothing known. */
+/** What is known of the eras of the store. All zero: nothing. */
 struct keyera {
     bool known;
     bool restored; /**< the store has returned since this process started */
@@ -39,8 +39,8 @@
 /** An owner was promised that its keys are not taken before until_us. */
 void keyera_promise(struct keyera *era, int64_t until_us);
 
-/** The store told a version. @return true if it has returned from a copy since
- * the version before */
+/** The store's answer had a version. @return true if it has returned from a
+ * copy since the version before */
 bool keyera_observe(struct keyera *era, uint64_t version, int64_t now_us);
 
 /** Reads the row of the latest settled era. False if it is not valid. */
--- a/packages/node/feedrelay.c
+++ b/packages/node/feedrelay.c
@@ -20,7 +20,7 @@
 #define PEER_WAIT_US (1 * US_PER_SECOND)
 #define PEER_ANSWER_SLACK_US (300 * US_PER_MS)
 /* An instance that refuses within this time leaves time to ask others. */
-#define PROMPT_US (100 * US_PER_MS)
+#define PROMPT_REFUSAL_US (100 * US_PER_MS)
 #define TABLES_MAX 2
 
 struct feedrelay_table {
@@ -28,7 +28,7 @@
     const char *name;
     const struct rowwatch *watch;
     unsigned hops;         /* instances between this one and the store */
-    bool passed_on;        /* other instances may read what was read last */
+    bool may_pass_on;      /* other instances may read what was read last */
     uint64_t peer_process; /* of the latest answer of an instance */
     uint64_t peer_sequence;
     int64_t next_store_read_us;
@@ -129,7 +129,7 @@
     call->store_call = NULL;
     feedsource_record_store(&table->relay->source, ok, now_us);
     table->hops = 0;
-    table->passed_on = table->passed_on || ok;
+    table->may_pass_on = table->may_pass_on || ok;
     table->next_store_read_us = now_us + STORE_PAUSE_US;
     call_end(call, result);
 }
@@ -208,7 +208,7 @@
     struct feedrelay_table *table = call->table;
     struct feedrelay *relay = table->relay;
     const int64_t now_us = node_now_us(relay->node);
-    const bool is_prompt = now_us - call->peer_asked_us < PROMPT_US;
+    const bool is_prompt = now_us - call->peer_asked_us < PROMPT_REFUSAL_US;
     if (status == RPC_OK) {
         feedsource_record_refusal(&relay->source, call->peer, now_us);
     }
@@ -243,7 +243,7 @@
                            node_now_us(relay->node));
     table->hops = feed->hops + 1;
     /* Meanwhile it may have started again. */
-    table->passed_on =
+    table->may_pass_on =
         is_earlier(relay->node, instancetable_find(&relay->node->instancetable,
                                                    call->peer));
     table->peer_process = feed->process;
@@ -258,8 +258,8 @@
     struct feedrelay_table *table = call->table;
     struct feedrelay *relay = table->relay;
     memcpy(call->peer, peer->instance_row.instance, sizeof(call->peer));
-    if (table->passed_on && !is_earlier(relay->node, peer)) {
-        table->passed_on = false;
+    if (table->may_pass_on && !is_earlier(relay->node, peer)) {
+        table->may_pass_on = false;
         feedrelay_table_changed(relay, table->name);
     }
     const struct relay_feed_request request = {
@@ -394,7 +394,7 @@
 static bool
 is_in_touch(const struct feedrelay_table *table)
 {
-    return rowwatch_is_reachable(table->watch) && table->passed_on &&
+    return rowwatch_is_reachable(table->watch) && table->may_pass_on &&
            rowwatch_is_reachable(table->relay->node->fleet_watch);
 }
 
@@ -534,6 +534,6 @@
         .relay = relay,
         .name = table,
         .watch = watch,
-        .passed_on = true, /* the first read is a scan of the store */
+        .may_pass_on = true, /* the first read is a scan of the store */
     };
 }
