gate: what targets say of their rate limit is read, logged and counted

Change: platform/upstream.c decodes Server-Limit and Server-Leaving into a typed notice; limitnotice.c keeps what is in force, by the order of sendings; gatelimit.c logs when a limit is first known, changes and ends, with its source, and a value that can't be read once. Gauge gate_rate_limit, counters gate_rate_changes and gate_notice_invalid. Nothing is decided by it yet.

--- a/packages/fleet/wire.h
+++ b/packages/fleet/wire.h
@@ -59,6 +59,24 @@
     WIRE_ANSWER_INVALID,  /**< not shown to be the target's own answer */
 };
 
+/** What an answer says of its target's rate limit. */
+enum wire_limit {
+    WIRE_LIMIT_NONE,   /**< the target has none */
+    WIRE_LIMIT_NAMED,  /**< limit_per_s is set */
+    WIRE_LIMIT_INVALID /**< can't be read; says nothing */
+};
+
+/** What a target says of itself in an answer, to any request. */
+struct wire_notice {
+    enum wire_limit limit;
+    double limit_per_s; /**< requests per second from all instances together */
+    bool leaving;       /**< it accepts no new requests */
+    /** First field that can't be read, and its value; NULL: none. They belong
+     * to the answer. */
+    const char *invalid_field;
+    const char *invalid_value;
+};
+
 struct wire_answer {
     enum wire_answer_kind kind;
     bool has_load;
@@ -132,6 +150,9 @@
                                    const char *id);
     void (*read_answer)(const struct http_result *result,
                         struct wire_answer *answer);
+    /** Reads what the target says of itself in any of its answers. */
+    void (*read_notice)(const struct http_headers *headers,
+                        struct wire_notice *notice);
     void (*refuse)(struct http_request *request,
                    const struct wire_refusal *refusal);
     bool (*read_announcement)(const struct http_request *request,
--- a/packages/http/httpheaders.c
+++ b/packages/http/httpheaders.c
@@ -131,6 +131,16 @@
     return NULL;
 }
 
+size_t
+http_headers_count(const struct http_headers *headers, const char *name)
+{
+    size_t count = 0;
+    for (size_t i = 0; i < headers->count; i++) {
+        count += http_name_equal(headers->items[i].name, name);
+    }
+    return count;
+}
+
 bool
 http_value_has_token(const char *value, const char *token)
 {
--- a/packages/http/httpheaders.h
+++ b/packages/http/httpheaders.h
@@ -57,6 +57,10 @@
 const char *http_headers_find(const struct http_headers *headers,
                               const char *name);
 
+/** Number of fields of that name (ignoring case). */
+size_t http_headers_count(const struct http_headers *headers,
+                          const char *name);
+
 /** True if the comma-separated list has the token (ignoring case). */
 bool http_value_has_token(const char *value, const char *token);
 
--- /dev/null
+++ b/packages/node/gatelimit.h
@@ -0,0 +1,30 @@
+/**
+ * @file
+ * What the target says of itself in its answers: its rate limit, and that it
+ * leaves. Holds for one incarnation of the target, also while it is silent.
+ */
+#ifndef CHESTNUTGAP_NODE_GATELIMIT_H
+#define CHESTNUTGAP_NODE_GATELIMIT_H
+
+#include "fleet/limitnotice.h"
+#include "http/httpheaders.h"
+
+struct gatelimit;
+struct node;
+
+/** Aborts if out of memory. */
+struct gatelimit *gatelimit_create(struct node *node);
+void gatelimit_destroy(struct gatelimit *gatelimit);
+
+/** Forgets the limit if the present target is another incarnation. */
+void gatelimit_target_changed(struct gatelimit *gatelimit);
+
+/** Reads an answer, to a request sent at sent_us. */
+void gatelimit_read(struct gatelimit *gatelimit,
+                    enum limitnotice_source source,
+                    const struct http_headers *headers, int64_t sent_us);
+
+/** The limit in force. */
+const struct limitnotice *gatelimit_notice(const struct gatelimit *gatelimit);
+
+#endif
--- a/packages/node/gatesend.c
+++ b/packages/node/gatesend.c
@@ -54,6 +54,11 @@
         servicetimes_record(&gate->servicetimes, call->route,
                             localgate_now_us(gate) - call->sent_us);
     }
+    /* The others may not be the target's own. */
+    if (answer.kind == WIRE_ANSWER_RUN || answer.kind == WIRE_ANSWER_NOT_RUN) {
+        gatelimit_read(gate->limit, LIMITNOTICE_ANSWER, result->headers,
+                       call->sent_us);
+    }
     switch (answer.kind) {
     case WIRE_ANSWER_RUN:
         call_answered(call, result);
--- a/packages/node/localgate.c
+++ b/packages/node/localgate.c
@@ -24,6 +24,7 @@
     struct counter_registry *counters = node->options.counters;
     gate->node = node;
     gate->queue = targetqueue_create(1);
+    gate->limit = gatelimit_create(node);
     TAILQ_INIT(&gate->calls);
     timer_init(&gate->wake, node->runtime, on_wake, gate);
     gate->started =
@@ -70,6 +71,7 @@
         call = next;
     }
     timer_stop(&gate->wake);
+    gatelimit_destroy(gate->limit);
     targetqueue_destroy(gate->queue);
     free(gate);
 }
@@ -220,6 +222,7 @@
 {
     const struct declared_service *service = node_own_service(gate->node);
     const struct localtarget *target = gate->node->target;
+    gatelimit_target_changed(gate->limit);
     targetqueue_set_limit(gate->queue, localtarget_slots(target));
     if (service != NULL && service->cold_requests_per_s > 0) {
         targetqueue_set_cold(gate->queue, localtarget_cold_until_us(target),
@@ -228,6 +231,13 @@
     gateadmit_readmit_waiting(gate);
 }
 
+void
+localgate_read_health(struct localgate *gate,
+                      const struct http_headers *headers, int64_t sent_us)
+{
+    gatelimit_read(gate->limit, LIMITNOTICE_HEALTH, headers, sent_us);
+}
+
 void
 localgate_keys_changed(struct localgate *gate)
 {
--- a/packages/node/localgate.h
+++ b/packages/node/localgate.h
@@ -11,6 +11,7 @@
 
 #include "protocol/generated/relay.h"
 
+struct http_headers;
 struct localgate;
 struct node;
 
@@ -39,6 +40,11 @@
 /** The target's slots or state, a zone or the configuration has changed. */
 void localgate_target_changed(struct localgate *gate);
 
+/** The target answered a health request that was sent at sent_us. */
+void localgate_read_health(struct localgate *gate,
+                           const struct http_headers *headers,
+                           int64_t sent_us);
+
 /** Keys were granted, released or assigned to another owner. */
 void localgate_keys_changed(struct localgate *gate);
 
--- a/packages/node/localtarget.c
+++ b/packages/node/localtarget.c
@@ -42,6 +42,7 @@
     struct http_client *client;
     struct retiredclients retired;
     struct http_call *probe_call;
+    int64_t probed_us; /* when the probe was sent */
     unsigned probe_failures;
     bool refused; /* refused a connection, may still answer */
     struct timer refusal_timer;
@@ -394,6 +395,8 @@
         target_end(target, "another target answers", false);
         return;
     }
+    localgate_read_health(target->node->gate, result->headers,
+                          target->probed_us);
     if (health.has_cold_left) {
         target->cold_until_us =
             health.cold_left_us > 0
@@ -412,6 +415,7 @@
     if (!target->present || target->probe_call != NULL || service == NULL) {
         return;
     }
+    target->probed_us = target_now_us(target);
     target->probe_call = http_call_start(
         target->client,
         &(struct http_call_spec){
@@ -555,6 +559,12 @@
     return target->present ? target->announced.target : "";
 }
 
+int64_t
+localtarget_started_ms(const struct localtarget *target)
+{
+    return target->announced.started_ms;
+}
+
 int64_t
 localtarget_present_since_us(const struct localtarget *target)
 {
--- a/packages/node/localtarget.h
+++ b/packages/node/localtarget.h
@@ -62,6 +62,9 @@
 /** Name of the present incarnation, or empty. */
 const char *localtarget_name(const struct localtarget *target);
 
+/** Start of the latest incarnation, Unix time; 0: unknown. */
+int64_t localtarget_started_ms(const struct localtarget *target);
+
 /** When the present incarnation was first heard of; INT64_MAX without one. */
 int64_t localtarget_present_since_us(const struct localtarget *target);
 
