gate: a target gets no more than the rate that it names

Cause: the gate limits concurrent requests only, and the rate of cold targets. A class of fault: what a target says of itself in answers was read in one place, announcements. Change: ratelimit.c, a decision unit beside the concurrency limit. It counts every request that the gate starts. What can't start in time is refused at once (reason rate-limited), also what a more urgent request has overtaken; a repeated request takes only what first attempts leave over. The line refused names the limit that bound.

--- /dev/null
+++ b/packages/fleet/ratelimit.c
@@ -0,0 +1,68 @@
+#include "fleet/ratelimit.h"
+
+#include "base/timeunits.h"
+
+#define BURST_US (250 * US_PER_MS) /* starts of that time may come at once */
+
+void
+ratelimit_set(struct ratelimit *limit, double per_s, int64_t now_us)
+{
+    const double interval_us =
+        per_s > 0 ? (double)US_PER_SECOND / per_s : RATELIMIT_INTERVAL_MAX_US;
+    const int64_t former_us = limit->interval_us;
+    limit->interval_us = interval_us < RATELIMIT_INTERVAL_MAX_US
+                             ? (int64_t)interval_us
+                             : RATELIMIT_INTERVAL_MAX_US;
+    if (limit->interval_us == 0) {
+        limit->interval_us = 1;
+    }
+    if (!limit->limited) {
+        limit->due_us = now_us + BURST_US;
+    }
+    else if (limit->due_us > now_us) {
+        /* What is owed is a number of starts. */
+        limit->due_us =
+            now_us + (limit->due_us - now_us) * limit->interval_us / former_us;
+    }
+    limit->limited = true;
+}
+
+void
+ratelimit_clear(struct ratelimit *limit)
+{
+    *limit = (struct ratelimit){.limited = false};
+}
+
+int64_t
+ratelimit_ready_us(const struct ratelimit *limit)
+{
+    return limit->limited ? limit->due_us - BURST_US : INT64_MIN;
+}
+
+int64_t
+ratelimit_wait_us(const struct ratelimit *limit, unsigned ahead,
+                  int64_t now_us)
+{
+    if (!limit->limited) {
+        return 0;
+    }
+    const int64_t due_us = limit->due_us > now_us ? limit->due_us : now_us;
+    const int64_t wait_us =
+        due_us - BURST_US - now_us + (int64_t)ahead * limit->interval_us;
+    return wait_us > 0 ? wait_us : 0;
+}
+
+bool
+ratelimit_has_reserve(const struct ratelimit *limit, int64_t now_us)
+{
+    return !limit->limited || limit->due_us - BURST_US / 2 <= now_us;
+}
+
+void
+ratelimit_record(struct ratelimit *limit, int64_t now_us)
+{
+    const int64_t due_us = limit->due_us > now_us ? limit->due_us : now_us;
+    if (limit->limited) {
+        limit->due_us = due_us + limit->interval_us;
+    }
+}
--- a/packages/fleet/targetqueue.c
+++ b/packages/fleet/targetqueue.c
@@ -4,6 +4,7 @@
 
 #include "base/memory.h"
 #include "base/timeunits.h"
+#include "fleet/ratelimit.h"
 
 #define COLD_WINDOW_US                                                        \
     (1100 * US_PER_MS) /* one second, and 10 % for clock differences */
@@ -22,6 +23,7 @@
     int64_t starts_us[TARGETQUEUE_COLD_RATE_MAX]; /* ring buffer of the latest
                                                      starts */
     unsigned start_next;
+    struct ratelimit rate;
     int64_t service_us;
 };
 
@@ -61,6 +63,18 @@
     queue->cold_max = max > 0 ? max : 1;
 }
 
+void
+targetqueue_set_rate(struct targetqueue *queue, double per_s, int64_t now_us)
+{
+    ratelimit_set(&queue->rate, per_s, now_us);
+}
+
+void
+targetqueue_clear_rate(struct targetqueue *queue)
+{
+    ratelimit_clear(&queue->rate);
+}
+
 bool
 targetqueue_is_cold(const struct targetqueue *queue, int64_t now_us)
 {
@@ -81,6 +95,7 @@
 has_capacity(const struct targetqueue *queue, int64_t now_us)
 {
     return queue->running < queue->limit &&
+           now_us >= ratelimit_ready_us(&queue->rate) &&
            (!targetqueue_is_cold(queue, now_us) ||
             now_us >= cold_ready_us(queue));
 }
@@ -92,6 +107,7 @@
     request->state = TARGETQUEUE_STATE_RUNNING;
     request->started_us = now_us;
     queue->running++;
+    ratelimit_record(&queue->rate, now_us);
     queue->starts_us[queue->start_next] = now_us;
     queue->start_next = (queue->start_next + 1) % TARGETQUEUE_COLD_RATE_MAX;
 }
@@ -131,22 +147,73 @@
     request->state = TARGETQUEUE_STATE_NONE;
 }
 
-/** Expected wait of a request behind that many others. */
+/** Expected wait of a request behind that many others, for a free slot. */
+static int64_t
+slot_wait_us(const struct targetqueue *queue, unsigned ahead)
+{
+    return queue->running >= queue->limit
+               ? queue->service_us * (ahead + 1) / queue->limit
+               : 0;
+}
+
+/** The same, for a start at a cold target. */
+static int64_t
+cold_wait_us(const struct targetqueue *queue, unsigned ahead, int64_t now_us)
+{
+    return targetqueue_is_cold(queue, now_us)
+               ? cold_ready_us(queue) - now_us +
+                     (int64_t)ahead * COLD_WINDOW_US / queue->cold_max
+               : 0;
+}
+
+/** The longest of the expected waits of a request behind that many others, and
+ * the limit that causes it. */
+static int64_t
+longest_wait_us(const struct targetqueue *queue, unsigned ahead,
+                int64_t now_us, enum targetqueue_bound *bound)
+{
+    const int64_t waits_us[] = {
+        [TARGETQUEUE_BOUND_NONE] = 0,
+        [TARGETQUEUE_BOUND_SLOTS] = slot_wait_us(queue, ahead),
+        [TARGETQUEUE_BOUND_COLD] = cold_wait_us(queue, ahead, now_us),
+        [TARGETQUEUE_BOUND_RATE] =
+            ratelimit_wait_us(&queue->rate, ahead, now_us),
+    };
+    *bound = TARGETQUEUE_BOUND_NONE;
+    for (int i = 0; i <= TARGETQUEUE_BOUND_RATE; i++) {
+        if (waits_us[i] > waits_us[*bound]) {
+            *bound = (enum targetqueue_bound)i;
+        }
+    }
+    return waits_us[*bound];
+}
+
 static int64_t
 expected_wait_us(const struct targetqueue *queue, unsigned ahead,
                  int64_t now_us)
 {
-    int64_t wait_us = 0;
-    if (queue->running >= queue->limit) {
-        wait_us = queue->service_us * (ahead + 1) / queue->limit;
-    }
-    if (targetqueue_is_cold(queue, now_us)) {
-        const int64_t cold_us =
-            cold_ready_us(queue) - now_us +
-            (int64_t)ahead * COLD_WINDOW_US / queue->cold_max;
-        wait_us = cold_us > wait_us ? cold_us : wait_us;
-    }
-    return wait_us;
+    enum targetqueue_bound bound;
+    return longest_wait_us(queue, ahead, now_us, &bound);
+}
+
+enum targetqueue_bound
+targetqueue_bound(const struct targetqueue *queue, int64_t now_us)
+{
+    enum targetqueue_bound bound;
+    longest_wait_us(queue, queue->waiting, now_us, &bound);
+    return bound;
+}
+
+const char *
+targetqueue_bound_name(enum targetqueue_bound bound)
+{
+    static const char *const names[] = {
+        [TARGETQUEUE_BOUND_NONE] = "none",
+        [TARGETQUEUE_BOUND_SLOTS] = "slots",
+        [TARGETQUEUE_BOUND_COLD] = "cold",
+        [TARGETQUEUE_BOUND_RATE] = "rate",
+    };
+    return names[bound];
 }
 
 static unsigned
@@ -187,15 +254,28 @@
     }
 }
 
+/** Whether the rate limit has a start for the request that first attempts are
+ * not likely to need. */
+static bool
+may_take_start(const struct targetqueue *queue,
+               const struct targetqueue_request *request, int64_t now_us)
+{
+    return !request->repeated || ratelimit_has_reserve(&queue->rate, now_us);
+}
+
 enum targetqueue_verdict
 targetqueue_admit(struct targetqueue *queue,
                   struct targetqueue_request *request, int64_t now_us)
 {
     request->late = is_late(request, now_us);
-    if (TAILQ_EMPTY(&queue->requests) && has_capacity(queue, now_us)) {
+    if (TAILQ_EMPTY(&queue->requests) && has_capacity(queue, now_us) &&
+        may_take_start(queue, request, now_us)) {
         start(queue, request, now_us);
         return TARGETQUEUE_START;
     }
+    if (!may_take_start(queue, request, now_us)) {
+        return TARGETQUEUE_REFUSE;
+    }
     demote_late(queue, now_us);
     const unsigned ahead = count_before(queue, request);
     if (now_us + expected_wait_us(queue, ahead, now_us) >
@@ -226,17 +306,33 @@
     }
 }
 
-struct targetqueue_request *
-targetqueue_next(struct targetqueue *queue, int64_t now_us,
-                 enum targetqueue_verdict *verdict)
+/** The first waiting request whose latest start has passed, or lies before the
+ * rate limit lets it start; NULL if there is none. */
+static struct targetqueue_request *
+first_too_late(const struct targetqueue *queue, int64_t now_us)
 {
     struct targetqueue_request *request;
+    unsigned ahead = 0;
     TAILQ_FOREACH (request, &queue->requests, link) {
-        if (now_us >= request->start_deadline_us) {
-            dequeue(queue, request);
-            *verdict = TARGETQUEUE_REFUSE;
+        const int64_t wait_us = ratelimit_wait_us(&queue->rate, ahead, now_us);
+        if (now_us >= request->start_deadline_us ||
+            now_us + wait_us > request->start_deadline_us) {
             return request;
         }
+        ahead++;
+    }
+    return NULL;
+}
+
+struct targetqueue_request *
+targetqueue_next(struct targetqueue *queue, int64_t now_us,
+                 enum targetqueue_verdict *verdict)
+{
+    struct targetqueue_request *request = first_too_late(queue, now_us);
+    if (request != NULL) {
+        dequeue(queue, request);
+        *verdict = TARGETQUEUE_REFUSE;
+        return request;
     }
     if (!has_capacity(queue, now_us)) {
         return NULL;
@@ -258,6 +354,21 @@
     return TAILQ_FIRST(&queue->requests);
 }
 
+/** When the cold start and the rate limit allow the next start; INT64_MAX
+ * without either. */
+static int64_t
+next_start_us(const struct targetqueue *queue, int64_t now_us)
+{
+    int64_t ready_us = ratelimit_ready_us(&queue->rate);
+    if (targetqueue_is_cold(queue, now_us)) {
+        int64_t cold_us = cold_ready_us(queue);
+        cold_us =
+            cold_us < queue->cold_until_us ? cold_us : queue->cold_until_us;
+        ready_us = cold_us > ready_us ? cold_us : ready_us;
+    }
+    return ready_us != INT64_MIN ? ready_us : INT64_MAX;
+}
+
 int64_t
 targetqueue_wakeup_us(const struct targetqueue *queue, int64_t now_us)
 {
@@ -268,11 +379,8 @@
                       ? request->start_deadline_us
                       : wake_us;
     }
-    if (queue->waiting > 0 && queue->running < queue->limit &&
-        targetqueue_is_cold(queue, now_us)) {
-        int64_t ready_us = cold_ready_us(queue);
-        ready_us =
-            ready_us < queue->cold_until_us ? ready_us : queue->cold_until_us;
+    if (queue->waiting > 0 && queue->running < queue->limit) {
+        const int64_t ready_us = next_start_us(queue, now_us);
         wake_us = ready_us < wake_us ? ready_us : wake_us;
     }
     return wake_us;
--- a/packages/fleet/targetqueue.h
+++ b/packages/fleet/targetqueue.h
@@ -1,10 +1,12 @@
 /**
  * @file
  * Admission control and queue of one target: limits concurrent requests, and
- * the rate of starts while the target is cold. Waiting requests are ordered by
- * priority, then by objective deadline. Those that have missed it come last
- * within their priority: under overload, the target would otherwise only run
- * requests that are just too late.
+ * the rate of starts while the target is cold or names a rate limit. Waiting
+ * requests are ordered by priority, then by objective deadline. Those that
+ * have missed it come last within their priority: under overload, the target
+ * would otherwise only run requests that are just too late. Under a rate limit
+ * a request that another has overtaken is refused as soon as its turn comes
+ * too late, and a repeated one doesn't wait.
  */
 #ifndef CHESTNUTGAP_FLEET_TARGETQUEUE_H
 #define CHESTNUTGAP_FLEET_TARGETQUEUE_H
@@ -22,6 +24,17 @@
     TARGETQUEUE_REFUSE, /**< it cannot start in time; it has not run */
 };
 
+/** The limit that keeps a new request from starting at once. */
+enum targetqueue_bound {
+    TARGETQUEUE_BOUND_NONE,
+    TARGETQUEUE_BOUND_SLOTS, /**< concurrent requests */
+    TARGETQUEUE_BOUND_COLD,  /**< starts of a cold target */
+    TARGETQUEUE_BOUND_RATE,  /**< the target's rate limit */
+};
+
+/** The text of a bound, for logs. */
+const char *targetqueue_bound_name(enum targetqueue_bound bound);
+
 enum targetqueue_state {
     TARGETQUEUE_STATE_NONE,
     TARGETQUEUE_STATE_WAITING,
@@ -34,7 +47,8 @@
     int64_t objective_deadline_us;
     int64_t expected_service_us; /**< usual for its route */
     int64_t start_deadline_us;   /**< latest start; refused after it */
-    bool late;                   /**< the objective deadline cannot be met */
+    bool repeated; /**< it has reached a target before, or may have */
+    bool late;     /**< the objective deadline cannot be met */
     enum targetqueue_state state;
     int64_t started_us;
     TAILQ_ENTRY(targetqueue_request) link;
@@ -55,6 +69,16 @@
 void targetqueue_set_cold(struct targetqueue *queue, int64_t until_us,
                           double per_s);
 
+/** Limits starts to per_s requests per second, until the next call of one of
+ * these. */
+void targetqueue_set_rate(struct targetqueue *queue, double per_s,
+                          int64_t now_us);
+void targetqueue_clear_rate(struct targetqueue *queue);
+
+/** The limit for which a new request would wait longest. */
+enum targetqueue_bound targetqueue_bound(const struct targetqueue *queue,
+                                         int64_t now_us);
+
 bool targetqueue_is_cold(const struct targetqueue *queue, int64_t now_us);
 
 /** Starts, queues or refuses a new request. */
--- a/packages/node/gateadmit.c
+++ b/packages/node/gateadmit.c
@@ -82,6 +82,18 @@
     return RELAY_REASON_NONE;
 }
 
+/** The limit that keeps the queue from starting a request in time. */
+static enum relay_reason
+queue_refusal(struct localgate *gate)
+{
+    if (targetqueue_bound(gate->queue, localgate_now_us(gate)) !=
+        TARGETQUEUE_BOUND_RATE) {
+        return RELAY_REASON_FULL;
+    }
+    gate->rate_limited->value++;
+    return RELAY_REASON_LIMITED;
+}
+
 /** True if the call is a suspect and another suspect runs at the target. */
 static bool
 conflicts_with_suspect(const struct localgate_call *call)
@@ -176,7 +188,7 @@
         call->state = CALL_QUEUED;
         break;
     case TARGETQUEUE_REFUSE:
-        gateadmit_refuse_later(call, RELAY_REASON_FULL);
+        gateadmit_refuse_later(call, queue_refusal(gate));
         break;
     }
 }
@@ -194,7 +206,7 @@
                 gate->queue, localgate_now_us(gate), &verdict)) != NULL) {
         struct localgate_call *call = (struct localgate_call *)queue_request;
         if (verdict == TARGETQUEUE_REFUSE) {
-            gateadmit_refuse_later(call, RELAY_REASON_FULL);
+            gateadmit_refuse_later(call, queue_refusal(gate));
         }
         else {
             call_start(call);
--- a/packages/node/gatelimit.c
+++ b/packages/node/gatelimit.c
@@ -7,6 +7,7 @@
 #include "base/log.h"
 #include "base/memory.h"
 #include "fleet/departures.h"
+#include "node/localgate.h"
 #include "node/localtarget.h"
 #include "node/node_internal.h"
 
@@ -52,9 +53,10 @@
     free(gatelimit);
 }
 
-static int64_t
-per_1000_s(const struct limitnotice *notice)
+int64_t
+gatelimit_per_1000_s(const struct gatelimit *gatelimit)
 {
+    const struct limitnotice *notice = &gatelimit->notice;
     return notice->limited ? (int64_t)(notice->per_s * PER_1000_S) : -1;
 }
 
@@ -75,6 +77,7 @@
     gatelimit->invalid_logged = false;
     gatelimit->notice = (struct limitnotice){.heard = false};
     gatelimit->limit->value = -1;
+    localgate_rate_changed(gatelimit->node->gate);
 }
 
 static void
@@ -93,7 +96,6 @@
 log_change(struct gatelimit *gatelimit, enum limitnotice_change change,
            enum limitnotice_source source)
 {
-    const struct limitnotice *notice = &gatelimit->notice;
     const int64_t now_us = node_now_us(gatelimit->node);
     const char *source_name = limitnotice_source_name(source);
     if (change == LIMITNOTICE_ENDED) {
@@ -110,7 +112,7 @@
     LOG_INFO("rate_limit", LOG_STR("target", gatelimit->target),
              LOG_STR("source", source_name),
              LOG_BOOL("first", change == LIMITNOTICE_BEGAN),
-             LOG_INT("per_1000_s", per_1000_s(notice)));
+             LOG_INT("per_1000_s", gatelimit_per_1000_s(gatelimit)));
 }
 
 static void
@@ -123,8 +125,9 @@
         return;
     }
     gatelimit->changes->value++;
-    gatelimit->limit->value = per_1000_s(&gatelimit->notice);
+    gatelimit->limit->value = gatelimit_per_1000_s(gatelimit);
     log_change(gatelimit, change, statement->source);
+    localgate_rate_changed(gatelimit->node->gate);
 }
 
 void
--- a/packages/node/gatelimit.h
+++ b/packages/node/gatelimit.h
@@ -24,6 +24,9 @@
                     enum limitnotice_source source,
                     const struct http_headers *headers, int64_t sent_us);
 
+/** The limit in force, in requests per 1,000 s; -1: none. */
+int64_t gatelimit_per_1000_s(const struct gatelimit *gatelimit);
+
 /** The limit in force. */
 const struct limitnotice *gatelimit_notice(const struct gatelimit *gatelimit);
 
--- a/packages/node/ingressattempt.c
+++ b/packages/node/ingressattempt.c
@@ -251,6 +251,7 @@
         return;
     }
     const bool full = call->reason == RELAY_REASON_FULL ||
+                      call->reason == RELAY_REASON_LIMITED ||
                       call->reason == RELAY_REASON_SUSPECT;
     if ((call->message.keyed && (full || owner_changes)) ||
         (full && call->attempt_count > FULL_ATTEMPTS_MAX) ||
@@ -305,7 +306,8 @@
                         reply->reason == RELAY_REASON_SHED ||
                         reply->reason == RELAY_REASON_CONNECT;
     instancetable_record_reached(instance, now_us);
-    if (reply->reason == RELAY_REASON_FULL) {
+    if (reply->reason == RELAY_REASON_FULL ||
+        reply->reason == RELAY_REASON_LIMITED) {
         instancetable_record_overload(instance, now_us,
                                       (int64_t)reply->retry_after_us);
     }
--- a/packages/node/localgate.c
+++ b/packages/node/localgate.c
@@ -35,6 +35,9 @@
         counter_add(counters, "gate_cut", "requests whose connection was cut");
     gate->shed =
         counter_add(counters, "gate_shed", "requests that the target shed");
+    gate->rate_limited =
+        counter_add(counters, "gate_rate_limited",
+                    "requests refused for the target's rate limit");
     return gate;
 }
 
@@ -114,6 +117,9 @@
             LOG_UINT("running", targetqueue_running(gate->queue)),
             LOG_UINT("waiting", targetqueue_waiting(gate->queue)),
             LOG_UINT("limit", targetqueue_limit(gate->queue)),
+            LOG_STR("bound", targetqueue_bound_name(targetqueue_bound(
+                                 gate->queue, localgate_now_us(gate)))),
+            LOG_INT("rate_per_1000_s", gatelimit_per_1000_s(gate->limit)),
             LOG_INT("usual_ms",
                     targetqueue_service_us(gate->queue) / US_PER_MS),
             LOG_BOOL("cold", localgate_is_cold(gate)));
@@ -231,6 +237,27 @@
     gateadmit_readmit_waiting(gate);
 }
 
+/** Applies the target's rate limit to the queue. */
+static void
+apply_rate(struct localgate *gate)
+{
+    const struct limitnotice *notice = gatelimit_notice(gate->limit);
+    if (notice->limited) {
+        targetqueue_set_rate(gate->queue, notice->per_s,
+                             localgate_now_us(gate));
+    }
+    else {
+        targetqueue_clear_rate(gate->queue);
+    }
+}
+
+void
+localgate_rate_changed(struct localgate *gate)
+{
+    apply_rate(gate);
+    gateadmit_run_queue(gate);
+}
+
 void
 localgate_read_health(struct localgate *gate,
                       const struct http_headers *headers, int64_t sent_us)
--- a/packages/node/localgate.h
+++ b/packages/node/localgate.h
@@ -45,6 +45,9 @@
                            const struct http_headers *headers,
                            int64_t sent_us);
 
+/** The target's rate limit has begun, changed or ended, or is known now. */
+void localgate_rate_changed(struct localgate *gate);
+
 /** Keys were granted, released or assigned to another owner. */
 void localgate_keys_changed(struct localgate *gate);
 
--- a/packages/node/localgate_internal.h
+++ b/packages/node/localgate_internal.h
@@ -62,6 +62,7 @@
     struct counter *refused;
     struct counter *cut;
     struct counter *shed;
+    struct counter *rate_limited;
 };
 
 int64_t localgate_now_us(const struct localgate *gate);
--- a/packages/node/relaytask.c
+++ b/packages/node/relaytask.c
@@ -62,6 +62,7 @@
     [RELAY_REASON_CUT] = "cut",
     [RELAY_REASON_INVALID] = "invalid-answer",
     [RELAY_REASON_SUSPECT] = "suspect",
+    [RELAY_REASON_LIMITED] = "rate-limited",
 };
 
 const char *
--- a/packages/protocol/relay.x
+++ b/packages/protocol/relay.x
@@ -34,7 +34,8 @@
     RELAY_REASON_CONNECT = 9,   /* no connection to the target */
     RELAY_REASON_CUT = 10,      /* connection closed during the request */
     RELAY_REASON_INVALID = 11,  /* the target's answer was malformed */
-    RELAY_REASON_SUSPECT = 12   /* suspected of crashing targets */
+    RELAY_REASON_SUSPECT = 12,  /* suspected of crashing targets */
+    RELAY_REASON_LIMITED = 13   /* the target's rate limit */
 };
 
 struct relay_field {
@@ -42,6 +43,25 @@
     string value<RELAY_VALUE_MAX>;
 };
 
+/* One run of a target's process. */
+struct relay_incarnation {
+    string target<RELAY_TEXT_MAX>;
+    hyper started_ms;                   /* Unix time; 0: unknown */
+};
+
+/* The rate limit that a target has named in an answer. */
+struct relay_limit {
+    relay_incarnation of;
+    double per_s;                       /* requests, from all instances */
+    unsigned hyper wait_us;             /* until a new request could start */
+};
+
+enum relay_limit_state {
+    RELAY_LIMIT_UNKNOWN = 0,            /* the target has not answered yet */
+    RELAY_LIMIT_NONE = 1,
+    RELAY_LIMIT_NAMED = 2
+};
+
 struct relay_request {
     string to<RELAY_TEXT_MAX>;          /* the instance addressed */
     string service<RELAY_TEXT_MAX>;
@@ -51,6 +71,8 @@
     unsigned int key;
     unsigned hyper map_version;         /* known to the sender, for this key */
     bool idempotent;
+    bool repeated;                      /* it may have reached a target */
+    relay_limit *limit;                 /* known to the sender, or none */
     unsigned int priority;              /* 0 is the most urgent */
     unsigned hyper left_us;             /* time until the deadline */
     hyper due_us;                       /* objective deadline, may be past */
@@ -71,6 +93,9 @@
     unsigned hyper retry_after_us;      /* 0: none */
     unsigned int load;                  /* requests in progress there */
     bool cold;
+    relay_limit_state limit_state;
+    relay_limit *limit;                 /* if NAMED */
+    relay_incarnation *leaving;         /* if the target said that it leaves */
     unsigned int status;
     relay_field fields<RELAY_FIELDS_MAX>;
     opaque body<RELAY_BODY_MAX>;
@@ -89,6 +114,9 @@
     unsigned hyper service_us;          /* smoothed time of a request */
     bool cold;
     bool serving;
+    bool limited;                       /* the target names a rate limit */
+    bool limit_reached;                 /* and it has kept requests waiting */
+    double limit_per_s;                 /* if limited */
     relay_step steps<RELAY_STEPS_MAX>;
 };
 
