node: what targets say of themselves outlives a gate's process

What callers saw: requests sent to a target that had said in its answers that it leaves; with only the gate's limit, a burst after each restart of a gate. Cause: departures were known by announcements alone, and a limit by the gate's process alone. Change: an answer with Server-Leaving is as good as the announcement. Entries keep limit and departure of an incarnation as its gate's replies tell them, whatever older rows say, stop sending to one that leaves, and tell a gate with each request which limit they know. A gate that doesn't know its target sends two requests at a time until the first answer, and asks for its health, 1 s at most.

--- a/packages/fleet/instancetable.c
+++ b/packages/fleet/instancetable.c
@@ -51,6 +51,19 @@
     }
 }
 
+/** Marks the instance as leaving if the target of its row is known to leave:
+ * the row may be older than that. */
+static void
+mark_departed(struct instancetable_instance *instance)
+{
+    struct instancetable_row *row = &instance->instance_row;
+    if (row->state == INSTANCETABLE_SERVING &&
+        instancenotice_has_left(&instance->notice, row->target,
+                                row->target_started_ms)) {
+        row->state = INSTANCETABLE_LEAVING;
+    }
+}
+
 struct instancetable_instance *
 instancetable_update(struct instancetable *table,
                      const struct instancetable_row *row, uint64_t version)
@@ -76,6 +89,9 @@
     }
     instance->instance_row = *row;
     instance->version = version;
+    instancenotice_target_changed(&instance->notice, row->target,
+                                  row->target_started_ms);
+    mark_departed(instance);
     mark_replaced(table, instance);
     return instance;
 }
@@ -100,6 +116,7 @@
     }
     instance->outstanding++;
     instance->sent_since_report++;
+    instancenotice_record_sent(&instance->notice, now_us);
 }
 
 void
@@ -163,6 +180,22 @@
     instance->unreachable_count = 0;
 }
 
+void
+instancetable_record_departure(struct instancetable_instance *instance,
+                               const char *target, int64_t started_ms,
+                               int64_t now_us)
+{
+    struct instancetable_row *row = &instance->instance_row;
+    instancenotice_record_departure(&instance->notice, target, started_ms,
+                                    now_us);
+    mark_departed(instance);
+    /* The row may not name this incarnation yet. */
+    if (row->state == INSTANCETABLE_SERVING &&
+        row->target_started_ms < started_ms) {
+        row->state = INSTANCETABLE_LEAVING;
+    }
+}
+
 size_t
 instancetable_count(const struct instancetable *table)
 {
--- a/packages/fleet/instancetable.h
+++ b/packages/fleet/instancetable.h
@@ -13,6 +13,7 @@
 
 #include "base/address.h"
 #include "base/error.h"
+#include "fleet/instancenotice.h"
 #include "fleet/keymap.h"
 
 #define INSTANCETABLE_CRASH_SUSPECTS_MAX 64 /* reported by one instance */
@@ -58,6 +59,7 @@
     int64_t last_result_us;       /**< time of the last answer or failure */
     double failure_rate;          /**< smoothed share of failed requests */
     bool cold;                    /**< from its reply */
+    struct instancenotice notice; /**< from its replies */
 };
 
 LIST_HEAD(instancetable_list, instancetable_instance);
@@ -97,6 +99,11 @@
 void instancetable_record_reached(struct instancetable_instance *instance,
                                   int64_t now_us);
 
+/** That incarnation of its target leaves, whatever older rows say. */
+void instancetable_record_departure(struct instancetable_instance *instance,
+                                    const char *target, int64_t started_ms,
+                                    int64_t now_us);
+
 /** Number of known instances in any state. */
 size_t instancetable_count(const struct instancetable *table);
 
--- a/packages/fleet/limitnotice.c
+++ b/packages/fleet/limitnotice.c
@@ -1,5 +1,11 @@
 #include "fleet/limitnotice.h"
 
+bool
+limitnotice_is_valid(double per_s)
+{
+    return per_s >= 0 && per_s <= LIMITNOTICE_MAX_PER_S;
+}
+
 const char *
 limitnotice_source_name(enum limitnotice_source source)
 {
--- a/packages/fleet/limitnotice.h
+++ b/packages/fleet/limitnotice.h
@@ -12,6 +12,11 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#define LIMITNOTICE_MAX_PER_S 1e6 /* higher ones limit nothing */
+
+/** False for a limit that is negative, too high or not a number. */
+bool limitnotice_is_valid(double per_s);
+
 /** Who says what the limit is. */
 enum limitnotice_source {
     LIMITNOTICE_ANSWER,   /**< the target, in an answer to a request */
--- a/packages/fleet/ratelimit.c
+++ b/packages/fleet/ratelimit.c
@@ -4,18 +4,22 @@
 
 #define BURST_US (250 * US_PER_MS) /* starts of that time may come at once */
 
-void
-ratelimit_set(struct ratelimit *limit, double per_s, int64_t now_us)
+int64_t
+ratelimit_interval_us(double per_s)
 {
     const double interval_us =
         per_s > 0 ? (double)US_PER_SECOND / per_s : RATELIMIT_INTERVAL_MAX_US;
-    const int64_t former_us = limit->interval_us;
-    limit->interval_us = interval_us < RATELIMIT_INTERVAL_MAX_US
-                             ? (int64_t)interval_us
-                             : RATELIMIT_INTERVAL_MAX_US;
-    if (limit->interval_us == 0) {
-        limit->interval_us = 1;
+    if (interval_us >= RATELIMIT_INTERVAL_MAX_US) {
+        return RATELIMIT_INTERVAL_MAX_US;
     }
+    return interval_us > 1 ? (int64_t)interval_us : 1;
+}
+
+void
+ratelimit_set(struct ratelimit *limit, double per_s, int64_t now_us)
+{
+    const int64_t former_us = limit->interval_us;
+    limit->interval_us = ratelimit_interval_us(per_s);
     if (!limit->limited) {
         limit->due_us = now_us + BURST_US;
     }
@@ -58,6 +62,22 @@
     return !limit->limited || limit->due_us - BURST_US / 2 <= now_us;
 }
 
+int64_t
+ratelimit_assign_return_us(struct ratelimit *limit, int64_t wait_us,
+                           int64_t now_us)
+{
+    const int64_t first_us = now_us + wait_us;
+    if (!limit->limited) {
+        return wait_us;
+    }
+    limit->return_us += limit->interval_us;
+    if (limit->return_us < first_us ||
+        limit->return_us > first_us + RATELIMIT_RETURN_SPREAD_US) {
+        limit->return_us = first_us;
+    }
+    return limit->return_us - now_us;
+}
+
 void
 ratelimit_record(struct ratelimit *limit, int64_t now_us)
 {
--- a/packages/fleet/targetqueue.c
+++ b/packages/fleet/targetqueue.c
@@ -392,6 +392,13 @@
     return expected_wait_us(queue, queue->waiting, now_us);
 }
 
+int64_t
+targetqueue_assign_return_us(struct targetqueue *queue, int64_t now_us)
+{
+    return ratelimit_assign_return_us(
+        &queue->rate, expected_wait_us(queue, queue->waiting, now_us), now_us);
+}
+
 unsigned
 targetqueue_running(const struct targetqueue *queue)
 {
--- a/packages/fleet/targetqueue.h
+++ b/packages/fleet/targetqueue.h
@@ -109,6 +109,10 @@
 int64_t targetqueue_expected_wait_us(const struct targetqueue *queue,
                                      int64_t now_us);
 
+/** After how long a request that is refused now should return. */
+int64_t targetqueue_assign_return_us(struct targetqueue *queue,
+                                     int64_t now_us);
+
 unsigned targetqueue_running(const struct targetqueue *queue);
 unsigned targetqueue_waiting(const struct targetqueue *queue);
 unsigned targetqueue_limit(const struct targetqueue *queue);
--- a/packages/fleet/test/instancetable_test.cc
+++ b/packages/fleet/test/instancetable_test.cc
@@ -183,6 +183,50 @@
     free(text);
 }
 
+/* Guards against a row from before a departure that brings the target back. */
+TEST_F(Roster, OlderRowsDontUndoADeparture)
+{
+    struct instancetable_row row = Add("a", "z1")->instance_row;
+    struct instancetable_instance *a = instancetable_find(&table, "a");
+    const auto update = [&](const char *target, int64_t started_ms,
+                            uint64_t version) {
+        strncpy(row.target, target, KEYMAP_NAME_MAX);
+        row.target_started_ms = started_ms;
+        instancetable_update(&table, &row, version);
+        return a->instance_row.state;
+    };
+    EXPECT_EQ(INSTANCETABLE_SERVING, update("t1", 1000, 2));
+    instancetable_record_departure(a, "t1", 1000, 5);
+    EXPECT_EQ(INSTANCETABLE_LEAVING, a->instance_row.state);
+    EXPECT_EQ(INSTANCETABLE_LEAVING, update("t1", 1000, 3));
+    EXPECT_EQ(INSTANCETABLE_SERVING, update("t1", 2000, 4))
+        << "a new incarnation of that name";
+    instancetable_record_departure(a, "t1", 1000, 6);
+    EXPECT_EQ(INSTANCETABLE_SERVING, a->instance_row.state);
+    instancetable_record_departure(a, "t2", 3000, 7);
+    EXPECT_EQ(INSTANCETABLE_LEAVING, a->instance_row.state)
+        << "its row doesn't name that incarnation yet";
+    EXPECT_EQ(INSTANCETABLE_SERVING, update("t3", 4000, 5));
+}
+
+TEST_F(Roster, LimitIsOfOneIncarnationAndCountsWhatIsSent)
+{
+    struct instancetable_instance *a = Add("a", "z1");
+    struct instancenotice *notice = &a->notice;
+    instancenotice_set_limit(notice, "t-a", 0, 10, 50 * US_PER_MS, 0);
+    EXPECT_EQ(50 * US_PER_MS, instancenotice_wait_us(notice, 0));
+    instancetable_record_sent(a, 0);
+    EXPECT_EQ(150 * US_PER_MS, instancenotice_wait_us(notice, 0));
+    EXPECT_EQ(0, instancenotice_wait_us(notice, US_PER_SECOND));
+    Add("a", "z1", INSTANCETABLE_SERVING, 2);
+    EXPECT_TRUE(notice->limited);
+    instancenotice_set_limit(notice, "t-b", 0, -1, 0, 0);
+    EXPECT_EQ(10, notice->per_s) << "a peer may send anything";
+    instancenotice_set_limit(notice, "t-b", 0, 10, 0, 0);
+    Add("a", "z1", INSTANCETABLE_SERVING, 3);
+    EXPECT_FALSE(notice->limited);
+}
+
 TEST(Budget, LimitsRetriesToShareOfRequests)
 {
     struct retrybudget budget;
--- a/packages/node/gateadmit.c
+++ b/packages/node/gateadmit.c
@@ -6,9 +6,6 @@
 #include "node/keyowner.h"
 #include "node/localtarget.h"
 
-/* Part of the drain and evacuation times in which keyed requests still run, so
- * that their keys can be handed over. */
-#define KEYED_SERVE_PERCENT 55
 /* Longest wait in the queue, in percent of the time left; shorter if the
  * target could not answer in what then remains. */
 #define QUEUE_WAIT_PERCENT 60
@@ -33,6 +30,7 @@
     const int64_t wait_us =
         left_us - needed_us < wait_max_us ? left_us - needed_us : wait_max_us;
     call->queue_request.priority = request->priority;
+    call->queue_request.repeated = request->repeated;
     call->queue_request.objective_deadline_us =
         call->arrived_us + request->due_us;
     call->queue_request.expected_service_us = expected_service_us;
@@ -68,15 +66,15 @@
     const int64_t now_us = localgate_now_us(gate);
     const int64_t keyed = call->keyed ? 1 : 0;
     if (localtarget_is_leaving(node->target) &&
-        now_us >=
-            localtarget_leaving_since_us(node->target) +
-                keyed * node->settings.drain_us * KEYED_SERVE_PERCENT / 100) {
+        now_us >= localtarget_leaving_since_us(node->target) +
+                      keyed * node->settings.drain_us *
+                          NODE_KEYED_SERVE_PERCENT / 100) {
         return RELAY_REASON_LEAVING;
     }
     if (node_zone_is_out(gate->node, node->settings.zone) &&
         now_us >= node_zone_out_since_us(node, node->settings.zone) +
                       keyed * node->settings.evacuate_us *
-                          KEYED_SERVE_PERCENT / 100) {
+                          NODE_KEYED_SERVE_PERCENT / 100) {
         return RELAY_REASON_ZONE_OUT;
     }
     return RELAY_REASON_NONE;
--- a/packages/node/gatelimit.c
+++ b/packages/node/gatelimit.c
@@ -14,9 +14,21 @@
 #define PER_1000_S 1000.0
 #define CHANGE_LOG_INTERVAL_US (1 * US_PER_SECOND)
 
+/* A target that this process does not know yet may have told others of a rate
+ * limit. Its first answer tells it; one that does not answer in time is
+ * treated like others. */
+#define UNKNOWN_SLOTS 2
+#define UNKNOWN_MAX_US (1 * US_PER_SECOND)
+/* A target with a limit that has not answered for so long is asked for its
+ * health, which may tell of the end of the limit. */
+#define SILENCE_MAX_US (1 * US_PER_SECOND)
+
 struct gatelimit {
     struct node *node;
+    struct timer timer; /* end of the unknown time, or of the silence */
     struct limitnotice notice;
+    bool leaving; /* the target has said so */
+    struct relay_limit told;
     char target[KEYMAP_NAME_MAX + 1]; /* incarnation; empty: none yet */
     int64_t started_ms;
     int64_t since_us;    /* when it was first present */
@@ -27,12 +39,37 @@
     struct counter *invalid;
 };
 
+static bool
+is_unknown(const struct gatelimit *gatelimit)
+{
+    const struct limitnotice *notice = &gatelimit->notice;
+    return !notice->heard && !notice->limited &&
+           node_now_us(gatelimit->node) < gatelimit->since_us + UNKNOWN_MAX_US;
+}
+
+static void
+on_timer(void *ctx)
+{
+    struct gatelimit *gatelimit = ctx;
+    const struct limitnotice *notice = &gatelimit->notice;
+    const int64_t now_us = node_now_us(gatelimit->node);
+    if (!notice->limited) {
+        localgate_rate_changed(gatelimit->node->gate);
+        return;
+    }
+    if (now_us >= notice->heard_us + SILENCE_MAX_US) {
+        localtarget_probe(gatelimit->node->target);
+    }
+    timer_start(&gatelimit->timer, SILENCE_MAX_US);
+}
+
 struct gatelimit *
 gatelimit_create(struct node *node)
 {
     struct gatelimit *gatelimit = memory_calloc(1, sizeof(*gatelimit));
     struct counter_registry *counters = node->options.counters;
     gatelimit->node = node;
+    timer_init(&gatelimit->timer, node->runtime, on_timer, gatelimit);
     gatelimit->limit = counter_add(
         counters, "gate_rate_limit",
         "requests per 1,000 s that the target accepts; -1: it names no limit");
@@ -50,6 +87,7 @@
 void
 gatelimit_destroy(struct gatelimit *gatelimit)
 {
+    timer_stop(&gatelimit->timer);
     free(gatelimit);
 }
 
@@ -75,9 +113,17 @@
     gatelimit->started_ms = started_ms;
     gatelimit->since_us = node_now_us(gatelimit->node);
     gatelimit->invalid_logged = false;
+    gatelimit->leaving = false;
     gatelimit->notice = (struct limitnotice){.heard = false};
     gatelimit->limit->value = -1;
-    localgate_rate_changed(gatelimit->node->gate);
+    timer_start(&gatelimit->timer, UNKNOWN_MAX_US);
+}
+
+unsigned
+gatelimit_slots(const struct gatelimit *gatelimit, unsigned slots)
+{
+    return is_unknown(gatelimit) && slots > UNKNOWN_SLOTS ? UNKNOWN_SLOTS
+                                                          : slots;
 }
 
 static void
@@ -119,14 +165,19 @@
 apply(struct gatelimit *gatelimit,
       const struct limitnotice_statement *statement)
 {
+    const bool was_unknown = is_unknown(gatelimit);
     const enum limitnotice_change change = limitnotice_apply(
         &gatelimit->notice, statement, node_now_us(gatelimit->node));
     if (change == LIMITNOTICE_UNCHANGED) {
+        if (was_unknown && !is_unknown(gatelimit)) {
+            localgate_rate_changed(gatelimit->node->gate);
+        }
         return;
     }
     gatelimit->changes->value++;
     gatelimit->limit->value = gatelimit_per_1000_s(gatelimit);
     log_change(gatelimit, change, statement->source);
+    timer_start(&gatelimit->timer, SILENCE_MAX_US);
     localgate_rate_changed(gatelimit->node->gate);
 }
 
@@ -142,6 +193,12 @@
     if (read.invalid_field != NULL) {
         note_invalid(gatelimit, &read);
     }
+    if (read.leaving && !gatelimit->leaving) {
+        gatelimit->leaving = true;
+        localtarget_record_departure(gatelimit->node->target,
+                                     gatelimit->target, gatelimit->started_ms,
+                                     "it says so in its answers");
+    }
     if (read.limit != WIRE_LIMIT_INVALID) {
         apply(gatelimit, &(struct limitnotice_statement){
                              .source = source,
@@ -152,6 +209,44 @@
     }
 }
 
+void
+gatelimit_hear_instance(struct gatelimit *gatelimit,
+                        const struct relay_limit *limit)
+{
+    if (gatelimit->target[0] == '\0' || !limitnotice_is_valid(limit->per_s) ||
+        !departures_same_incarnation(gatelimit->target, gatelimit->started_ms,
+                                     limit->of.target, limit->of.started_ms)) {
+        return;
+    }
+    apply(gatelimit, &(struct limitnotice_statement){
+                         .source = LIMITNOTICE_INSTANCE,
+                         .limited = true,
+                         .per_s = limit->per_s,
+                     });
+}
+
+void
+gatelimit_describe(struct gatelimit *gatelimit, struct relay_reply *reply,
+                   int64_t wait_us)
+{
+    const struct limitnotice *notice = &gatelimit->notice;
+    gatelimit->told = (struct relay_limit){
+        .of = {.target = gatelimit->target,
+               .started_ms = gatelimit->started_ms},
+        .per_s = notice->per_s,
+        .wait_us = (u_quad_t)wait_us,
+    };
+    reply->limit_state =
+        notice->heard ? RELAY_LIMIT_NONE : RELAY_LIMIT_UNKNOWN;
+    if (notice->limited) {
+        reply->limit_state = RELAY_LIMIT_NAMED;
+        reply->limit = &gatelimit->told;
+    }
+    if (gatelimit->leaving) {
+        reply->leaving = &gatelimit->told.of;
+    }
+}
+
 const struct limitnotice *
 gatelimit_notice(const struct gatelimit *gatelimit)
 {
--- a/packages/node/gatelimit.h
+++ b/packages/node/gatelimit.h
@@ -8,6 +8,7 @@
 
 #include "fleet/limitnotice.h"
 #include "http/httpheaders.h"
+#include "protocol/generated/relay.h"
 
 struct gatelimit;
 struct node;
@@ -16,7 +17,8 @@
 struct gatelimit *gatelimit_create(struct node *node);
 void gatelimit_destroy(struct gatelimit *gatelimit);
 
-/** Forgets the limit if the present target is another incarnation. */
+/** Forgets the limit if the present target is another incarnation. Call it
+ * before gatelimit_notice() whenever the target may have changed. */
 void gatelimit_target_changed(struct gatelimit *gatelimit);
 
 /** Reads an answer, to a request sent at sent_us. */
@@ -24,6 +26,19 @@
                     enum limitnotice_source source,
                     const struct http_headers *headers, int64_t sent_us);
 
+/** How many requests the target may run at a time, of its slots: few until it
+ * is known whether it has a rate limit. */
+unsigned gatelimit_slots(const struct gatelimit *gatelimit, unsigned slots);
+
+/** An instance passed on an answer with that limit. */
+void gatelimit_hear_instance(struct gatelimit *gatelimit,
+                             const struct relay_limit *limit);
+
+/** Fills in the fields of a reply that tell of the limit and the departure.
+ * They are valid until the target changes. */
+void gatelimit_describe(struct gatelimit *gatelimit, struct relay_reply *reply,
+                        int64_t wait_us);
+
 /** The limit in force, in requests per 1,000 s; -1: none. */
 int64_t gatelimit_per_1000_s(const struct gatelimit *gatelimit);
 
--- a/packages/node/ingressanswer.c
+++ b/packages/node/ingressanswer.c
@@ -8,6 +8,7 @@
 /* Longest retry delay advised, in percent of the time that the caller has
  * left. */
 #define RETRY_LEFT_PERCENT 30
+#define RETRY_SPREAD_PERCENT 30 /* of the longest delay */
 #define RETRY_MIN_US (40 * US_PER_MS)
 
 static void
@@ -66,7 +67,12 @@
     int64_t wait_us = call->retry_after_us;
     wait_us = wait_us > RETRY_MIN_US ? wait_us : RETRY_MIN_US;
     wait_us += (int64_t)((double)wait_us * random_unit(&node->random));
-    return wait_us < wait_max_us ? wait_us : wait_max_us;
+    if (wait_us < wait_max_us) {
+        return wait_us;
+    }
+    /* Callers with the same time left don't all return at the same moment. */
+    return wait_max_us - (int64_t)((double)wait_max_us * RETRY_SPREAD_PERCENT /
+                                   100 * random_unit(&node->random));
 }
 
 void
--- a/packages/node/ingressattempt.c
+++ b/packages/node/ingressattempt.c
@@ -58,6 +58,21 @@
     }
 }
 
+/** True if the owner's target said that it leaves so long ago that its keys
+ * are not served there any more. */
+static bool
+has_left(const struct ingress_call *call,
+         const struct instancetable_instance *owner, int64_t now_us)
+{
+    const struct node *node = call->ingress->node;
+    const struct instancetable_row *row = &owner->instance_row;
+    const struct instancenotice *notice = &owner->notice;
+    return instancenotice_has_left(notice, row->target,
+                                   row->target_started_ms) &&
+           now_us >= notice->left_at_us + node->settings.drain_us *
+                                              NODE_KEYED_SERVE_PERCENT / 100;
+}
+
 static struct instancetable_instance *
 choose_owner(struct ingress_call *call)
 {
@@ -78,7 +93,9 @@
         owner =
             instancetable_find(&node->instancetable, segment->holder.instance);
     }
-    return owner != NULL && ingress_now_us(call) >= owner->unreachable_until_us
+    const int64_t now_us = ingress_now_us(call);
+    return owner != NULL && now_us >= owner->unreachable_until_us &&
+                   !has_left(call, owner, now_us)
                ? owner
                : NULL;
 }
@@ -100,6 +117,24 @@
     return instancechoice_pick(&node->instancetable, &choice, &node->random);
 }
 
+/** Tells the instance which limit its target has named: its process may have
+ * been restarted since. */
+static void
+fill_limit(struct ingress_call *call,
+           const struct instancetable_instance *instance)
+{
+    const struct instancenotice *notice = &instance->notice;
+    call->message.limit = NULL;
+    if (notice->limited) {
+        call->limit_told = (struct relay_limit){
+            .of = {.target = (char *)notice->target,
+                   .started_ms = notice->started_ms},
+            .per_s = notice->per_s,
+        };
+        call->message.limit = &call->limit_told;
+    }
+}
+
 static void
 attempt_send(struct ingress_call *call,
              struct instancetable_instance *instance)
@@ -118,6 +153,8 @@
     call->message.to = (char *)call->instance;
     call->message.left_us = (u_quad_t)(left_us > 0 ? left_us : 0);
     call->message.due_us = call->objective_deadline_us - now_us;
+    call->message.repeated = call->limit.reached + call->limit.pending > 0;
+    fill_limit(call, instance);
     attempt->call = call;
     attempt->instance = instance;
     attempt->sent_us = now_us;
@@ -295,6 +332,26 @@
     call_failed(call, instance);
 }
 
+/** Records in the instance table what a reply tells about the target. */
+static void
+record_notice(struct instancetable_instance *instance,
+              const struct relay_reply *reply, int64_t now_us)
+{
+    const struct relay_limit *limit = reply->limit;
+    if (limit != NULL) {
+        instancenotice_set_limit(&instance->notice, limit->of.target,
+                                 limit->of.started_ms, limit->per_s,
+                                 (int64_t)limit->wait_us, now_us);
+    }
+    else if (reply->limit_state == RELAY_LIMIT_NONE) {
+        instancenotice_clear_limit(&instance->notice);
+    }
+    if (reply->leaving != NULL) {
+        instancetable_record_departure(instance, reply->leaving->target,
+                                       reply->leaving->started_ms, now_us);
+    }
+}
+
 /** Records in the instance table what a reply tells about the instance. */
 static void
 record_reply(const struct ingress_attempt *attempt,
@@ -316,6 +373,7 @@
         instance->instance_row.state = INSTANCETABLE_LEAVING;
     }
     instancetable_record_load(instance, reply->load, reply->cold);
+    record_notice(instance, reply, now_us);
     if (reply->outcome == RELAY_ANSWERED || failed) {
         instancetable_record_result(instance, now_us,
                                     now_us - attempt->sent_us, failed);
--- a/packages/node/localgate.c
+++ b/packages/node/localgate.c
@@ -96,6 +96,9 @@
     }
     reply->load = localgate_load(gate);
     reply->cold = localgate_is_cold(gate);
+    gatelimit_describe(
+        gate->limit, reply,
+        targetqueue_expected_wait_us(gate->queue, localgate_now_us(gate)));
     if (done != NULL) {
         done(ctx, reply);
     }
@@ -128,7 +131,7 @@
         .outcome = outcome,
         .reason = reason,
         .reached = reached,
-        .retry_after_us = (u_quad_t)targetqueue_expected_wait_us(
+        .retry_after_us = (u_quad_t)targetqueue_assign_return_us(
             gate->queue, localgate_now_us(gate)),
     };
     localgate_answer(call, &reply);
@@ -165,6 +168,9 @@
     gateadmit_set_deadlines(call, request);
     timer_init(&call->timer, gate->node->runtime, on_call_timer, call);
     TAILQ_INSERT_TAIL(&gate->calls, call, link);
+    if (request->limit != NULL) {
+        gatelimit_hear_instance(gate->limit, request->limit);
+    }
     if (strcmp(request->to, gate->node->settings.instance) != 0) {
         gateadmit_refuse_later(call, RELAY_REASON_NO_TARGET);
         return call;
@@ -223,13 +229,30 @@
                            suspects.count);
 }
 
+/** Applies the target's slots and rate limit to the queue. */
+static void
+apply_limits(struct localgate *gate)
+{
+    const struct limitnotice *notice = gatelimit_notice(gate->limit);
+    targetqueue_set_limit(
+        gate->queue,
+        gatelimit_slots(gate->limit, localtarget_slots(gate->node->target)));
+    if (notice->limited) {
+        targetqueue_set_rate(gate->queue, notice->per_s,
+                             localgate_now_us(gate));
+    }
+    else {
+        targetqueue_clear_rate(gate->queue);
+    }
+}
+
 void
 localgate_target_changed(struct localgate *gate)
 {
     const struct declared_service *service = node_own_service(gate->node);
     const struct localtarget *target = gate->node->target;
     gatelimit_target_changed(gate->limit);
-    targetqueue_set_limit(gate->queue, localtarget_slots(target));
+    apply_limits(gate);
     if (service != NULL && service->cold_requests_per_s > 0) {
         targetqueue_set_cold(gate->queue, localtarget_cold_until_us(target),
                              service->cold_requests_per_s);
@@ -237,24 +260,10 @@
     gateadmit_readmit_waiting(gate);
 }
 
-/** Applies the target's rate limit to the queue. */
-static void
-apply_rate(struct localgate *gate)
-{
-    const struct limitnotice *notice = gatelimit_notice(gate->limit);
-    if (notice->limited) {
-        targetqueue_set_rate(gate->queue, notice->per_s,
-                             localgate_now_us(gate));
-    }
-    else {
-        targetqueue_clear_rate(gate->queue);
-    }
-}
-
 void
 localgate_rate_changed(struct localgate *gate)
 {
-    apply_rate(gate);
+    apply_limits(gate);
     gateadmit_run_queue(gate);
 }
 
--- a/packages/node/localtarget.c
+++ b/packages/node/localtarget.c
@@ -1,4 +1,4 @@
-#include "node/localtarget.h"
+#include "node/localtarget_internal.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -19,49 +19,16 @@
 #define BODY_MAX ((size_t)16 << 20)
 #define BODIES_MAX ((size_t)48 << 20) /* of all answers in progress */
 #define SPARE_CONNECTIONS 8 /* for grants and probes, besides the slots */
-#define PROBE_TIMEOUT_US (700 * US_PER_MS)
-#define PROBE_RETRY_DELAY_US (300 * US_PER_MS)
-#define PROBE_FAILURES_MAX 2 /* consecutive, until it counts as gone */
-/* A stopping target closes its listening socket before its last answers are
- * sent; one that has ended closes all connections within this time. */
-#define REFUSAL_SETTLE_US (50 * US_PER_MS)
-#define HEARTBEATS_MISSED_MAX 3 /* until it is probed */
-#define SLOTS_DEFAULT 8         /* if its announcement is not known */
+#define SLOTS_DEFAULT 8     /* if its announcement is not known */
 #define CONTENT_TYPE_TEXT "application/json"
 
-struct localtarget {
-    struct node *node;
-    bool present;
-    int64_t present_since_us;
-    struct wire_announcement announced; /* latest one */
-    bool leaving;
-    int64_t leaving_since_us;
-    struct departures departures;
-    int64_t announced_us;
-    int64_t cold_until_us;
-    struct http_client *client;
-    struct retiredclients retired;
-    struct http_call *probe_call;
-    int64_t probed_us; /* when the probe was sent */
-    unsigned probe_failures;
-    bool refused; /* refused a connection, may still answer */
-    struct timer refusal_timer;
-    struct timer heartbeat_timer;
-};
-
-static void on_heartbeat_missed(void *ctx);
-static void on_refusal_settled(void *ctx);
-
 struct localtarget *
 localtarget_create(struct node *node)
 {
     struct localtarget *target = memory_calloc(1, sizeof(*target));
     target->node = node;
     target->retired.runtime = node->runtime;
-    timer_init(&target->heartbeat_timer, node->runtime, on_heartbeat_missed,
-               target);
-    timer_init(&target->refusal_timer, node->runtime, on_refusal_settled,
-               target);
+    targetliveness_init(target);
     return target;
 }
 
@@ -78,8 +45,8 @@
     free(target);
 }
 
-static int64_t
-target_now_us(const struct localtarget *target)
+int64_t
+localtarget_now_us(const struct localtarget *target)
 {
     return node_now_us(target->node);
 }
@@ -88,11 +55,11 @@
 static void
 target_leave(struct localtarget *target, const char *why)
 {
-    LOG_WARN(
-        "target_gone", LOG_STR("target", target->announced.target),
-        LOG_STR("why", why),
-        LOG_INT("silent_ms",
-                (target_now_us(target) - target->announced_us) / US_PER_MS));
+    LOG_WARN("target_gone", LOG_STR("target", target->announced.target),
+             LOG_STR("why", why),
+             LOG_INT("silent_ms",
+                     (localtarget_now_us(target) - target->announced_us) /
+                         US_PER_MS));
     target->present = false;
     target->refused = false;
     timer_stop(&target->heartbeat_timer);
@@ -103,10 +70,8 @@
     }
 }
 
-/** Ends the present incarnation; its running requests are lost. proven_dead:
- * it certainly is no longer running. */
-static void
-target_end(struct localtarget *target, const char *why, bool proven_dead)
+void
+localtarget_end(struct localtarget *target, const char *why, bool proven_dead)
 {
     if (!target->present) {
         return;
@@ -119,11 +84,8 @@
     ownrow_update(target->node->ownrow);
 }
 
-/** The present incarnation does not report, or accepts no connections. It gets
- * nothing new, but may only be slow or about to end: what it runs goes on
- * until its deadline, or until the target closes the connection. */
-static void
-target_suspend(struct localtarget *target, const char *why)
+void
+localtarget_suspend(struct localtarget *target, const char *why)
 {
     target_leave(target, why);
     keyowner_target_gone(target->node->keyowner, false);
@@ -165,7 +127,7 @@
         .body_may_end_at_close = true,
     };
     target->present = true;
-    target->present_since_us = target_now_us(target);
+    target->present_since_us = localtarget_now_us(target);
     target->probe_failures = 0;
     target->client = http_client_create(target->node->runtime, &config,
                                         target->node->options.counters);
@@ -193,9 +155,10 @@
         return;
     }
     target->leaving = true;
-    target->leaving_since_us = target_now_us(target);
+    target->leaving_since_us = localtarget_now_us(target);
     departures_record(&target->departures, target->announced.target,
-                      target->announced.started_ms, target_now_us(target));
+                      target->announced.started_ms,
+                      localtarget_now_us(target));
     LOG_INFO("target_leaving", LOG_STR("target", target->announced.target),
              LOG_STR("why", why));
 }
@@ -265,10 +228,10 @@
 apply_announcement(struct localtarget *target,
                    const struct wire_announcement *announced)
 {
-    const int64_t now_us = target_now_us(target);
+    const int64_t now_us = localtarget_now_us(target);
     const bool same_incarnation = is_present_incarnation(target, announced);
     if (!same_incarnation) {
-        target_end(target, "another incarnation announced itself", false);
+        localtarget_end(target, "another incarnation announced itself", false);
         target->leaving = false;
     }
     if (!is_known_incarnation(target, announced)) {
@@ -287,13 +250,13 @@
         announced->cold_left_us > 0 ? now_us + announced->cold_left_us : 0;
     if (!same_incarnation) {
         target_begin(target);
+        localtarget_probe(target);
     }
     if (leaving) {
         set_leaving(target,
                     announced->leaving ? "it drains" : "it withdrew earlier");
     }
-    timer_start(&target->heartbeat_timer,
-                target->node->settings.heartbeat_us * HEARTBEATS_MISSED_MAX);
+    targetliveness_heard(target);
     localgate_target_changed(target->node->gate);
     if (changed) {
         publish_change(target);
@@ -302,14 +265,14 @@
 
 void
 localtarget_record_departure(struct localtarget *target, const char *name,
-                             int64_t started_ms)
+                             int64_t started_ms, const char *why)
 {
     const struct wire_announcement *known = &target->announced;
     if (target->present &&
         departures_same_incarnation(name, started_ms, known->target,
                                     known->started_ms)) {
         if (!target->leaving) {
-            set_leaving(target, "it withdrew");
+            set_leaving(target, why);
             publish_change(target);
         }
         return;
@@ -320,7 +283,7 @@
     }
     /* Announcements that it sent earlier may still arrive. */
     departures_record(&target->departures, name, started_ms,
-                      target_now_us(target));
+                      localtarget_now_us(target));
     if (known->target[0] == '\0') {
         /* Keeps the departure in the own row. */
         snprintf(target->announced.target, sizeof(target->announced.target),
@@ -347,7 +310,7 @@
     }
     if (announced.gone) {
         localtarget_record_departure(target, announced.target,
-                                     announced.started_ms);
+                                     announced.started_ms, "it withdrew");
         answer(request, 200);
         return;
     }
@@ -369,128 +332,12 @@
     answer(request, 200);
 }
 
-static void
-on_probed(void *ctx, const struct http_result *result)
-{
-    struct localtarget *target = ctx;
-    struct wire_health health;
-    target->probe_call = NULL;
-    if (result->outcome == HTTP_REFUSED) {
-        localtarget_connection_refused(target);
-        return;
-    }
-    if (result->outcome != HTTP_ANSWERED) {
-        target->probe_failures++;
-        if (target->probe_failures >= PROBE_FAILURES_MAX) {
-            target_suspend(target, "silent");
-            return;
-        }
-        timer_start(&target->heartbeat_timer, PROBE_RETRY_DELAY_US);
-        return;
-    }
-    target->probe_failures = 0;
-    target->node->wire->read_health(result, &health);
-    if (health.target[0] != '\0' &&
-        strcmp(health.target, target->announced.target) != 0) {
-        target_end(target, "another target answers", false);
-        return;
-    }
-    localgate_read_health(target->node->gate, result->headers,
-                          target->probed_us);
-    if (health.has_cold_left) {
-        target->cold_until_us =
-            health.cold_left_us > 0
-                ? target_now_us(target) + health.cold_left_us
-                : 0;
-        localgate_target_changed(target->node->gate);
-    }
-    timer_start(&target->heartbeat_timer,
-                target->node->settings.heartbeat_us * HEARTBEATS_MISSED_MAX);
-}
-
-static void
-probe(struct localtarget *target)
-{
-    const struct declared_service *service = node_own_service(target->node);
-    if (!target->present || target->probe_call != NULL || service == NULL) {
-        return;
-    }
-    target->probed_us = target_now_us(target);
-    target->probe_call = http_call_start(
-        target->client,
-        &(struct http_call_spec){
-            .method = "GET",
-            .target = service->health_path,
-            .deadline_us = target_now_us(target) + PROBE_TIMEOUT_US,
-            .done = on_probed,
-            .ctx = target,
-        });
-}
-
-static void
-on_heartbeat_missed(void *ctx)
-{
-    struct localtarget *target = ctx;
-    if (node_own_service(target->node) == NULL) {
-        timer_start(&target->heartbeat_timer, PROBE_RETRY_DELAY_US);
-        return;
-    }
-    probe(target);
-}
-
-/** True if a target that refused a connection has certainly ended. Connections
- * of a dead target have closed by now; one that leaves may have closed them
- * itself before it ends. */
-static bool
-has_ended(const struct localtarget *target)
-{
-    return !target->leaving && http_client_connections(target->client) == 0;
-}
-
-static void
-on_refusal_settled(void *ctx)
-{
-    struct localtarget *target = ctx;
-    if (localgate_running(target->node->gate) == 0) {
-        target_end(target, "refused", has_ended(target));
-    }
-    else {
-        target_suspend(target, "refused");
-    }
-}
-
-void
-localtarget_connection_refused(struct localtarget *target)
-{
-    if (target->present && !target->refused) {
-        target->refused = true;
-        timer_start(&target->refusal_timer, REFUSAL_SETTLE_US);
-    }
-}
-
 bool
 localtarget_accepts_connections(const struct localtarget *target)
 {
     return target->present && !target->refused;
 }
 
-void
-localtarget_connection_cut(struct localtarget *target)
-{
-    probe(target);
-}
-
-void
-localtarget_assume_cold(struct localtarget *target)
-{
-    const struct declared_service *service = node_own_service(target->node);
-    if (target->present && service != NULL) {
-        target->cold_until_us = target_now_us(target) + service->cold_start_us;
-        localgate_target_changed(target->node->gate);
-        probe(target);
-    }
-}
-
 void
 localtarget_describe(const struct localtarget *target,
                      struct instancetable_row *instance_row)
--- a/packages/node/localtarget.h
+++ b/packages/node/localtarget.h
@@ -25,9 +25,9 @@
                                      struct http_request *request);
 
 /** The incarnation announced its departure, to this process or an earlier one.
- * started_ms: its start; 0: unknown. */
+ * started_ms: its start; 0: unknown. why: for the log. */
 void localtarget_record_departure(struct localtarget *target, const char *name,
-                                  int64_t started_ms);
+                                  int64_t started_ms, const char *why);
 
 /** True if the target is present and has not refused a connection. */
 bool localtarget_accepts_connections(const struct localtarget *target);
@@ -79,6 +79,9 @@
 /** Applies the declared service's settings. */
 void localtarget_configure(struct localtarget *target);
 
+/** Asks the target for its health, unless a probe is under way. */
+void localtarget_probe(struct localtarget *target);
+
 /** Treats the target as cold, and probes it for the rest of its cold start. */
 void localtarget_assume_cold(struct localtarget *target);
 
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -344,7 +344,8 @@
         strcmp(instance, node->settings.instance) == 0) {
         /* An earlier process may have acknowledged the departure. */
         localtarget_record_departure(node->target, instance_row.target,
-                                     instance_row.target_started_ms);
+                                     instance_row.target_started_ms,
+                                     "it left before");
     }
 }
 
--- a/packages/node/node_internal.h
+++ b/packages/node/node_internal.h
@@ -30,6 +30,10 @@
 #define NODE_KEYS_KEY "keys/"
 #define NODE_ERA_KEY "era/" /* the latest settled era of a service */
 
+/* Part of the drain and evacuation times in which keyed requests still run, so
+ * that their keys can be handed over. */
+#define NODE_KEYED_SERVE_PERCENT 55
+
 struct feedrelay;
 struct ingress;
 struct keyowner;
