entry, planner: what a limited target does not take goes where there is room

What callers saw: with the limit kept, refusals at a limited target while others of its service had room, and keys that stayed with a limited owner. Cause: entries weighed targets by latency, the planner by slots and speed. Change: the wait for a limit counts in the choice of an instance; no hedge goes to a limited target. keyweight.c (out of planner.c) gives each target the share of its speed or its limit, whichever is less; a limited owner keeps that share and gets no new keys while others are not limited; a key that alone asks for more leaves it. Refusals for the limit start a rebalance. A gate that was restarted and doesn't know the limit yet doesn't count as unlimited.

--- a/packages/fleet/instancechoice.c
+++ b/packages/fleet/instancechoice.c
@@ -120,6 +120,8 @@
     if (instance->cold) {
         time_us *= COLD_FACTOR;
     }
+    time_us +=
+        (double)instancenotice_wait_us(&instance->notice, criteria->now_us);
     time_us += unanswered_penalty_us(criteria, instance, fastest);
     if (strcmp(instance->instance_row.zone, criteria->zone) != 0) {
         time_us += other_zone_penalty_us(criteria);
--- a/packages/fleet/instancechoice.h
+++ b/packages/fleet/instancechoice.h
@@ -2,7 +2,8 @@
  * @file
  * Selects the instance for a request without a key: the one with the shortest
  * expected latency, in the caller's availability zone unless waiting there
- * would cost the request its latency objective.
+ * would cost the request its latency objective. The wait for a target's rate
+ * limit counts, so that each gets about the rate that it takes.
  */
 #ifndef CHESTNUTGAP_FLEET_INSTANCECHOICE_H
 #define CHESTNUTGAP_FLEET_INSTANCECHOICE_H
--- a/packages/fleet/keybalance.c
+++ b/packages/fleet/keybalance.c
@@ -42,11 +42,11 @@
         const struct keymap_segment *segment = keymap_find(&plan->map, key);
         const size_t owner = keyplan_find_target(input, &segment->holder);
         const double key_load = keyload_curve_load(input->curve, key, key);
-        if (owner != KEYPLAN_NO_TARGET &&
+        if (owner != KEYPLAN_NO_TARGET && !input->targets[owner].limited &&
             key_load >= hot_min * input->targets[owner].weight) {
             load -= key_load;
             if (balance->fixed[owner] == 0 &&
-                input->targets[owner].can_receive) {
+                keyplan_keeps_share(&input->targets[owner])) {
                 weight -= input->targets[owner].weight;
             }
             balance->fixed[owner] += key_load / input->targets[owner].weight;
@@ -193,6 +193,34 @@
     return best;
 }
 
+/** Moves the hottest key that alone asks for more than the share of a target
+ * with a rate limit. @return false if there is none */
+static bool
+add_hot_key_move(struct balance *balance, size_t from, size_t to)
+{
+    struct keyplan *plan = balance->plan;
+    struct keyload_curve *curve = plan->input->curve;
+    const struct keyplan_target *targets = plan->input->targets;
+    const double share = balance->fair_share * targets[from].weight;
+    uint32_t hottest = 0;
+    double most = 0;
+    for (uint32_t key = 0; keyload_curve_next_above(curve, share, &key);
+         key++) {
+        const struct keymap_segment *segment = keymap_find(&plan->map, key);
+        const double load = keyload_curve_load(curve, key, key);
+        if (keyplan_find_target(plan->input, &segment->holder) == from &&
+            load > most) {
+            hottest = key;
+            most = load;
+        }
+    }
+    if (most > 0) {
+        keyplan_add_move(plan, hottest, hottest, to);
+        balance->fixed[to] += most / targets[to].weight;
+    }
+    return most > 0;
+}
+
 /** Adds one move. @return false if none is justified any more */
 static bool
 add_move(struct balance *balance)
@@ -215,7 +243,8 @@
     const struct range range = choose_range(plan, from, to, wanted);
     if (!range.found || keyload_curve_load(plan->input->curve, range.first,
                                            range.last) < least) {
-        balance->exhausted[from] = true;
+        balance->exhausted[from] =
+            !targets[from].limited || !add_hot_key_move(balance, from, to);
         return true;
     }
     keyplan_add_move(plan, range.first, range.last, to);
--- a/packages/fleet/keyplan.c
+++ b/packages/fleet/keyplan.c
@@ -17,6 +17,12 @@
     return KEYPLAN_NO_TARGET;
 }
 
+bool
+keyplan_keeps_share(const struct keyplan_target *target)
+{
+    return target->can_receive || target->limited;
+}
+
 static double
 load_of(const struct keyplan *plan, const struct keymap_segment *segment)
 {
@@ -32,7 +38,7 @@
     plan->weight = 0;
     for (size_t i = 0; i < input->target_count; i++) {
         plan->loads[i] = 0;
-        if (input->targets[i].can_receive) {
+        if (keyplan_keeps_share(&input->targets[i])) {
             plan->weight += input->targets[i].weight;
         }
     }
--- a/packages/fleet/keyplan.h
+++ b/packages/fleet/keyplan.h
@@ -22,6 +22,9 @@
     double weight;         /**< capacity relative to the others, above 0 */
     bool can_receive;      /**< may be assigned more keys */
     bool must_release_all; /**< all its keys are to be moved away */
+    /** Its rate limit bounds its weight: it keeps the keys of its share, but
+     * even a single key may ask for too much. */
+    bool limited;
 };
 
 /** A move of the keys from first to last (inclusive). */
--- a/packages/fleet/keyplan_internal.h
+++ b/packages/fleet/keyplan_internal.h
@@ -17,7 +17,7 @@
     struct keymap map; /**< after the moves so far */
     double *loads;     /**< by target, divided by its weight */
     double total;      /**< load of all keys */
-    double weight;     /**< of the targets that accept keys */
+    double weight;     /**< of the targets that keep a share */
     struct keyplan_move *moves;
     size_t count;
 };
@@ -26,6 +26,9 @@
 size_t keyplan_find_target(const struct keyplan_input *input,
                            const struct keymap_holder *holder);
 
+/** True if the target may own the share of its weight. */
+bool keyplan_keeps_share(const struct keyplan_target *target);
+
 /** The least loaded target that accepts keys, or KEYPLAN_NO_TARGET. */
 size_t keyplan_least_loaded(const struct keyplan *plan);
 
--- a/packages/fleet/test/instancetable_test.cc
+++ b/packages/fleet/test/instancetable_test.cc
@@ -227,6 +227,31 @@
     EXPECT_FALSE(notice->limited);
 }
 
+/* Guards against requests that are refused at a target with a rate limit while
+ * others have room. */
+TEST_F(Roster, TargetsGetAboutTheRateThatTheyTake)
+{
+    int64_t now_us = 0;
+    int sent[2] = {};
+    struct instancetable_instance *limited = Add("a", "z1");
+    struct instancetable_instance *free = Add("b", "z2");
+    instancenotice_set_limit(&limited->notice, "t-a", 0, 10, 0, 0);
+    for (int i = 0; i < 1000; i++) {
+        now_us += 10 * US_PER_MS;
+        struct instancechoice_criteria criteria = Criteria(now_us);
+        criteria.objective_us = 400 * US_PER_MS;
+        struct instancetable_instance *chosen =
+            instancechoice_pick(&table, &criteria, &random);
+        sent[chosen == free]++;
+        instancetable_record_sent(chosen, now_us);
+        instancetable_record_load(chosen, 1, false);
+        instancetable_record_result(chosen, now_us, 100 * US_PER_MS, false);
+        instancetable_record_ended(chosen);
+    }
+    EXPECT_GE(sent[0], 95);
+    EXPECT_LE(sent[0], 110);
+}
+
 TEST(Budget, LimitsRetriesToShareOfRequests)
 {
     struct retrybudget budget;
--- a/packages/fleet/test/keymap_test.cc
+++ b/packages/fleet/test/keymap_test.cc
@@ -13,6 +13,7 @@
 #include "fleet/keylease.h"
 #include "fleet/keymap.h"
 #include "fleet/keyplan.h"
+#include "fleet/keyweight.h"
 }
 
 namespace {
@@ -273,6 +274,63 @@
     EXPECT_NEAR(35536.0 / 65536, keymap_share(&map, "gone"), 1e-9);
 }
 
+/* Guards against keys that stay with a target with a rate limit, or that are
+ * taken from it though it can serve them. */
+TEST_F(Plan, LimitedTargetKeepsTheShareOfItsLimitAndGetsNoMore)
+{
+    const struct keyload_step even[] = {
+        {0, 10000 * KEYLOAD_UNITS_PER_REQUEST}};
+    keyload_curve_add(curve, even, 1);
+    for (const char *name : {"a", "b", "c"}) {
+        AddTarget(name);
+    }
+    Compute(0);
+    targets[0].weight = 0.2;
+    targets[0].can_receive = false;
+    targets[0].limited = true;
+    Compute(1.2);
+    Compute(1.2);
+    EXPECT_NEAR(0.2 / 2.2, keymap_share(&map, "a"), 0.03);
+    const struct keymap_holder nobody = Holder("");
+    keymap_assign(&map, 40000, 65535, &nobody, nullptr);
+    const double before = keymap_share(&map, "a");
+    for (const struct keyplan_move &move : Compute(0)) {
+        EXPECT_STRNE("a", move.to.instance);
+    }
+    EXPECT_EQ(before, keymap_share(&map, "a"));
+}
+
+TEST(Keyweight, FollowsSpeedAndRateLimit)
+{
+    const std::vector<struct keyweight_target> known = {
+        {10, 100000, false, false, false, 0},  /* 100 a second */
+        {10, 100000, false, false, true, 20},  /* limited to 20 */
+        {10, 100000, false, false, true, 500}, /* no slower for that */
+        {10, 0, false, false, false, 0},
+        {10, 100000, true, false, false, 0},
+        {10, 100000, false, true, true, 20},
+    };
+    std::vector<struct keyplan_target> targets(known.size());
+    keyweight_compute(known.data(), known.size(), targets.data());
+    EXPECT_EQ(1.0, targets[0].weight);
+    EXPECT_EQ(0.2, targets[1].weight);
+    EXPECT_EQ(1.0, targets[2].weight);
+    EXPECT_EQ(1.0, targets[3].weight);
+    EXPECT_EQ(0.4, targets[4].weight);
+    const std::vector<bool> can_receive = {true, false, false,
+                                           true, false, false};
+    for (size_t i = 0; i < known.size(); i++) {
+        EXPECT_EQ(can_receive[i], targets[i].can_receive) << i;
+        EXPECT_EQ(i == 1 || i == 2, targets[i].limited) << i;
+        EXPECT_EQ(i == 5, targets[i].must_release_all) << i;
+    }
+    /* Where all are limited, they share the keys by their limits. */
+    keyweight_compute(known.data() + 1, 2, targets.data());
+    EXPECT_TRUE(targets[0].can_receive);
+    EXPECT_FALSE(targets[0].limited);
+    EXPECT_NEAR(0.2, targets[0].weight / targets[1].weight, 1e-9);
+}
+
 TEST_F(Plan, RebalancesWithOneMoveAndOnlyAboveTolerance)
 {
     AddTarget("a");
@@ -328,6 +386,22 @@
     }
 };
 
+/* Guards against a hot key that stays with a target with a rate limit. */
+TEST_F(HotKey, LeavesATargetWithARateLimit)
+{
+    Compute(1.2);
+    const std::string owner = keymap_find(&map, key)->holder.instance;
+    for (struct keyplan_target &target : targets) {
+        if (owner == target.holder.instance) {
+            target.weight = 0.1;
+            target.can_receive = false;
+            target.limited = true;
+        }
+    }
+    Compute(1.2);
+    EXPECT_STRNE(owner.c_str(), keymap_find(&map, key)->holder.instance);
+}
+
 TEST_F(HotKey, StaysAndTheOtherKeysOfItsOwnerMove)
 {
     const std::string owner = keymap_find(&map, key)->holder.instance;
--- a/packages/node/gateadmit.c
+++ b/packages/node/gateadmit.c
@@ -89,6 +89,7 @@
         return RELAY_REASON_FULL;
     }
     gate->rate_limited->value++;
+    gate->rate_limited_us = localgate_now_us(gate);
     return RELAY_REASON_LIMITED;
 }
 
--- a/packages/node/gatelimit.c
+++ b/packages/node/gatelimit.c
@@ -225,6 +225,16 @@
                      });
 }
 
+enum relay_limit_state
+gatelimit_state(const struct gatelimit *gatelimit)
+{
+    const struct limitnotice *notice = &gatelimit->notice;
+    if (notice->limited) {
+        return RELAY_LIMIT_NAMED;
+    }
+    return notice->heard ? RELAY_LIMIT_NONE : RELAY_LIMIT_UNKNOWN;
+}
+
 void
 gatelimit_describe(struct gatelimit *gatelimit, struct relay_reply *reply,
                    int64_t wait_us)
@@ -236,10 +246,8 @@
         .per_s = notice->per_s,
         .wait_us = (u_quad_t)wait_us,
     };
-    reply->limit_state =
-        notice->heard ? RELAY_LIMIT_NONE : RELAY_LIMIT_UNKNOWN;
+    reply->limit_state = gatelimit_state(gatelimit);
     if (notice->limited) {
-        reply->limit_state = RELAY_LIMIT_NAMED;
         reply->limit = &gatelimit->told;
     }
     if (gatelimit->leaving) {
--- a/packages/node/gatelimit.h
+++ b/packages/node/gatelimit.h
@@ -26,6 +26,8 @@
                     enum limitnotice_source source,
                     const struct http_headers *headers, int64_t sent_us);
 
+enum relay_limit_state gatelimit_state(const struct gatelimit *gatelimit);
+
 /** How many requests the target may run at a time, of its slots: few until it
  * is known whether it has a rate limit. */
 unsigned gatelimit_slots(const struct gatelimit *gatelimit, unsigned slots);
--- a/packages/node/ingressattempt.c
+++ b/packages/node/ingressattempt.c
@@ -220,7 +220,7 @@
     exclude(call, call->attempts[0].instance);
     struct instancetable_instance *instance = choose_any(call);
     const bool has_free_slot =
-        instance != NULL &&
+        instance != NULL && !instance->notice.limited &&
         instance->reported_load + instance->sent_since_report <
             instance->instance_row.slots;
     if (!attemptlimit_allows(&call->limit) || !has_free_slot ||
--- a/packages/node/localgate.c
+++ b/packages/node/localgate.c
@@ -11,6 +11,8 @@
 #include "node/ownrow.h"
 #include "node/relaytask.h"
 
+#define EXCESS_AGE_MAX_US (3 * US_PER_SECOND)
+
 static void
 on_wake(void *ctx)
 {
@@ -338,3 +340,23 @@
 {
     return targetqueue_is_cold(gate->queue, localgate_now_us(gate));
 }
+
+const struct limitnotice *
+localgate_limit(const struct localgate *gate)
+{
+    return gatelimit_notice(gate->limit);
+}
+
+enum relay_limit_state
+localgate_limit_state(const struct localgate *gate)
+{
+    return gatelimit_state(gate->limit);
+}
+
+bool
+localgate_exceeds_limit(const struct localgate *gate)
+{
+    return gatelimit_notice(gate->limit)->limited &&
+           gate->rate_limited->value > 0 &&
+           localgate_now_us(gate) - gate->rate_limited_us < EXCESS_AGE_MAX_US;
+}
--- a/packages/node/localgate.h
+++ b/packages/node/localgate.h
@@ -9,6 +9,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "fleet/limitnotice.h"
 #include "protocol/generated/relay.h"
 
 struct http_headers;
@@ -67,4 +68,12 @@
 
 bool localgate_is_cold(const struct localgate *gate);
 
+/** The target's rate limit, as far as it is known. */
+const struct limitnotice *localgate_limit(const struct localgate *gate);
+
+enum relay_limit_state localgate_limit_state(const struct localgate *gate);
+
+/** True if requests were refused for the rate limit in the last seconds. */
+bool localgate_exceeds_limit(const struct localgate *gate);
+
 #endif
--- a/packages/node/localgate_internal.h
+++ b/packages/node/localgate_internal.h
@@ -63,6 +63,7 @@
     struct counter *cut;
     struct counter *shed;
     struct counter *rate_limited;
+    int64_t rate_limited_us; /* latest refusal for the rate limit */
 };
 
 int64_t localgate_now_us(const struct localgate *gate);
--- a/packages/node/planner.c
+++ b/packages/node/planner.c
@@ -7,6 +7,7 @@
 #define LOG_MODULE "planner"
 #include "base/log.h"
 #include "base/memory.h"
+#include "fleet/keyweight.h"
 #include "node/keyowner.h"
 #include "node/localgate.h"
 #include "node/localtarget.h"
@@ -22,9 +23,6 @@
 #define SETTLE_US (1500 * US_PER_MS) /* until moves show in the loads */
 #define REBALANCE_TOLERANCE 1.25     /* times an owner's fair share */
 #define LOAD_AGE_MAX_US (3 * US_PER_SECOND)
-#define WEIGHT_MIN 0.5 /* of the average */
-#define WEIGHT_MAX 2.0
-#define COLD_TARGET_WEIGHT_FACTOR 0.4
 #define BUSY_LOAD_PER_SLOT 0.8 /* from here on requests soon wait */
 #define TARGETS_MAX 512
 
@@ -85,53 +83,38 @@
                : NULL;
 }
 
-/** Relative capacity of an instance's target; 0 if unknown. */
-static double
-capacity_of(const struct planner *planner,
-            const struct instancetable_row *instance_row, bool *cold)
+/** Fills in what is known of the own target. */
+static void
+describe_own(const struct planner *planner, struct keyweight_target *known)
 {
-    double slots = instance_row->slots > 0 ? instance_row->slots : 1;
-    double service_us = (double)planner->own_service_us;
-    *cold = localgate_is_cold(planner->node->gate);
-    if (!planner_is_self(planner, instance_row->instance)) {
-        const struct peer_load *peer =
-            planner_find_peer(planner, instance_row->instance);
-        if (peer == NULL || peer->received_us == 0) {
-            *cold = false;
-            return 0;
-        }
-        service_us = (double)peer->service_us;
-        *cold = peer->cold;
-    }
-    return service_us > 0 ? slots / service_us : 0;
+    const struct localgate *gate = planner->node->gate;
+    const struct limitnotice *limit = localgate_limit(gate);
+    known->service_us = planner->own_service_us;
+    known->cold = localgate_is_cold(gate);
+    known->limited = limit->limited;
+    known->limit_per_s = limit->per_s;
 }
 
-/** Scales weights to an average of 1 and limits them. */
+/** Fills in what is known of another instance's target. */
 static void
-normalise(struct keyplan_target *targets, size_t count)
+describe_peer(const struct planner *planner, const char *instance,
+              struct keyweight_target *known)
 {
-    double sum = 0;
-    size_t known = 0;
-    for (size_t i = 0; i < count; i++) {
-        sum += targets[i].weight;
-        known += targets[i].weight > 0;
-    }
-    const double average = known > 0 ? sum / (double)known : 1;
-    for (size_t i = 0; i < count; i++) {
-        double weight =
-            targets[i].weight > 0 ? targets[i].weight / average : 1;
-        weight = weight > WEIGHT_MIN ? weight : WEIGHT_MIN;
-        targets[i].weight = weight < WEIGHT_MAX ? weight : WEIGHT_MAX;
+    const struct peer_load *peer = planner_find_peer(planner, instance);
+    if (peer != NULL && peer->received_us > 0) {
+        known->service_us = peer->service_us;
+        known->cold = peer->cold;
+        known->limited = peer->limited;
+        known->limit_per_s = peer->limit_per_s;
     }
 }
 
 static size_t
 list_targets(const struct planner *planner, struct keyplan_target *targets)
 {
+    static struct keyweight_target known[TARGETS_MAX];
     const struct node *node = planner->node;
     const struct instancetable_instance *instance;
-    bool cold[TARGETS_MAX];
-    bool any_warm = false;
     size_t count = 0;
     LIST_FOREACH (instance, &node->instancetable.instances, link) {
         const struct instancetable_row *instance_row = &instance->instance_row;
@@ -140,26 +123,22 @@
             planner_is_lost(planner, instance_row->instance)) {
             continue;
         }
-        const bool out = node_zone_is_out((void *)node, instance_row->zone) ||
-                         instance_row->state == INSTANCETABLE_LEAVING;
-        struct keyplan_target *target = &targets[count];
-        *target = (struct keyplan_target){
-            .weight = capacity_of(planner, instance_row, &cold[count]),
-            .can_receive = !out,
-            .must_release_all = out,
+        known[count] = (struct keyweight_target){
+            .slots = instance_row->slots,
+            .leaving = node_zone_is_out((void *)node, instance_row->zone) ||
+                       instance_row->state == INSTANCETABLE_LEAVING,
         };
-        memcpy(target->holder.instance, instance_row->instance,
-               sizeof(target->holder.instance));
-        any_warm = any_warm || (!out && !cold[count]);
-        count++;
-    }
-    normalise(targets, count);
-    for (size_t i = 0; i < count; i++) {
-        if (cold[i] && any_warm) {
-            targets[i].weight *= COLD_TARGET_WEIGHT_FACTOR;
-            targets[i].can_receive = false;
+        if (planner_is_self(planner, instance_row->instance)) {
+            describe_own(planner, &known[count]);
         }
+        else {
+            describe_peer(planner, instance_row->instance, &known[count]);
+        }
+        memcpy(targets[count].holder.instance, instance_row->instance,
+               sizeof(targets[count].holder.instance));
+        count++;
     }
+    keyweight_compute(known, count, targets);
     return count;
 }
 
@@ -298,18 +277,20 @@
     }
 }
 
-/** True if some target's load is high enough to increase its latency. Only
- * then are moves between working targets justified. */
+/** True if some target's load is high enough to increase its latency, or above
+ * its rate limit. Only then are moves between working targets justified. */
 static bool
 any_target_is_busy(const struct planner *planner)
 {
     const struct peer_load *peer;
-    if (planner->own_load_per_slot > BUSY_LOAD_PER_SLOT) {
+    if (planner->own_load_per_slot > BUSY_LOAD_PER_SLOT ||
+        localgate_exceeds_limit(planner->node->gate)) {
         return true;
     }
     LIST_FOREACH (peer, &planner->peers, link) {
         if (peer->failures == 0 && is_present(planner, peer) &&
-            peer->load_per_slot > BUSY_LOAD_PER_SLOT) {
+            (peer->load_per_slot > BUSY_LOAD_PER_SLOT ||
+             peer->limit_exceeded)) {
             return true;
         }
     }
--- a/packages/node/planner_internal.h
+++ b/packages/node/planner_internal.h
@@ -34,6 +34,9 @@
     unsigned slots;
     int64_t service_us;
     bool cold;
+    bool limited; /**< its target names a rate limit */
+    double limit_per_s;
+    bool limit_exceeded;  /**< and refused requests for it recently */
     double load_per_slot; /**< smoothed */
     struct keyload_step *steps;
     size_t step_count;
--- a/packages/node/plannerpeers.c
+++ b/packages/node/plannerpeers.c
@@ -8,6 +8,7 @@
 #define LOG_MODULE "planner"
 #include "base/log.h"
 #include "base/memory.h"
+#include "fleet/limitnotice.h"
 #include "node/localtarget.h"
 #include "node/relaytask.h"
 
@@ -117,6 +118,24 @@
     return before + (now - before) / LOAD_SMOOTHING;
 }
 
+/** Records the rate limit of a peer's target. One whose process doesn't know
+ * it may have told this one before it was restarted. */
+static void
+record_limit(struct peer_load *peer,
+             const struct instancetable_instance *known,
+             const struct relay_loads *loads)
+{
+    peer->limited = loads->limit_state == RELAY_LIMIT_NAMED &&
+                    limitnotice_is_valid(loads->limit_per_s);
+    peer->limit_per_s = loads->limit_per_s;
+    peer->limit_exceeded = peer->limited && loads->limit_exceeded;
+    if (loads->limit_state == RELAY_LIMIT_UNKNOWN && known != NULL &&
+        known->notice.limited) {
+        peer->limited = true;
+        peer->limit_per_s = known->notice.per_s;
+    }
+}
+
 static void
 on_loads(void *ctx, const char *instance, const struct relay_loads *loads)
 {
@@ -151,6 +170,7 @@
     peer->service_us = planner_smooth_service_time(peer->service_us,
                                                    (int64_t)loads->service_us);
     peer->cold = loads->cold;
+    record_limit(peer, known, loads);
     peer->load_per_slot =
         planner_smooth_load(peer->load_per_slot, loads->load, loads->slots);
     peer->step_count = loads->steps.steps_len;
--- a/packages/node/relaytask.c
+++ b/packages/node/relaytask.c
@@ -204,6 +204,9 @@
         .service_us = (u_quad_t)localgate_service_us(node->gate),
         .cold = localgate_is_cold(node->gate),
         .serving = localtarget_is_serving(node->target),
+        .limit_state = localgate_limit_state(node->gate),
+        .limit_exceeded = localgate_exceeds_limit(node->gate),
+        .limit_per_s = localgate_limit(node->gate)->per_s,
         .steps = {(u_int)count, memory_calloc(count + 1, sizeof(relay_step))},
     };
     for (size_t i = 0; i < count; i++) {
--- a/packages/protocol/relay.x
+++ b/packages/protocol/relay.x
@@ -114,9 +114,9 @@
     unsigned hyper service_us;          /* smoothed time of a request */
     bool cold;
     bool serving;
-    bool limited;                       /* the target names a rate limit */
-    bool limit_reached;                 /* and it has kept requests waiting */
-    double limit_per_s;                 /* if limited */
+    relay_limit_state limit_state;
+    bool limit_exceeded;                /* requests were refused for it */
+    double limit_per_s;                 /* if NAMED */
     relay_step steps<RELAY_STEPS_MAX>;
 };
 
