fleet: a restarted instance's row without a target keeps the limit known

What callers saw: after a restart of a limited target's instance, entries that knew the limit did not tell it: two requests at once in place of one. Cause: the row that a restarted instance writes before its target announces itself names no target, which counted as another incarnation. Change: such a row says nothing of the target.

--- a/packages/fleet/instancenotice.c
+++ b/packages/fleet/instancenotice.c
@@ -32,7 +32,9 @@
 instancenotice_target_changed(struct instancenotice *notice,
                               const char *target, int64_t started_ms)
 {
-    if (!departures_same_incarnation(notice->target, notice->started_ms,
+    /* An instance that was restarted may not know its target yet. */
+    if (target[0] != '\0' &&
+        !departures_same_incarnation(notice->target, notice->started_ms,
                                      target, started_ms)) {
         instancenotice_clear_limit(notice);
     }
--- a/packages/fleet/test/ratelimit_test.cc
+++ b/packages/fleet/test/ratelimit_test.cc
@@ -106,6 +106,25 @@
     EXPECT_EQ(INT64_MIN, ratelimit_ready_us(&limit));
 }
 
+/* Guards against refused callers who return at the same moment. */
+TEST(Ratelimit, RefusedRequestsReturnOneAfterTheOther)
+{
+    const int64_t now_us = 10 * US_PER_SECOND;
+    struct ratelimit limit = {};
+    const auto assign = [&](int64_t at_us) {
+        return ratelimit_assign_return_us(&limit, 70 * MS, at_us);
+    };
+    EXPECT_EQ(70 * MS, assign(now_us));
+    ratelimit_set(&limit, 10, now_us);
+    EXPECT_EQ(70 * MS, assign(now_us));
+    EXPECT_EQ(170 * MS, assign(now_us));
+    EXPECT_EQ(260 * MS, assign(now_us + 10 * MS));
+    for (int i = 0; i < 100; i++) {
+        EXPECT_LE(assign(now_us + 10 * MS),
+                  70 * MS + RATELIMIT_RETURN_SPREAD_US);
+    }
+}
+
 struct LimitedQueue : testing::Test {
     struct targetqueue *queue = targetqueue_create(100);
     std::deque<struct targetqueue_request> requests;
