ratelimit: a changed limit lets the next start wait one interval at most

What callers saw: after a fall of a limit by a hundred times, nothing would have started for 25 s: what had been scaled held the burst too. Cause: the time until the next start was scaled together with the burst. Change: only the wait is scaled.

--- a/packages/ctl/cmdexplainlog.c
+++ b/packages/ctl/cmdexplainlog.c
@@ -106,10 +106,11 @@
 is_state_change(const struct log_entry *entry)
 {
     static const char *const events[] = {
-        "target_gone",   "target_present", "target_leaving",  "lease_lost",
-        "store_lost",    "keys_taken",     "store_reachable", "config",
-        "instance_lost", "zone_out",       "zone_in",         "stopping",
-        "started",       "handover_begun", "handover_done",   "granted",
+        "target_gone",   "target_present",   "target_leaving",  "lease_lost",
+        "store_lost",    "keys_taken",       "store_reachable", "config",
+        "instance_lost", "zone_out",         "zone_in",         "stopping",
+        "started",       "handover_begun",   "handover_done",   "granted",
+        "rate_limit",    "rate_limit_ended",
     };
     const char *event = log_entry_field(entry, "event");
     for (size_t i = 0; i < sizeof(events) / sizeof(events[0]); i++) {
--- a/packages/fleet/keyweight.h
+++ b/packages/fleet/keyweight.h
@@ -14,12 +14,12 @@
 
 /** What is known of a target. */
 struct keyweight_target {
-    unsigned slots;
     int64_t service_us; /**< smoothed service time; 0: unknown */
+    double limit_per_s; /**< requests per second, if limited */
+    unsigned slots;
     bool cold;
     bool leaving; /**< or its zone is out: it must release all keys */
     bool limited;
-    double limit_per_s; /**< requests per second, if limited */
 };
 
 /** Sets the fields of targets that follow holder. A limited target keeps the
--- a/packages/fleet/ratelimit.c
+++ b/packages/fleet/ratelimit.c
@@ -2,11 +2,10 @@
 
 #include "base/timeunits.h"
 
-#define SATURATED_US (500 * US_PER_MS)
-#define DEMAND_MAX_US                                                         \
-    (1 * US_PER_SECOND)            /* so that an excess is forgotten          \
-                                    */
 #define BURST_US (250 * US_PER_MS) /* starts of that time may come at once */
+/* Demand is counted in the time that its starts take at the limit. */
+#define SATURATED_US (500 * US_PER_MS)
+#define DEMAND_MAX_US (1 * US_PER_SECOND)
 
 int64_t
 ratelimit_interval_us(double per_s)
@@ -27,10 +26,11 @@
     if (!limit->limited) {
         limit->due_us = now_us + BURST_US;
     }
-    else if (limit->due_us > now_us) {
-        /* What is owed is a number of starts. */
+    else if (limit->due_us > now_us + BURST_US) {
+        /* The wait for the next start is a number of intervals. */
+        const int64_t wait_us = limit->due_us - BURST_US - now_us;
         limit->due_us =
-            now_us + (limit->due_us - now_us) * limit->interval_us / former_us;
+            now_us + BURST_US + wait_us * limit->interval_us / former_us;
     }
     limit->limited = true;
 }
--- a/packages/fleet/targetqueue.c
+++ b/packages/fleet/targetqueue.c
@@ -258,8 +258,8 @@
  * requests arrive than the rate limit allows. Those that other targets may run
  * arrive at several gates, so that their number says little here. */
 static bool
-is_hopeless(const struct targetqueue *queue,
-            const struct targetqueue_request *request, int64_t now_us)
+is_starved(const struct targetqueue *queue,
+           const struct targetqueue_request *request, int64_t now_us)
 {
     return request->keyed && request->late &&
            ratelimit_is_saturated(&queue->rate, now_us);
@@ -294,7 +294,7 @@
     const unsigned ahead = count_before(queue, request);
     if (now_us + expected_wait_us(queue, ahead, now_us) >
             request->start_deadline_us ||
-        is_hopeless(queue, request, now_us)) {
+        is_starved(queue, request, now_us)) {
         return TARGETQUEUE_REFUSE;
     }
     enqueue(queue, request);
@@ -332,7 +332,7 @@
         const int64_t wait_us = ratelimit_wait_us(&queue->rate, ahead, now_us);
         if (now_us >= request->start_deadline_us ||
             now_us + wait_us > request->start_deadline_us ||
-            is_hopeless(queue, request, now_us)) {
+            is_starved(queue, request, now_us)) {
             return request;
         }
         ahead++;
--- a/packages/fleet/test/keymap_test.cc
+++ b/packages/fleet/test/keymap_test.cc
@@ -303,12 +303,12 @@
 TEST(Keyweight, FollowsSpeedAndRateLimit)
 {
     const std::vector<struct keyweight_target> known = {
-        {10, 100000, false, false, false, 0},  /* 100 a second */
-        {10, 100000, false, false, true, 20},  /* limited to 20 */
-        {10, 100000, false, false, true, 500}, /* no slower for that */
-        {10, 0, false, false, false, 0},
-        {10, 100000, true, false, false, 0},
-        {10, 100000, false, true, true, 20},
+        {100000, 0, 10, false, false, false},  /* 100 a second */
+        {100000, 20, 10, false, false, true},  /* limited to 20 */
+        {100000, 500, 10, false, false, true}, /* no slower for that */
+        {0, 0, 10, false, false, false},       /* unknown */
+        {100000, 0, 10, true, false, false},   /* cold */
+        {100000, 20, 10, false, true, true},   /* leaving */
     };
     std::vector<struct keyplan_target> targets(known.size());
     keyweight_compute(known.data(), known.size(), targets.data());
--- a/packages/fleet/test/ratelimit_test.cc
+++ b/packages/fleet/test/ratelimit_test.cc
@@ -82,6 +82,20 @@
     EXPECT_GT(ratelimit_wait_us(&limit, 1, 30 * US_PER_SECOND), 400 * MS);
 }
 
+/* Guards against a lower limit that lets nothing start for many intervals, and
+ * a higher one that allows more than the burst. */
+TEST(Ratelimit, NextStartIsAtMostOneIntervalAfterAChange)
+{
+    struct ratelimit limit = {};
+    ratelimit_set(&limit, 100, 0);
+    ratelimit_set(&limit, 0.2, 0);
+    EXPECT_LE(ratelimit_ready_us(&limit), 0);
+    ratelimit_record(&limit, 0);
+    EXPECT_EQ(5 * US_PER_SECOND, ratelimit_ready_us(&limit));
+    ratelimit_set(&limit, 100, US_PER_SECOND);
+    EXPECT_EQ(US_PER_SECOND + 8 * MS, ratelimit_ready_us(&limit));
+}
+
 TEST(Ratelimit, NearZeroOneStartInALongTimeRemains)
 {
     for (double per_s : {0.0, 1e-300, 0.01}) {
