instancenotice: a wait told by an instance is bounded

Cause: a reply's wait is any 64-bit number; adding it to the time could overflow. Change: at most RATELIMIT_INTERVAL_MAX_US is believed. Result: the test of limits told by peers covers both ends.

--- a/packages/fleet/instancenotice.c
+++ b/packages/fleet/instancenotice.c
@@ -15,6 +15,9 @@
     if (!limitnotice_is_valid(per_s)) {
         return;
     }
+    if (wait_us < 0 || wait_us > RATELIMIT_INTERVAL_MAX_US) {
+        wait_us = RATELIMIT_INTERVAL_MAX_US;
+    }
     notice->limited = true;
     notice->per_s = per_s;
     notice->started_ms = started_ms;
--- a/packages/fleet/instancenotice.h
+++ b/packages/fleet/instancenotice.h
@@ -25,7 +25,8 @@
 };
 
 /** An incarnation names a limit; a request that arrives there now is expected
- * to start after wait_us. */
+ * to start after wait_us, at most RATELIMIT_INTERVAL_MAX_US. Values that are
+ * out of range are ignored or limited: an instance may send anything. */
 void instancenotice_set_limit(struct instancenotice *notice,
                               const char *target, int64_t started_ms,
                               double per_s, int64_t wait_us, int64_t now_us);
--- a/packages/fleet/test/instancetable_test.cc
+++ b/packages/fleet/test/instancetable_test.cc
@@ -7,6 +7,7 @@
 extern "C" {
 #include "base/runtime.h"
 #include "fleet/instancechoice.h"
+#include "fleet/ratelimit.h"
 #include "fleet/retrybudget.h"
 }
 
@@ -222,6 +223,11 @@
     EXPECT_TRUE(notice->limited);
     instancenotice_set_limit(notice, "t-b", 0, -1, 0, 0);
     EXPECT_EQ(10, notice->per_s) << "a peer may send anything";
+    for (int64_t wait_us : {INT64_MAX, INT64_MIN}) {
+        instancenotice_set_limit(notice, "t-a", 0, 10, wait_us, US_PER_SECOND);
+        EXPECT_EQ(RATELIMIT_INTERVAL_MAX_US,
+                  instancenotice_wait_us(notice, US_PER_SECOND));
+    }
     instancenotice_set_limit(notice, "t-b", 0, 10, 0, 0);
     Add("a", "z1", INSTANCETABLE_SERVING, 3);
     EXPECT_FALSE(notice->limited);
