--- a/packages/fleet/ratelimit.c
+++ b/packages/fleet/ratelimit.c
@@ -99,7 +99,7 @@
 }
 
 void
-ratelimit_record(struct ratelimit *limit, int64_t now_us)
+ratelimit_record_start(struct ratelimit *limit, int64_t now_us)
 {
     const int64_t due_us = limit->due_us > now_us ? limit->due_us : now_us;
     if (limit->limited) {
--- a/packages/fleet/ratelimit.h
+++ b/packages/fleet/ratelimit.h
@@ -60,6 +60,6 @@
                                    int64_t now_us);
 
 /** A request starts now, allowed or not. */
-void ratelimit_record(struct ratelimit *limit, int64_t now_us);
+void ratelimit_record_start(struct ratelimit *limit, int64_t now_us);
 
 #endif
--- a/packages/fleet/targetqueue.c
+++ b/packages/fleet/targetqueue.c
@@ -107,7 +107,7 @@
     request->state = TARGETQUEUE_STATE_RUNNING;
     request->started_us = now_us;
     queue->running++;
-    ratelimit_record(&queue->rate, now_us);
+    ratelimit_record_start(&queue->rate, now_us);
     queue->starts_us[queue->start_next] = now_us;
     queue->start_next = (queue->start_next + 1) % TARGETQUEUE_COLD_RATE_MAX;
 }
--- a/packages/fleet/test/ratelimit_test.cc
+++ b/packages/fleet/test/ratelimit_test.cc
@@ -38,7 +38,7 @@
     for (int64_t now_us = 0; now_us < 30 * US_PER_SECOND;
          now_us += random_range(random, 0, pause_max_us)) {
         if (now_us >= ratelimit_ready_us(limit)) {
-            ratelimit_record(limit, now_us);
+            ratelimit_record_start(limit, now_us);
             starts_us.push_back(now_us);
         }
     }
@@ -73,7 +73,7 @@
     for (int64_t now_us = 0; now_us < 30 * US_PER_SECOND; now_us += MS) {
         ratelimit_set(&limit, now_us / MS % 2 == 0 ? 20 : 19, now_us);
         if (now_us >= ratelimit_ready_us(&limit)) {
-            ratelimit_record(&limit, now_us);
+            ratelimit_record_start(&limit, now_us);
             starts_us.push_back(now_us);
         }
     }
@@ -90,7 +90,7 @@
     ratelimit_set(&limit, 100, 0);
     ratelimit_set(&limit, 0.2, 0);
     EXPECT_LE(ratelimit_ready_us(&limit), 0);
-    ratelimit_record(&limit, 0);
+    ratelimit_record_start(&limit, 0);
     EXPECT_EQ(5 * US_PER_SECOND, ratelimit_ready_us(&limit));
     ratelimit_set(&limit, 100, US_PER_SECOND);
     EXPECT_EQ(US_PER_SECOND + 8 * MS, ratelimit_ready_us(&limit));
@@ -102,7 +102,7 @@
         struct ratelimit limit = {};
         ratelimit_set(&limit, per_s, 0);
         EXPECT_LE(ratelimit_ready_us(&limit), 0);
-        ratelimit_record(&limit, 0);
+        ratelimit_record_start(&limit, 0);
         EXPECT_EQ(RATELIMIT_INTERVAL_MAX_US, ratelimit_ready_us(&limit));
     }
 }
@@ -110,12 +110,12 @@
 TEST(Ratelimit, WithoutALimitNothingWaits)
 {
     struct ratelimit limit = {};
-    ratelimit_record(&limit, 5);
+    ratelimit_record_start(&limit, 5);
     EXPECT_EQ(INT64_MIN, ratelimit_ready_us(&limit));
     EXPECT_EQ(0, ratelimit_wait_us(&limit, 1000, 5));
     EXPECT_TRUE(ratelimit_has_reserve(&limit, 5));
     ratelimit_set(&limit, 1, 5);
-    ratelimit_record(&limit, 5);
+    ratelimit_record_start(&limit, 5);
     ratelimit_clear(&limit);
     EXPECT_EQ(INT64_MIN, ratelimit_ready_us(&limit));
 }
--- a/packages/node/gatesend.c
+++ b/packages/node/gatesend.c
@@ -56,8 +56,8 @@
     }
     /* The others may not be the target's own. */
     if (answer.kind == WIRE_ANSWER_RUN || answer.kind == WIRE_ANSWER_NOT_RUN) {
-        gatelimit_read(gate->limit, LIMITNOTICE_ANSWER, result->headers,
-                       call->sent_us);
+        gatenotice_read(gate->notice, LIMITNOTICE_ANSWER, result->headers,
+                        call->sent_us);
     }
     switch (answer.kind) {
     case WIRE_ANSWER_RUN:
--- a/packages/node/ingress_internal.h
+++ b/packages/node/ingress_internal.h
@@ -36,8 +36,8 @@
     struct ingress *ingress;
     struct http_request *http;
     struct relay_request message;
-    struct relay_limit limit_told; /**< of the message, if it has one */
-    char *path;                    /**< and query */
+    struct relay_limit known_limit; /**< of the message, if it has one */
+    char *path;                     /**< and query */
     char service[DECLARED_NAME_MAX + 1];
     const char *id; /**< given by the caller, or empty */
     struct attemptlimit limit;
--- a/packages/node/ingressattempt.c
+++ b/packages/node/ingressattempt.c
@@ -126,12 +126,12 @@
     const struct instancenotice *notice = &instance->notice;
     call->message.limit = NULL;
     if (notice->limited) {
-        call->limit_told = (struct relay_limit){
-            .of = {.target = (char *)notice->target,
-                   .started_ms = notice->started_ms},
+        call->known_limit = (struct relay_limit){
+            .incarnation = {.target = (char *)notice->target,
+                            .started_ms = notice->started_ms},
             .per_s = notice->per_s,
         };
-        call->message.limit = &call->limit_told;
+        call->message.limit = &call->known_limit;
     }
 }
 
@@ -339,8 +339,8 @@
 {
     const struct relay_limit *limit = reply->limit;
     if (limit != NULL) {
-        instancenotice_set_limit(&instance->notice, limit->of.target,
-                                 limit->of.started_ms, limit->per_s,
+        instancenotice_set_limit(&instance->notice, limit->incarnation.target,
+                                 limit->incarnation.started_ms, limit->per_s,
                                  (int64_t)limit->wait_us, now_us);
     }
     else if (reply->limit_state == RELAY_LIMIT_NONE) {
--- a/packages/node/localgate.c
+++ b/packages/node/localgate.c
@@ -26,7 +26,7 @@
     struct counter_registry *counters = node->options.counters;
     gate->node = node;
     gate->queue = targetqueue_create(1);
-    gate->limit = gatelimit_create(node);
+    gate->notice = gatenotice_create(node);
     TAILQ_INIT(&gate->calls);
     timer_init(&gate->wake, node->runtime, on_wake, gate);
     gate->started =
@@ -76,7 +76,7 @@
         call = next;
     }
     timer_stop(&gate->wake);
-    gatelimit_destroy(gate->limit);
+    gatenotice_destroy(gate->notice);
     targetqueue_destroy(gate->queue);
     free(gate);
 }
@@ -98,8 +98,8 @@
     }
     reply->load = localgate_load(gate);
     reply->cold = localgate_is_cold(gate);
-    gatelimit_describe(
-        gate->limit, reply,
+    gatenotice_fill_reply(
+        gate->notice, reply,
         targetqueue_expected_wait_us(gate->queue, localgate_now_us(gate)));
     if (done != NULL) {
         done(ctx, reply);
@@ -124,7 +124,7 @@
             LOG_UINT("limit", targetqueue_limit(gate->queue)),
             LOG_STR("bound", targetqueue_bound_name(targetqueue_bound(
                                  gate->queue, localgate_now_us(gate)))),
-            LOG_INT("rate_per_1000_s", gatelimit_per_1000_s(gate->limit)),
+            LOG_INT("rate_per_1000_s", gatenotice_per_1000_s(gate->notice)),
             LOG_INT("usual_ms",
                     targetqueue_service_us(gate->queue) / US_PER_MS),
             LOG_BOOL("cold", localgate_is_cold(gate)));
@@ -171,7 +171,7 @@
     timer_init(&call->timer, gate->node->runtime, on_call_timer, call);
     TAILQ_INSERT_TAIL(&gate->calls, call, link);
     if (request->limit != NULL) {
-        gatelimit_hear_instance(gate->limit, request->limit);
+        gatenotice_hear_peer_limit(gate->notice, request->limit);
     }
     if (strcmp(request->to, gate->node->settings.instance) != 0) {
         gateadmit_refuse_later(call, RELAY_REASON_NO_TARGET);
@@ -235,10 +235,10 @@
 static void
 apply_limits(struct localgate *gate)
 {
-    const struct limitnotice *notice = gatelimit_notice(gate->limit);
+    const struct limitnotice *notice = gatenotice_limit(gate->notice);
     targetqueue_set_limit(
         gate->queue,
-        gatelimit_slots(gate->limit, localtarget_slots(gate->node->target)));
+        gatenotice_slots(gate->notice, localtarget_slots(gate->node->target)));
     if (notice->limited) {
         targetqueue_set_rate(gate->queue, notice->per_s,
                              localgate_now_us(gate));
@@ -253,7 +253,7 @@
 {
     const struct declared_service *service = node_own_service(gate->node);
     const struct localtarget *target = gate->node->target;
-    gatelimit_target_changed(gate->limit);
+    gatenotice_target_changed(gate->notice);
     apply_limits(gate);
     if (service != NULL && service->cold_requests_per_s > 0) {
         targetqueue_set_cold(gate->queue, localtarget_cold_until_us(target),
@@ -273,7 +273,7 @@
 localgate_read_health(struct localgate *gate,
                       const struct http_headers *headers, int64_t sent_us)
 {
-    gatelimit_read(gate->limit, LIMITNOTICE_HEALTH, headers, sent_us);
+    gatenotice_read(gate->notice, LIMITNOTICE_HEALTH, headers, sent_us);
 }
 
 void
@@ -344,19 +344,19 @@
 const struct limitnotice *
 localgate_limit(const struct localgate *gate)
 {
-    return gatelimit_notice(gate->limit);
+    return gatenotice_limit(gate->notice);
 }
 
 enum relay_limit_state
 localgate_limit_state(const struct localgate *gate)
 {
-    return gatelimit_state(gate->limit);
+    return gatenotice_state(gate->notice);
 }
 
 bool
 localgate_exceeds_limit(const struct localgate *gate)
 {
-    return gatelimit_notice(gate->limit)->limited &&
+    return gatenotice_limit(gate->notice)->limited &&
            gate->rate_limited->value > 0 &&
            localgate_now_us(gate) - gate->rate_limited_us < EXCESS_AGE_MAX_US;
 }
--- a/packages/node/localgate_internal.h
+++ b/packages/node/localgate_internal.h
@@ -12,7 +12,7 @@
 #include "fleet/targetqueue.h"
 #include "http/httpclient.h"
 #include "node/gatecrash.h"
-#include "node/gatelimit.h"
+#include "node/gatenotice.h"
 #include "node/localgate.h"
 #include "node/node_internal.h"
 
@@ -52,7 +52,7 @@
 struct localgate {
     struct node *node;
     struct targetqueue *queue;
-    struct gatelimit *limit;
+    struct gatenotice *notice;
     struct servicetimes servicetimes;
     struct localgate_calls calls;
     struct timer wake;
--- a/packages/protocol/relay.x
+++ b/packages/protocol/relay.x
@@ -51,7 +51,7 @@
 
 /* The rate limit that a target has named in an answer. */
 struct relay_limit {
-    relay_incarnation of;
+    relay_incarnation incarnation;
     double per_s;                       /* requests, from all instances */
     unsigned hyper wait_us;             /* until a new request could start */
 };
