--- a/review/standin/world.cc
+++ b/review/standin/world.cc
@@ -748,6 +748,14 @@
     }
 }
 
+bool
+Upstream::Holds(int key)
+{
+    std::lock_guard<std::mutex> lock(mutex_);
+    return key >= 0 && key < 65536 &&
+           holds_[static_cast<size_t>(key)].until > Now();
+}
+
 std::vector<Run>
 Upstream::AtWorkHeld(int from, int to)
 {
@@ -901,8 +909,15 @@
     }
     Record("upstream %s answers the release of keys %d to %d", id.c_str(),
            from, to);
+    std::string token = NewId("h-");
+    if (spoils && Now() < trouble_until && spoils(*this, from, to)) {
+        extras++;
+        token[0] = '\xff';
+        Record("upstream %s spoils a byte of the handover token",
+               id.c_str());
+    }
     Message answer = MakeAnswer(200, "{}");
-    answer.headers = {{"X-Chestnutgap-Handover", NewId("h-")}};
+    answer.headers = {{"X-Chestnutgap-Handover", token}};
     return answer;
 }
 
--- a/review/standin/world.h
+++ b/review/standin/world.h
@@ -165,6 +165,9 @@
     /** Called for each call that arrives. @return true if it has handled the
      * connection, which then closes */
     std::function<bool(Upstream &, Connection &, const Message &)> trouble;
+    /** Whether to spoil the answer to a release of these keys. */
+    std::function<bool(Upstream &, int from, int to)> spoils;
+    bool Holds(int key);
     /** The trouble lasts until then. */
     std::atomic<double> trouble_until{0};
     std::atomic<long> answers{0}; /* since the trouble began, or the start */
