Review: case 5, a late second rejection makes an order run twice

The same code as case 1 takes a rejection of an earlier order for the answer to the order that runs, and sends it to another upstream.

--- a/review/3/case.cc
+++ b/review/3/case.cc
@@ -14,7 +14,8 @@
 
 namespace {
 
-constexpr int HEARTBEATS = 3; /* of the other writer, to each of two machines */
+constexpr int HEARTBEATS =
+    3; /* of the other writer, to each of two machines */
 constexpr double GAP_S = 5;
 constexpr int CLIENTS = 16; /* with a kept connection, at each machine */
 constexpr int DEADLINE_MS = 1200;
--- a/review/standin/world.cc
+++ b/review/standin/world.cc
@@ -33,7 +33,7 @@
 FILE *record_file;
 std::atomic<int> next_id{1};
 std::mutex begun_mutex;
-std::set<std::string> begun;
+std::map<std::string, int> begun;
 const auto epoch = std::chrono::steady_clock::now();
 
 struct sockaddr_in
@@ -249,7 +249,8 @@
 {
     struct pollfd waiting = {fd_, POLLIN, 0};
     const double left = until - Now();
-    if (left <= 0 || poll(&waiting, 1, static_cast<int>(left * 1000) + 1) <= 0) {
+    if (left <= 0 ||
+        poll(&waiting, 1, static_cast<int>(left * 1000) + 1) <= 0) {
         return false;
     }
     char bytes[16384];
@@ -304,7 +305,8 @@
         message->body.swap(input_);
         return true;
     }
-    const size_t size = length != nullptr ? strtoul(length->c_str(), nullptr, 10) : 0;
+    const size_t size =
+        length != nullptr ? strtoul(length->c_str(), nullptr, 10) : 0;
     while (input_.size() < size) {
         if (!Fill(until)) {
             return false;
@@ -335,8 +337,7 @@
 {
     char byte;
     const ssize_t size = recv(fd_, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return size == 0 ||
-           (size < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+    return size == 0 || (size < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
 std::unique_ptr<Socket>
@@ -473,8 +474,7 @@
     bool holds = true;
     Sleep(TRANSACTION_S);
     std::lock_guard<std::mutex> lock(mutex_);
-    json_array_foreach(json_object_get(document, "expect"), i, item)
-    {
+    json_array_foreach (json_object_get(document, "expect"), i, item) {
         const Name name = {Text(item, "table"), Text(item, "key")};
         const auto row = rows_.find(name);
         const bool exists = row != rows_.end() && !row->second.removed;
@@ -494,14 +494,12 @@
     }
     if (holds) {
         version_++;
-        json_array_foreach(json_object_get(document, "writes"), i, item)
-        {
+        json_array_foreach (json_object_get(document, "writes"), i, item) {
             const Name name = {Text(item, "table"), Text(item, "key")};
             rows_[name] = {Text(item, "value"), version_, false};
             history_.push_back({version_, name});
         }
-        json_array_foreach(json_object_get(document, "deletes"), i, item)
-        {
+        json_array_foreach (json_object_get(document, "deletes"), i, item) {
             const Name name = {Text(item, "table"), Text(item, "key")};
             rows_[name] = {"", version_, true};
             history_.push_back({version_, name});
@@ -613,6 +611,14 @@
     return begun.count(id) > 0;
 }
 
+int
+TimesBegun(const std::string &id)
+{
+    std::lock_guard<std::mutex> lock(begun_mutex);
+    const auto found = begun.find(id);
+    return found != begun.end() ? found->second : 0;
+}
+
 Upstream::Upstream(Deployment *deployment, const std::string &service_,
                    const std::string &zone_, const std::string &ip_, int port_,
                    bool keyed_)
@@ -726,7 +732,7 @@
     const std::string *key = request.Find("X-Chestnutgap-Shard-Key");
     {
         std::lock_guard<std::mutex> begun_lock(begun_mutex);
-        begun.insert(request.Get("X-Chestnutgap-Request-Id"));
+        begun[request.Get("X-Chestnutgap-Request-Id")]++;
     }
     std::lock_guard<std::mutex> lock(mutex_);
     runs_.push_back({request.Get("X-Chestnutgap-Request-Id"),
@@ -785,8 +791,8 @@
     }
     if (keyed) {
         std::lock_guard<std::mutex> lock(mutex_);
-        const Hold &hold =
-            holds_[static_cast<size_t>(key != nullptr ? atoi(key->c_str()) : 0)];
+        const Hold &hold = holds_[static_cast<size_t>(
+            key != nullptr ? atoi(key->c_str()) : 0)];
         if (key == nullptr || hold.released || hold.until <= Now()) {
             return Refuse(421, request);
         }
@@ -797,6 +803,10 @@
             return Refuse(503, request);
         }
     }
+    if (sheds && Now() < trouble_until && sheds(*this, request)) {
+        Record("upstream %s sheds %s", id.c_str(), request_id.c_str());
+        return Refuse(503, request);
+    }
     BeginRun(request);
     const double began = Now();
     const double deadline =
@@ -813,15 +823,14 @@
     DropRun(request_id);
     Record("upstream %s ends %s%s", id.c_str(), request_id.c_str(),
            *dropped ? ", its connection closed" : "");
-    Message answer = MakeAnswer(timed_out ? 504 : 200,
-                                "answer of " + id + " to " + request_id + "\n");
-    answer.headers = {{"X-Chestnutgap-Request-Id", request_id},
-                      {"X-Chestnutgap-Response-Signature",
-                       "sig." + id + "." + request_id},
-                      {"X-Chestnutgap-Server-Load",
-                       std::to_string(runs_.size()) + ",0," +
-                           std::to_string(slots) + ",100"},
-                      {"Keep-Alive", "timeout=10"}};
+    Message answer = MakeAnswer(
+        timed_out ? 504 : 200, "answer of " + id + " to " + request_id + "\n");
+    answer.headers = {
+        {"X-Chestnutgap-Request-Id", request_id},
+        {"X-Chestnutgap-Response-Signature", "sig." + id + "." + request_id},
+        {"X-Chestnutgap-Server-Load", std::to_string(runs_.size()) + ",0," +
+                                          std::to_string(slots) + ",100"},
+        {"Keep-Alive", "timeout=10"}};
     return answer;
 }
 
@@ -913,8 +922,7 @@
     if (spoils && Now() < trouble_until && spoils(*this, from, to)) {
         extras++;
         token[0] = '\xff';
-        Record("upstream %s spoils a byte of the handover token",
-               id.c_str());
+        Record("upstream %s spoils a byte of the handover token", id.c_str());
     }
     Message answer = MakeAnswer(200, "{}");
     answer.headers = {{"X-Chestnutgap-Handover", token}};
@@ -1161,11 +1169,11 @@
              const std::string &path, const std::string &id, int deadline_ms,
              int key, const std::string &body)
 {
-    std::string text = std::string(method) + " " + path +
-                       " HTTP/1.1\r\nHost: " + host +
-                       "\r\nX-Chestnutgap-Request-Id: " + id +
-                       "\r\nX-Chestnutgap-Deadline-Ms: " +
-                       std::to_string(deadline_ms) + "\r\n";
+    std::string text =
+        std::string(method) + " " + path + " HTTP/1.1\r\nHost: " + host +
+        "\r\nX-Chestnutgap-Request-Id: " + id +
+        "\r\nX-Chestnutgap-Deadline-Ms: " + std::to_string(deadline_ms) +
+        "\r\n";
     if (key >= 0) {
         text += "X-Chestnutgap-Shard-Key: " + std::to_string(key) + "\r\n";
     }
@@ -1185,8 +1193,8 @@
     const double until = answer.sent + deadline_ms / 1000.0;
     auto socket = Connect(machine.ip, machine.callers, 1);
     if (socket != nullptr &&
-        socket->Write(PrintRequest(method, host, path, id, deadline_ms, key,
-                                   body)) &&
+        socket->Write(
+            PrintRequest(method, host, path, id, deadline_ms, key, body)) &&
         socket->Read(&answer.message, true, until)) {
         answer.status = answer.message.status;
     }
--- a/review/standin/world.h
+++ b/review/standin/world.h
@@ -127,12 +127,14 @@
 
 /** True if an upstream has begun to run the request. */
 bool HasBegun(const std::string &id);
+/** How many times an upstream has begun to run it. */
+int TimesBegun(const std::string &id);
 
 /** What an upstream does beyond what a sound one does. */
 struct Connection {
     Socket &socket;
-    std::string last_id;     /* of the request answered last on it */
-    Message last_answer;     /* complete; empty status: none */
+    std::string last_id; /* of the request answered last on it */
+    Message last_answer; /* complete; empty status: none */
     bool last_was_request = false;
 };
 
@@ -148,7 +150,8 @@
     Upstream(Deployment *deployment, const std::string &service,
              const std::string &zone, const std::string &ip, int port,
              bool keyed);
-    /** Announces itself to its machine's node, as often as the settings say. */
+    /** Announces itself to its machine's node, as often as the settings say.
+     */
     void AnnounceTo(const std::string &ip, int port);
     /** Reports that it drains, serves on, withdraws and ends. */
     void Leave(double drain_s);
@@ -165,6 +168,9 @@
     /** Called for each call that arrives. @return true if it has handled the
      * connection, which then closes */
     std::function<bool(Upstream &, Connection &, const Message &)> trouble;
+    /** Whether to reject a request though there is room (503, not executed).
+     */
+    std::function<bool(Upstream &, const Message &)> sheds;
     /** Whether to spoil the answer to a release of these keys. */
     std::function<bool(Upstream &, int from, int to)> spoils;
     bool Holds(int key);
