Review: give each run of a script loopback addresses of its own

A trial beside others ended with "Address already in use": two programs had taken the same free port of the same address. Addresses now depend on the process's number.

--- a/review/standin/world.cc
+++ b/review/standin/world.cc
@@ -46,6 +46,15 @@
     return address;
 }
 
+/** Loopback addresses of this process: others may run at the same time. */
+std::string
+LoopbackAddress(int number)
+{
+    const int pid = getpid();
+    return "127." + std::to_string(1 + pid / 250 % 250) + "." +
+           std::to_string(1 + pid % 250) + "." + std::to_string(number);
+}
+
 std::string
 Unescape(const std::string &text)
 {
@@ -1051,7 +1060,7 @@
 }
 
 Deployment::Deployment(const std::string &directory_)
-    : directory(directory_), store("127.0.1.1")
+    : directory(directory_), store(LoopbackAddress(1))
 {
 }
 
@@ -1078,7 +1087,7 @@
     Machine &machine = machines.back();
     const std::string number = std::to_string(machines.size());
     machine.name = "sidecar-" + zone + "-" + number;
-    machine.ip = "127.0.2." + number;
+    machine.ip = LoopbackAddress(static_cast<int>(machines.size()) + 1);
     machine.zone = zone;
     machine.service = service;
     machine.keyed = keyed;
