--- a/review/5/case.cc
+++ b/review/5/case.cc
@@ -1,63 +1,39 @@
 /*
- * An upstream spoils a byte of its answer to a release of keys: the handover
- * token isn't UTF-8. Does everyone who takes keys later get a higher fence?
- * Exit: 1 a rule was broken, 0 it held, 2 the case couldn't run.
+ * A machine acknowledges that its upstream leaves, and is killed at once.
+ * After its restart a heartbeat that was held up arrives. Does the upstream
+ * get new requests? Exit: 1 a rule was broken, 0 it held, 2 the case couldn't
+ * run.
  */
 #include "world.h"
 
+#include <csignal>
 #include <cstdio>
 #include <cstdlib>
+#include <sys/wait.h>
 
 using namespace world;
 
 namespace {
 
-constexpr int LEAVES = 5;
-constexpr double TROUBLE_BEFORE_S = 4; /* the upstream leaves */
-constexpr double TROUBLE_FOR_S = 5;
-constexpr double RATE_PER_S = 150;
-constexpr double EXTRA_SHARE = 0.03; /* of the faulty upstream's answers */
-constexpr int DEADLINE_MS = 1000;
+constexpr double RATE_PER_S = 40;
+constexpr int DEADLINE_MS = 1200;
+constexpr double DRAIN_S = 2;
+constexpr double CONTACT_S = 3;
+constexpr double RESTART_S = 0.5;  /* after the kill */
+constexpr double HELD_UP_S = 4.5;  /* the heartbeat, on its way */
+constexpr double SERVES_ON_S = 10; /* after the acknowledgement */
 
 const char *const config =
     "{\"version\":\"00000002\",\"services\":["
-    "{\"name\":\"patterns\",\"health_path\":\"/health\","
+    "{\"name\":\"orders\",\"health_path\":\"/health\","
     "\"max_connections\":130,\"protocol\":\"h1\",\"tls\":false,"
-    "\"warmup_s\":3.0,\"warmup_per_s\":25.0,\"sharded\":true,\"warm_s\":5.0,"
-    "\"grants\":\"unary\"}],"
+    "\"warmup_s\":3.0,\"warmup_per_s\":25.0}],"
     "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":67108864,"
     "\"header_timeout_s\":3,\"idle_timeout_s\":15},"
-    "\"virtual_hosts\":[{\"host\":\"patterns.example\",\"paths\":["
-    "{\"name\":\"r-1\",\"path_prefix\":\"/pattern/\",\"kind\":\"safe\","
-    "\"timeout_s\":1,\"target_latency_s\":0.4,\"priority\":2,"
-    "\"service\":\"patterns\",\"max_attempts\":2}]}]}";
-
-Deployment *world_of_case;
-
-/** The keys lie before those of another upstream, in the same thousand: only
- * such an answer is spoiled. */
-bool
-SpoilsAnswer(Upstream &upstream, int from, int to)
-{
-    const int page_keys = 1024;
-    bool before_another = false;
-    {
-        std::lock_guard<std::mutex> lock(world_of_case->mutex);
-        for (const auto &other : world_of_case->lives) {
-            before_another = before_another || (other.get() != &upstream &&
-                                                other->Holds(to + 1));
-        }
-    }
-    return before_another && (to + 1) % page_keys != 0 && from <= to &&
-           static_cast<double>(upstream.extras + 1) <=
-               EXTRA_SHARE * static_cast<double>(upstream.answers);
-}
-
-/** The highest fence with which each key was taken, and by whom. */
-struct Taken {
-    uint64_t fence = 0;
-    std::string by;
-};
+    "\"virtual_hosts\":[{\"host\":\"orders.example\",\"paths\":["
+    "{\"name\":\"r-1\",\"path_prefix\":\"/order/\",\"kind\":\"unsafe\","
+    "\"timeout_s\":1.2,\"target_latency_s\":0.5,\"priority\":1,"
+    "\"service\":\"orders\",\"max_attempts\":2}]}]}";
 
 } // namespace
 
@@ -68,95 +44,89 @@
         return 2;
     }
     Deployment deployment(argv[2]);
-    world_of_case = &deployment;
-    Machine &faulty = deployment.Add("patterns", "a", true);
-    deployment.Add("patterns", "a", true);
-    deployment.Add("patterns", "b", true);
-    deployment.Add("patterns", "c", true);
-    std::atomic<int> broken{0};
-    std::vector<Taken> taken(65536);
-    deployment.granted = [&](Upstream &holder, int from, int to,
-                             uint64_t fence) {
-        std::lock_guard<std::mutex> lock(deployment.mutex);
-        bool reported = false;
-        for (int key = from; key <= to; key++) {
-            Taken &latest = taken[static_cast<size_t>(key)];
-            if (latest.by != holder.id && fence <= latest.fence && !reported) {
-                reported = true;
-                broken++;
-                Record("BROKEN OWNER: %s takes key %d with fence %llu; %s had "
-                       "it with fence %llu",
-                       holder.id.c_str(), key,
-                       static_cast<unsigned long long>(fence),
-                       latest.by.c_str(),
-                       static_cast<unsigned long long>(latest.fence));
-            }
-            if (fence > latest.fence) {
-                latest = {fence, holder.id};
-            }
-        }
-    };
-    deployment.prepare = [&](Upstream &upstream) {
-        upstream.work_s = 0.3;
-        upstream.spoils = SpoilsAnswer;
-    };
+    Machine &machine = deployment.Add("orders", "a", false);
+    deployment.Add("orders", "a", false);
+    deployment.Add("orders", "b", false);
     if (!deployment.Start(config)) {
         deployment.Exit(2);
     }
     std::atomic<bool> ends{false};
-    std::atomic<int> running{0}, sent{0}, served{0};
+    std::atomic<int> sent{0}, served{0}, failed{0}, running{0};
     std::thread traffic([&] {
-        unsigned seed = 1;
+        int i = 0;
         while (!ends) {
-            auto machine = deployment.machines.begin();
-            std::advance(machine, sent++ % 4);
-            const Machine *entry = &*machine;
-            const int key = rand_r(&seed) % 65536;
+            auto entry = deployment.machines.begin();
+            std::advance(entry, 1 + i++ % 2);
+            const Machine *by = &*entry;
             running++;
-            std::thread([&, entry, key] {
+            std::thread([&, by] {
                 const std::string id = NewId("r-");
                 const Answer answer =
-                    Send(*entry, "GET", "patterns.example", "/pattern/" + id,
-                         id, DEADLINE_MS, key);
-                Record("client %s, key %d, by %s: %d", id.c_str(), key,
-                       entry->name.c_str(), answer.status);
+                    Send(*by, "POST", "orders.example", "/order/" + id, id,
+                         DEADLINE_MS, -1, "an order");
+                Record("client %s, by %s: %d", id.c_str(), by->name.c_str(),
+                       answer.status);
+                sent++;
                 served += answer.status == 200;
+                failed += answer.status == 0 || answer.status == 502;
                 running--;
             }).detach();
             Sleep(1 / RATE_PER_S);
         }
     });
-    long extras = 0;
-    long answers = 0;
-    for (int i = 0; i < LEAVES; i++) {
-        Sleep(4);
-        const auto leaving = faulty.upstream;
-        if (Trouble()) {
-            leaving->Trouble(TROUBLE_FOR_S);
-        }
-        Sleep(TROUBLE_BEFORE_S);
-        leaving->Leave(2);
-        extras += leaving->extras;
-        answers += leaving->answers;
-        Sleep(1);
-        deployment.StartUpstream(faulty);
-        Sleep(3);
+    Sleep(4);
+    const auto leaving = machine.upstream;
+    const std::string held = leaving->HoldHeartbeat();
+    const double held_at = Now();
+    Record("upstream %s sends a heartbeat that is held up",
+           leaving->id.c_str());
+    Sleep(0.3);
+    const bool acknowledged = leaving->Withdraw();
+    const double at = Now();
+    if (!acknowledged) {
+        deployment.Exit(2);
     }
+    if (Trouble()) {
+        machine.Signal(SIGKILL);
+        waitpid(machine.pid, nullptr, 0);
+        machine.pid = -1;
+    }
+    Record("the leaving of %s is acknowledged%s", leaving->id.c_str(),
+           Trouble() ? "; the machine's process is killed" : "");
+    if (Trouble()) {
+        Sleep(RESTART_S);
+        machine.Start();
+    }
+    Sleep(held_at + HELD_UP_S - Now());
+    Record("the heartbeat that was held up arrives: %d",
+           CallControl(machine, "PUT", leaving->id, held));
+    Sleep(at + SERVES_ON_S - Now());
+    const int failed_before = failed;
+    leaving->End();
+    Record("upstream %s ends", leaving->id.c_str());
+    Sleep(1.5);
     ends = true;
     traffic.join();
     while (running > 0) {
         Sleep(0.05);
     }
+    /* The machine that was killed is in touch again after contact_s. */
+    const auto late =
+        BegunSince(leaving->id, at + DRAIN_S + RESTART_S + CONTACT_S);
+    for (const auto &run : late) {
+        Record("BROKEN DRAIN: %s reached %s %.3f s after the acknowledgement",
+               run.first.c_str(), leaving->id.c_str(), run.second - at);
+    }
     char summary[256];
     snprintf(summary, sizeof(summary),
-             "%d sent, %d served, %ld of %ld answers of the faulty upstream "
-             "spoiled, %d times a key was taken with a fence that isn't above "
-             "all before",
-             sent.load(), served.load(), extras, answers, broken.load());
+             "%d sent, %d served; %zu reached the upstream that had left, %d "
+             "lost when it ended",
+             sent.load(), served.load(), late.size(),
+             failed.load() - failed_before);
     Record("%s", summary);
     printf("%s\n", summary);
     if (served < sent / 2) {
         deployment.Exit(2);
     }
-    deployment.Exit(broken > 0 ? 1 : 0);
+    deployment.Exit(late.empty() ? 0 : 1);
 }
--- a/review/standin/world.cc
+++ b/review/standin/world.cc
@@ -34,6 +34,12 @@
 std::atomic<int> next_id{1};
 std::mutex begun_mutex;
 std::map<std::string, int> begun;
+struct Begun {
+    std::string upstream;
+    std::string id;
+    double at;
+};
+std::vector<Begun> all_begun;
 const auto epoch = std::chrono::steady_clock::now();
 
 struct sockaddr_in
@@ -628,6 +634,19 @@
     return found != begun.end() ? found->second : 0;
 }
 
+std::vector<std::pair<std::string, double>>
+BegunSince(const std::string &upstream, double since)
+{
+    std::lock_guard<std::mutex> lock(begun_mutex);
+    std::vector<std::pair<std::string, double>> found;
+    for (const Begun &run : all_begun) {
+        if (run.upstream == upstream && run.at >= since) {
+            found.emplace_back(run.id, run.at);
+        }
+    }
+    return found;
+}
+
 Upstream::Upstream(Deployment *deployment, const std::string &service_,
                    const std::string &zone_, const std::string &ip_, int port_,
                    bool keyed_)
@@ -641,6 +660,30 @@
         ip, port, [this](Socket &socket) { Serve(socket); });
 }
 
+std::string
+Upstream::AnnouncementText(const char *state)
+{
+    return Dump(json_pack(
+        "{s:s, s:s, s:s, s:s, s:i, s:s, s:i, s:i, s:I}", "service",
+        service.c_str(), "address", (ip + ":" + std::to_string(port)).c_str(),
+        "zone", zone.c_str(), "version", "v1", "slots", slots, "state", state,
+        "warmup_left_s", 0, "seq", ++sequence_, "born",
+        static_cast<json_int_t>(born_)));
+}
+
+std::string
+Upstream::HoldHeartbeat()
+{
+    return AnnouncementText("ready");
+}
+
+bool
+Upstream::Withdraw()
+{
+    leaving_ = true;
+    return Announce("DELETE", "ready");
+}
+
 bool
 Upstream::Announce(const char *method, const char *state)
 {
@@ -648,12 +691,7 @@
     if (socket == nullptr) {
         return false;
     }
-    const std::string body = Dump(json_pack(
-        "{s:s, s:s, s:s, s:s, s:i, s:s, s:i, s:i, s:I}", "service",
-        service.c_str(), "address", (ip + ":" + std::to_string(port)).c_str(),
-        "zone", zone.c_str(), "version", "v1", "slots", slots, "state", state,
-        "warmup_left_s", 0, "seq", ++sequence_, "born",
-        static_cast<json_int_t>(born_)));
+    const std::string body = AnnouncementText(state);
     Message answer;
     const bool ok =
         socket->Write(std::string(method) + " /chestnutgap/instances/" + id +
@@ -742,6 +780,8 @@
     {
         std::lock_guard<std::mutex> begun_lock(begun_mutex);
         begun[request.Get("X-Chestnutgap-Request-Id")]++;
+        all_begun.push_back(
+            {id, request.Get("X-Chestnutgap-Request-Id"), Now()});
     }
     std::lock_guard<std::mutex> lock(mutex_);
     runs_.push_back({request.Get("X-Chestnutgap-Request-Id"),
--- a/review/standin/world.h
+++ b/review/standin/world.h
@@ -129,6 +129,9 @@
 bool HasBegun(const std::string &id);
 /** How many times an upstream has begun to run it. */
 int TimesBegun(const std::string &id);
+/** Requests that the upstream has begun since then, and that time. */
+std::vector<std::pair<std::string, double>>
+BegunSince(const std::string &upstream, double since);
 
 /** What an upstream does beyond what a sound one does. */
 struct Connection {
@@ -153,6 +156,11 @@
     /** Announces itself to its machine's node, as often as the settings say.
      */
     void AnnounceTo(const std::string &ip, int port);
+    /** A heartbeat that is sent now and held up on its way. */
+    std::string HoldHeartbeat();
+    /** Withdraws without reporting before that it drains, and serves on.
+     * @return true if that was acknowledged */
+    bool Withdraw();
     /** Reports that it drains, serves on, withdraws and ends. */
     void Leave(double drain_s);
     void End();
@@ -202,6 +210,7 @@
     Message Grant(const Message &request);
     Message Release(Connection &connection, const Message &request);
     Message Refuse(int status, const Message &request);
+    std::string AnnouncementText(const char *state);
     bool Announce(const char *method, const char *state);
 
     Deployment *deployment_;
