--- a/review/standin/world.cc
+++ b/review/standin/world.cc
@@ -1238,6 +1238,7 @@
      const std::string &body)
 {
     Answer answer;
+    Record("client sends %s to %s", id.c_str(), machine.name.c_str());
     answer.sent = Now();
     const double until = answer.sent + deadline_ms / 1000.0;
     auto socket = Connect(machine.ip, machine.callers, 1);
