--- a/review/standin/world.cc
+++ b/review/standin/world.cc
@@ -811,6 +811,13 @@
            holds_[static_cast<size_t>(key)].until > Now();
 }
 
+uint64_t
+Upstream::FenceOf(int key)
+{
+    std::lock_guard<std::mutex> lock(mutex_);
+    return holds_[static_cast<size_t>(key)].fence;
+}
+
 std::vector<Run>
 Upstream::AtWorkHeld(int from, int to)
 {
--- a/review/standin/world.h
+++ b/review/standin/world.h
@@ -182,6 +182,8 @@
     /** Whether to spoil the answer to a release of these keys. */
     std::function<bool(Upstream &, int from, int to)> spoils;
     bool Holds(int key);
+    /** The highest fence that it has seen on the key. */
+    uint64_t FenceOf(int key);
     /** The trouble lasts until then. */
     std::atomic<double> trouble_until{0};
     std::atomic<long> answers{0}; /* since the trouble began, or the start */
