Text from outside is checked where it is read

Cause: read_target_name() took any bytes as a name, which reached the printer of the instance's row; jansson prints nothing then, and instancetable_print() aborted. Evidence: the sanitizer's stack in the new test (on_written, ownrow_update, own_text, instancetable_print, abort).

--- a/packages/base/document.c
+++ b/packages/base/document.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/jsontext.h"
 #include "base/timeunits.h"
 
 #define DOCUMENT_LINE_SIZE 512
@@ -178,17 +179,6 @@
                                 expected);
 }
 
-static bool
-has_control_character(const char *text)
-{
-    for (const char *p = text; *p != '\0'; p++) {
-        if ((unsigned char)*p < 0x20 || *p == 0x7f) {
-            return true;
-        }
-    }
-    return false;
-}
-
 /** The field's value if it is a string of 1 to size - 1 bytes. */
 static const char *
 read_string(struct document_object *object, const char *field,
@@ -204,7 +194,7 @@
         return NULL;
     }
     const size_t length = json_string_length(value);
-    if (length == 0 || length >= size || has_control_character(text)) {
+    if (length == 0 || length >= size || !jsontext_is_valid(text)) {
         document_add_problem(object->problems, ERROR_FIELD_RANGE,
                              "%s/%s (expected 1 to %zu printable bytes)",
                              object->path, field, size - 1);
--- a/packages/base/errorcodes.h
+++ b/packages/base/errorcodes.h
@@ -21,6 +21,7 @@
     X(ERROR_FIELD_UNKNOWN, "the field is not known")                          \
     X(ERROR_FIELD_TYPE, "the field has the wrong type")                       \
     X(ERROR_FIELD_RANGE, "the value is out of range")                         \
+    X(ERROR_TEXT_ENCODING, "not UTF-8 text without control characters")       \
     X(ERROR_FIELD_DUPLICATE, "the value may appear only once")                \
     X(ERROR_FIELD_REFERENCE, "the value names something that is not declared")
 
--- a/packages/base/log.c
+++ b/packages/base/log.c
@@ -233,13 +233,16 @@
         log_rate_limit.reported_second == log_rate_limit.second) {
         return;
     }
-    const int length = snprintf(
-        text, sizeof(text),
-        "{\"level\":\"warning\",\"instance\":\"%s\",\"module\":\"log\","
-        "\"event\":\"dropped\",\"lines\":%" PRIu64 ",\"total\":%" PRIu64 "}\n",
-        log_instance, log_rate_limit.dropped - log_rate_limit.dropped_reported,
-        log_rate_limit.dropped);
-    if (log_write_nonblocking(text, (size_t)length)) {
+    struct log_line line = {.length = 0};
+    log_append(&line, "{\"level\":\"warning\",\"instance\":");
+    log_append_quoted(&line, log_instance);
+    snprintf(text, sizeof(text),
+             ",\"module\":\"log\",\"event\":\"dropped\",\"lines\":%" PRIu64
+             ",\"total\":%" PRIu64 "}\n",
+             log_rate_limit.dropped - log_rate_limit.dropped_reported,
+             log_rate_limit.dropped);
+    log_append(&line, text);
+    if (log_write_nonblocking(line.text, line.length)) {
         log_rate_limit.dropped_reported = log_rate_limit.dropped;
         log_rate_limit.reported_second = log_rate_limit.second;
     }
--- a/packages/base/test/base_test.cc
+++ b/packages/base/test/base_test.cc
@@ -8,6 +8,7 @@
 #include "base/counter.h"
 #include "base/error.h"
 #include "base/invariant.h"
+#include "base/jsontext.h"
 #define LOG_MODULE "test"
 #include "base/log.h"
 #include "base/random.h"
@@ -117,6 +118,45 @@
     EXPECT_STREQ("rpc_timeout", error_name(ERROR_RPC_TIMEOUT));
 }
 
+/* Guards against: a text from outside that a printer drops or aborts on. */
+TEST(JsonText, AcceptsUtf8WithoutControlCharactersOnly)
+{
+    for (const char *text : {"", "i-7f3a91c2", "a b", "\xc3\xa9", "\"\\"}) {
+        EXPECT_TRUE(jsontext_is_valid(text)) << text;
+    }
+    /* An overlong form, a surrogate, beyond U+10FFFF, cut short. */
+    for (const char *text :
+         {"\xff", "\x80", "\xc0\xaf", "\xed\xa0\x80", "\xf5\x80\x80\x80",
+          "a\xc3", "\x01", "a\tb", "a\r\nb", "\x7f"}) {
+        EXPECT_FALSE(jsontext_is_valid(text)) << text;
+    }
+}
+
+TEST(JsonText, CopyNamesWhatIsWrong)
+{
+    char copy[4] = "";
+    struct error err = {};
+    EXPECT_FALSE(jsontext_copy(copy, sizeof(copy), "abcd", "token", &err));
+    EXPECT_EQ(ERROR_FIELD_RANGE, err.code);
+    EXPECT_FALSE(jsontext_copy(copy, sizeof(copy), "\xff", "token", &err));
+    EXPECT_EQ(ERROR_TEXT_ENCODING, err.code);
+    EXPECT_STREQ("token", err.subject);
+    EXPECT_TRUE(jsontext_copy(copy, sizeof(copy), "abc", "token", &err));
+    EXPECT_STREQ("abc", copy);
+}
+
+TEST(JsonText, PrintReportsADocumentWithUnreadableText)
+{
+    struct error err = {};
+    EXPECT_EQ(nullptr, jsontext_print(json_pack("{s:s}", "name", "\xff"),
+                                      JSON_COMPACT, &err));
+    EXPECT_EQ(ERROR_TEXT_ENCODING, err.code);
+    char *text =
+        jsontext_print(json_pack("{s:s}", "name", "a"), JSON_COMPACT, &err);
+    EXPECT_STREQ(R"({"name":"a"})", text);
+    free(text);
+}
+
 TEST(Log, EscapesValuesAndWritesOneJsonObjectPerLine)
 {
     char *text = nullptr;
--- a/packages/daemon/statuspages.c
+++ b/packages/daemon/statuspages.c
@@ -17,6 +17,7 @@
 #define STATUS_BAD_REQUEST 400
 #define STATUS_NOT_FOUND 404
 #define STATUS_METHOD 405
+#define STATUS_INTERNAL_ERROR 500
 
 static void
 reply_text(struct http_request *request, const char *type, const char *text)
@@ -35,6 +36,13 @@
     http_request_reply(request, &reply);
 }
 
+static void
+refuse(struct http_request *request, unsigned status)
+{
+    const struct http_problem problem = {.status = status};
+    http_request_reply_problem(request, &problem, 0);
+}
+
 /* Steals the reference to value. */
 static void
 reply_json(struct http_request *request, json_t *value)
@@ -42,19 +50,13 @@
     char *text = json_dumps(value, JSON_INDENT(1) | JSON_PRESERVE_ORDER);
     json_decref(value);
     if (text == NULL) {
-        abort();
+        refuse(request, STATUS_INTERNAL_ERROR);
+        return;
     }
     reply_text(request, "application/json", text);
     free(text);
 }
 
-static void
-refuse(struct http_request *request, unsigned status)
-{
-    const struct http_problem problem = {.status = status};
-    http_request_reply_problem(request, &problem, 0);
-}
-
 static const char *
 phase_name(enum daemon_phase phase)
 {
--- a/packages/fleet/instancetable.h
+++ b/packages/fleet/instancetable.h
@@ -115,10 +115,13 @@
 unsigned instancetable_crash_reporters(const struct instancetable *table,
                                        uint64_t fingerprint);
 
-/** The row as JSON; the user frees it. */
-char *instancetable_print(const struct instancetable_row *row);
+/** The row as JSON; the user frees it. NULL with err set if a text of it isn't
+ * UTF-8. */
+char *instancetable_print(const struct instancetable_row *row,
+                          struct error *err);
 
-/** Parses a row's JSON. @return false with err set if it is not valid */
+/** Parses a row's JSON. @return false with err set if it or the instance's
+ * name is not valid */
 bool instancetable_parse(struct instancetable_row *row, const char *instance,
                          const char *text, size_t size, struct error *err);
 
--- a/packages/fleet/instancetablejson.c
+++ b/packages/fleet/instancetablejson.c
@@ -5,6 +5,7 @@
 
 #include <jansson.h>
 
+#include "base/jsontext.h"
 #include "fleet/instancetable.h"
 #include "fleet/jsonfield.h"
 
@@ -17,7 +18,7 @@
 };
 
 char *
-instancetable_print(const struct instancetable_row *row)
+instancetable_print(const struct instancetable_row *row, struct error *err)
 {
     char address[ADDRESS_TEXT_SIZE];
     json_t *suspects = json_array();
@@ -34,12 +35,7 @@
                   (json_int_t)row->started_ms, "slots", (int)row->slots,
                   "state", state_names[row->state], "departed",
                   (int)row->departed, "accused", suspects);
-    char *text = json_dumps(document, JSON_COMPACT);
-    json_decref(document);
-    if (text == NULL) {
-        abort();
-    }
-    return text;
+    return jsontext_print(document, JSON_COMPACT, err);
 }
 
 static bool
@@ -80,8 +76,9 @@
     const json_t *born = json_object_get(document, "born_ms");
     const json_t *slots = json_object_get(document, "slots");
     *row = (struct instancetable_row){.state = INSTANCETABLE_ABSENT};
-    snprintf(row->instance, sizeof(row->instance), "%s", instance);
     const bool ok =
+        jsontext_copy(row->instance, sizeof(row->instance), instance,
+                      "instance", NULL) &&
         jsonfield_copy_text(document, "zone", row->zone, sizeof(row->zone)) &&
         jsonfield_copy_text(document, "service", row->service,
                             sizeof(row->service)) &&
--- a/packages/fleet/keyera.c
+++ b/packages/fleet/keyera.c
@@ -4,6 +4,7 @@
 
 #include <jansson.h>
 
+#include "base/jsontext.h"
 #include "store/rowstore.h"
 
 void
@@ -48,8 +49,7 @@
 keyera_print_settled(const struct keyera *era)
 {
     json_t *document = json_pack("{s:I}", "settled", (json_int_t)era->era);
-    char *text = json_dumps(document, JSON_COMPACT);
-    json_decref(document);
+    char *text = jsontext_print(document, JSON_COMPACT, NULL);
     if (text == NULL) {
         abort();
     }
--- a/packages/fleet/keymap.c
+++ b/packages/fleet/keymap.c
@@ -6,6 +6,7 @@
 
 #include <jansson.h>
 
+#include "base/jsontext.h"
 #include "base/memory.h"
 #include "fleet/declared.h"
 #include "fleet/jsonfield.h"
@@ -178,8 +179,11 @@
     struct keymap_segment *segment = &map->segments[find_index(map, first)];
     segment->holder = *holder;
     segment->fence = fence;
-    snprintf(segment->token, sizeof(segment->token), "%s",
-             token != NULL ? token : "");
+    /* Without a token the keys only start slower. */
+    if (token == NULL || !jsontext_copy(segment->token, sizeof(segment->token),
+                                        token, "token", NULL)) {
+        segment->token[0] = '\0';
+    }
 }
 
 unsigned
@@ -373,16 +377,20 @@
 keymap_print_page(const struct keymap *map, unsigned page)
 {
     json_t *list = json_array();
+    bool complete = true;
     for (size_t i = find_index(map, page_first(page));
          i < map->count && map->segments[i].first <= page_last(page); i++) {
-        json_array_append_new(list, segment_json(&map->segments[i], page));
+        complete = json_array_append_new(
+                       list, segment_json(&map->segments[i], page)) == 0 &&
+                   complete;
     }
     json_t *document =
         json_pack("{s:I, s:o}", "next_fence",
                   (json_int_t)map->pages[page].next_fence, "segments", list);
-    char *text = json_dumps(document, JSON_COMPACT);
-    json_decref(document);
-    if (text == NULL) {
+    char *text = jsontext_print(document, JSON_COMPACT, NULL);
+    /* All names and tokens were checked before they came into the map. A page
+     * that lacks a segment would give its keys to a neighbour. */
+    if (text == NULL || !complete) {
         abort();
     }
     return text;
--- a/packages/fleet/keymap.h
+++ b/packages/fleet/keymap.h
@@ -86,7 +86,8 @@
 
 /**
  * Assigns keys to a holder with a new fence. A holder without an instance
- * leaves them without an owner. token may be NULL.
+ * leaves them without an owner. token may be NULL; one that isn't valid text
+ * (base/jsontext.h) or too long is left out.
  */
 void keymap_assign(struct keymap *map, uint32_t first, uint32_t last,
                    const struct keymap_holder *holder, const char *token);
--- a/packages/fleet/test/instancetable_test.cc
+++ b/packages/fleet/test/instancetable_test.cc
@@ -163,7 +163,7 @@
     struct instancetable_instance *a = Add("a", "z1");
     a->instance_row.crash_suspects[a->instance_row.crash_suspect_count++] =
         0xfeedface12345678U;
-    char *text = instancetable_print(&a->instance_row);
+    char *text = instancetable_print(&a->instance_row, nullptr);
     struct instancetable_row read;
     ASSERT_TRUE(instancetable_parse(&read, "a", text, strlen(text), nullptr));
     EXPECT_STREQ("t-a", read.target);
@@ -181,9 +181,25 @@
     struct error err = {};
     EXPECT_FALSE(instancetable_parse(&read, "a", "[]", 2, &err));
     EXPECT_EQ(ERROR_DOCUMENT_SYNTAX, err.code);
+    /* A name that was cut short would be another one, or no text. */
+    EXPECT_FALSE(instancetable_parse(
+        &read, std::string(KEYMAP_NAME_MAX + 1, 'a').c_str(), text,
+        strlen(text), &err));
+    EXPECT_FALSE(
+        instancetable_parse(&read, "a\xff", text, strlen(text), &err));
     free(text);
 }
 
+/* Guards against: a row whose text isn't UTF-8 ends the process. */
+TEST_F(Roster, ReportsARowThatCannotBePrinted)
+{
+    struct instancetable_instance *a = Add("a", "z1");
+    struct error err = {};
+    strncpy(a->instance_row.target, "\xff", KEYMAP_NAME_MAX);
+    EXPECT_EQ(nullptr, instancetable_print(&a->instance_row, &err));
+    EXPECT_EQ(ERROR_TEXT_ENCODING, err.code);
+}
+
 /* Guards against a row from before a departure that brings the target back. */
 TEST_F(Roster, OlderRowsDontUndoADeparture)
 {
--- a/packages/node/keyownerlease.c
+++ b/packages/node/keyownerlease.c
@@ -6,6 +6,7 @@
 #include <jansson.h>
 
 #define LOG_MODULE "lease"
+#include "base/jsontext.h"
 #include "base/log.h"
 #include "base/memory.h"
 #include "node/keyowner_internal.h"
@@ -78,10 +79,9 @@
                   (json_int_t)(node->options.seed >> 1), "number",
                   (json_int_t)keyowner->lease_write_number++, "era",
                   (json_int_t)node->keyera.era);
-    char *text = json_dumps(document, JSON_COMPACT);
-    json_decref(document);
+    char *text = jsontext_print(document, JSON_COMPACT, NULL);
     if (text == NULL) {
-        abort();
+        abort(); /* names of instances are checked when they are read */
     }
     return text;
 }
--- a/packages/node/ownrow.c
+++ b/packages/node/ownrow.c
@@ -56,6 +56,7 @@
     free(own);
 }
 
+/** NULL if the row can't be printed. */
 static char *
 own_text(const struct ownrow *own)
 {
@@ -74,7 +75,13 @@
     if (node->stopping) {
         instance_row.state = INSTANCETABLE_LEAVING;
     }
-    return instancetable_print(&instance_row);
+    struct error err = {.code = ERROR_NONE};
+    char *text = instancetable_print(&instance_row, &err);
+    if (text == NULL) {
+        LOG_ERR("row_unprintable", LOG_STR("target", instance_row.target),
+                LOG_STR("error", error_text(err.code)));
+    }
+    return text;
 }
 
 static void
@@ -119,6 +126,9 @@
         return;
     }
     char *text = own_text(own);
+    if (text == NULL) {
+        return;
+    }
     if (own->stored_text != NULL && strcmp(own->stored_text, text) == 0 &&
         rowwatch_has_value(node->fleet_watch, own->key, text)) {
         free(text);
--- a/packages/node/relayrows.h
+++ b/packages/node/relayrows.h
@@ -14,8 +14,9 @@
     size_t count;
 };
 
-/** Reads rows. Their values are copied, as they are used as strings; their
- * keys belong to the message. Aborts if out of memory. */
+/** Reads rows, without those whose keys no row of the store can have
+ * (base/jsontext.h). Their values are copied, as they are used as strings;
+ * their keys belong to the message. Aborts if out of memory. */
 void relayrows_read(struct relayrows *read, const relay_row *rows,
                     u_int count);
 void relayrows_clear(struct relayrows *read);
--- a/packages/node/relaytask.c
+++ b/packages/node/relaytask.c
@@ -6,6 +6,7 @@
 #include <sys/queue.h>
 
 #define LOG_MODULE "relay"
+#include "base/jsontext.h"
 #include "base/log.h"
 #include "base/memory.h"
 #include "fleet/keyload.h"
@@ -223,10 +224,11 @@
     struct relaytask *relay = ctx;
     const struct relay_move *move = args;
     struct keymap_holder to;
-    snprintf(to.instance, sizeof(to.instance), "%s", move->instance);
     struct relay_promised reply = {.promised = false};
-    if (is_addressed_to_self(relay, move->to) && move->first <= move->last &&
-        move->last < DECLARED_KEY_COUNT) {
+    if (is_addressed_to_self(relay, move->to) &&
+        jsontext_copy(to.instance, sizeof(to.instance), move->instance,
+                      "instance", NULL) &&
+        move->first <= move->last && move->last < DECLARED_KEY_COUNT) {
         reply.promised = keyowner_begin_handover(relay->node->keyowner,
                                                  move->first, move->last, &to);
     }
@@ -256,7 +258,7 @@
     if (keys->text.text_len > 0) {
         memcpy(text, keys->text.text_val, keys->text.text_len);
     }
-    if (keys->page < KEYMAP_PAGES) {
+    if (keys->page < KEYMAP_PAGES && jsontext_is_valid(keys->service)) {
         node_receive_keymap_page(relay->node, keys->service, keys->page, text,
                                  keys->row_version);
     }
--- a/packages/node/rowcommitpeer.c
+++ b/packages/node/rowcommitpeer.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #define LOG_MODULE "rowcommit"
+#include "base/jsontext.h"
 #include "base/log.h"
 #include "base/memory.h"
 #include "node/feedrelay.h"
@@ -147,6 +148,21 @@
     return part->value.value_len > 0 ? part->value.value_val : "";
 }
 
+/** False if a name can't be that of a table or row of the store. */
+static bool
+has_valid_names(const struct relay_commit *asked)
+{
+    for (u_int i = 0; i < asked->parts.parts_len; i++) {
+        const relay_part *part = &asked->parts.parts_val[i];
+        if (!jsontext_is_valid(part->table) || !jsontext_is_valid(part->key)) {
+            LOG_WARN("peer_commit_invalid", LOG_STR("table", part->table),
+                     LOG_STR("row", part->key));
+            return false;
+        }
+    }
+    return true;
+}
+
 static void
 serve_commit(void *ctx, struct rpc_request *request, const void *args)
 {
@@ -159,7 +175,8 @@
         rpc_request_drop(request);
         return;
     }
-    if (feedrelay_store_is_failing(commit->node->feeds)) {
+    if (feedrelay_store_is_failing(commit->node->feeds) ||
+        !has_valid_names(asked)) {
         on_served(request,
                   &(struct rowstore_result){.outcome = ROWSTORE_REFUSED});
         return;
--- a/packages/store/storetxn.c
+++ b/packages/store/storetxn.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/jsontext.h"
 #include "base/memory.h"
 
 struct store_txn *
@@ -113,15 +114,7 @@
 store_name_valid(const char *name)
 {
     const size_t length = strlen(name);
-    if (length == 0 || length > STORE_NAME_MAX) {
-        return false;
-    }
-    for (const char *p = name; *p != '\0'; p++) {
-        if ((unsigned char)*p < 0x20 || *p == 0x7f) {
-            return false;
-        }
-    }
-    return true;
+    return length > 0 && length <= STORE_NAME_MAX && jsontext_is_valid(name);
 }
 
 json_t *
