Departures are acknowledged once they are stored

Cause: localtarget_handle_announcement() answered before the instance's row had the departure, and the next process knows nothing else. Ruled out: the row being written and not read (a kill 300 ms later held).

It also failed where the departure was the first word that a process heard, no row existed, the target had been given up, a newer incarnation was there, or the next process hadn't read its row.

--- a/fuzz/fuzz_instance.c
+++ b/fuzz/fuzz_instance.c
@@ -14,7 +14,7 @@
     struct instancetable_row copy;
     if (instancetable_parse(&row, "instance", (const char *)data, size,
                             NULL)) {
-        char *text = instancetable_print(&row, NULL);
+        char *text = instancetable_print(&row, NULL, NULL);
         if (text == NULL || !instancetable_parse(&copy, "instance", text,
                                                  strlen(text), NULL)) {
             abort();
--- a/fuzz/fuzz_text.c
+++ b/fuzz/fuzz_text.c
@@ -32,7 +32,7 @@
         require(err.code != ERROR_NONE);
         return;
     }
-    char *printed = instancetable_print(&row, NULL);
+    char *printed = instancetable_print(&row, NULL, NULL);
     require(printed != NULL &&
             instancetable_parse(&read, "a", printed, strlen(printed), NULL) &&
             strcmp(read.target, text) == 0);
--- a/packages/fleet/instancetable.h
+++ b/packages/fleet/instancetable.h
@@ -13,6 +13,7 @@
 
 #include "base/address.h"
 #include "base/error.h"
+#include "fleet/departures.h"
 #include "fleet/instancenotice.h"
 #include "fleet/keymap.h"
 
@@ -115,14 +116,22 @@
 unsigned instancetable_crash_reporters(const struct instancetable *table,
                                        uint64_t fingerprint);
 
-/** The row as JSON; the user frees it. NULL with err set if a text of it isn't
- * UTF-8. */
+/** The row as JSON, with the departures (departures_to_json(); NULL: none),
+ * which it releases; the user frees the text. NULL with err set if a text of
+ * it isn't UTF-8. */
 char *instancetable_print(const struct instancetable_row *row,
-                          struct error *err);
+                          json_t *departures, struct error *err);
 
 /** Parses a row's JSON. @return false with err set if it or the instance's
  * name is not valid */
 bool instancetable_parse(struct instancetable_row *row, const char *instance,
                          const char *text, size_t size, struct error *err);
 
+/** Records the departures in the text of a row that was parsed, and is in the
+ * store. */
+void instancetable_read_departures(const struct instancetable_row *row,
+                                   const char *text, size_t size,
+                                   struct departures *departures,
+                                   int64_t now_us);
+
 #endif
--- a/packages/fleet/instancetablejson.c
+++ b/packages/fleet/instancetablejson.c
@@ -18,7 +18,8 @@
 };
 
 char *
-instancetable_print(const struct instancetable_row *row, struct error *err)
+instancetable_print(const struct instancetable_row *row, json_t *departures,
+                    struct error *err)
 {
     char address[ADDRESS_TEXT_SIZE];
     json_t *suspects = json_array();
@@ -35,6 +36,10 @@
                   (json_int_t)row->started_ms, "slots", (int)row->slots,
                   "state", state_names[row->state], "departed",
                   (int)row->departed, "accused", suspects);
+    if (json_array_size(departures) > 0) {
+        json_object_set(document, "departures", departures);
+    }
+    json_decref(departures);
     return jsontext_print(document, JSON_COMPACT, err);
 }
 
@@ -100,3 +105,19 @@
     return ok ||
            error_set(err, ERROR_DOCUMENT_SYNTAX, "instance %s", instance);
 }
+
+void
+instancetable_read_departures(const struct instancetable_row *row,
+                              const char *text, size_t size,
+                              struct departures *departures, int64_t now_us)
+{
+    json_t *document = json_loadb(text, size, 0, NULL);
+    /* The newest first. Rows of earlier versions have no list. */
+    if (row->departed) {
+        departures_record_stored(departures, row->target,
+                                 row->target_started_ms, now_us);
+    }
+    departures_read_stored(departures, json_object_get(document, "departures"),
+                           now_us);
+    json_decref(document);
+}
--- a/packages/fleet/test/instancetable_test.cc
+++ b/packages/fleet/test/instancetable_test.cc
@@ -163,7 +163,7 @@
     struct instancetable_instance *a = Add("a", "z1");
     a->instance_row.crash_suspects[a->instance_row.crash_suspect_count++] =
         0xfeedface12345678U;
-    char *text = instancetable_print(&a->instance_row, nullptr);
+    char *text = instancetable_print(&a->instance_row, nullptr, nullptr);
     struct instancetable_row read;
     ASSERT_TRUE(instancetable_parse(&read, "a", text, strlen(text), nullptr));
     EXPECT_STREQ("t-a", read.target);
@@ -196,7 +196,7 @@
     struct instancetable_instance *a = Add("a", "z1");
     struct error err = {};
     strncpy(a->instance_row.target, "\xff", KEYMAP_NAME_MAX);
-    EXPECT_EQ(nullptr, instancetable_print(&a->instance_row, &err));
+    EXPECT_EQ(nullptr, instancetable_print(&a->instance_row, nullptr, &err));
     EXPECT_EQ(ERROR_TEXT_ENCODING, err.code);
 }
 
--- a/packages/http/httpconnection.c
+++ b/packages/http/httpconnection.c
@@ -161,6 +161,7 @@
     request->message = http_reader_message(request->reader);
     request->body_bytes = connection->body_bytes;
     request->peer = connection->peer;
+    request->follows_answer = connection->answered;
     connection->reader = NULL;
     connection->body_bytes = 0;
     connection->receiving = false;
@@ -300,6 +301,8 @@
     struct http_connection *connection = request->connection;
     const struct http_message *message = request->message;
     request->close = connection_closes_after(connection, request);
+    connection->answered =
+        connection->answered || connection_has_only(connection, request);
     request->answer = evbuffer_new();
     if (request->answer == NULL) {
         connection_drop(connection);
--- a/packages/http/httpserver.c
+++ b/packages/http/httpserver.c
@@ -345,6 +345,12 @@
     return &request->peer;
 }
 
+bool
+http_request_follows_answer(const struct http_request *request)
+{
+    return request->follows_answer;
+}
+
 void
 http_request_set_data(struct http_request *request, void *data)
 {
--- a/packages/http/httpserver.h
+++ b/packages/http/httpserver.h
@@ -84,6 +84,10 @@
                               size_t *size);
 const struct address *http_request_peer(const struct http_request *request);
 
+/** True if the caller sent the request after an answer on its connection, and
+ * so after this process started. Holds for callers that don't send ahead. */
+bool http_request_follows_answer(const struct http_request *request);
+
 /** The handler's own data for this request. */
 void http_request_set_data(struct http_request *request, void *data);
 void *http_request_data(const struct http_request *request);
--- a/packages/http/httpserver_internal.h
+++ b/packages/http/httpserver_internal.h
@@ -82,6 +82,7 @@
     bool feeding;   /* in connection_feed(), which must not nest */
     bool receiving; /* part of a request was read */
     bool continue_sent;
+    bool answered;                 /* a request that had no other behind it */
     size_t body_bytes;             /* part of server->body_bytes */
     struct http_pipeline pipeline; /* answer not yet written, in order */
     unsigned pipeline_count;
@@ -95,6 +96,7 @@
     TAILQ_ENTRY(http_request) pipeline;
     struct http_connection *connection; /* NULL: caller disconnected */
     bool abandoned;                     /* linked in server->abandoned */
+    bool follows_answer;                /* of the connection */
     struct evbuffer *answer;            /* waits for the answers before it */
     bool close;        /* connection closes after the answer */
     size_t body_bytes; /* part of server->body_bytes */
--- a/packages/http/test/httppipeline_test.cc
+++ b/packages/http/test/httppipeline_test.cc
@@ -87,6 +87,28 @@
     EXPECT_NE(std::string::npos, ReadRaw(next, "X-Path").find("200"));
 }
 
+/* Guards against: a request that was sent ahead counts as sent after an
+ * answer. */
+TEST_F(Pipeline, OnlyARequestSentAfterAnAnswerFollowsIt)
+{
+    const int fd = Hold(2);
+    Until([&] { return held.size() == 2; });
+    EXPECT_FALSE(http_request_follows_answer(held[0]));
+    EXPECT_FALSE(http_request_follows_answer(held[1]));
+    Reply(0, "first");
+    const std::string request = "GET /hold HTTP/1.1\r\nHost: a\r\n\r\n";
+    send(fd, request.data(), request.size(), MSG_NOSIGNAL);
+    ASSERT_TRUE(Until([&] { return held.size() == 3; }));
+    EXPECT_FALSE(http_request_follows_answer(held[2]));
+    Reply(1, "second");
+    Reply(2, "third");
+    ReadRaw(fd, "third");
+    send(fd, request.data(), request.size(), MSG_NOSIGNAL);
+    ASSERT_TRUE(Until([&] { return held.size() == 4; }));
+    EXPECT_TRUE(http_request_follows_answer(held[3]));
+    Reply(3, "fourth");
+}
+
 /* Guards against: a planned stop closes the connection after an answer that is
  * given at once, and cuts the requests that arrived with it. */
 TEST_F(Pipeline, RetiringServerAnswersAllThatArrivedWithARequest)
--- a/packages/node/localtarget.c
+++ b/packages/node/localtarget.c
@@ -8,6 +8,8 @@
 #include "base/log.h"
 #include "base/memory.h"
 #include "fleet/departures.h"
+#include "http/httpserver.h"
+#include "node/departureack.h"
 #include "node/keyowner.h"
 #include "node/localgate.h"
 #include "node/node_internal.h"
@@ -20,7 +22,11 @@
 #define BODIES_MAX ((size_t)48 << 20) /* of all answers in progress */
 #define SPARE_CONNECTIONS 8 /* for grants and probes, besides the slots */
 #define SLOTS_DEFAULT 8     /* if its announcement is not known */
-#define CONTENT_TYPE_TEXT "application/json"
+/* Longest delay of an announcement on its way: one that arrives later than
+ * this after the start of the process was sent after the start. */
+#define ANNOUNCEMENT_DELAY_MAX_US (20 * US_PER_SECOND)
+#define STATUS_OK 200
+#define STATUS_BAD_REQUEST 400
 
 struct localtarget *
 localtarget_create(struct node *node)
@@ -28,6 +34,9 @@
     struct localtarget *target = memory_calloc(1, sizeof(*target));
     target->node = node;
     target->retired.runtime = node->runtime;
+    target->created_us = node_now_us(node);
+    target->acks = departureacks_create(node->runtime, &target->departures,
+                                        node->options.counters);
     targetliveness_init(target);
     return target;
 }
@@ -38,6 +47,7 @@
     if (target == NULL) {
         return;
     }
+    departureacks_destroy(target->acks);
     timer_stop(&target->heartbeat_timer);
     timer_stop(&target->refusal_timer);
     http_client_destroy(target->client);
@@ -163,21 +173,6 @@
              LOG_STR("why", why));
 }
 
-static void
-answer(struct http_request *request, unsigned status)
-{
-    static const struct http_header headers[] = {
-        {"Content-Type", CONTENT_TYPE_TEXT},
-    };
-    http_request_reply(request, &(struct http_reply){
-                                    .status = status,
-                                    .headers = headers,
-                                    .header_count = 1,
-                                    .body = "{}",
-                                    .body_size = 2,
-                                });
-}
-
 /** Whether the announcement comes from this instance's target, for a service
  * that is declared. */
 static bool
@@ -224,15 +219,17 @@
     return known->started_ms > 0 && announced->started_ms <= known->started_ms;
 }
 
+/** recent: it was sent after this process began. */
 static void
 apply_announcement(struct localtarget *target,
-                   const struct wire_announcement *announced)
+                   const struct wire_announcement *announced, bool recent)
 {
     const int64_t now_us = localtarget_now_us(target);
     const bool same_incarnation = is_present_incarnation(target, announced);
     if (!same_incarnation) {
         localtarget_end(target, "another incarnation announced itself", false);
         target->leaving = false;
+        target->confirmed = false;
     }
     if (!is_known_incarnation(target, announced)) {
         end_suspended(target);
@@ -241,10 +238,11 @@
         announced->leaving ||
         departures_contains(&target->departures, announced->target,
                             announced->started_ms, now_us);
-    const bool changed = !same_incarnation ||
-                         announced->slots != target->announced.slots ||
-                         leaving != target->leaving;
+    const bool changed =
+        !same_incarnation || announced->slots != target->announced.slots ||
+        leaving != target->leaving || (recent && !target->confirmed);
     target->announced = *announced;
+    target->confirmed = target->confirmed || recent;
     target->announced_us = now_us;
     target->cold_until_us =
         announced->cold_left_us > 0 ? now_us + announced->cold_left_us : 0;
@@ -295,6 +293,87 @@
              LOG_INT("born_ms", started_ms));
 }
 
+void
+localtarget_read_own_row(struct localtarget *target,
+                         const struct instancetable_row *instance_row,
+                         const char *text, size_t size)
+{
+    const struct wire_announcement *known = &target->announced;
+    const int64_t now_us = localtarget_now_us(target);
+    instancetable_read_departures(instance_row, text, size,
+                                  &target->departures, now_us);
+    if (instance_row->target_started_ms > 0) {
+        departures_resolve_start(&target->departures, instance_row->target,
+                                 instance_row->target_started_ms);
+    }
+    if (target->present && !target->leaving &&
+        departures_contains(&target->departures, known->target,
+                            known->started_ms, now_us)) {
+        set_leaving(target, "it left before");
+        publish_change(target);
+    }
+    departureacks_check(target->acks);
+}
+
+void
+localtarget_own_row_known(struct localtarget *target)
+{
+    if (target->present) {
+        publish_change(target);
+    }
+}
+
+json_t *
+localtarget_departures_json(const struct localtarget *target)
+{
+    return departures_to_json(&target->departures, localtarget_now_us(target));
+}
+
+bool
+localtarget_has_unstored_departure(const struct localtarget *target)
+{
+    return departures_any_unstored(&target->departures,
+                                   localtarget_now_us(target));
+}
+
+/** Answers an announcement that was applied. A departure is acknowledged once
+ * it is stored. */
+static void
+acknowledge(struct localtarget *target, struct http_request *request,
+            const struct wire_announcement *announced)
+{
+    if (!announced->gone && !announced->leaving) {
+        departureacks_reply(request, STATUS_OK);
+        return;
+    }
+    ownrow_update(target->node->ownrow);
+    departureacks_add(target->acks, request, announced->target,
+                      announced->started_ms);
+}
+
+/** True if the announcement was certainly sent after this process began. */
+static bool
+is_recent(const struct localtarget *target, const struct http_request *request)
+{
+    return http_request_follows_answer(request) ||
+           localtarget_now_us(target) - target->created_us >=
+               ANNOUNCEMENT_DELAY_MAX_US;
+}
+
+/** Answers an announcement that changes nothing; it may repeat a departure. */
+static void
+acknowledge_stale(struct localtarget *target, struct http_request *request,
+                  const struct wire_announcement *announced)
+{
+    if (departures_contains(&target->departures, announced->target,
+                            announced->started_ms,
+                            localtarget_now_us(target))) {
+        acknowledge(target, request, announced);
+        return;
+    }
+    departureacks_reply(request, STATUS_OK);
+}
+
 void
 localtarget_handle_announcement(struct localtarget *target,
                                 struct http_request *request)
@@ -305,37 +384,46 @@
         char text[ERROR_SUBJECT_SIZE * 2];
         LOG_WARN("announcement_invalid",
                  LOG_STR("error", error_describe(&err, text, sizeof(text))));
-        answer(request, 400);
+        departureacks_reply(request, STATUS_BAD_REQUEST);
         return;
     }
     if (announced.gone) {
         localtarget_record_departure(target, announced.target,
                                      announced.started_ms, "it withdrew");
-        answer(request, 200);
+        acknowledge(target, request, &announced);
         return;
     }
     if (!is_own(target, &announced)) {
         LOG_WARN("announcement_foreign", LOG_STR("target", announced.target),
                  LOG_STR("service", announced.service),
                  LOG_STR("zone", announced.zone));
-        answer(request, 400);
+        departureacks_reply(request, STATUS_BAD_REQUEST);
         return;
     }
     if (is_stale(target, &announced)) {
         LOG_INFO("announcement_stale", LOG_STR("target", announced.target),
                  LOG_INT("sequence", announced.sequence),
                  LOG_INT("born_ms", announced.started_ms));
-        answer(request, 200);
+        acknowledge_stale(target, request, &announced);
         return;
     }
-    apply_announcement(target, &announced);
-    answer(request, 200);
+    apply_announcement(target, &announced, is_recent(target, request));
+    acknowledge(target, request, &announced);
+}
+
+/** False while a process that has just started can't know whether an earlier
+ * one has acknowledged the target's departure: its own row wasn't read, and
+ * the announcements may have been sent before the start. */
+static bool
+is_certain(const struct localtarget *target)
+{
+    return target->node->own_row_known || target->confirmed;
 }
 
 bool
 localtarget_accepts_connections(const struct localtarget *target)
 {
-    return target->present && !target->refused;
+    return target->present && !target->refused && is_certain(target);
 }
 
 void
@@ -362,7 +450,7 @@
 bool
 localtarget_is_serving(const struct localtarget *target)
 {
-    return target->present && !target->leaving;
+    return target->present && !target->leaving && is_certain(target);
 }
 
 bool
--- a/packages/node/localtarget.h
+++ b/packages/node/localtarget.h
@@ -9,6 +9,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include <jansson.h>
+
 #include "fleet/instancetable.h"
 
 struct http_client;
@@ -24,12 +26,27 @@
 void localtarget_handle_announcement(struct localtarget *target,
                                      struct http_request *request);
 
-/** The incarnation announced its departure, to this process or an earlier one.
- * started_ms: its start; 0: unknown. why: for the log. */
+/** The incarnation announced its departure. started_ms: its start; 0: unknown.
+ * why: for the log. */
 void localtarget_record_departure(struct localtarget *target, const char *name,
                                   int64_t started_ms, const char *why);
 
-/** True if the target is present and has not refused a connection. */
+/** This instance's own row was seen in the store. */
+void localtarget_read_own_row(struct localtarget *target,
+                              const struct instancetable_row *instance_row,
+                              const char *text, size_t size);
+
+/** All rows of instances were read for the first time, the own one too. */
+void localtarget_own_row_known(struct localtarget *target);
+
+/** The departures as a field of the own row. */
+json_t *localtarget_departures_json(const struct localtarget *target);
+
+/** True if the own row in the store lacks a departure. */
+bool localtarget_has_unstored_departure(const struct localtarget *target);
+
+/** True if the target is present, not known to have left before, and has not
+ * refused a connection. */
 bool localtarget_accepts_connections(const struct localtarget *target);
 
 /** A connection was refused, or cut during a request. */
@@ -40,7 +57,7 @@
 void localtarget_describe(const struct localtarget *target,
                           struct instancetable_row *instance_row);
 
-/** True if it is present and not leaving. */
+/** True if it is present, not leaving, and not known to have left before. */
 bool localtarget_is_serving(const struct localtarget *target);
 
 /** True once its departure is known; it may still run earlier requests. */
--- a/packages/node/localtarget_internal.h
+++ b/packages/node/localtarget_internal.h
@@ -8,6 +8,7 @@
 
 #include "fleet/departures.h"
 #include "fleet/wire.h"
+#include "node/departureack.h"
 #include "node/localtarget.h"
 #include "node/node_internal.h"
 #include "node/retiredclients.h"
@@ -19,7 +20,10 @@
     struct wire_announcement announced; /* latest one */
     bool leaving;
     int64_t leaving_since_us;
+    int64_t created_us;
+    bool confirmed; /* the incarnation was ready after this process began */
     struct departures departures;
+    struct departureacks *acks;
     int64_t announced_us;
     int64_t cold_until_us;
     struct http_client *client;
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -340,12 +340,10 @@
                  LOG_UINT("version", row->version));
     }
     instancetable_update(&node->instancetable, &instance_row, row->version);
-    if (instance_row.departed &&
-        strcmp(instance, node->settings.instance) == 0) {
-        /* An earlier process may have acknowledged the departure. */
-        localtarget_record_departure(node->target, instance_row.target,
-                                     instance_row.target_started_ms,
-                                     "it left before");
+    if (strcmp(instance, node->settings.instance) == 0) {
+        /* An earlier process may have stored departures. */
+        localtarget_read_own_row(node->target, &instance_row, row->value,
+                                 row->size);
     }
 }
 
@@ -403,6 +401,10 @@
 {
     struct node *node = ctx;
     node_observe_version(node, rowwatch_version(node->fleet_watch));
+    if (!node->own_row_known) {
+        node->own_row_known = true;
+        localtarget_own_row_known(node->target);
+    }
     ownrow_update(node->ownrow);
     keymaps_changed(node);
     planner_changed(node->planner);
--- a/packages/node/node_internal.h
+++ b/packages/node/node_internal.h
@@ -92,6 +92,7 @@
     struct ingress *ingress;
     struct ownrow *ownrow;
     struct nodemetrics *nodemetrics;
+    bool own_row_known; /* the rows of instances have been read */
     bool stopping;
     int64_t stop_started_us;
     int64_t flushed_at_us; /* answers count as delivered from then on */
--- a/packages/node/ownrow.c
+++ b/packages/node/ownrow.c
@@ -76,7 +76,8 @@
         instance_row.state = INSTANCETABLE_LEAVING;
     }
     struct error err = {.code = ERROR_NONE};
-    char *text = instancetable_print(&instance_row, &err);
+    char *text = instancetable_print(
+        &instance_row, localtarget_departures_json(node->target), &err);
     if (text == NULL) {
         LOG_ERR("row_unprintable", LOG_STR("target", instance_row.target),
                 LOG_STR("error", error_text(err.code)));
@@ -122,6 +123,7 @@
     /* Without a target there is nothing to report yet, and each row costs
      * calls. */
     if (own->stored_text == NULL && !localtarget_is_present(node->target) &&
+        !localtarget_has_unstored_departure(node->target) &&
         rowwatch_row_version(node->fleet_watch, own->key) == 0) {
         return;
     }
--- a/packages/node/relaytask.c
+++ b/packages/node/relaytask.c
@@ -242,6 +242,7 @@
     const struct relay_question *question = args;
     struct relay_promised reply = {
         .promised = is_addressed_to_self(relay, question->to) &&
+                    jsontext_is_valid(question->from) &&
                     planner_promise(relay->node->planner, question->from,
                                     question->lease_version),
     };
