An answer without a length must name its request too

Cause: an answer that ends with its connection was delivered without the comparison of ids that framed answers get. Now both paths compare; the call ends as lost, its outcome unknown.

--- a/packages/http/httpclientconnection.c
+++ b/packages/http/httpclientconnection.c
@@ -101,9 +101,9 @@
     if (excess_input) {
         client->counters.unexpected_bytes->value++;
     }
-    const bool reusable = message->keep_alive && !excess_input &&
-                          connection->stray_answers == 0 &&
-                          evbuffer_get_length(output) == 0;
+    const bool reusable =
+        message->keep_alive && !excess_input && !call->needs_own_connection &&
+        connection->stray_answers == 0 && evbuffer_get_length(output) == 0;
     connection_record_idle_timeout(connection, &message->headers);
     call->connection = NULL;
     /* The callback may start or cancel other calls of this client. */
@@ -119,16 +119,23 @@
     http_client_assign_connections(client);
 }
 
+/** True if the complete answer that was read isn't the call's. */
+static bool
+connection_has_stray(const struct http_client_connection *connection)
+{
+    const struct http_call *call = connection->call;
+    return call->answer_matches != NULL &&
+           !call->answer_matches(
+               call->ctx, &http_reader_message(connection->reader)->headers);
+}
+
 /** Drops a complete answer that isn't the call's. @return true if dropped */
 static bool
 connection_drop_stray(struct http_client_connection *connection)
 {
-    const struct http_call *call = connection->call;
     struct http_reader *reader = connection->reader;
-    if (call->answer_matches == NULL ||
-        http_reader_progress(reader) != HTTP_PROGRESS_COMPLETE ||
-        call->answer_matches(call->ctx,
-                             &http_reader_message(reader)->headers)) {
+    if (http_reader_progress(reader) != HTTP_PROGRESS_COMPLETE ||
+        !connection_has_stray(connection)) {
         return false;
     }
     connection->client->counters.stray_answers->value++;
@@ -137,6 +144,22 @@
     return true;
 }
 
+/** The peer has closed the connection, which may be the end of an answer
+ * without a length. @return true if it was the call's */
+static bool
+connection_finish_at_close(struct http_client_connection *connection)
+{
+    if (!http_reader_finish_at_close(connection->reader)) {
+        return false;
+    }
+    if (connection_has_stray(connection)) {
+        connection->client->counters.stray_answers->value++;
+        return false;
+    }
+    connection_finish_call(connection);
+    return true;
+}
+
 static void
 connection_on_read(struct bufferevent *bev, void *ctx)
 {
@@ -203,8 +226,7 @@
     }
     const bool closed =
         (what & BEV_EVENT_EOF) != 0 && connection->call != NULL;
-    if (closed && http_reader_finish_at_close(connection->reader)) {
-        connection_finish_call(connection);
+    if (closed && connection_finish_at_close(connection)) {
         return;
     }
     const bool refused = !connection->connected && error == ECONNREFUSED;
--- a/packages/http/test/http_test.cc
+++ b/packages/http/test/http_test.cc
@@ -175,6 +175,35 @@
     EXPECT_EQ(0U, http_client_connections(client)); /* not used again */
 }
 
+/* Guards against: a late copy without a length, which ends with its
+ * connection, is taken for the answer to the next request. */
+TEST_F(NamedAnswers, LateCopyWithoutALengthIsNotGivenToTheNextRequest)
+{
+    struct http_client_config config = {};
+    config.address = Listen();
+    config.connections_max = 1;
+    config.body_may_end_at_close = true;
+    http_client_destroy(client);
+    client = http_client_create(runtime, &config, counters);
+    Send("1");
+    const int fd = AcceptRequest();
+    Answer(fd, "1");
+    ASSERT_TRUE(Results(1));
+    Send("2");
+    const std::string copy = "HTTP/1.1 503 No\r\nX-Id: 1\r\n\r\ncopy";
+    send(fd, copy.data(), copy.size(), MSG_NOSIGNAL);
+    shutdown(fd, SHUT_RDWR);
+    ASSERT_TRUE(Results(2));
+    EXPECT_EQ(HTTP_CONNECTION_LOST, results[1].outcome);
+    Send("3");
+    const int next = AcceptRequest();
+    const std::string own = "HTTP/1.1 200 OK\r\nX-Id: 3\r\n\r\nown";
+    send(next, own.data(), own.size(), MSG_NOSIGNAL);
+    shutdown(next, SHUT_RDWR);
+    ASSERT_TRUE(Results(3));
+    EXPECT_EQ("own", results[2].body);
+}
+
 TEST_F(HttpTest, DuplicateAnswerIsNotGivenToTheNextRequest)
 {
     const struct address address = Listen();
