A late answer to a request doesn't end a release or confirm a grant

Cause: calls for grants, releases and health compared no ids, so that a late copy of an earlier request's answer counted as theirs. An answer that names a request is dropped there now; a release, whose answer names nothing, has a connection of its own, on which no copy of an earlier one can arrive.

--- a/packages/fleet/wire.h
+++ b/packages/fleet/wire.h
@@ -145,7 +145,8 @@
     bool (*forwards_header)(const char *name);
     void (*add_target_fields)(struct http_headers *headers,
                               const struct wire_target_fields *fields);
-    /** Whether an answer belongs to the request with this id. */
+    /** Whether an answer belongs to the request with this id; NULL: to one
+     * without an id. */
     bool (*answer_matches_request)(const struct http_headers *headers,
                                    const char *id);
     void (*read_answer)(const struct http_result *result,
--- a/packages/http/httpclient.c
+++ b/packages/http/httpclient.c
@@ -20,6 +20,17 @@
     return peer_us > 0 && peer_us < configured_us ? peer_us : configured_us;
 }
 
+/** Opens a connection in place of an idle one if there are too many. */
+static struct http_client_connection *
+client_open_connection(struct http_client *client)
+{
+    if (client->connection_count >= client->config.connections_max &&
+        !LIST_EMPTY(&client->idle)) {
+        http_client_connection_close(LIST_FIRST(&client->idle));
+    }
+    return http_client_connection_open(client);
+}
+
 static struct http_client_connection *
 client_acquire_connection(struct http_client *client)
 {
@@ -50,7 +61,8 @@
         TAILQ_REMOVE(&client->waiting, call, link);
         call->queue = NULL;
         struct http_client_connection *connection =
-            client_acquire_connection(client);
+            call->needs_own_connection ? client_open_connection(client)
+                                       : client_acquire_connection(client);
         if (connection == NULL) {
             http_call_fail_later(call, HTTP_NOT_SENT);
             continue;
--- a/packages/http/httpclient.h
+++ b/packages/http/httpclient.h
@@ -81,6 +81,9 @@
     int64_t deadline_us;                 /**< of the runtime's clock */
     http_may_send_cb may_send;           /**< may be NULL */
     http_answer_match_cb answer_matches; /**< may be NULL */
+    /** The connection is opened for this call and carries no other, so that
+     * no late answer to another can arrive on it. */
+    bool needs_own_connection;
     http_done_cb done; /**< called once, never within http_call_start() */
     void *ctx;
 };
--- a/packages/http/httpclient_internal.h
+++ b/packages/http/httpclient_internal.h
@@ -77,6 +77,7 @@
     struct evbuffer *message;                  /* until it is sent */
     size_t message_size;
     bool is_head;
+    bool needs_own_connection;
     enum http_outcome failed_outcome; /* while in client->failed */
     struct timer deadline;
     http_may_send_cb may_send;
--- a/packages/http/test/http_test.cc
+++ b/packages/http/test/http_test.cc
@@ -204,6 +204,30 @@
     EXPECT_EQ("own", results[2].body);
 }
 
+/* Guards against: a late copy arrives on the connection of a call whose
+ * answers bear no name, and of the call after it. */
+TEST_F(HttpTest, CallWithItsOwnConnectionSharesItWithNoOther)
+{
+    StartClient(Listen(), 1);
+    const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    Call("GET", "/1");
+    send(AcceptRequest(), answer.data(), answer.size(), MSG_NOSIGNAL);
+    ASSERT_TRUE(Results(1));
+    EXPECT_EQ(1U, http_client_connections(client));
+    struct http_call_spec spec = {};
+    spec.method = "GET";
+    spec.target = "/own";
+    spec.deadline_us = runtime_now_us(runtime) + 5 * US_PER_SECOND;
+    spec.needs_own_connection = true;
+    spec.done = OnDone;
+    spec.ctx = this;
+    http_call_start(client, &spec);
+    send(AcceptRequest(), answer.data(), answer.size(), MSG_NOSIGNAL);
+    ASSERT_TRUE(Results(2));
+    EXPECT_EQ(0U, http_client_connections(client));
+    EXPECT_EQ(2, Count("http_client_connects"));
+}
+
 TEST_F(HttpTest, DuplicateAnswerIsNotGivenToTheNextRequest)
 {
     const struct address address = Listen();
--- a/packages/node/keyownergrant.c
+++ b/packages/node/keyownergrant.c
@@ -86,35 +86,23 @@
     return keyownergrant_was_certain(grant, &grant->keyowner->node->keyera);
 }
 
-/** Sends a grant or a release to the present incarnation. */
+/** Sends an order to the present incarnation. */
 static struct http_call *
-send_order(struct node *node, const char *path, const char *body, size_t size,
-           int64_t timeout_us, http_may_send_cb may_send, http_done_cb done,
-           void *ctx)
+send_order(struct node *node, struct http_call_spec *spec, int64_t timeout_us)
 {
-    const struct http_call_spec spec = {
-        .method = "POST",
-        .target = path,
-        .headers = order_headers,
-        .header_count = 1,
-        .body = body,
-        .body_size = size,
-        .deadline_us = node_now_us(node) + timeout_us,
-        .may_send = may_send,
-        .done = done,
-        .ctx = ctx,
-    };
-    return http_call_start(localtarget_client(node->target), &spec);
+    spec->method = "POST";
+    spec->headers = order_headers;
+    spec->header_count = 1;
+    spec->deadline_us = node_now_us(node) + timeout_us;
+    return http_call_start(localtarget_client(node->target), spec);
 }
 
-static struct http_call *
-send_release_order(struct node *node, const struct wire_grant *order,
-                   int64_t timeout_us, http_done_cb done, void *ctx)
+static bool
+is_release_answer(void *ctx, const struct http_headers *headers)
 {
-    char body[WIRE_BODY_MAX];
-    const size_t size = node->wire->write_release(order, body);
-    return send_order(node, node->wire->release_path, body, size, timeout_us,
-                      NULL, done, ctx);
+    const struct release_call *call = ctx;
+    return localtarget_is_order_answer(call->handover->keyowner->node->target,
+                                       headers);
 }
 
 /** The latest time at which the grant last sent may end at the target. */
@@ -199,6 +187,13 @@
            grant->sent_us + SEND_DELAY_MAX_US;
 }
 
+static bool
+is_grant_answer(void *ctx, const struct http_headers *headers)
+{
+    const struct key_grant *grant = ctx;
+    return localtarget_is_order_answer(grant->keyowner->node->target, headers);
+}
+
 static void
 send_grant(struct key_grant *grant)
 {
@@ -231,9 +226,16 @@
                                ? latest_end_us
                                : grant->latest_end_us;
     keyowner->grants_sent->value++;
-    grant->call =
-        send_order(node, node->wire->grant_path, body, size, CALL_TIMEOUT_US,
-                   may_send_grant, on_granted, grant);
+    struct http_call_spec spec = {
+        .target = node->wire->grant_path,
+        .body = body,
+        .body_size = size,
+        .may_send = may_send_grant,
+        .answer_matches = is_grant_answer,
+        .done = on_granted,
+        .ctx = grant,
+    };
+    grant->call = send_order(node, &spec, CALL_TIMEOUT_US);
 }
 
 void
@@ -325,8 +327,18 @@
     call->handover = handover;
     LIST_INSERT_HEAD(&handover->keyowner->releases, call, link);
     handover->calls++;
-    call->http = send_release_order(node, &order, RELEASE_TIMEOUT_US,
-                                    on_released, call);
+    char body[WIRE_BODY_MAX];
+    /* A late answer to an earlier release would look like its own. */
+    struct http_call_spec spec = {
+        .target = node->wire->release_path,
+        .body = body,
+        .body_size = node->wire->write_release(&order, body),
+        .answer_matches = is_release_answer,
+        .needs_own_connection = true,
+        .done = on_released,
+        .ctx = call,
+    };
+    call->http = send_order(node, &spec, RELEASE_TIMEOUT_US);
 }
 
 void
--- a/packages/node/localtarget.c
+++ b/packages/node/localtarget.c
@@ -512,6 +512,13 @@
     return target->present ? target->client : NULL;
 }
 
+bool
+localtarget_is_order_answer(const struct localtarget *target,
+                            const struct http_headers *headers)
+{
+    return target->node->wire->answer_matches_request(headers, NULL);
+}
+
 unsigned
 localtarget_slots(const struct localtarget *target)
 {
--- a/packages/node/localtarget.h
+++ b/packages/node/localtarget.h
@@ -14,6 +14,7 @@
 #include "fleet/instancetable.h"
 
 struct http_client;
+struct http_headers;
 struct http_request;
 struct localtarget;
 struct node;
@@ -88,6 +89,11 @@
 /** For calls to the present incarnation; NULL if there is none. */
 struct http_client *localtarget_client(const struct localtarget *target);
 
+/** Whether an answer of the target may be that to an order, not to a request.
+ */
+bool localtarget_is_order_answer(const struct localtarget *target,
+                                 const struct http_headers *headers);
+
 unsigned localtarget_slots(const struct localtarget *target);
 
 /** Expected end of its cold start; 0 if it is warm. */
--- a/packages/node/targetliveness.c
+++ b/packages/node/targetliveness.c
@@ -51,6 +51,12 @@
     targetliveness_heard(target);
 }
 
+static bool
+is_health_answer(void *ctx, const struct http_headers *headers)
+{
+    return localtarget_is_order_answer(ctx, headers);
+}
+
 void
 localtarget_probe(struct localtarget *target)
 {
@@ -65,6 +71,7 @@
             .method = "GET",
             .target = service->health_path,
             .deadline_us = localtarget_now_us(target) + PROBE_TIMEOUT_US,
+            .answer_matches = is_health_answer,
             .done = on_probed,
             .ctx = target,
         });
