A cold target runs nothing until its declared rate is known

Cause: a process that starts while the store is silent has no configuration, so its gate sets no rate for the cold start and runs what others relay, up to the slots. Now the gate refuses as full while the target is cold and the rate isn't known.

--- a/packages/node/gateadmit.c
+++ b/packages/node/gateadmit.c
@@ -47,6 +47,16 @@
     timer_start(&call->timer, 0);
 }
 
+/** True if the target is cold and nobody knows yet how much it bears: this
+ * process has read no configuration. */
+static bool
+bears_unknown_load(const struct localgate *gate)
+{
+    return node_own_service(gate->node) == NULL &&
+           localtarget_cold_until_us(gate->node->target) >
+               localgate_now_us(gate);
+}
+
 /** Why the target may not run the request now, regardless of its key;
  * RELAY_REASON_NONE if it may. */
 static enum relay_reason
@@ -63,6 +73,9 @@
     if (nodestop_refuses(node)) {
         return RELAY_REASON_LEAVING;
     }
+    if (bears_unknown_load(gate)) {
+        return RELAY_REASON_FULL;
+    }
     /* No other instance may serve its keys before they are handed over. */
     const int64_t now_us = localgate_now_us(gate);
     const int64_t keyed = call->keyed ? 1 : 0;
