--- a/packages/node/keyownergrant.c
+++ b/packages/node/keyownergrant.c
@@ -324,10 +324,10 @@
         .last = grant->last,
         .fence = target_fence(grant),
     };
+    char body[WIRE_BODY_MAX];
     call->handover = handover;
     LIST_INSERT_HEAD(&handover->keyowner->releases, call, link);
     handover->calls++;
-    char body[WIRE_BODY_MAX];
     /* A late answer to an earlier release would look like its own. */
     struct http_call_spec spec = {
         .target = node->wire->release_path,
--- a/packages/node/localtarget_internal.h
+++ b/packages/node/localtarget_internal.h
@@ -1,7 +1,8 @@
 /**
  * @file
- * Shared by the modules of the target: its announcements and incarnations
- * (localtarget.c), and whether it is alive (targetliveness.c).
+ * Shared by the modules of the target: its incarnations and state
+ * (localtarget.c), what it announces (targetannouncement.c), and whether it is
+ * alive (targetliveness.c).
  */
 #ifndef CHESTNUTGAP_NODE_LOCALTARGET_INTERNAL_H
 #define CHESTNUTGAP_NODE_LOCALTARGET_INTERNAL_H
@@ -48,6 +49,15 @@
  * until its deadline, or until the target closes the connection. */
 void localtarget_suspend(struct localtarget *target, const char *why);
 
+/** Opens a client for the incarnation that was announced. */
+void localtarget_begin(struct localtarget *target);
+
+/** Another incarnation has taken the place of a suspended one. */
+void localtarget_end_suspended(struct localtarget *target);
+
+/** Informs the other modules that the target's state has changed. */
+void localtarget_publish_change(struct localtarget *target);
+
 /* targetliveness.c */
 
 void targetliveness_init(struct localtarget *target);
