A request id that no message can hold is rejected

What callers saw, in a test: after one request with an id of 300 bytes, all later requests of the node were answered 503.

XDR ends the relay of an id above 255 bytes unsent, which counted as the other instance being unreachable, for each that was tried. Now it is rejected with 400 before. Fields that are set for the target are no longer left out where the caller sent 126 or more: a message may hold eight more than are read.

--- a/packages/http/httpheaders.c
+++ b/packages/http/httpheaders.c
@@ -94,8 +94,9 @@
 http_headers_add_sized(struct http_headers *headers, const char *name,
                        size_t name_size, const char *value, size_t value_size)
 {
-    if (headers->count >= HTTP_HEADERS_MAX || !is_name(name, name_size) ||
-        !is_value(value, value_size) || !headers_reserve(headers)) {
+    if (headers->count >= HTTP_HEADERS_MAX + HTTP_HEADERS_ADDED_MAX ||
+        !is_name(name, name_size) || !is_value(value, value_size) ||
+        !headers_reserve(headers)) {
         return false;
     }
     char *block = malloc(name_size + value_size + 2);
--- a/packages/http/httpheaders.h
+++ b/packages/http/httpheaders.h
@@ -9,7 +9,8 @@
 #include <stdbool.h>
 #include <stddef.h>
 
-#define HTTP_HEADERS_MAX 128 /* fields per message */
+#define HTTP_HEADERS_MAX 128     /* fields of a message that is read */
+#define HTTP_HEADERS_ADDED_MAX 8 /* more, of one that is passed on */
 #define HTTP_VIA "1.1 chestnutgap"
 
 /** Prefix of the fields that chestnutgap exchanges with callers and targets;
--- a/packages/http/httpmessageparser.c
+++ b/packages/http/httpmessageparser.c
@@ -90,10 +90,12 @@
     while (size > 0 && (data[size - 1] == ' ' || data[size - 1] == '\t')) {
         size--;
     }
-    const size_t count = reader->message.headers.count;
+    if (reader->message.headers.count >= HTTP_HEADERS_MAX) {
+        return http_reader_fail(reader, 431);
+    }
     if (!http_headers_add_sized(&reader->message.headers, reader->name,
                                 reader->name_size, data, size)) {
-        return http_reader_fail(reader, count >= HTTP_HEADERS_MAX ? 431 : 400);
+        return http_reader_fail(reader, 400);
     }
     return 0;
 }
--- a/packages/http/test/httpmessage_test.cc
+++ b/packages/http/test/httpmessage_test.cc
@@ -202,4 +202,16 @@
     http_headers_clear(&headers);
 }
 
+/* Guards against: fields that are set for the receiver are left out of a
+ * message that has as many as are read. */
+TEST(HttpHeaders, HoldsMoreFieldsThanAreRead)
+{
+    struct http_headers headers = {};
+    for (int i = 0; i < HTTP_HEADERS_MAX + HTTP_HEADERS_ADDED_MAX; i++) {
+        EXPECT_TRUE(http_headers_add(&headers, "X-Field", "v")) << i;
+    }
+    EXPECT_FALSE(http_headers_add(&headers, "X-Field", "v"));
+    http_headers_clear(&headers);
+}
+
 } // namespace
--- a/packages/node/ingress.c
+++ b/packages/node/ingress.c
@@ -240,6 +240,10 @@
         return;
     }
     node->wire->read_request(request, &read);
+    if (read.id != NULL && strlen(read.id) > RELAY_TEXT_MAX) {
+        ingressanswer_reject(ingress, request, WIRE_INVALID, 0, "id too long");
+        return;
+    }
     const struct declared_route *route = declared_find_route(
         node->declared, read.host, http_request_path(request));
     if (route == NULL) {
