--- a/packages/node/gateadmit.c
+++ b/packages/node/gateadmit.c
@@ -47,10 +47,10 @@
     timer_start(&call->timer, 0);
 }
 
-/** True if the target is cold and nobody knows yet how much it bears: this
+/** True if the target is cold and its declared rate is not known: this
  * process has read no configuration. */
 static bool
-bears_unknown_load(const struct localgate *gate)
+cold_rate_is_unknown(const struct localgate *gate)
 {
     return node_own_service(gate->node) == NULL &&
            localtarget_cold_until_us(gate->node->target) >
@@ -73,7 +73,7 @@
     if (nodestop_refuses(node)) {
         return RELAY_REASON_LEAVING;
     }
-    if (bears_unknown_load(gate)) {
+    if (cold_rate_is_unknown(gate)) {
         return RELAY_REASON_FULL;
     }
     /* No other instance may serve its keys before they are handed over. */
