--- a/packages/node/departureack.c
+++ b/packages/node/departureack.c
@@ -12,7 +12,7 @@
 #include "fleet/departures.h"
 #include "http/httpserver.h"
 
-/* The target waits for a second. */
+/* Below the target's timeout of 1 s, so that it hears the refusal. */
 #define WAIT_MAX_US (900 * US_PER_MS)
 #define STATUS_OK 200
 #define STATUS_UNAVAILABLE 503
