An answer whose status is no status is malformed

Cause: the parser took any status line; a status of 600 reached the caller, a missing one (0) was parsed as complete, and a head that begins with 1 but isn't 1xx (1000, 1x0) was skipped as an interim answer, so what followed it counted as the answer. Change: the reader checks the status line of every answer (targets, health, grants, the store) in one place, before interim answers are told from others: version 1.0 or 1.1, then a code from 100 to 599. Result: HttpReader.AnswerWithAnInvalidStatusIsMalformed fails before the change and passes with it; the 54 tests of http_test pass.

--- a/packages/http/httpmessage.c
+++ b/packages/http/httpmessage.c
@@ -7,6 +7,7 @@
 
 #define HEAD_END "\r\n\r\n"
 #define HEAD_END_SIZE 4
+#define STATUS_OFFSET 9 /* of the status code in a status line */
 
 static void
 reader_restart(struct http_reader *reader)
@@ -102,12 +103,25 @@
     }
 }
 
-/** True if the status is 1xx; head ends with HEAD_END. */
+/** True if the head, which ends with HEAD_END, begins with a status line as in
+ * RFC 9112, section 4, whose status is from 100 to 599. The reason phrase and
+ * the space before it may be missing. The parser itself accepts others. */
 static bool
-head_is_interim(const unsigned char *head)
+status_line_is_valid(const char *head)
 {
-    return strncmp((const char *)head, "HTTP/1.", 7) == 0 &&
-           strchr("01", head[7]) != NULL && head[8] == ' ' && head[9] == '1';
+    const char *status = head + STATUS_OFFSET;
+    return strncmp(head, "HTTP/1.", 7) == 0 &&
+           (head[7] == '0' || head[7] == '1') && head[8] == ' ' &&
+           status[0] >= '1' && status[0] <= '5' && status[1] >= '0' &&
+           status[1] <= '9' && status[2] >= '0' && status[2] <= '9' &&
+           (status[3] == ' ' || status[3] == '\r');
+}
+
+/** True if the status of a valid status line is 1xx. */
+static bool
+head_is_interim(const char *head)
+{
+    return head[STATUS_OFFSET] == '1';
 }
 
 static void
@@ -163,11 +177,15 @@
         return false;
     }
     const ev_ssize_t size = end.pos + HEAD_END_SIZE;
-    const unsigned char *head = evbuffer_pullup(input, size);
+    const char *head = (const char *)evbuffer_pullup(input, size);
     if (head == NULL) {
         http_reader_fail(reader, 503);
         return false;
     }
+    if (reader->kind == HTTP_MESSAGE_ANSWER && !status_line_is_valid(head)) {
+        http_reader_fail(reader, 502);
+        return false;
+    }
     if (reader->kind == HTTP_MESSAGE_ANSWER && head_is_interim(head)) {
         evbuffer_drain(input, (size_t)size);
         count_extra(reader, (size_t)size);
--- a/packages/http/test/httpmessage_test.cc
+++ b/packages/http/test/httpmessage_test.cc
@@ -149,6 +149,53 @@
     }
 }
 
+/* A server in trouble sends a status that isn't one. Passed on, it would look
+ * like the server's answer. */
+TEST(HttpReader, AnswerWithAnInvalidStatusIsMalformed)
+{
+    const char *const lines[] = {
+        "HTTP/1.1 000 OK",  "HTTP/1.1 42 OK",   "HTTP/1.1 099 OK",
+        "HTTP/1.1 1000 OK", "HTTP/1.1 2x0 OK",  "HTTP/1.1 600 OK",
+        "HTTP/1.1 1x0 OK",  "HTTP/1.1 999 OK",  "HTTP/1.1 20 OK",
+        "HTTP/1.1 2000 OK", "HTTP/1.1 -200 OK", "HTTP/1.1  200 OK",
+        "HTTP/1.1 200OK",   "HTTP/2.0 200 OK",  "HTTP/1.1 ",
+        "HTTP/1.1 0x2 OK",  "HTTP/1.1 20 0 OK", "HTTP/1.1",
+    };
+    const std::string rest = "\r\nContent-Length: 2\r\n\r\nok";
+    const std::string interim = "HTTP/1.1 103 Early Hints\r\n\r\n";
+    const std::string proper = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    for (const std::string line : lines) {
+        for (const size_t step : {1, 1000}) {
+            Reader plain(HTTP_MESSAGE_ANSWER);
+            plain.Feed(line + rest, step);
+            EXPECT_EQ(HTTP_PROGRESS_FAILED, plain.Progress()) << line;
+            Reader late(HTTP_MESSAGE_ANSWER);
+            late.Feed(interim + line + rest, step);
+            EXPECT_EQ(HTTP_PROGRESS_FAILED, late.Progress()) << line;
+            Reader undelimited(HTTP_MESSAGE_ANSWER);
+            http_reader_allow_body_until_close(undelimited.reader);
+            undelimited.Feed(line + "\r\n\r\nbytes", step);
+            EXPECT_EQ(HTTP_PROGRESS_FAILED, undelimited.Progress()) << line;
+            /* Taken for an interim answer it would hide behind the next. */
+            Reader hidden(HTTP_MESSAGE_ANSWER);
+            hidden.Feed(line + "\r\n\r\n" + proper, step);
+            EXPECT_EQ(HTTP_PROGRESS_FAILED, hidden.Progress()) << line;
+        }
+    }
+}
+
+TEST(HttpReader, AnswerMayLackAReasonPhrase)
+{
+    for (const std::string line :
+         {"HTTP/1.1 200", "HTTP/1.1 200 ", "HTTP/1.0 404 Not Found",
+          "HTTP/1.1 599 x"}) {
+        Reader r(HTTP_MESSAGE_ANSWER);
+        r.Feed(line + "\r\nContent-Length: 2\r\n\r\nok", 1000);
+        EXPECT_EQ(HTTP_PROGRESS_COMPLETE, r.Progress()) << line;
+        EXPECT_EQ("ok", r.Body());
+    }
+}
+
 TEST(HttpReader, AnswerDelimitedByCloseIsRejectedByDefault)
 {
     Reader r(HTTP_MESSAGE_ANSWER);
