Relay messages carry the sender's clock, the workspace and the age of feeds

Cause: a relayed request names its time left relative to its arrival, so time in transit is given to the target again; the workspace of a caller and the age of a zone reader's knowledge have no field. Change: relay_request gets process, sent_us and workspace, relay_feed age_us and held_us; RELAY is procedure 23 and FEED 24. Nothing uses the fields yet.

--- a/packages/node/ingressmessage.c
+++ b/packages/node/ingressmessage.c
@@ -73,6 +73,7 @@
         .route = hash_string(route->prefix) ^ hash_string(route->host),
         .method = (char *)http_request_method(call->http),
         .path = call->path,
+        .workspace = (char *)"",
         .body = {(u_int)body_size, (char *)body},
     };
     fill_fields(node, call->http, message);
--- a/packages/protocol/procedures.h
+++ b/packages/protocol/procedures.h
@@ -20,11 +20,11 @@
     PROCEDURE_PROBE = 10,   /* UDP: move.x, exchange of load reports */
     PROCEDURE_PROMISE = 14, /* TCP: relay.x, not to take over keys */
     PROCEDURE_KEYS = 16,    /* TCP: relay.x, a newly written page of keys */
-    PROCEDURE_FEED = 17,    /* TCP: relay.x, changed rows of the store */
     PROCEDURE_COMMIT = 18,  /* TCP: relay.x, a transaction of the store */
     PROCEDURE_MOVE = 20,    /* TCP: relay.x, keys to hand over */
-    PROCEDURE_RELAY = 21,   /* TCP: relay.x, a request for a target */
     PROCEDURE_LOADS = 22,   /* TCP: relay.x, loads of keys */
+    PROCEDURE_RELAY = 23,   /* TCP: relay.x, a request for a target */
+    PROCEDURE_FEED = 24,    /* TCP: relay.x, changed rows of the store */
 };
 
 #endif
--- a/packages/protocol/relay.x
+++ b/packages/protocol/relay.x
@@ -74,8 +74,12 @@
     bool repeated;                      /* it may have reached a target */
     relay_limit *limit;                 /* known to the sender, or none */
     unsigned int priority;              /* 0 is the most urgent */
-    unsigned hyper left_us;             /* time until the deadline */
-    hyper due_us;                       /* objective deadline, may be past */
+    unsigned hyper left_us;             /* at sent_us, until the deadline */
+    hyper due_us;                       /* likewise, until the objective
+                                           deadline, which may be past */
+    unsigned hyper process;             /* identifies the sender's process */
+    hyper sent_us;                      /* on the sender's clock */
+    string workspace<RELAY_TEXT_MAX>;   /* of the caller, or empty */
     unsigned hyper route;               /* identifies the route */
     unsigned hyper fingerprint;
     string method<RELAY_TEXT_MAX>;
@@ -168,6 +172,8 @@
 
 struct relay_feed {
     bool in_touch;                      /* it reads the store successfully */
+    unsigned hyper age_us;              /* of what it knows, when answering */
+    unsigned hyper held_us;             /* from the call to the answer */
     unsigned int hops;                  /* instances between it and the store */
     unsigned hyper process;             /* identifies its process */
     unsigned hyper sequence;            /* of the latest row that it learnt */
