A relayed request has only the time left that it was sent with

Cause: the gate counted a request's time left from its arrival. Ruled out by the log: the ingress cancels at once (30.670 s), the gate queued the request for 56 ms only. Change: the sender's clock in the message, and the least difference between arrival and sending in the last half minute, tell how long a message waited (fleet/transittime); the gate takes it off the times left and refuses what has none.

--- a/packages/node/gateadmit.c
+++ b/packages/node/gateadmit.c
@@ -17,10 +17,11 @@
 
 void
 gateadmit_set_deadlines(struct localgate_call *call,
-                        const struct relay_request *request)
+                        const struct relay_request *request,
+                        int64_t transit_us)
 {
     const struct localgate *gate = call->gate;
-    const int64_t left_us = (int64_t)request->left_us;
+    const int64_t left_us = (int64_t)request->left_us - transit_us;
     const int64_t expected_service_us =
         servicetimes_mean_us(&gate->servicetimes, request->route,
                              targetqueue_service_us(gate->queue));
@@ -33,7 +34,7 @@
     call->queue_request.keyed = request->keyed;
     call->queue_request.repeated = request->repeated;
     call->queue_request.objective_deadline_us =
-        call->arrived_us + request->due_us;
+        call->arrived_us + request->due_us - transit_us;
     call->queue_request.expected_service_us = expected_service_us;
     call->queue_request.start_deadline_us =
         call->arrived_us + (wait_us > 0 ? wait_us : 0);
--- a/packages/node/ingressattempt.c
+++ b/packages/node/ingressattempt.c
@@ -151,6 +151,8 @@
     call->attempt_count++;
     call->instance = instance->instance_row.instance;
     call->message.to = (char *)call->instance;
+    call->message.process = ingress->node->options.seed;
+    call->message.sent_us = now_us;
     call->message.left_us = (u_quad_t)(left_us > 0 ? left_us : 0);
     call->message.due_us = call->objective_deadline_us - now_us;
     call->message.repeated = call->limit.reached + call->limit.pending > 0;
--- a/packages/node/localgate.c
+++ b/packages/node/localgate.c
@@ -150,7 +150,7 @@
 
 struct localgate_call *
 localgate_submit(struct localgate *gate, const struct relay_request *request,
-                 localgate_cb done, void *ctx)
+                 int64_t transit_us, localgate_cb done, void *ctx)
 {
     struct localgate_call *call = memory_calloc(1, sizeof(*call));
     const int64_t now_us = localgate_now_us(gate);
@@ -165,9 +165,9 @@
     call->route = request->route;
     call->suspect =
         gatecrash_is_suspect(&gate->node->instancetable, call->fingerprint);
-    call->deadline_us = now_us + (int64_t)request->left_us;
+    call->deadline_us = now_us + (int64_t)request->left_us - transit_us;
     strncpy(call->id, request->id, sizeof(call->id) - 1);
-    gateadmit_set_deadlines(call, request);
+    gateadmit_set_deadlines(call, request, transit_us);
     timer_init(&call->timer, gate->node->runtime, on_call_timer, call);
     TAILQ_INSERT_TAIL(&gate->calls, call, link);
     if (request->limit != NULL) {
--- a/packages/node/localgate.h
+++ b/packages/node/localgate.h
@@ -26,10 +26,12 @@
 struct localgate *localgate_create(struct node *node);
 void localgate_destroy(struct localgate *gate);
 
-/** request must stay valid until the answer or the cancellation. */
+/** request must stay valid until the answer or the cancellation. transit_us:
+ * how long ago it was sent; its times left count from then. */
 struct localgate_call *localgate_submit(struct localgate *gate,
                                         const struct relay_request *request,
-                                        localgate_cb done, void *ctx);
+                                        int64_t transit_us, localgate_cb done,
+                                        void *ctx);
 
 /** The answer is no longer needed; the callback isn't called. A request that
  * is not idempotent and has been sent keeps running at the target. */
--- a/packages/node/localgate_internal.h
+++ b/packages/node/localgate_internal.h
@@ -78,9 +78,11 @@
 
 /* gateadmit.c */
 
-/** Sets the call's priority and deadlines in the queue. */
+/** Sets the call's priority and deadlines in the queue. transit_us: how long
+ * ago the request was sent. */
 void gateadmit_set_deadlines(struct localgate_call *call,
-                             const struct relay_request *request);
+                             const struct relay_request *request,
+                             int64_t transit_us);
 
 /** Starts, queues or refuses a call that is not in the queue. */
 void gateadmit_call(struct localgate_call *call);
--- a/packages/node/relaytask.c
+++ b/packages/node/relaytask.c
@@ -10,6 +10,7 @@
 #include "base/log.h"
 #include "base/memory.h"
 #include "fleet/keyload.h"
+#include "fleet/transittime.h"
 #include "node/keyowner.h"
 #include "node/localgate.h"
 #include "node/localtarget.h"
@@ -45,6 +46,8 @@
 
 struct relaytask {
     struct node *node;
+    struct transittime *transit_times;
+    struct counter *expired;
     struct relay_calls calls;
     struct relay_queries queries;
 };
@@ -122,7 +125,7 @@
     LIST_INSERT_HEAD(&relay->calls, call, link);
     if (strcmp(instance->instance_row.instance, node->settings.instance) ==
         0) {
-        call->local = localgate_submit(node->gate, request, on_local, call);
+        call->local = localgate_submit(node->gate, request, 0, on_local, call);
         return call;
     }
     const struct rpc_call_spec spec = {
@@ -167,8 +170,17 @@
 serve_relay(void *ctx, struct rpc_request *request, const void *args)
 {
     struct relaytask *relay = ctx;
-    rpc_request_set_data(request, localgate_submit(relay->node->gate, args,
-                                                   serve_reply, request));
+    const struct relay_request *relayed = args;
+    struct node *node = relay->node;
+    const int64_t transit_us =
+        transittime_record(relay->transit_times, relayed->process,
+                           relayed->sent_us, node_now_us(node));
+    if (transit_us >= (int64_t)relayed->left_us) {
+        relay->expired->value++;
+    }
+    rpc_request_set_data(request,
+                         localgate_submit(node->gate, relayed, transit_us,
+                                          serve_reply, request));
 }
 
 static void
@@ -321,6 +333,10 @@
 {
     struct relaytask *relay = memory_calloc(1, sizeof(*relay));
     relay->node = node;
+    relay->transit_times = transittime_create();
+    relay->expired =
+        counter_add(node->options.counters, "relay_expired",
+                    "relayed requests that had no time left on arrival");
     register_procedures(relay);
     return relay;
 }
@@ -344,6 +360,7 @@
         free(query);
         query = next;
     }
+    transittime_destroy(relay->transit_times);
     free(relay);
 }
 
