Large bodies are offered to an instance before they are sent

Change: a body of 16 KiB or more is offered first; the receiving instance lets 64 KiB be in transfer at once (fleet/transferqueue), refuses what its target or the link can't take in time, and forgets a body that doesn't come within 2 s. Procedure 26; instances of a former version reject it and get the body as before.

--- a/packages/node/gateadmit.c
+++ b/packages/node/gateadmit.c
@@ -58,17 +58,16 @@
                localgate_now_us(gate);
 }
 
-/** Why the target may not run the request now, regardless of its key;
- * RELAY_REASON_NONE if it may. */
+/** Why the target may not run a request to the service now, regardless of its
+ * key; RELAY_REASON_NONE if it may. */
 static enum relay_reason
-gate_refusal(const struct localgate *gate, const struct localgate_call *call)
+gate_refusal(const struct localgate *gate, const char *service, bool is_keyed)
 {
     const struct node *node = gate->node;
     if (!localtarget_accepts_connections(node->target)) {
         return RELAY_REASON_NO_TARGET;
     }
-    if (strcmp(localtarget_service(node->target), call->request->service) !=
-        0) {
+    if (strcmp(localtarget_service(node->target), service) != 0) {
         return RELAY_REASON_NO_TARGET;
     }
     if (nodestop_refuses(node)) {
@@ -79,7 +78,7 @@
     }
     /* No other instance may serve its keys before they are handed over. */
     const int64_t now_us = localgate_now_us(gate);
-    const int64_t keyed = call->keyed ? 1 : 0;
+    const int64_t keyed = is_keyed ? 1 : 0;
     if (localtarget_is_leaving(node->target) &&
         now_us >= localtarget_leaving_since_us(node->target) +
                       keyed * node->settings.drain_us *
@@ -130,7 +129,8 @@
 call_start(struct localgate_call *call)
 {
     struct localgate *gate = call->gate;
-    enum relay_reason refusal = gate_refusal(gate, call);
+    enum relay_reason refusal =
+        gate_refusal(gate, call->request->service, call->keyed);
     if (refusal == RELAY_REASON_NONE && conflicts_with_suspect(call)) {
         refusal = RELAY_REASON_SUSPECT;
     }
@@ -175,7 +175,8 @@
 {
     struct localgate *gate = call->gate;
     const int64_t now_us = localgate_now_us(gate);
-    const enum relay_reason refusal = gate_refusal(gate, call);
+    const enum relay_reason refusal =
+        gate_refusal(gate, call->request->service, call->keyed);
     if (refusal != RELAY_REASON_NONE) {
         gateadmit_refuse_later(call, refusal);
         return;
@@ -207,6 +208,22 @@
     }
 }
 
+enum relay_reason
+localgate_preview(struct localgate *gate, const char *service, int64_t left_us,
+                  int64_t *retry_after_us)
+{
+    const int64_t now_us = localgate_now_us(gate);
+    enum relay_reason refusal = gate_refusal(gate, service, false);
+    *retry_after_us = 0;
+    if (refusal == RELAY_REASON_NONE &&
+        targetqueue_expected_wait_us(gate->queue, now_us) >=
+            left_us * QUEUE_WAIT_PERCENT / 100) {
+        refusal = queue_refusal(gate);
+        *retry_after_us = targetqueue_assign_return_us(gate->queue, now_us);
+    }
+    return refusal;
+}
+
 void
 gateadmit_run_queue(struct localgate *gate)
 {
--- a/packages/node/localgate.h
+++ b/packages/node/localgate.h
@@ -33,6 +33,12 @@
                                         int64_t transit_us, localgate_cb done,
                                         void *ctx);
 
+/** Why a request to the service with that time left would not run if it came
+ * now; RELAY_REASON_NONE if it may. retry_after_us: when to come back. */
+enum relay_reason localgate_preview(struct localgate *gate,
+                                    const char *service, int64_t left_us,
+                                    int64_t *retry_after_us);
+
 /** The answer is no longer needed; the callback isn't called. A request that
  * is not idempotent and has been sent keeps running at the target. */
 void localgate_cancel(struct localgate_call *call);
--- a/packages/node/relaytask.c
+++ b/packages/node/relaytask.c
@@ -11,6 +11,7 @@
 #include "base/memory.h"
 #include "fleet/keyload.h"
 #include "fleet/transittime.h"
+#include "node/bodyoffers.h"
 #include "node/keyowner.h"
 #include "node/localgate.h"
 #include "node/localtarget.h"
@@ -24,8 +25,12 @@
     LIST_ENTRY(relay_call) link;
     struct relaytask *relay;
     struct localgate_call *local; /* NULL if another instance runs it */
-    struct rpc_call *remote;
-    struct counter *body_bytes; /* NULL within the zone */
+    struct rpc_call *remote;      /* the request, or before it the offer */
+    const struct relay_request *request;
+    struct address peer;
+    int64_t until_us;      /* the end of its time */
+    struct counter *bytes; /* NULL within the zone, as the next */
+    struct counter *body_bytes;
     relay_call_cb done;
     void *ctx;
 };
@@ -47,6 +52,7 @@
 struct relaytask {
     struct node *node;
     struct transittime *transit_times;
+    struct bodyoffers *offers;
     struct counter *expired;
     struct relay_calls calls;
     struct relay_queries queries;
@@ -111,6 +117,94 @@
     call_end(ctx, status, result);
 }
 
+/** Sends the request to another instance. */
+static void
+send_request(struct relay_call *call)
+{
+    struct node *node = call->relay->node;
+    const int64_t left_us = call->until_us - node_now_us(node);
+    const struct rpc_call_spec spec = {
+        .peer = &call->peer,
+        .channel = RPC_TCP,
+        .procedure = PROCEDURE_RELAY,
+        .encode_args = (xdrproc_t)xdr_relay_request,
+        .args = call->request,
+        .decode_result = (xdrproc_t)xdr_relay_reply,
+        .result_size = sizeof(struct relay_reply),
+        .timeout_us = left_us > 0 ? left_us : 0,
+        .bytes = call->bytes,
+        .done = on_remote,
+        .ctx = call,
+    };
+    count_body(call, call->request->body.body_len);
+    call->remote = rpc_call_start(node->rpc, &spec);
+}
+
+/** Ends a call whose body the other instance doesn't take now. */
+static void
+end_refused(struct relay_call *call, const struct relay_offered *offered)
+{
+    const struct relay_reply reply = {
+        .outcome = RELAY_NOT_RUN,
+        .reason = offered->reason,
+        .owner = (char *)"",
+        .retry_after_us = offered->retry_after_us,
+        .load = offered->load,
+        .cold = offered->cold,
+    };
+    call_end(call, RPC_OK, &reply);
+}
+
+static void
+on_offered(void *ctx, enum rpc_status status, const void *result)
+{
+    struct relay_call *call = ctx;
+    const struct relay_offered *offered = result;
+    call->remote = NULL;
+    if (status == RPC_OK && !offered->accepted) {
+        end_refused(call, offered);
+    }
+    else if (status == RPC_OK || status == RPC_REJECTED) {
+        send_request(
+            call); /* an instance of a former version rejects offers */
+    }
+    else {
+        /* The request itself was not sent. */
+        call_end(call, status == RPC_REFUSED_BY_HOST ? status : RPC_NOT_SENT,
+                 NULL);
+    }
+}
+
+/** Asks the other instance whether the body may be sent now. */
+static void
+send_offer(struct relay_call *call)
+{
+    struct node *node = call->relay->node;
+    const struct relay_request *request = call->request;
+    const struct relay_offer offer = {
+        .to = request->to,
+        .service = request->service,
+        .id = request->id,
+        .process = request->process,
+        .size = request->body.body_len,
+        .left_us = request->left_us,
+    };
+    const struct rpc_call_spec spec = {
+        .peer = &call->peer,
+        .channel = RPC_TCP,
+        .procedure = PROCEDURE_OFFER,
+        .encode_args = (xdrproc_t)xdr_relay_offer,
+        .args = &offer,
+        .decode_result = (xdrproc_t)xdr_relay_offered,
+        .result_size = sizeof(struct relay_offered),
+        .timeout_us = call->until_us - node_now_us(node),
+        .bytes = call->bytes,
+        .done = on_offered,
+        .ctx = call,
+    };
+    call->remote = rpc_call_start(node->rpc, &spec);
+}
+
 struct relay_call *
 relaytask_send(struct relaytask *relay,
                const struct instancetable_instance *instance,
@@ -128,22 +222,17 @@
         call->local = localgate_submit(node->gate, request, 0, on_local, call);
         return call;
     }
-    const struct rpc_call_spec spec = {
-        .peer = &instance->instance_row.address,
-        .channel = RPC_TCP,
-        .procedure = PROCEDURE_RELAY,
-        .encode_args = (xdrproc_t)xdr_relay_request,
-        .args = request,
-        .decode_result = (xdrproc_t)xdr_relay_reply,
-        .result_size = sizeof(struct relay_reply),
-        .timeout_us = timeout_us,
-        .bytes = zonetraffic_counter(node, ZONETRAFFIC_REQUESTS, instance),
-        .done = on_remote,
-        .ctx = call,
-    };
+    call->request = request;
+    call->peer = instance->instance_row.address;
+    call->until_us = node_now_us(node) + timeout_us;
+    call->bytes = zonetraffic_counter(node, ZONETRAFFIC_REQUESTS, instance);
     call->body_bytes = zonetraffic_counter(node, ZONETRAFFIC_BODIES, instance);
-    count_body(call, request->body.body_len);
-    call->remote = rpc_call_start(node->rpc, &spec);
+    if (request->body.body_len >= BODYOFFERS_MIN_BYTES) {
+        send_offer(call);
+    }
+    else {
+        send_request(call);
+    }
     return call;
 }
 
@@ -178,6 +267,9 @@
     if (transit_us >= (int64_t)relayed->left_us) {
         relay->expired->value++;
     }
+    if (relayed->body.body_len >= BODYOFFERS_MIN_BYTES) {
+        bodyoffers_arrived(relay->offers, relayed->process, relayed->id);
+    }
     rpc_request_set_data(request,
                          localgate_submit(node->gate, relayed, transit_us,
                                           serve_reply, request));
@@ -334,6 +426,7 @@
     struct relaytask *relay = memory_calloc(1, sizeof(*relay));
     relay->node = node;
     relay->transit_times = transittime_create();
+    relay->offers = bodyoffers_create(node);
     relay->expired =
         counter_add(node->options.counters, "relay_expired",
                     "relayed requests that had no time left on arrival");
@@ -360,6 +453,7 @@
         free(query);
         query = next;
     }
+    bodyoffers_destroy(relay->offers);
     transittime_destroy(relay->transit_times);
     free(relay);
 }
--- a/packages/protocol/relay.x
+++ b/packages/protocol/relay.x
@@ -105,6 +105,25 @@
     opaque body<RELAY_BODY_MAX>;
 };
 
+/* Asks whether the body of a request may be sent now; answered when it may,
+   or when it will not be in time. */
+struct relay_offer {
+    string to<RELAY_TEXT_MAX>;          /* the instance addressed */
+    string service<RELAY_TEXT_MAX>;
+    string id<RELAY_TEXT_MAX>;          /* of the request */
+    unsigned hyper process;             /* identifies the sender's process */
+    unsigned hyper size;                /* bytes of the body */
+    unsigned hyper left_us;             /* time until the deadline */
+};
+
+struct relay_offered {
+    bool accepted;                      /* the body may be sent */
+    relay_reason reason;                /* if not accepted */
+    unsigned hyper retry_after_us;      /* likewise; 0: none */
+    unsigned int load;                  /* requests in progress there */
+    bool cold;
+};
+
 /* Load of the keys of an instance's target. */
 struct relay_step {
     unsigned int first;
