A relayed status that is none does not reach the caller

Cause: an instance passed on any status that another one named in a reply. Change: a relayed answer whose status isn't 200 to 599 counts as no readable reply: the outcome is unknown (502), on the platform and on the product's own wire.

--- a/packages/daemon/forwarder.c
+++ b/packages/daemon/forwarder.c
@@ -7,6 +7,7 @@
 #include "base/runtime.h"
 #include "base/task.h"
 #include "daemon/gatetask.h"
+#include "http/httpmessage.h"
 #include "protocol/procedures.h"
 
 /* How an attempt is sent. */
@@ -94,7 +95,13 @@
         membertask_on_refused_connection(attempt->forwarder->options.members,
                                          &attempt->peer);
     }
-    attempt_end(attempt, status, result);
+    const struct forward_reply *reply = result;
+    if (reply != NULL && reply->outcome == FORWARD_ANSWERED &&
+        !http_status_is_final(reply->status)) {
+        status = RPC_GARBAGE;
+        reply = NULL;
+    }
+    attempt_end(attempt, status, reply);
 }
 
 static void
--- a/packages/http/httpmessage.c
+++ b/packages/http/httpmessage.c
@@ -124,6 +124,12 @@
     return head[STATUS_OFFSET] == '1';
 }
 
+bool
+http_status_is_final(unsigned status)
+{
+    return status >= 200 && status <= 599;
+}
+
 static void
 skip_empty_lines(struct http_reader *reader, struct evbuffer *input)
 {
--- a/packages/http/httpmessage.h
+++ b/packages/http/httpmessage.h
@@ -50,6 +50,10 @@
     size_t body_capacity;
 };
 
+/** True for the status codes that an answer other than an interim one may
+ * have. */
+bool http_status_is_final(unsigned status);
+
 /** Parser of the successive messages of a connection. */
 struct http_reader;
 
--- a/packages/node/relaytask.c
+++ b/packages/node/relaytask.c
@@ -11,6 +11,7 @@
 #include "base/memory.h"
 #include "fleet/keyload.h"
 #include "fleet/transittime.h"
+#include "http/httpmessage.h"
 #include "node/bodyoffers.h"
 #include "node/keyowner.h"
 #include "node/localgate.h"
@@ -114,6 +115,11 @@
     if (reply != NULL) {
         count_body(ctx, reply->body.body_len);
     }
+    if (reply != NULL && reply->outcome == RELAY_ANSWERED &&
+        !http_status_is_final(reply->status)) {
+        call_end(ctx, RPC_GARBAGE, NULL);
+        return;
+    }
     call_end(ctx, status, result);
 }
 
