Workspaces and their API keys in the declared configuration

Cause: an operator's configuration can't name the workspaces that may send requests, their API keys, priorities and quotas. Change: workspacetable keeps the workspaces of one version, indexed by key and by name; struct declared owns it, so that it is replaced together with the routes. Refusals get the kinds WIRE_UNAUTHORIZED and WIRE_OVER_QUOTA, and a call of the ingress the name of its workspace. Nothing requires a key yet.

--- a/packages/fleet/declared.c
+++ b/packages/fleet/declared.c
@@ -21,6 +21,8 @@
     size_t *index; /* by host and prefix, open addressing */
     size_t index_size;
     size_t prefix_max; /* bytes of the longest prefix */
+    bool requires_workspace;
+    struct workspacetable *workspaces;
 };
 
 struct declared *
@@ -28,6 +30,7 @@
 {
     struct declared *declared = memory_calloc(1, sizeof(*declared));
     declared->version = version;
+    declared->workspaces = workspacetable_create();
     return declared;
 }
 
@@ -41,6 +44,7 @@
         free(declared->routes[i].host);
         free(declared->routes[i].prefix);
     }
+    workspacetable_destroy(declared->workspaces);
     free(declared->routes);
     free(declared->services);
     free(declared->index);
@@ -82,6 +86,24 @@
     return route;
 }
 
+void
+declared_require_workspace(struct declared *declared)
+{
+    declared->requires_workspace = true;
+}
+
+struct declared_workspace *
+declared_add_workspace(struct declared *declared, const char *name)
+{
+    return workspacetable_add(declared->workspaces, name);
+}
+
+void
+declared_add_key(struct declared *declared, const char *key)
+{
+    workspacetable_add_key(declared->workspaces, key);
+}
+
 /** Case-insensitive hash of a host name. */
 static uint64_t
 hash_host(const char *host, size_t size)
@@ -142,7 +164,7 @@
             declared->prefix_max = size;
         }
     }
-    return true;
+    return workspacetable_build_index(declared->workspaces, err);
 }
 
 const struct declared_route *
@@ -204,3 +226,33 @@
     }
     return &declared->services[route->shares[i].service];
 }
+
+bool
+declared_requires_workspace(const struct declared *declared)
+{
+    return declared->requires_workspace;
+}
+
+size_t
+declared_workspace_count(const struct declared *declared)
+{
+    return workspacetable_count(declared->workspaces);
+}
+
+const struct declared_workspace *
+declared_workspace_at(const struct declared *declared, size_t index)
+{
+    return workspacetable_at(declared->workspaces, index);
+}
+
+const struct declared_workspace *
+declared_workspace_by_key(const struct declared *declared, const char *key)
+{
+    return workspacetable_by_key(declared->workspaces, key);
+}
+
+const struct declared_workspace *
+declared_find_workspace(const struct declared *declared, const char *name)
+{
+    return workspacetable_by_name(declared->workspaces, name);
+}
--- a/packages/fleet/test/declared_test.cc
+++ b/packages/fleet/test/declared_test.cc
@@ -93,4 +93,63 @@
     EXPECT_EQ(90, first);
 }
 
+/* Guards against a key that finds another workspace or none, and against a
+ * lookup whose time grows with the number of workspaces. */
+TEST_F(Declared, EachKeyFindsItsWorkspaceAmongTensOfThousands)
+{
+    const int count = 30000;
+    for (int i = 0; i < count; i++) {
+        const std::string name = "w" + std::to_string(i);
+        struct declared_workspace *workspace =
+            declared_add_workspace(config, name.c_str());
+        workspace->rate_per_s = i;
+        for (const char *suffix : {"-a", "-b", "-c"}) {
+            declared_add_key(config, ("key" + name + suffix).c_str());
+        }
+    }
+    ASSERT_TRUE(declared_build_index(config, nullptr));
+    EXPECT_EQ(30000U, declared_workspace_count(config));
+    for (int i = 0; i < count; i += 7) {
+        const std::string name = "w" + std::to_string(i);
+        const struct declared_workspace *by_key =
+            declared_workspace_by_key(config, ("key" + name + "-b").c_str());
+        ASSERT_NE(nullptr, by_key);
+        EXPECT_EQ(name, by_key->name);
+        EXPECT_EQ(by_key, declared_find_workspace(config, name.c_str()));
+        EXPECT_EQ(by_key,
+                  declared_workspace_at(config, static_cast<size_t>(i)));
+    }
+    EXPECT_EQ(nullptr, declared_workspace_by_key(config, "keyw1-"));
+    EXPECT_EQ(nullptr, declared_workspace_by_key(config, "keyw1-aa"));
+    EXPECT_EQ(nullptr, declared_workspace_by_key(config, ""));
+    EXPECT_EQ(nullptr, declared_find_workspace(config, "w"));
+}
+
+TEST_F(Declared, WithoutWorkspacesNoKeyIsRequired)
+{
+    ASSERT_TRUE(declared_build_index(config, nullptr));
+    EXPECT_FALSE(declared_requires_workspace(config));
+    EXPECT_EQ(nullptr, declared_workspace_by_key(config, "key"));
+}
+
+TEST_F(Declared, RefusesAKeyOfTwoWorkspacesWithoutNamingTheKey)
+{
+    struct error err = {};
+    declared_add_workspace(config, "one");
+    declared_add_key(config, "secret");
+    declared_add_key(config, "secret"); /* twice in one does no harm */
+    declared_add_workspace(config, "two");
+    declared_add_key(config, "secret");
+    EXPECT_FALSE(declared_build_index(config, &err));
+    EXPECT_EQ(ERROR_FIELD_DUPLICATE, err.code);
+    EXPECT_STREQ("a key of two", err.subject);
+}
+
+TEST_F(Declared, RefusesTwoWorkspacesOfOneName)
+{
+    declared_add_workspace(config, "one");
+    declared_add_workspace(config, "one");
+    EXPECT_FALSE(declared_build_index(config, nullptr));
+}
+
 } // namespace
--- a/packages/fleet/wire.h
+++ b/packages/fleet/wire.h
@@ -85,11 +85,13 @@
 
 /** Reply to a caller without an answer of a target. */
 enum wire_refusal_kind {
-    WIRE_REFUSED,  /**< did not and will not run */
-    WIRE_UNKNOWN,  /**< may have run */
-    WIRE_TIMEOUT,  /**< may have run; the deadline has passed */
-    WIRE_NO_ROUTE, /**< no route matches */
-    WIRE_INVALID,  /**< a required field is missing */
+    WIRE_REFUSED,      /**< did not and will not run */
+    WIRE_UNKNOWN,      /**< may have run */
+    WIRE_TIMEOUT,      /**< may have run; the deadline has passed */
+    WIRE_NO_ROUTE,     /**< no route matches */
+    WIRE_INVALID,      /**< a required field is missing */
+    WIRE_UNAUTHORIZED, /**< no API key of a workspace */
+    WIRE_OVER_QUOTA,   /**< of the workspace; did not and will not run */
 };
 
 struct wire_refusal {
--- a/packages/node/ingress_internal.h
+++ b/packages/node/ingress_internal.h
@@ -39,6 +39,7 @@
     struct relay_limit known_limit; /**< of the message, if it has one */
     char *path;                     /**< and query */
     char service[DECLARED_NAME_MAX + 1];
+    char workspace[DECLARED_NAME_MAX + 1]; /**< of the caller, or empty */
     const char *id; /**< given by the caller, or empty */
     struct attemptlimit limit;
     unsigned attempt_count;
