Requests need the API key of a workspace where workspaces are declared

Cause: any caller could use every route, and a target could not tell on whose behalf a request runs. Change: the ingress looks up the key of the one Authorization field, refuses with 401 without it (ingress_key_missing) or with an unknown one (ingress_key_unknown), and names the workspace in the relayed request. The target gets X-Chestnutgap-Tenant from there; Authorization and the caller's own field are dropped at the ingress, and again before a target, whose instance may know a newer configuration. A declared priority replaces the route's. Public routes need no key. Without workspaces all fields are forwarded as before.

--- a/fuzz/fuzz_declared.c
+++ b/fuzz/fuzz_declared.c
@@ -25,6 +25,8 @@
     if (operator_read_declaration(&row, &declaration, &err) &&
         declaration.kind == WIRE_DECLARED_CONFIG) {
         declared_find_route(declaration.config, "shop.example", "/k/x");
+        declared_workspace_by_key(declaration.config, "key");
+        declared_find_workspace(declaration.config, "one");
         declared_destroy(declaration.config);
     }
     free(value);
--- a/fuzz/fuzz_text.c
+++ b/fuzz/fuzz_text.c
@@ -1,5 +1,6 @@
 /* Takes the bytes as a text from outside: the name of a target, a handover
- * token, and a field of a log line. What is printed must be read again. */
+ * token, an Authorization field and a field of a log line. What is printed
+ * must be read again. */
 #include <stdint.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -10,6 +11,7 @@
 #include "base/log.h"
 #include "fleet/instancetable.h"
 #include "fleet/keymap.h"
+#include "platform/caller.h"
 #include "platform/upstream.h"
 
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
@@ -83,6 +85,19 @@
     free(line);
 }
 
+static void
+check_api_key(const char *text)
+{
+    struct http_headers headers = {.items = NULL};
+    if (http_headers_add(&headers, "Authorization", text)) {
+        const char *key = caller_read_api_key(&headers);
+        require(key == NULL || key[0] != '\0');
+        require(!http_headers_add(&headers, "authorization", text) ||
+                caller_read_api_key(&headers) == NULL);
+    }
+    http_headers_clear(&headers);
+}
+
 int
 LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
 {
@@ -93,6 +108,7 @@
     check_key_map(text);
     check_grant(text);
     check_log(text);
+    check_api_key(text);
     free(text);
     return 0;
 }
--- a/packages/fleet/wire.h
+++ b/packages/fleet/wire.h
@@ -42,12 +42,15 @@
     int64_t time_left_us; /**< until the caller's deadline */
     bool has_key;
     uint32_t key;
+    /** API key; NULL unless there is exactly one that is well-formed. */
+    const char *api_key;
 };
 
 /** Header fields set for the target. */
 struct wire_target_fields {
-    const char *target; /**< incarnation that is to run it */
-    const char *caller; /**< service of the caller's instance */
+    const char *target;    /**< incarnation that is to run it */
+    const char *caller;    /**< service of the caller's instance */
+    const char *workspace; /**< of the caller, or empty */
     int64_t time_left_us;
 };
 
@@ -143,8 +146,9 @@
                              struct error *err);
     void (*read_request)(const struct http_request *request,
                          struct wire_request *read);
-    /** Whether a caller's header field is forwarded to the target. */
-    bool (*forwards_header)(const char *name);
+    /** Whether a caller's header field is forwarded to the target.
+     * has_workspaces: API keys are read, and must not reach a target. */
+    bool (*forwards_header)(const char *name, bool has_workspaces);
     void (*add_target_fields)(struct http_headers *headers,
                               const struct wire_target_fields *fields);
     /** Whether an answer belongs to the request with this id; NULL: to one
--- a/packages/node/gatesend.c
+++ b/packages/node/gatesend.c
@@ -148,6 +148,23 @@
     return call->gate->node->wire->answer_matches_request(headers, call->id);
 }
 
+/** Adds the fields that the caller sent. The instance that received the
+ * request may have an older configuration, without workspaces. */
+static void
+add_caller_fields(const struct node *node, const struct relay_request *request,
+                  struct http_headers *headers)
+{
+    const bool has_workspaces = request->workspace[0] != '\0' ||
+                                (node->declared != NULL &&
+                                 declared_requires_workspace(node->declared));
+    for (u_int i = 0; i < request->fields.fields_len; i++) {
+        const struct relay_field *field = &request->fields.fields_val[i];
+        if (node->wire->forwards_header(field->name, has_workspaces)) {
+            http_headers_add(headers, field->name, field->value);
+        }
+    }
+}
+
 void
 gatesend_start(struct localgate_call *call)
 {
@@ -155,15 +172,13 @@
     const struct node *node = gate->node;
     const struct relay_request *request = call->request;
     struct http_headers headers = {.items = NULL};
-    for (u_int i = 0; i < request->fields.fields_len; i++) {
-        const struct relay_field *field = &request->fields.fields_val[i];
-        http_headers_add(&headers, field->name, field->value);
-    }
+    add_caller_fields(node, request, &headers);
     node->wire->add_target_fields(
         &headers,
         &(struct wire_target_fields){
             .target = localtarget_name(node->target),
             .caller = request->caller,
+            .workspace = request->workspace,
             .time_left_us = call->deadline_us - localgate_now_us(gate),
         });
     call->state = CALL_SENT;
--- a/packages/node/ingress.c
+++ b/packages/node/ingress.c
@@ -49,6 +49,7 @@
     ingress->hedges = counter_add(counters, "ingress_hedges",
                                   "requests sent to a second target while "
                                   "the first still ran them");
+    ingresskey_init(&ingress->keys, counters);
     return ingress;
 }
 
@@ -185,7 +186,8 @@
 
 static void
 call_start(struct ingress *ingress, struct http_request *request,
-           const struct wire_request *read, const struct declared_route *route)
+           const struct wire_request *read, const struct declared_route *route,
+           const struct declared_workspace *workspace)
 {
     struct node *node = ingress->node;
     const unsigned draw =
@@ -196,6 +198,10 @@
     call->ingress = ingress;
     call->http = request;
     call->id = read->id != NULL ? read->id : "";
+    if (workspace != NULL) {
+        snprintf(call->workspace, sizeof(call->workspace), "%s",
+                 workspace->name);
+    }
     attemptlimit_init(&call->limit, route->attempts);
     call->message.keyed = service->keyed;
     memcpy(call->service, service->name, sizeof(call->service));
@@ -204,7 +210,7 @@
     LIST_INSERT_HEAD(&ingress->calls, call, link);
     ingress->count++;
     http_request_set_data(request, call);
-    ingressmessage_fill(call, read, route);
+    ingressmessage_fill(call, read, route, workspace);
     set_times(call, read, route);
     call->budget = find_budget(ingress, service->name);
     retrybudget_deposit(call->budget);
@@ -250,7 +256,10 @@
         ingressanswer_reject(ingress, request, WIRE_NO_ROUTE, 0, "no route");
         return;
     }
-    call_start(ingress, request, &read, route);
+    const struct declared_workspace *workspace;
+    if (ingresskey_authorize(ingress, request, &read, route, &workspace)) {
+        call_start(ingress, request, &read, route, workspace);
+    }
 }
 
 void
--- a/packages/node/ingress_internal.h
+++ b/packages/node/ingress_internal.h
@@ -2,7 +2,8 @@
  * @file
  * Shared by the ingress modules: start and end of a request (ingress.c), its
  * attempts (ingressattempt.c), the message to instances (ingressmessage.c),
- * the answer (ingressanswer.c) and the quarantine (ingresscrash.c).
+ * the answer (ingressanswer.c), API keys (ingresskey.c) and the quarantine
+ * (ingresscrash.c).
  */
 #ifndef CHESTNUTGAP_NODE_INGRESS_INTERNAL_H
 #define CHESTNUTGAP_NODE_INGRESS_INTERNAL_H
@@ -77,6 +78,12 @@
 
 LIST_HEAD(ingress_retry_budgets, ingress_retry_budget);
 
+/** Requests refused for their API key, by reason. */
+struct ingress_key_counters {
+    struct counter *missing;
+    struct counter *unknown;
+};
+
 #define INGRESS_CLEARED_MAX 256
 
 struct ingress {
@@ -94,6 +101,7 @@
     struct counter *cancelled;
     struct counter *retries;
     struct counter *hedges;
+    struct ingress_key_counters keys;
 };
 
 int64_t ingress_now_us(const struct ingress_call *call);
@@ -112,6 +120,19 @@
 
 bool ingressattempt_is_pending(const struct ingress_call *call);
 
+/* ingresskey.c */
+
+void ingresskey_init(struct ingress_key_counters *counters,
+                     struct counter_registry *registry);
+
+/** Finds the workspace of the request's API key; NULL if none is needed.
+ * @return false if the request was refused */
+bool ingresskey_authorize(struct ingress *ingress,
+                          struct http_request *request,
+                          const struct wire_request *read,
+                          const struct declared_route *route,
+                          const struct declared_workspace **workspace);
+
 /* ingresscrash.c */
 
 /** Clears a reported request, since a target has answered it. */
@@ -124,10 +145,12 @@
 
 /* ingressmessage.c */
 
-/** Fills in the message. Its strings belong to the caller's request. */
+/** Fills in the message. Its strings belong to the caller's request. workspace
+ * may be NULL. */
 void ingressmessage_fill(struct ingress_call *call,
                          const struct wire_request *read,
-                         const struct declared_route *route);
+                         const struct declared_route *route,
+                         const struct declared_workspace *workspace);
 void ingressmessage_clear(struct ingress_call *call);
 
 /* ingressanswer.c */
--- a/packages/node/ingressanswer.c
+++ b/packages/node/ingressanswer.c
@@ -17,7 +17,8 @@
     const struct node *node = call->ingress->node;
     LOG_INFO(
         "request", LOG_STR("id", call->id), LOG_STR("service", call->service),
-        LOG_STR("outcome", outcome), LOG_UINT("status", status),
+        LOG_STR("workspace", call->workspace), LOG_STR("outcome", outcome),
+        LOG_UINT("status", status),
         LOG_STR("reason", relaytask_reason(call->reason)),
         LOG_STR("to", call->instance != NULL ? call->instance : ""),
         LOG_UINT("tries", call->attempt_count),
--- /dev/null
+++ b/packages/node/ingresskey.c
@@ -0,0 +1,41 @@
+/* Checks the API keys of callers. Keys are never logged. */
+#include "node/ingress_internal.h"
+
+void
+ingresskey_init(struct ingress_key_counters *counters,
+                struct counter_registry *registry)
+{
+    counters->missing =
+        counter_add(registry, "ingress_key_missing",
+                    "requests refused without exactly one API key");
+    counters->unknown = counter_add(registry, "ingress_key_unknown",
+                                    "requests refused with an API key that "
+                                    "the configuration doesn't have");
+}
+
+bool
+ingresskey_authorize(struct ingress *ingress, struct http_request *request,
+                     const struct wire_request *read,
+                     const struct declared_route *route,
+                     const struct declared_workspace **workspace)
+{
+    const struct declared *declared = ingress->node->declared;
+    *workspace = NULL;
+    if (!declared_requires_workspace(declared) || route->is_public) {
+        return true;
+    }
+    if (read->api_key == NULL) {
+        ingress->keys.missing->value++;
+        ingressanswer_reject(ingress, request, WIRE_UNAUTHORIZED, 0,
+                             "no valid API key");
+        return false;
+    }
+    *workspace = declared_workspace_by_key(declared, read->api_key);
+    if (*workspace == NULL) {
+        ingress->keys.unknown->value++;
+        ingressanswer_reject(ingress, request, WIRE_UNAUTHORIZED, 0,
+                             "unknown API key");
+        return false;
+    }
+    return true;
+}
--- a/packages/node/ingressmessage.c
+++ b/packages/node/ingressmessage.c
@@ -39,11 +39,12 @@
     const struct http_headers *headers = http_request_headers(request);
     struct relay_field *fields =
         memory_calloc(headers->count + 1, sizeof(*fields));
+    const bool has_workspaces = declared_requires_workspace(node->declared);
     u_int count = 0;
     for (size_t i = 0; i < headers->count; i++) {
         const struct http_header *header = &headers->items[i];
         if (http_header_is_end_to_end(headers, header->name) &&
-            node->wire->forwards_header(header->name)) {
+            node->wire->forwards_header(header->name, has_workspaces)) {
             fields[count].name = (char *)header->name;
             fields[count].value = (char *)header->value;
             count++;
@@ -55,7 +56,8 @@
 
 void
 ingressmessage_fill(struct ingress_call *call, const struct wire_request *read,
-                    const struct declared_route *route)
+                    const struct declared_route *route,
+                    const struct declared_workspace *workspace)
 {
     struct node *node = call->ingress->node;
     struct relay_request *message = &call->message;
@@ -69,11 +71,13 @@
         .keyed = message->keyed,
         .key = read->key,
         .idempotent = route->idempotent,
-        .priority = route->priority,
+        .priority = workspace != NULL && workspace->has_priority
+                        ? workspace->priority
+                        : route->priority,
         .route = hash_string(route->prefix) ^ hash_string(route->host),
         .method = (char *)http_request_method(call->http),
         .path = call->path,
-        .workspace = (char *)"",
+        .workspace = call->workspace,
         .body = {(u_int)body_size, (char *)body},
     };
     fill_fields(node, call->http, message);
