A revoked API key stops within a bound on every instance

Cause: an instance that is partitioned from the store or was paused went on with the last configuration that it knew, and so with revoked keys. Change: freshness tells as of when everything acknowledged is known: the begin of a whole read of the store, or, for a read from another instance, its begin plus the time for which the other held the call less the age of what that one knew. An unreadable configuration lets the one in force age. With the setting the declarations are read with waits of 450 ms, and an instance answers those that read from it when its knowledge is renewed, so that the age doesn't grow with each instance on the way.

--- a/packages/node/feedrelay.c
+++ b/packages/node/feedrelay.c
@@ -40,11 +40,11 @@
     struct feedrelay_table *table;
     uint64_t after;
     int64_t wait_us;
-    rowstore_cb done;
+    feedrelay_cb done;
     void *ctx;
     struct timer pause;
     unsigned peers_asked;
-    int64_t peer_asked_us; /* when the present one was asked */
+    int64_t asked_us; /* when the present source was asked */
     struct rowstore_call *store_call;
     struct rpc_call *peer_call;
     char peer[KEYMAP_NAME_MAX + 1];
@@ -57,6 +57,8 @@
     struct rpc_request *request;
     uint64_t after;
     uint64_t sequence;
+    int64_t arrived_us;
+    int64_t as_of_us; /* of what was known then */
     struct timer timer;
 };
 
@@ -110,12 +112,13 @@
 }
 
 static void
-call_end(struct feedrelay_call *call, const struct rowstore_result *result)
+call_end(struct feedrelay_call *call, const struct rowstore_result *result,
+         const struct freshness_read *read)
 {
-    const rowstore_cb done = call->done;
+    const feedrelay_cb done = call->done;
     void *ctx = call->ctx;
     call_free(call);
-    done(ctx, result);
+    done(ctx, result, read);
 }
 
 static void
@@ -131,7 +134,14 @@
     table->hops = 0;
     table->may_pass_on = table->may_pass_on || ok;
     table->next_store_read_us = now_us + STORE_PAUSE_US;
-    call_end(call, result);
+    /* A version below the known one is that of an older copy. */
+    const struct freshness_read read = {
+        .ok =
+            result->outcome == ROWSTORE_DONE && result->version >= call->after,
+        .begun_us = call->asked_us,
+        .ended_us = now_us,
+    };
+    call_end(call, result, &read);
 }
 
 static void
@@ -141,6 +151,7 @@
     struct feedrelay *relay = call->table->relay;
     const struct rowstore *store = &relay->node->options.store;
     relay->store_reads->value++;
+    call->asked_us = node_now_us(relay->node);
     call->store_call = store->ops->feed(
         store->impl, call->table->name, call->after, call->wait_us,
         call->wait_us + STORE_ANSWER_SLACK_US, on_store_feed, call);
@@ -155,15 +166,24 @@
 static void
 deliver_peer_rows(struct feedrelay_call *call, const struct relay_feed *feed)
 {
-    struct relayrows read;
-    relayrows_read(&read, feed->rows.rows_val, feed->rows.rows_len);
-    call_end(call, &(struct rowstore_result){
-                       .outcome = ROWSTORE_DONE,
-                       .rows = read.rows,
-                       .row_count = read.count,
-                       .version = feed->store_version,
-                   });
-    relayrows_clear(&read);
+    struct relayrows rows;
+    const struct freshness_read read = {
+        .ok = true,
+        .begun_us = call->asked_us,
+        .ended_us = node_now_us(call->table->relay->node),
+        .held_us = (int64_t)feed->held_us,
+        .age_us = (int64_t)feed->age_us,
+    };
+    relayrows_read(&rows, feed->rows.rows_val, feed->rows.rows_len);
+    call_end(call,
+             &(struct rowstore_result){
+                 .outcome = ROWSTORE_DONE,
+                 .rows = rows.rows,
+                 .row_count = rows.count,
+                 .version = feed->store_version,
+             },
+             &read);
+    relayrows_clear(&rows);
 }
 
 static struct feedsource_self
@@ -208,7 +228,7 @@
     struct feedrelay_table *table = call->table;
     struct feedrelay *relay = table->relay;
     const int64_t now_us = node_now_us(relay->node);
-    const bool is_prompt = now_us - call->peer_asked_us < PROMPT_REFUSAL_US;
+    const bool is_prompt = now_us - call->asked_us < PROMPT_REFUSAL_US;
     if (status == RPC_OK) {
         feedsource_record_refusal(&relay->source, call->peer, now_us);
     }
@@ -283,7 +303,7 @@
         .ctx = call,
     };
     call->peers_asked++;
-    call->peer_asked_us = node_now_us(relay->node);
+    call->asked_us = node_now_us(relay->node);
     relay->peer_reads->value++;
     call->peer_call = rpc_call_start(relay->node->rpc, &spec);
 }
@@ -343,7 +363,7 @@
 
 struct feedrelay_call *
 feedrelay_start(struct feedrelay *relay, const char *table, uint64_t after,
-                int64_t wait_us, rowstore_cb done, void *ctx)
+                int64_t wait_us, feedrelay_cb done, void *ctx)
 {
     struct node *node = relay->node;
     struct feedrelay_call *call = memory_calloc(1, sizeof(*call));
@@ -398,7 +418,19 @@
            rowwatch_is_reachable(table->relay->node->fleet_watch);
 }
 
-/** Answers if there are changes, the source is lost, or the wait is over. */
+/** True if what is known is newer than when the request arrived, and others
+ * rely on that. Without this, knowledge would get older at each instance that
+ * it passes by as long as a request waits. */
+static bool
+is_renewed(const struct waiting_request *waiting)
+{
+    const struct feedrelay_table *table = waiting->table;
+    return table->relay->node->settings.revoke_us > 0 &&
+           rowwatch_freshness(table->watch)->as_of_us > waiting->as_of_us;
+}
+
+/** Answers if there are changes, what is known is newer, the source is lost,
+ * or the wait is over. */
 static void
 try_answer(struct waiting_request *waiting, bool wait_is_over)
 {
@@ -407,9 +439,13 @@
     const bool in_touch = is_in_touch(table);
     rowwatch_list_changes(table->watch, waiting->after, waiting->sequence,
                           add_row, &list);
-    if (list.count > 0 || !in_touch || wait_is_over) {
+    if (list.count > 0 || !in_touch || wait_is_over || is_renewed(waiting)) {
+        const int64_t now_us = node_now_us(table->relay->node);
         const struct relay_feed feed = {
             .in_touch = in_touch,
+            .age_us = (uint64_t)freshness_age_us(
+                rowwatch_freshness(table->watch), now_us),
+            .held_us = (uint64_t)(now_us - waiting->arrived_us),
             .hops = table->hops,
             .process = table->relay->node->options.seed,
             .sequence = rowwatch_sequence(table->watch),
@@ -459,6 +495,8 @@
     waiting->request = request;
     waiting->after = asked->after;
     waiting->sequence = same_process ? asked->sequence : 0;
+    waiting->arrived_us = node_now_us(node);
+    waiting->as_of_us = rowwatch_freshness(table->watch)->as_of_us;
     timer_init(&waiting->timer, node->runtime, on_wait_over, waiting);
     timer_start(&waiting->timer, asked->wait_us < PEER_WAIT_US
                                      ? (int64_t)asked->wait_us
--- a/packages/node/feedrelay.h
+++ b/packages/node/feedrelay.h
@@ -9,6 +9,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "fleet/freshness.h"
 #include "store/rowstore.h"
 
 struct instancetable_instance;
@@ -17,6 +18,10 @@
 struct node;
 struct rowwatch;
 
+/** The result of a read, and what a successful one proves. */
+typedef void (*feedrelay_cb)(void *ctx, const struct rowstore_result *result,
+                             const struct freshness_read *read);
+
 /** Registers its procedure with the RPC node. Aborts if out of memory. */
 struct feedrelay *feedrelay_create(struct node *node);
 void feedrelay_destroy(struct feedrelay *relay);
@@ -33,7 +38,7 @@
  * HISTORY_GONE or a failure. */
 struct feedrelay_call *feedrelay_start(struct feedrelay *relay,
                                        const char *table, uint64_t after,
-                                       int64_t wait_us, rowstore_cb done,
+                                       int64_t wait_us, feedrelay_cb done,
                                        void *ctx);
 void feedrelay_cancel(struct feedrelay_call *call);
 
--- a/packages/node/ingress_internal.h
+++ b/packages/node/ingress_internal.h
@@ -82,6 +82,7 @@
 struct ingress_key_counters {
     struct counter *missing;
     struct counter *unknown;
+    struct counter *stale; /* the configuration may lack a revocation */
 };
 
 #define INGRESS_CLEARED_MAX 256
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -19,6 +19,10 @@
 #include "node/relaytask.h"
 #include "node/rowcommit.h"
 
+/* Of a read for changes, where declarations may not be older than a bound: a
+ * short outage of the store must leave them newer than that. */
+#define DECLARED_WAIT_US (450 * US_PER_MS)
+
 int64_t
 node_now_us(const struct node *node)
 {
@@ -295,10 +299,13 @@
         LOG_ERR("declaration_invalid", LOG_STR("row", row->key),
                 LOG_UINT("version", row->version),
                 LOG_STR("error", error_describe(&err, text, sizeof(text))));
+        node->config_unreadable = node->config_unreadable ||
+                                  declaration.kind == WIRE_DECLARED_CONFIG;
         return;
     }
     switch (declaration.kind) {
     case WIRE_DECLARED_CONFIG:
+        node->config_unreadable = false;
         apply_config(node, declaration.config);
         break;
     case WIRE_DECLARED_ZONE_OUT:
@@ -312,7 +319,11 @@
 static void
 on_declared_settled(void *ctx)
 {
-    apply_declared(ctx);
+    struct node *node = ctx;
+    if (!node->config_unreadable) {
+        node->config_freshness = *rowwatch_freshness(node->declared_watch);
+    }
+    apply_declared(node);
 }
 
 static void
@@ -422,6 +433,14 @@
     }
 }
 
+/** Reads declarations more often where their age matters. */
+static void
+set_declared_wait(struct node *node)
+{
+    rowwatch_set_wait(node->declared_watch,
+                      node->settings.revoke_us > 0 ? DECLARED_WAIT_US : 0);
+}
+
 static void
 create_watches(struct node *node)
 {
@@ -435,6 +454,7 @@
         .ctx = node,
     };
     node->declared_watch = rowwatch_create(&options);
+    set_declared_wait(node);
     options.table = NODE_TABLE;
     options.row = on_fleet_row;
     options.settled = on_fleet_settled;
@@ -544,6 +564,7 @@
         return;
     }
     node->settings = *settings;
+    set_declared_wait(node);
     LOG_INFO("settings_reloaded", LOG_STR("service", settings->service));
     ownrow_update(node->ownrow);
 }
--- a/packages/node/node_internal.h
+++ b/packages/node/node_internal.h
@@ -13,6 +13,7 @@
 #include "base/random.h"
 #include "base/runtime.h"
 #include "fleet/declared.h"
+#include "fleet/freshness.h"
 #include "fleet/instancetable.h"
 #include "fleet/keyera.h"
 #include "fleet/keymap.h"
@@ -78,6 +79,8 @@
     struct rowwatch *fleet_watch;
     struct keyera keyera;
     struct declared *declared; /* NULL until it was read */
+    bool config_unreadable;    /* the newest one; an older one is in force */
+    struct freshness config_freshness; /* of the one in force */
     struct node_zone_list zones_out;
     struct instancetable instancetable;
     struct node_keymaps keys;
--- a/packages/node/nodesettings.c
+++ b/packages/node/nodesettings.c
@@ -6,6 +6,7 @@
 
 #define KIND_FIELD "platform"
 #define SECONDS_MAX 3600
+#define REVOKE_SECONDS_MIN 0.1 /* below, reads could not keep up */
 #define LOG_LINES_DEFAULT 200
 #define LOG_LINES_MAX 1000000
 #define LOG_SAMPLE_DEFAULT 16
@@ -82,6 +83,25 @@
         read_number(object, "retry_reserve", RETRY_RESERVE_MAX);
 }
 
+/** Reads an optional duration, longer than 0. */
+static void
+read_revoke(struct document_object *object, struct nodesettings *settings)
+{
+    const json_t *value =
+        document_field(object, "revoke_s", DOCUMENT_OPTIONAL);
+    const double seconds = json_number_value(value);
+    if (value == NULL) {
+        return;
+    }
+    if (!json_is_number(value) || !(seconds >= REVOKE_SECONDS_MIN) ||
+        seconds > SECONDS_MAX) {
+        document_add_problem(object->problems, ERROR_FIELD_RANGE,
+                             "%s/revoke_s", object->path);
+        return;
+    }
+    settings->revoke_us = (int64_t)(seconds * (double)US_PER_SECOND);
+}
+
 bool
 nodesettings_parse(const json_t *document, struct nodesettings *settings,
                    struct document_problems *problems)
@@ -106,6 +126,7 @@
                   sizeof(settings->service));
     read_addresses(&object, settings);
     read_bounds(&object, settings);
+    read_revoke(&object, settings);
     document_bool(&object, "bootstrap", DOCUMENT_OPTIONAL,
                   &settings->bootstrap);
     const int level =
--- a/packages/node/nodesettings.h
+++ b/packages/node/nodesettings.h
@@ -36,8 +36,9 @@
     double retry_share;   /**< of requests that may be retried */
     double retry_reserve; /**< further retries, over all instances */
     int64_t retry_window_us;
-    bool bootstrap; /**< all instances start for the first time: the store
-                       holds nothing that any of them has written */
+    int64_t revoke_us; /**< longest use of a revoked API key; 0: no bound */
+    bool bootstrap;    /**< all instances start for the first time: the store
+                          holds nothing that any of them has written */
     enum log_level log_level;
     unsigned log_lines_per_s; /**< warnings and errors: as many again */
     unsigned log_sample; /**< one in this many requests is logged in full */
--- a/packages/node/rowwatch.c
+++ b/packages/node/rowwatch.c
@@ -12,7 +12,7 @@
 
 #define READ_TIMEOUT_US (1500 * US_PER_MS)
 /* Short, since a store that falls silent is noticed at its end only. */
-#define FEED_WAIT_US (1 * US_PER_SECOND)
+#define WAIT_DEFAULT_US (1 * US_PER_SECOND)
 #define RETRY_MIN_US (50 * US_PER_MS)
 #define RETRY_MAX_US (900 * US_PER_MS)
 /* After the store returned from a copy, its users write again what they had
@@ -41,10 +41,13 @@
     struct feedrelay_call *feed;
     struct timer retry;
     int64_t retry_delay_us;
+    int64_t wait_us; /* of a read for changes */
+    struct freshness freshness;
     uint64_t sequence; /* of the latest report */
     uint64_t version;  /* all rows up to it were reported */
     uint64_t scan_number;
     uint64_t scan_version; /* of the scan's first answer */
+    int64_t scan_begun_us; /* before its first read */
     char *scan_next_key;
     int64_t settle_until_us; /* then rows that a copy lacked are reported */
     bool scan_due;           /* before the feed continues */
@@ -67,6 +70,7 @@
     struct rowwatch *watch = memory_calloc(1, sizeof(*watch));
     watch->options = *options;
     watch->retry_delay_us = RETRY_MIN_US;
+    watch->wait_us = WAIT_DEFAULT_US;
     watch->scan_due = true;
     timer_init(&watch->retry, options->runtime, on_retry, watch);
     timer_start(&watch->retry, 0);
@@ -249,9 +253,12 @@
            rowstore_era(version) > rowstore_era(watch->version);
 }
 
+/** All rows that the read returned were reported. */
 static void
-finish_batch(struct rowwatch *watch, uint64_t version)
+finish_batch(struct rowwatch *watch, uint64_t version,
+             const struct freshness_read *read)
 {
+    freshness_record(&watch->freshness, read);
     if (is_restored(watch, version)) {
         LOG_WARN("store_restored", LOG_STR("table", watch->options.table),
                  LOG_UINT("era", rowstore_era(version)),
@@ -280,7 +287,12 @@
     free(watch->scan_next_key);
     watch->scan_next_key = NULL;
     watch->scan_due = false;
-    finish_batch(watch, watch->scan_version);
+    finish_batch(watch, watch->scan_version,
+                 &(struct freshness_read){
+                     .ok = true,
+                     .begun_us = watch->scan_begun_us,
+                     .ended_us = runtime_now_us(watch->options.runtime),
+                 });
 }
 
 /** Another instance may reach the store: once the table is known, its feed
@@ -347,7 +359,8 @@
 }
 
 static void
-on_feed(void *ctx, const struct rowstore_result *result)
+on_feed(void *ctx, const struct rowstore_result *result,
+        const struct freshness_read *read)
 {
     struct rowwatch *watch = ctx;
     watch->feed = NULL;
@@ -356,7 +369,7 @@
         for (size_t i = 0; i < result->row_count; i++) {
             report_row(watch, &result->rows[i]);
         }
-        finish_batch(watch, result->version);
+        finish_batch(watch, result->version, read);
         watch_continue(watch);
         return;
     case ROWSTORE_HISTORY_GONE:
@@ -395,11 +408,12 @@
          * out soon whether the store answers again. */
         watch->feed = feedrelay_start(
             watch->options.feeds, watch->options.table, watch->version,
-            watch->reachable ? FEED_WAIT_US : 0, on_feed, watch);
+            watch->reachable ? watch->wait_us : 0, on_feed, watch);
         return;
     }
     if (watch->scan_next_key == NULL) {
         watch->scan_number++;
+        watch->scan_begun_us = runtime_now_us(watch->options.runtime);
     }
     const struct rowstore_range range = {
         .table = watch->options.table,
@@ -419,6 +433,18 @@
     watch_continue(watch);
 }
 
+void
+rowwatch_set_wait(struct rowwatch *watch, int64_t wait_us)
+{
+    watch->wait_us = wait_us > 0 ? wait_us : WAIT_DEFAULT_US;
+}
+
+const struct freshness *
+rowwatch_freshness(const struct rowwatch *watch)
+{
+    return &watch->freshness;
+}
+
 bool
 rowwatch_is_reachable(const struct rowwatch *watch)
 {
--- a/packages/node/rowwatch.h
+++ b/packages/node/rowwatch.h
@@ -12,6 +12,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "fleet/freshness.h"
 #include "store/rowstore.h"
 
 struct feedrelay;
@@ -38,6 +39,14 @@
 /** Scans the table again, to see all writes that were done before. */
 void rowwatch_refresh(struct rowwatch *watch);
 
+/** Sets the longest wait of a read for changes, from the next one on;
+ * 0: the default. While
+ * nothing changes, knowledge gets as old as two reads take. */
+void rowwatch_set_wait(struct rowwatch *watch, int64_t wait_us);
+
+/** How new the reported rows are. */
+const struct freshness *rowwatch_freshness(const struct rowwatch *watch);
+
 /** Version of the store up to which all rows were reported; 0 if none yet. */
 uint64_t rowwatch_version(const struct rowwatch *watch);
 
