Fair shares between workspaces in the queue of a target

Cause: the queue of a target is ordered by deadline alone, so under overload a workspace that sends far more than usual takes the target from all others. Change: fairshare keeps virtual times of workspaces (start-time fair queueing), weighted by the usual rate of each over five minutes, at least a third of the present one. Within a priority the queue starts the request of the workspace that is furthest behind, and the place that decides whether a new request can start in time is the place by shares, so the workspace that fills the queue is refused. One table of 1,024 flows for each queue; requests without a workspace are one flow, whose order is the one before. Starting in order of the list, admission by the list, equal weights and credit for idle time each fail a test.

--- a/packages/fleet/targetqueue.c
+++ b/packages/fleet/targetqueue.c
@@ -4,6 +4,7 @@
 
 #include "base/memory.h"
 #include "base/timeunits.h"
+#include "fleet/fairshare.h"
 #include "fleet/ratelimit.h"
 
 #define COLD_WINDOW_US                                                        \
@@ -24,6 +25,7 @@
                                                      starts */
     unsigned start_next;
     struct ratelimit rate;
+    struct fairshare *shares;
     int64_t service_us;
 };
 
@@ -33,6 +35,7 @@
     struct targetqueue *queue = memory_calloc(1, sizeof(*queue));
     TAILQ_INIT(&queue->requests);
     queue->cold_max = 1;
+    queue->shares = fairshare_create();
     queue->service_us = SERVICE_DEFAULT_US;
     for (unsigned i = 0; i < TARGETQUEUE_COLD_RATE_MAX; i++) {
         queue->starts_us[i] = INT64_MIN / 2;
@@ -44,6 +47,10 @@
 void
 targetqueue_destroy(struct targetqueue *queue)
 {
+    if (queue == NULL) {
+        return;
+    }
+    fairshare_destroy(queue->shares);
     free(queue);
 }
 
@@ -107,6 +114,7 @@
     request->state = TARGETQUEUE_STATE_RUNNING;
     request->started_us = now_us;
     queue->running++;
+    fairshare_record_start(queue->shares, request->flow);
     ratelimit_record_start(&queue->rate, now_us);
     queue->starts_us[queue->start_next] = now_us;
     queue->start_next = (queue->start_next + 1) % TARGETQUEUE_COLD_RATE_MAX;
@@ -130,6 +138,7 @@
     struct targetqueue_request *other;
     request->state = TARGETQUEUE_STATE_WAITING;
     queue->waiting++;
+    fairshare_add_waiting(request->flow);
     TAILQ_FOREACH (other, &queue->requests, link) {
         if (is_before(request, other)) {
             TAILQ_INSERT_BEFORE(other, request, link);
@@ -144,6 +153,7 @@
 {
     TAILQ_REMOVE(&queue->requests, request, link);
     queue->waiting--;
+    fairshare_remove_waiting(request->flow);
     request->state = TARGETQUEUE_STATE_NONE;
 }
 
@@ -216,21 +226,83 @@
     return names[bound];
 }
 
+/** True for the request itself, and for those behind it in the list. */
+static bool
+is_from(const struct targetqueue_request *other,
+        const struct targetqueue_request *request)
+{
+    return other == request || is_before(request, other);
+}
+
+/** Number of waiting requests of the same workspace and priority that start
+ * before the request, which may be new. */
+static unsigned
+count_before_in_flow(const struct targetqueue *queue,
+                     const struct targetqueue_request *request)
+{
+    const struct targetqueue_request *other;
+    unsigned ahead = 0;
+    TAILQ_FOREACH (other, &queue->requests, link) {
+        if (is_from(other, request)) {
+            break;
+        }
+        ahead += other->flow == request->flow;
+    }
+    return ahead;
+}
+
+/** Number of waiting requests that start before the request, which may be new.
+ */
 static unsigned
 count_before(const struct targetqueue *queue,
              const struct targetqueue_request *request)
 {
-    const struct targetqueue_request *other;
+    const double tag = fairshare_start_tag(
+        queue->shares, request->flow, count_before_in_flow(queue, request));
+    struct targetqueue_request *other;
     unsigned ahead = 0;
+    bool listed_before = true;
+    fairshare_begin_pass(queue->shares);
     TAILQ_FOREACH (other, &queue->requests, link) {
-        if (is_before(request, other)) {
+        listed_before = listed_before && !is_from(other, request);
+        if (other->priority > request->priority) {
             break;
         }
-        ahead++;
+        if (other->priority < request->priority ||
+            other->flow == request->flow) {
+            ahead += listed_before;
+            continue;
+        }
+        const double other_tag =
+            fairshare_next_tag(queue->shares, other->flow);
+        ahead += other_tag < tag || (other_tag == tag && listed_before);
     }
     return ahead;
 }
 
+/** The request to start next: of the most urgent priority, of the workspace
+ * that is furthest behind its share; NULL if none waits. */
+static struct targetqueue_request *
+first_by_share(const struct targetqueue *queue)
+{
+    struct targetqueue_request *first = TAILQ_FIRST(&queue->requests);
+    struct targetqueue_request *best = first;
+    struct targetqueue_request *other;
+    double best_tag = 0;
+    fairshare_begin_pass(queue->shares);
+    TAILQ_FOREACH (other, &queue->requests, link) {
+        if (other->priority != first->priority) {
+            break;
+        }
+        const double tag = fairshare_next_tag(queue->shares, other->flow);
+        if (other == first || tag < best_tag) {
+            best = other;
+            best_tag = tag;
+        }
+    }
+    return best;
+}
+
 static bool
 is_late(const struct targetqueue_request *request, int64_t now_us)
 {
@@ -279,6 +351,12 @@
                   struct targetqueue_request *request, int64_t now_us)
 {
     request->late = is_late(request, now_us);
+    request->flow = fairshare_find(queue->shares, request->workspace,
+                                   request->priority, now_us);
+    if (!request->arrived) {
+        request->arrived = true;
+        fairshare_record_arrival(request->flow, now_us);
+    }
     if (request->keyed) {
         ratelimit_record_demand(&queue->rate, now_us);
     }
@@ -321,6 +399,20 @@
     }
 }
 
+/** True if the rate limit lets the request start too late, which is behind
+ * that many others in the list. */
+static bool
+is_beyond_rate(const struct targetqueue *queue,
+               const struct targetqueue_request *request, unsigned listed,
+               int64_t now_us)
+{
+    const int64_t left_us = request->start_deadline_us - now_us;
+    /* Shares may put it before others that are listed before it. */
+    return ratelimit_wait_us(&queue->rate, listed, now_us) > left_us &&
+           ratelimit_wait_us(&queue->rate, count_before(queue, request),
+                             now_us) > left_us;
+}
+
 /** The first waiting request whose latest start has passed, or lies before the
  * rate limit lets it start; NULL if there is none. */
 static struct targetqueue_request *
@@ -329,9 +421,8 @@
     struct targetqueue_request *request;
     unsigned ahead = 0;
     TAILQ_FOREACH (request, &queue->requests, link) {
-        const int64_t wait_us = ratelimit_wait_us(&queue->rate, ahead, now_us);
         if (now_us >= request->start_deadline_us ||
-            now_us + wait_us > request->start_deadline_us ||
+            is_beyond_rate(queue, request, ahead, now_us) ||
             is_starved(queue, request, now_us)) {
             return request;
         }
@@ -354,7 +445,7 @@
         return NULL;
     }
     demote_late(queue, now_us);
-    request = TAILQ_FIRST(&queue->requests);
+    request = first_by_share(queue);
     if (request == NULL) {
         return NULL;
     }
@@ -367,7 +458,7 @@
 struct targetqueue_request *
 targetqueue_first(struct targetqueue *queue)
 {
-    return TAILQ_FIRST(&queue->requests);
+    return first_by_share(queue);
 }
 
 /** When the cold start and the rate limit allow the next start; INT64_MAX
--- a/packages/fleet/targetqueue.h
+++ b/packages/fleet/targetqueue.h
@@ -2,9 +2,10 @@
  * @file
  * Admission control and queue of one target: limits concurrent requests, and
  * the rate of starts while the target is cold or names a rate limit. Waiting
- * requests are ordered by priority, then by objective deadline. Those that
- * have missed it come last within their priority: under overload, the target
- * would otherwise only run requests that are just too late. Under a rate limit
+ * requests are ordered by priority, then by fair shares between workspaces,
+ * then by objective deadline. Those that have missed it come last within their
+ * priority and workspace: under overload, the target would otherwise only run
+ * requests that are just too late. Under a rate limit
  * a request that another has overtaken is refused as soon as its turn comes
  * too late, a keyed one also when it is late and more of them arrive than the
  * limit allows, and a repeated one doesn't wait.
@@ -17,6 +18,8 @@
 #include <stdint.h>
 #include <sys/queue.h>
 
+struct fairshare_flow;
+
 #define TARGETQUEUE_COLD_RATE_MAX 256 /* requests per second */
 
 enum targetqueue_verdict {
@@ -42,15 +45,19 @@
     TARGETQUEUE_STATE_RUNNING,
 };
 
-/** A request, embedded in its owner, which sets the fields above late. */
+/** A request, embedded in its owner, which sets the fields above flow. All
+ * others begin as zero. */
 struct targetqueue_request {
     unsigned priority; /**< 0 is the most urgent */
     int64_t objective_deadline_us;
     int64_t expected_service_us; /**< usual for its route */
     int64_t start_deadline_us;   /**< latest start; refused after it */
+    uint64_t workspace;          /**< hash of its name; 0: none */
     bool keyed;                  /**< no other target can run it */
     bool repeated; /**< it has reached a target before, or may have */
-    bool late;     /**< the objective deadline cannot be met */
+    struct fairshare_flow *flow; /**< of its workspace, while it waits */
+    bool arrived;                /**< it counts as demand of its workspace */
+    bool late;                   /**< the objective deadline cannot be met */
     enum targetqueue_state state;
     int64_t started_us;
     TAILQ_ENTRY(targetqueue_request) link;
--- a/packages/node/gateadmit.c
+++ b/packages/node/gateadmit.c
@@ -3,6 +3,7 @@
 
 #include <string.h>
 
+#include "base/hash.h"
 #include "node/keyowner.h"
 #include "node/localtarget.h"
 
@@ -30,6 +31,8 @@
     const int64_t wait_us =
         left_us - needed_us < wait_max_us ? left_us - needed_us : wait_max_us;
     call->queue_request.priority = request->priority;
+    call->queue_request.workspace =
+        request->workspace[0] != '\0' ? hash_string(request->workspace) : 0;
     call->queue_request.keyed = request->keyed;
     call->queue_request.repeated = request->repeated;
     call->queue_request.objective_deadline_us =
