--- a/packages/protocol/procedures.h
+++ b/packages/protocol/procedures.h
@@ -25,6 +25,7 @@
     PROCEDURE_LOADS = 22,   /* TCP: relay.x, loads of keys */
     PROCEDURE_RELAY = 23,   /* TCP: relay.x, a request for a target */
     PROCEDURE_FEED = 24,    /* TCP: relay.x, changed rows of the store */
+    PROCEDURE_QUOTA = 25,   /* TCP: quota.x, tokens of a workspace's quota */
 };
 
 #endif
