Quotas of workspaces over all instances

Requests with the key of a workspace that has a quota take one token before their first attempt: from those in hand, or by one call for all that wait. The owners of two keys of the first keyed service grant them, each half. Tenures of keys are told by keyowner_find_tenure().

--- a/packages/node/ingress.c
+++ b/packages/node/ingress.c
@@ -50,6 +50,13 @@
                                   "requests sent to a second target while "
                                   "the first still ran them");
     ingresskey_init(&ingress->keys, counters);
+    ingress->over_quota = counter_add(counters, "ingress_over_quota",
+                                      "requests refused over the quota of "
+                                      "their workspace");
+    ingress->quota_unknown =
+        counter_add(counters, "ingress_quota_unknown",
+                    "requests refused because no granter of the quota was "
+                    "reached");
     return ingress;
 }
 
@@ -96,6 +103,7 @@
     }
     timer_stop(&call->deadline);
     timer_stop(&call->step);
+    quotatask_cancel(&call->quota);
     ingressmessage_clear(call);
     LIST_REMOVE(call, link);
     call->ingress->count--;
@@ -225,7 +233,7 @@
         ingress_give_up(call);
         return;
     }
-    ingressattempt_start(call);
+    ingressquota_start(call, workspace);
 }
 
 void
--- a/packages/node/ingress_internal.h
+++ b/packages/node/ingress_internal.h
@@ -2,8 +2,8 @@
  * @file
  * Shared by the ingress modules: start and end of a request (ingress.c), its
  * attempts (ingressattempt.c), the message to instances (ingressmessage.c),
- * the answer (ingressanswer.c), API keys (ingresskey.c) and the quarantine
- * (ingresscrash.c).
+ * the answer (ingressanswer.c), API keys (ingresskey.c), quotas
+ * (ingressquota.c) and the quarantine (ingresscrash.c).
  */
 #ifndef CHESTNUTGAP_NODE_INGRESS_INTERNAL_H
 #define CHESTNUTGAP_NODE_INGRESS_INTERNAL_H
@@ -15,6 +15,7 @@
 #include "http/httpserver.h"
 #include "node/ingress.h"
 #include "node/node_internal.h"
+#include "node/quotatask.h"
 #include "node/relaytask.h"
 
 #define INGRESS_CONCURRENT_MAX 2 /* attempts at the same time */
@@ -63,6 +64,7 @@
     struct instancetable_instance *excluded[INSTANCECHOICE_EXCLUDED_MAX];
     size_t excluded_count;
     struct retrybudget *budget; /**< of its service */
+    struct quotatask_request quota;
     struct timer deadline;
     struct timer step; /**< end of a wait, or start of a hedge */
 };
@@ -101,6 +103,8 @@
     struct counter *cancelled;
     struct counter *retries;
     struct counter *hedges;
+    struct counter *over_quota;
+    struct counter *quota_unknown;
     struct ingress_key_counters keys;
 };
 
@@ -143,6 +147,13 @@
 bool ingresscrash_is_quarantined(const struct ingress *ingress,
                                  uint64_t fingerprint);
 
+/* ingressquota.c */
+
+/** Starts the request once it has a token of the workspace's quota; refuses
+ * it if there is none. workspace may be NULL. */
+void ingressquota_start(struct ingress_call *call,
+                        const struct declared_workspace *workspace);
+
 /* ingressmessage.c */
 
 /** Fills in the message. Its strings belong to the caller's request. workspace
--- a/packages/node/keyowner.c
+++ b/packages/node/keyowner.c
@@ -139,15 +139,34 @@
     return keys != NULL ? keys->map.pages[keymap_page_of(key)].version : 0;
 }
 
+/** True if the target may run requests for the grant's keys. */
+static bool
+runs(const struct key_grant *grant)
+{
+    return grant->confirmed && !grant->releasing &&
+           node_now_us(grant->keyowner->node) < grant->start_until_us;
+}
+
+bool
+keyowner_find_tenure(const struct keyowner *keyowner, uint32_t key,
+                     uint64_t *fence, int64_t *since_us)
+{
+    const struct key_grant *grant = keyowner_find_grant(keyowner, key);
+    if (grant == NULL || !runs(grant)) {
+        return false;
+    }
+    *fence = grant->fence;
+    *since_us = grant->first_confirmed_us;
+    return true;
+}
+
 enum keyowner_verdict
 keyowner_check(const struct keyowner *keyowner, uint32_t key,
                uint64_t map_version)
 {
     const struct key_grant *grant = keyowner_find_grant(keyowner, key);
     if (grant != NULL) {
-        const bool runs = grant->confirmed && !grant->releasing &&
-                          node_now_us(keyowner->node) < grant->start_until_us;
-        return runs ? KEYOWNER_RUN : KEYOWNER_WAIT;
+        return runs(grant) ? KEYOWNER_RUN : KEYOWNER_WAIT;
     }
     const struct node_keymap *keys = keyowner_keys(keyowner);
     if (keys == NULL) {
--- a/packages/node/keyowner.h
+++ b/packages/node/keyowner.h
@@ -32,6 +32,12 @@
 enum keyowner_verdict keyowner_check(const struct keyowner *keyowner,
                                      uint32_t key, uint64_t map_version);
 
+/** If keyowner_check() would return KEYOWNER_RUN: since when no other instance
+ * has owned the key, and the fence, which is another one whenever some other
+ * instance may have owned it meanwhile. @return false otherwise */
+bool keyowner_find_tenure(const struct keyowner *keyowner, uint32_t key,
+                          uint64_t *fence, int64_t *since_us);
+
 /** Known version of the key's page; 0 if there is none. */
 uint64_t keyowner_map_version(const struct keyowner *keyowner, uint32_t key);
 
--- a/packages/node/keyowner_internal.h
+++ b/packages/node/keyowner_internal.h
@@ -29,6 +29,7 @@
     uint64_t fence;                  /**< of the map */
     char token[KEYMAP_NAME_MAX + 1]; /**< sent with the first grant */
     bool confirmed;                  /**< by the target */
+    int64_t first_confirmed_us;      /**< 0: not yet */
     bool releasing;                  /**< being handed over */
     bool retained;          /**< since before the store returned from a copy */
     int64_t start_until_us; /**< requests may begin until then */
--- a/packages/node/keyownergrant.c
+++ b/packages/node/keyownergrant.c
@@ -135,6 +135,9 @@
         grant->start_until_us = until_us;
     }
     grant->renew_at_us = grant->sent_us + RENEW_INTERVAL_US;
+    if (grant->first_confirmed_us == 0) {
+        grant->first_confirmed_us = node_now_us(grant->keyowner->node);
+    }
     if (first) {
         LOG_INFO("granted", LOG_UINT("first", grant->first),
                  LOG_UINT("last", grant->last),
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -16,6 +16,8 @@
 #include "node/nodemetrics.h"
 #include "node/ownrow.h"
 #include "node/planner.h"
+#include "node/quotagranter.h"
+#include "node/quotatask.h"
 #include "node/relaytask.h"
 #include "node/rowcommit.h"
 
@@ -471,6 +473,8 @@
     node->feeds = feedrelay_create(node);
     node->commits = rowcommit_create(node);
     node->planner = planner_create(node);
+    node->quotagranter = quotagranter_create(node);
+    node->quotas = quotatask_create(node);
     node->ingress = ingress_create(node);
     node->ownrow = ownrow_create(node);
     create_watches(node);
@@ -512,6 +516,8 @@
     planner_destroy(node->planner);
     rowcommit_destroy(node->commits);
     ingress_destroy(node->ingress);
+    quotatask_destroy(node->quotas);
+    quotagranter_destroy(node->quotagranter);
     relaytask_destroy(node->relay);
     http_server_destroy(node->callers);
     http_server_destroy(node->announcements);
--- a/packages/node/node_internal.h
+++ b/packages/node/node_internal.h
@@ -42,6 +42,8 @@
 struct nodemetrics;
 struct ownrow;
 struct planner;
+struct quotagranter;
+struct quotatask;
 struct relaytask;
 struct rowcommit;
 
@@ -89,6 +91,8 @@
     struct relaytask *relay;
     struct feedrelay *feeds;
     struct rowcommit *commits;
+    struct quotagranter *quotagranter;
+    struct quotatask *quotas;
     struct ingress *ingress;
     struct ownrow *ownrow;
     struct nodemetrics *nodemetrics;
