Keys spread from an owner that holds far more than its share

Cause: 1.5 s after its start an instance assigned all keys to itself, the only one it knew. Nothing moves between working targets until one is busy, and then the owner couldn't give keys away: its one grant covers all keys, an open call or one without an answer declined every move, and each renewal without an answer did so for 3.2 s more. Planners left the owner out after two late answers, and ignored its last loads after 3 s.

Change: the first plan waits until no instance has appeared for 2 s, 5 s at most (firstplan). An owner of more than four shares gives keys to targets without any by itself (keyshed, plannershed). Owners that renew their leases stay in the plan as ones that only give. Moves that can't begin wait 1.2 s; keys to be moved are not renewed while a grant without an answer may still be carried out; keys with running requests wait for a moment without any. The reason of each declined move is logged.

--- a/packages/node/keyowner.c
+++ b/packages/node/keyowner.c
@@ -15,8 +15,6 @@
 #define HANDOVER_MAX_US (4 * US_PER_SECOND)
 /* Leases are written together with those of others, after a pause. */
 #define STORE_ANSWER_SLACK_US (900 * US_PER_MS)
-/* Keys with running requests that are handed over by themselves. */
-#define RUNNING_KEYS_MAX 3
 /* Upper bound on grants that an earlier process sent, which this one does not
  * know. */
 #define FORMER_GRANT_MAX_US (3500 * US_PER_MS)
@@ -33,6 +31,7 @@
     keyowner->former_grants_end_us = node_now_us(node) + FORMER_GRANT_MAX_US;
     TAILQ_INIT(&keyowner->grants);
     TAILQ_INIT(&keyowner->handovers);
+    TAILQ_INIT(&keyowner->waiting_moves);
     LIST_INIT(&keyowner->releases);
     snprintf(keyowner->lease_key, sizeof(keyowner->lease_key), "%s",
              node->settings.instance);
@@ -41,6 +40,9 @@
     keyowner->grants_failed =
         counter_add(counters, "keeper_grants_failed",
                     "grants that the target did not confirm");
+    keyowner->moves_declined =
+        counter_add(counters, "keeper_moves_declined",
+                    "moves of keys that could not be begun");
     keyowner->moves = counter_add(counters, "keeper_moves",
                                   "segments of keys handed over to others");
     keyowner->lease_lost =
@@ -65,6 +67,7 @@
         rowcommit_cancel(keyowner->map_call);
     }
     struct handover *handover;
+    keyownermove_clear(keyowner);
     while ((handover = TAILQ_FIRST(&keyowner->handovers)) != NULL) {
         keyownergrant_drop_handover(handover);
     }
@@ -346,6 +349,7 @@
         }
     }
     drop_slow_handovers(keyowner, now_us);
+    keyownermove_advance(keyowner);
     advance(keyowner);
 }
 
@@ -354,6 +358,7 @@
 {
     struct key_grant *grant;
     struct handover *handover;
+    keyownermove_clear(keyowner);
     while ((handover = TAILQ_FIRST(&keyowner->handovers)) != NULL) {
         keyownergrant_drop_handover(handover);
     }
@@ -400,109 +405,3 @@
     grant->last = key - 1;
     TAILQ_INSERT_AFTER(&keyowner->grants, grant, upper, link);
 }
-
-/** True if the target has confirmed grants of all keys, and no grant call is
- * open or unresolved. A grant of a former process or of a former segment may
- * still be carried out until the target has seen the higher fence. */
-static bool
-can_hand_over(const struct keyowner *keyowner, uint32_t first, uint32_t last,
-              int64_t now_us)
-{
-    const struct key_grant *grant;
-    uint32_t covered = 0;
-    TAILQ_FOREACH (grant, &keyowner->grants, link) {
-        if (grant->last < first || grant->first > last) {
-            continue;
-        }
-        if (!grant->confirmed || grant->releasing || grant->call != NULL ||
-            !keyownergrant_is_certain(grant) ||
-            now_us < grant->unresolved_until_us) {
-            return false;
-        }
-        const uint32_t from = grant->first > first ? grant->first : first;
-        const uint32_t to = grant->last < last ? grant->last : last;
-        covered += to - from + 1;
-    }
-    return covered == last - first + 1;
-}
-
-/** Of the grants within the range. */
-static uint64_t
-highest_fence(const struct keyowner *keyowner, uint32_t first, uint32_t last)
-{
-    const struct key_grant *grant;
-    uint64_t fence = 0;
-    TAILQ_FOREACH (grant, &keyowner->grants, link) {
-        if (grant->first >= first && grant->last <= last &&
-            grant->fence > fence) {
-            fence = grant->fence;
-        }
-    }
-    return fence;
-}
-
-/** Releases the keys at the target; they move once it has answered. */
-static void
-start_handover(struct keyowner *keyowner, uint32_t first, uint32_t last,
-               const struct keymap_holder *to)
-{
-    struct handover *handover = memory_calloc(1, sizeof(*handover));
-    handover->keyowner = keyowner;
-    handover->first = first;
-    handover->last = last;
-    handover->to = *to;
-    handover->started_us = node_now_us(keyowner->node);
-    TAILQ_INSERT_TAIL(&keyowner->handovers, handover, link);
-    keyowner_split_grant_before(keyowner, first);
-    if (last + 1 < DECLARED_KEY_COUNT) {
-        keyowner_split_grant_before(keyowner, last + 1);
-    }
-    handover->fence_max = highest_fence(keyowner, first, last);
-    LOG_INFO("handover_begun", LOG_UINT("first", first),
-             LOG_UINT("last", last), LOG_STR("to", to->instance));
-    keyownergrant_release(handover);
-}
-
-/** Hands over keys of which requests run by themselves: the target releases
- * keys only when their last request has ended, and the others need not wait
- * for that. */
-static void
-start_handovers(struct keyowner *keyowner, uint32_t first, uint32_t last,
-                const struct keymap_holder *to)
-{
-    uint32_t running[RUNNING_KEYS_MAX];
-    const size_t count = localgate_running_keys(
-        keyowner->node->gate, first, last, running, RUNNING_KEYS_MAX);
-    if (count > RUNNING_KEYS_MAX) {
-        start_handover(keyowner, first, last, to);
-        return;
-    }
-    uint32_t next = first;
-    for (size_t i = 0; i < count; i++) {
-        if (running[i] > next) {
-            start_handover(keyowner, next, running[i] - 1, to);
-        }
-        start_handover(keyowner, running[i], running[i], to);
-        next = running[i] + 1;
-    }
-    if (next <= last) {
-        start_handover(keyowner, next, last, to);
-    }
-}
-
-bool
-keyowner_begin_handover(struct keyowner *keyowner, uint32_t first,
-                        uint32_t last, const struct keymap_holder *to)
-{
-    const int64_t now_us = node_now_us(keyowner->node);
-    if (!keyowner_may_grant(keyowner) || !keyowner_store_available(keyowner) ||
-        keyowner->claiming ||
-        !localtarget_is_present(keyowner->node->target) || keyowner->merging ||
-        now_us < keyowner->unresolved_until_us ||
-        !can_hand_over(keyowner, first, last, now_us)) {
-        return false;
-    }
-    start_handovers(keyowner, first, last, to);
-    localgate_keys_changed(keyowner->node->gate);
-    return true;
-}
--- a/packages/node/keyowner.h
+++ b/packages/node/keyowner.h
@@ -56,11 +56,16 @@
 
 void keyowner_map_changed(struct keyowner *keyowner);
 
-/** Begins to hand keys over to another holder.
- * @return false if that is not possible now */
+/** Begins to hand keys over to another holder, or does so shortly: while a
+ * grant call is open, or until no request runs for a key.
+ * @return false if that is not possible; the reason is logged */
 bool keyowner_begin_handover(struct keyowner *keyowner, uint32_t first,
                              uint32_t last, const struct keymap_holder *to);
 
+/** Changes the map as it will be after the handovers that have begun. */
+void keyowner_apply_handovers(const struct keyowner *keyowner,
+                              struct keymap *map);
+
 /** True if the map gives this instance any keys. */
 bool keyowner_owns_keys(const struct keyowner *keyowner);
 
--- a/packages/node/keyowner_internal.h
+++ b/packages/node/keyowner_internal.h
@@ -59,6 +59,37 @@
 
 TAILQ_HEAD(handover_list, handover);
 
+/** Why a move of keys can't begin. */
+enum keyowner_decline {
+    KEYOWNER_NO_DECLINE,
+    KEYOWNER_NO_TARGET,
+    KEYOWNER_NOT_HELD,          /**< some keys are not owned here */
+    KEYOWNER_ALREADY_MOVING,    /**< some keys are being handed over */
+    KEYOWNER_NO_LEASE,          /**< or the map was not read since */
+    KEYOWNER_STORE_UNAVAILABLE, /**< the lease wasn't renewed lately */
+    KEYOWNER_CLAIMING,          /**< the store has returned from a copy */
+    KEYOWNER_MERGING,           /**< own segments are being merged */
+    KEYOWNER_GRANT_UNCONFIRMED, /**< by the target */
+    KEYOWNER_GRANT_UNCERTAIN,   /**< a former owner may hold the keys */
+    KEYOWNER_GRANT_IN_PROGRESS, /**< a grant call has no answer yet */
+    KEYOWNER_GRANT_UNRESOLVED,  /**< one ended without an answer */
+    KEYOWNER_FORMER_GRANTS,     /**< one of a former incarnation did */
+};
+
+/** A move that can't begin yet, or that waits for a moment at which no request
+ * runs for its key. */
+struct waiting_move {
+    TAILQ_ENTRY(waiting_move) link;
+    uint32_t first;
+    uint32_t last;
+    struct keymap_holder to;
+    int64_t until_us;
+    bool may_pause; /**< it begins at the end of the wait in any case */
+    bool renewals_suspended; /**< until unanswered grants have ended */
+};
+
+TAILQ_HEAD(waiting_move_list, waiting_move);
+
 /** A release that the target has not answered yet. */
 struct release_call {
     LIST_ENTRY(release_call) link;
@@ -73,6 +104,7 @@
     struct timer tick;
     struct key_grant_list grants;
     struct handover_list handovers;
+    struct waiting_move_list waiting_moves;
     struct release_list releases;
     struct keyload *load;
     int64_t last_decay_us;
@@ -108,6 +140,7 @@
     struct counter *grants_sent;
     struct counter *grants_failed;
     struct counter *moves;
+    struct counter *moves_declined;
     struct counter *lease_lost;
 };
 
@@ -178,6 +211,16 @@
 /** Claims the granted keys, if the store has returned from a copy. */
 void keyownerclaim_advance(struct keyowner *keyowner);
 
+/* keyownermove.c */
+
+/** Begins moves whose reason to wait is over, and declines those that have
+ * waited too long. */
+void keyownermove_advance(struct keyowner *keyowner);
+void keyownermove_clear(struct keyowner *keyowner);
+
+/** True if the grant is not to be renewed, as its keys are to move. */
+bool keyownermove_suspends_renewals(const struct key_grant *grant);
+
 /* keyownermap.c */
 
 /** Ends handovers that the map shows as done. */
--- a/packages/node/keyownerclaim.c
+++ b/packages/node/keyownerclaim.c
@@ -31,6 +31,7 @@
         }
         grant = next;
     }
+    keyownermove_clear(keyowner);
     while (!TAILQ_EMPTY(&keyowner->handovers)) {
         keyownergrant_drop_handover(TAILQ_FIRST(&keyowner->handovers));
     }
--- a/packages/node/keyownergrant.c
+++ b/packages/node/keyownergrant.c
@@ -152,6 +152,7 @@
     grant->call = NULL;
     if (result->outcome == HTTP_ANSWERED && result->status == STATUS_OK) {
         grant_confirmed(grant);
+        keyownermove_advance(keyowner);
         return;
     }
     keyowner->grants_failed->value++;
@@ -167,6 +168,7 @@
     if (result->outcome != HTTP_ANSWERED && result->outcome != HTTP_NOT_SENT) {
         record_unresolved(grant);
     }
+    keyownermove_advance(keyowner);
 }
 
 /** Fence of the grant at the target. */
@@ -249,7 +251,8 @@
     struct key_grant *grant;
     TAILQ_FOREACH (grant, &keyowner->grants, link) {
         if (grant->call == NULL && !grant->releasing &&
-            now_us >= grant->renew_at_us && keyownergrant_is_certain(grant)) {
+            now_us >= grant->renew_at_us && keyownergrant_is_certain(grant) &&
+            !keyownermove_suspends_renewals(grant)) {
             send_grant(grant);
         }
     }
--- a/packages/node/keyownermap.c
+++ b/packages/node/keyownermap.c
@@ -182,7 +182,8 @@
 {
     const int64_t now_us = node_now_us(keyowner->node);
     if (now_us < keyowner->merge_at_us || !keyowner_may_grant(keyowner) ||
-        !TAILQ_EMPTY(&keyowner->handovers)) {
+        !TAILQ_EMPTY(&keyowner->handovers) ||
+        !TAILQ_EMPTY(&keyowner->waiting_moves)) {
         return;
     }
     const struct keymap_holder own =
--- a/packages/node/planner.c
+++ b/packages/node/planner.c
@@ -24,7 +24,9 @@
 #define REBALANCE_TOLERANCE 1.25     /* times an owner's fair share */
 #define LOAD_AGE_MAX_US (3 * US_PER_SECOND)
 #define BUSY_LOAD_PER_SLOT 0.8 /* from here on requests soon wait */
-#define TARGETS_MAX 512
+/* Loads of an owner that answers no queries but is alive; owners that hold
+ * much of the load answer late just when keys must leave them. */
+#define LATE_LOAD_AGE_MAX_US (15 * US_PER_SECOND)
 
 static void on_tick(void *ctx);
 
@@ -34,6 +36,7 @@
     struct planner *planner = memory_calloc(1, sizeof(*planner));
     planner->node = node;
     planner->plan_from_us = node_now_us(node) + START_DELAY_US;
+    firstplan_init(&planner->first_plan, node_now_us(node));
     snprintf(planner->era_key, sizeof(planner->era_key), NODE_ERA_KEY "%s",
              node->settings.service);
     planner->takeovers =
@@ -109,18 +112,26 @@
     }
 }
 
+/** True if the instance answers no queries, and can't be moved keys from. */
+static bool
+is_out_of_plan(const struct planner *planner, const char *instance)
+{
+    return planner_is_lost(planner, instance) &&
+           !plannertakeover_is_renewed(planner, instance);
+}
+
 static size_t
 list_targets(const struct planner *planner, struct keyplan_target *targets)
 {
-    static struct keyweight_target known[TARGETS_MAX];
+    static struct keyweight_target known[PLANNER_TARGETS_MAX];
     const struct node *node = planner->node;
     const struct instancetable_instance *instance;
     size_t count = 0;
     LIST_FOREACH (instance, &node->instancetable.instances, link) {
         const struct instancetable_row *instance_row = &instance->instance_row;
         if (!planner_serves_own_service(planner, instance_row) ||
-            count == TARGETS_MAX ||
-            planner_is_lost(planner, instance_row->instance)) {
+            count == PLANNER_TARGETS_MAX ||
+            is_out_of_plan(planner, instance_row->instance)) {
             continue;
         }
         known[count] = (struct keyweight_target){
@@ -139,6 +150,11 @@
         count++;
     }
     keyweight_compute(known, count, targets);
+    for (size_t i = 0; i < count; i++) {
+        if (planner_is_lost(planner, targets[i].holder.instance)) {
+            targets[i].can_receive = false;
+        }
+    }
     return count;
 }
 
@@ -153,6 +169,16 @@
            planner_serves_own_service(planner, &instance->instance_row);
 }
 
+/** How old a peer's loads may be to be used. */
+static int64_t
+load_age_max_us(const struct planner *planner, const struct peer_load *peer)
+{
+    return peer->failures > 0 &&
+                   plannertakeover_is_renewed(planner, peer->instance)
+               ? LATE_LOAD_AGE_MAX_US
+               : LOAD_AGE_MAX_US;
+}
+
 static struct keyload_curve *
 make_curve(const struct planner *planner, bool *complete)
 {
@@ -168,7 +194,7 @@
             continue;
         }
         if (peer->received_us > 0 &&
-            now_us - peer->received_us < LOAD_AGE_MAX_US) {
+            now_us - peer->received_us < load_age_max_us(planner, peer)) {
             keyload_curve_add(curve, peer->steps, peer->step_count);
         }
         else if (peer->failures == 0) {
@@ -257,8 +283,13 @@
             size_t count)
 {
     struct node *node = planner->node;
+    size_t ordered = 0;
     for (size_t i = 0; i < count; i++) {
         const struct keyplan_move *move = &moves[i];
+        if (move->from.instance[0] == '\0') {
+            continue; /* not to be assigned yet */
+        }
+        ordered++;
         if (planner_is_self(planner, move->from.instance)) {
             keyowner_begin_handover(node->keyowner, move->first, move->last,
                                     &move->to);
@@ -271,8 +302,8 @@
                                  &move->to);
         }
     }
-    if (count > 0) {
-        LOG_INFO("moves_ordered", LOG_UINT("count", count));
+    if (ordered > 0) {
+        LOG_INFO("moves_ordered", LOG_UINT("count", ordered));
         planner->settle_until_us = node_now_us(node) + SETTLE_US;
     }
 }
@@ -288,7 +319,10 @@
         return true;
     }
     LIST_FOREACH (peer, &planner->peers, link) {
-        if (peer->failures == 0 && is_present(planner, peer) &&
+        const bool is_alive =
+            peer->failures == 0 ||
+            plannertakeover_is_renewed(planner, peer->instance);
+        if (is_alive && is_present(planner, peer) &&
             (peer->load_per_slot > BUSY_LOAD_PER_SLOT ||
              peer->limit_exceeded)) {
             return true;
@@ -297,6 +331,18 @@
     return false;
 }
 
+/** True if some keys have or had an owner. */
+static bool
+was_assigned(const struct keymap *map)
+{
+    for (unsigned page = 0; page < KEYMAP_PAGES; page++) {
+        if (map->pages[page].version > 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
 struct map_needs {
     bool unowned; /* some keys have no owner */
     bool leaving; /* some belong to a leaving instance */
@@ -323,7 +369,7 @@
 make_plan(struct planner *planner, const struct node_keymap *keys,
           int64_t now_us)
 {
-    static struct keyplan_target targets[TARGETS_MAX];
+    static struct keyplan_target targets[PLANNER_TARGETS_MAX];
     static struct keyplan_move moves[KEYPLAN_MOVES_MAX];
     const size_t count = list_targets(planner, targets);
     const struct map_needs needs = find_needs(&keys->map, targets, count);
@@ -349,8 +395,10 @@
     keyload_curve_destroy(input.curve);
     /* Until then, keys that the map gives to nobody may have an owner. */
     const struct keyera *era = &planner->node->keyera;
-    const bool may_assign =
-        keyera_is_recorded(era) && keyera_is_settled(era, now_us);
+    const bool may_assign = keyera_is_recorded(era) &&
+                            keyera_is_settled(era, now_us) &&
+                            (was_assigned(&keys->map) ||
+                             firstplan_is_due(&planner->first_plan, now_us));
     if (!may_assign || !assign_unowned(planner, keys, moves, move_count)) {
         order_moves(planner, moves, move_count);
     }
@@ -378,12 +426,7 @@
         rowwatch_row_version(node->fleet_watch, node->planner->era_key) > 0) {
         return false;
     }
-    for (unsigned page = 0; page < KEYMAP_PAGES; page++) {
-        if (keys->map.pages[page].version > 0) {
-            return false;
-        }
-    }
-    return true;
+    return !was_assigned(&keys->map);
 }
 
 /** Records that the era is settled. Leases don't name an instance whose target
@@ -415,6 +458,18 @@
     free(text);
 }
 
+/** Records how many instances of the service are known. */
+static void
+observe_instances(struct planner *planner, int64_t now_us)
+{
+    const struct instancetable_instance *instance;
+    size_t count = 0;
+    LIST_FOREACH (instance, &planner->node->instancetable.instances, link) {
+        count += planner_serves_own_service(planner, &instance->instance_row);
+    }
+    firstplan_observe(&planner->first_plan, count, now_us);
+}
+
 static void
 planner_run(struct planner *planner)
 {
@@ -428,9 +483,11 @@
     if (rank == 0) {
         record_era(planner, keys, now_us);
     }
+    observe_instances(planner, now_us);
     if (now_us < planner->plan_from_us) {
         return;
     }
+    plannershed_advance(planner, keys, now_us);
     const bool is_watcher = rank < PLANNER_WATCHERS;
     if (now_us >= planner->next_own_sample_us) {
         planner->next_own_sample_us = now_us + PLANNER_POLL_INTERVAL_US;
--- a/packages/node/planner_internal.h
+++ b/packages/node/planner_internal.h
@@ -9,6 +9,7 @@
 
 #include <sys/queue.h>
 
+#include "fleet/firstplan.h"
 #include "fleet/keyload.h"
 #include "fleet/keyplan.h"
 #include "node/node_internal.h"
@@ -22,6 +23,7 @@
 /* Number of instances, in the order of their start, that leases name: the
  * watchers, and who replaces them if they are lost. */
 #define PLANNER_PEERS_NAMED 5
+#define PLANNER_TARGETS_MAX 512
 
 /** Load that an instance of the service reported. */
 struct peer_load {
@@ -56,6 +58,7 @@
     bool needs_promise;         /**< the row names this instance as a peer */
     bool is_present;            /**< the row was written in the present era */
     int64_t unchanged_since_us; /**< when this version was first read here */
+    int64_t renewed_us; /**< latest change seen since it is watched; 0: none */
     int64_t next_read_us;
     int64_t promised_until_us; /**< no takeover before then */
     bool takeover_pending;     /**< a takeover may still take effect */
@@ -75,7 +78,9 @@
     struct keymapwrite map_write;         /* of map_call */
     struct watched_lease *takeover_lease; /* that map_call deletes, or NULL */
     int64_t plan_from_us;                 /* nothing is planned earlier */
-    int64_t own_service_us;               /* smoothed */
+    struct firstplan first_plan;
+    int64_t shed_at_us;     /* keys may be given away by itself from then on */
+    int64_t own_service_us; /* smoothed */
     int64_t next_own_sample_us;
     double own_load_per_slot; /* smoothed */
     int64_t rebalance_at_us;
@@ -135,4 +140,15 @@
 void plannertakeover_advance(struct planner *planner, int64_t delay_us);
 void plannertakeover_free_lease(struct watched_lease *lease);
 
+/** True if the instance was seen to renew its lease within the time that a
+ * lease lasts: it is alive, however late it answers queries. */
+bool plannertakeover_is_renewed(const struct planner *planner,
+                                const char *instance);
+
+/* plannershed.c */
+
+/** Gives keys away if the own target has far more than its share. */
+void plannershed_advance(struct planner *planner,
+                         const struct node_keymap *keys, int64_t now_us);
+
 #endif
--- a/packages/node/plannertakeover.c
+++ b/packages/node/plannertakeover.c
@@ -64,10 +64,25 @@
     struct watched_lease *lease;
     LIST_FOREACH (lease, &planner->leases, link) {
         lease->version_known = false;
+        lease->renewed_us = 0;
         lease->next_read_us = 0;
     }
 }
 
+bool
+plannertakeover_is_renewed(const struct planner *planner, const char *instance)
+{
+    const int64_t now_us = node_now_us(planner->node);
+    const struct watched_lease *lease;
+    LIST_FOREACH (lease, &planner->leases, link) {
+        if (strcmp(lease->instance, instance) == 0) {
+            return lease->renewed_us > 0 &&
+                   now_us - lease->renewed_us < KEYLEASE_DURATION_US;
+        }
+    }
+    return false;
+}
+
 /** Whether the row names this instance as a peer that must promise, and of
  * which era it is. */
 static void
@@ -107,6 +122,9 @@
         }
     }
     if (!lease->version_known || version != lease->version) {
+        if (lease->version_known && version > 0) {
+            lease->renewed_us = now_us;
+        }
         lease->version_known = true;
         lease->version = version;
         lease->unchanged_since_us = now_us;
@@ -210,6 +228,7 @@
     if (!lease->watched) {
         lease->watched = true;
         lease->version_known = false;
+        lease->renewed_us = 0;
         lease->next_read_us = 0;
     }
     if (is_expired(lease, now_us, delay_us)) {
