Moves in the quota model come twice a second; idle workspaces are dropped sooner

A bucket that starts full after a move now fails the model test as well (the window of 5 s had room for one burst). State of a workspace without requests is dropped after 2 s instead of 10 s, since nothing is left of it by then, and the table holds 131,072: at 100,000 workspaces and 7,826 requests/s an instance sees half of them in 10 s.

--- a/packages/fleet/quotahand.c
+++ b/packages/fleet/quotahand.c
@@ -11,7 +11,8 @@
 /* The rate may rise meanwhile. */
 #define EMPTY_MAX_US (1 * US_PER_SECOND)
 #define RETURN_SPREAD_US (1 * US_PER_SECOND)
-#define IDLE_US (10 * US_PER_SECOND)
+/* By then nothing is left of tokens, demand and what granters said. */
+#define IDLE_US (2 * US_PER_SECOND)
 
 void
 quotahand_init(struct quotahand *hand, unsigned preferred)
--- a/packages/fleet/quotamodel.c
+++ b/packages/fleet/quotamodel.c
@@ -13,6 +13,7 @@
 #define WARM_UP_US (3 * US_PER_SECOND)
 #define FAULT_FIRST_US (4 * US_PER_SECOND)
 #define FAULT_INTERVAL_US (6 * US_PER_SECOND)
+#define MOVE_INTERVAL_US (500 * US_PER_MS)
 #define FAULT_DURATION_US (2 * US_PER_SECOND)
 #define TAKEOVER_US (4 * US_PER_SECOND)
 #define LEASE_US (3 * US_PER_SECOND) /* that a granter cut off still has */
@@ -311,7 +312,8 @@
     int64_t fault_us = FAULT_FIRST_US;
     for (; model.now_us < RUN_US; model.now_us += STEP_US) {
         if (model.now_us >= fault_us) {
-            fault_us += FAULT_INTERVAL_US;
+            fault_us += options->fault == QUOTAMODEL_MOVE ? MOVE_INTERVAL_US
+                                                          : FAULT_INTERVAL_US;
             inject_fault(&model);
         }
         move_due(&model);
--- a/packages/fleet/quotamodel.h
+++ b/packages/fleet/quotamodel.h
@@ -10,7 +10,9 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/** What happens each six seconds, from the fourth on. */
+/** What happens each six seconds, from the fourth on; moves come twice a
+ * second.
+ */
 enum quotamodel_fault {
     QUOTAMODEL_CALM,
     QUOTAMODEL_DIE,         /**< a granter dies; its key moves after 4 s */
--- a/packages/fleet/test/quotamodel_test.cc
+++ b/packages/fleet/test/quotamodel_test.cc
@@ -44,6 +44,18 @@
     }
 }
 
+/* Guards against a burst for each new granter. */
+TEST(Quotamodel, MovedGranterHasNoBurst)
+{
+    for (int fault : {QUOTAMODEL_MOVE, QUOTAMODEL_DIE}) {
+        struct quotamodel_options options = Options(74, 74, 7.5, fault);
+        options.burst = options.rate_per_s * 6;
+        struct quotamodel_result result;
+        quotamodel_run(&options, &result);
+        EXPECT_LE(result.highest_window, 1) << fault;
+    }
+}
+
 /* Guards against refusals within the quota, whether its requests come through
  * a few instances or all. */
 TEST(Quotamodel, RequestsWithinTheQuotaAreServed)
--- a/packages/node/quotatask.c
+++ b/packages/node/quotatask.c
@@ -14,9 +14,9 @@
 #define RETRY_MIN_US (20 * US_PER_MS)
 /* A granter without tokens isn't asked again sooner. */
 #define EMPTY_MIN_US (5 * US_PER_MS)
-#define SWEEP_INTERVAL_US (10 * US_PER_SECOND)
+#define SWEEP_INTERVAL_US (2 * US_PER_SECOND)
 #define SLOTS_FIRST 64
-#define WORKSPACES_MAX 32768
+#define WORKSPACES_MAX 131072
 
 TAILQ_HEAD(request_list, quotatask_request);
 
