--- a/packages/node/quotatask.h
+++ b/packages/node/quotatask.h
@@ -44,7 +44,7 @@
  * done is called, which is after this function has returned. */
 enum quotahand_verdict
 quotatask_take(struct quotatask *task, struct quotatask_request *request,
-               const struct declared_workspace *workspace);
+               const struct declared_workspace *declared);
 
 /** Ends a wait without a callback; does nothing if the request doesn't wait.
  */
