Only reads of declarations end when knowledge is renewed

Cause: with revoke_s the reads of the table of instances, too, were answered when the other's knowledge was renewed, which is more calls for nothing. Change: the rule holds for the table of declarations alone.

--- a/packages/node/feedrelay.c
+++ b/packages/node/feedrelay.c
@@ -418,14 +418,16 @@
            rowwatch_is_reachable(table->relay->node->fleet_watch);
 }
 
-/** True if what is known is newer than when the request arrived, and others
- * rely on that. Without this, knowledge would get older at each instance that
- * it passes by as long as a request waits. */
+/** True if what is known is newer than when the request arrived, and its age
+ * matters. Without this, knowledge would get older at each instance that it
+ * passes by as long as a request waits. */
 static bool
 is_renewed(const struct waiting_request *waiting)
 {
     const struct feedrelay_table *table = waiting->table;
-    return table->relay->node->settings.revoke_us > 0 &&
+    const struct node *node = table->relay->node;
+    return node->settings.revoke_us > 0 &&
+           strcmp(table->name, node->wire->declared_table) == 0 &&
            rowwatch_freshness(table->watch)->as_of_us > waiting->as_of_us;
 }
 
