--- a/packages/node/rowwatch.h
+++ b/packages/node/rowwatch.h
@@ -39,9 +39,8 @@
 /** Scans the table again, to see all writes that were done before. */
 void rowwatch_refresh(struct rowwatch *watch);
 
-/** Sets the longest wait of a read for changes, from the next one on;
- * 0: the default. While
- * nothing changes, knowledge gets as old as two reads take. */
+/** Sets the longest wait of a read for changes, from the next one on; 0: the
+ * default. While nothing changes, knowledge gets as old as two reads take. */
 void rowwatch_set_wait(struct rowwatch *watch, int64_t wait_us);
 
 /** How new the reported rows are. */
