Decisions on waiting moves in a module of their own, and late owners keep a share

keymove decides when an ordered move begins, waits, or is declined, without a network; keyownermove carries it out. The plan gave the share of an owner that answers late to nobody, so that one target stayed without keys (found by Shed.PlanTakesKeysFromOwnerThatAnswersLate). The loads of an owner's keys are summed only if it has far more than its share.

--- a/packages/fleet/keyplan.c
+++ b/packages/fleet/keyplan.c
@@ -20,7 +20,7 @@
 bool
 keyplan_keeps_share(const struct keyplan_target *target)
 {
-    return target->can_receive || target->limited;
+    return target->can_receive || target->limited || target->answers_late;
 }
 
 static double
--- a/packages/fleet/keyplan.h
+++ b/packages/fleet/keyplan.h
@@ -25,6 +25,7 @@
     /** Its rate limit bounds its weight: it keeps the keys of its share, but
      * even a single key may ask for too much. */
     bool limited;
+    bool answers_late; /**< alive, but gets no keys: it keeps its share */
 };
 
 /** A move of the keys from first to last (inclusive). */
--- a/packages/fleet/keyshed.c
+++ b/packages/fleet/keyshed.c
@@ -72,12 +72,12 @@
     }
 }
 
-/** True if the owner has far more than its share. */
-static bool
-has_excess(const struct keyshed_input *input)
+bool
+keyshed_has_excess(const struct keymap *map, const struct keymap_holder *own,
+                   size_t targets)
 {
-    const double shares = keymap_share(input->map, input->own->instance) *
-                          (double)(input->target_count + 1);
+    const double shares =
+        keymap_share(map, own->instance) * (double)(targets + 1);
     return shares > KEYSHED_SHARES;
 }
 
@@ -86,7 +86,7 @@
                 struct keyplan_move moves[KEYPLAN_MOVES_MAX])
 {
     struct shed shed = {.input = input, .moves = moves};
-    if (!has_excess(input)) {
+    if (!keyshed_has_excess(input->map, input->own, input->target_count)) {
         return 0;
     }
     shed.idle = memory_calloc(input->target_count + 1,
--- a/packages/fleet/keyshed.h
+++ b/packages/fleet/keyshed.h
@@ -8,6 +8,7 @@
 #ifndef CHESTNUTGAP_FLEET_KEYSHED_H
 #define CHESTNUTGAP_FLEET_KEYSHED_H
 
+#include <stdbool.h>
 #include <stddef.h>
 
 #include "fleet/keyload.h"
@@ -27,6 +28,11 @@
     struct keyload_curve *curve; /**< of the own keys */
 };
 
+/** True if the owner has far more than its share; targets: number of others
+ * that may get keys. */
+bool keyshed_has_excess(const struct keymap *map,
+                        const struct keymap_holder *own, size_t targets);
+
 /**
  * Writes moves of own keys, each to another target that has no keys, and
  * returns their number, at most KEYPLAN_MOVES_MAX. Each move has about the
--- a/packages/fleet/test/keyshed_test.cc
+++ b/packages/fleet/test/keyshed_test.cc
@@ -135,6 +135,29 @@
     EXPECT_TRUE(Compute().empty());
 }
 
+/* Guards against a plan that takes nothing from an owner that answers late, or
+ * that leaves other targets without keys in its place. */
+TEST_F(Shed, PlanTakesKeysFromOwnerThatAnswersLate)
+{
+    const struct keyload_step even[] = {
+        {0, 10000 * KEYLOAD_UNITS_PER_REQUEST}};
+    keyload_curve_add(curve, even, 1);
+    AddTargets(3);
+    std::vector<struct keyplan_target> all = {
+        {own, 1, false, false, false, true}};
+    for (const struct keymap_holder &target : targets) {
+        all.push_back({target, 1, true, false});
+    }
+    const struct keyplan_input input = {&map, all.data(), all.size(), curve,
+                                        1.25};
+    std::vector<struct keyplan_move> moves(KEYPLAN_MOVES_MAX);
+    moves.resize(keyplan_compute(&input, moves.data()));
+    Apply(moves);
+    for (const struct keymap_holder &target : targets) {
+        EXPECT_GT(keymap_share(&map, target.instance), 0.2);
+    }
+}
+
 /* Guards against a first plan that knows only its own instance. */
 TEST(FirstPlan, WaitsUntilNoInstanceAppears)
 {
--- a/packages/node/keyowner_internal.h
+++ b/packages/node/keyowner_internal.h
@@ -11,6 +11,7 @@
 
 #include "fleet/keylease.h"
 #include "fleet/keyload.h"
+#include "fleet/keymove.h"
 #include "http/httpclient.h"
 #include "node/keyowner.h"
 #include "node/node_internal.h"
@@ -59,23 +60,6 @@
 
 TAILQ_HEAD(handover_list, handover);
 
-/** Why a move of keys can't begin. */
-enum keyowner_decline {
-    KEYOWNER_NO_DECLINE,
-    KEYOWNER_NO_TARGET,
-    KEYOWNER_NOT_HELD,          /**< some keys are not owned here */
-    KEYOWNER_ALREADY_MOVING,    /**< some keys are being handed over */
-    KEYOWNER_NO_LEASE,          /**< or the map was not read since */
-    KEYOWNER_STORE_UNAVAILABLE, /**< the lease wasn't renewed lately */
-    KEYOWNER_CLAIMING,          /**< the store has returned from a copy */
-    KEYOWNER_MERGING,           /**< own segments are being merged */
-    KEYOWNER_GRANT_UNCONFIRMED, /**< by the target */
-    KEYOWNER_GRANT_UNCERTAIN,   /**< a former owner may hold the keys */
-    KEYOWNER_GRANT_IN_PROGRESS, /**< a grant call has no answer yet */
-    KEYOWNER_GRANT_UNRESOLVED,  /**< one ended without an answer */
-    KEYOWNER_FORMER_GRANTS,     /**< one of a former incarnation did */
-};
-
 /** A move that can't begin yet, or that waits for a moment at which no request
  * runs for its key. */
 struct waiting_move {
@@ -83,9 +67,7 @@
     uint32_t first;
     uint32_t last;
     struct keymap_holder to;
-    int64_t until_us;
-    bool may_pause; /**< it begins at the end of the wait in any case */
-    bool renewals_suspended; /**< until unanswered grants have ended */
+    struct keymove_wait wait;
 };
 
 TAILQ_HEAD(waiting_move_list, waiting_move);
--- a/packages/node/keyownermove.c
+++ b/packages/node/keyownermove.c
@@ -1,9 +1,4 @@
-/* Begins moves of keys. Some orders come while a grant call is open, which is
- * most of the time at a slow target: they wait for its end. If it has no
- * answer, the keys' grants are not renewed until the unanswered one is over: a
- * target that answers too few grants would keep its keys for ever. A key with
- * running requests waits for a moment without any, since its new requests
- * would wait for the end of those once its release is sent. */
+/* Begins moves of keys, and keeps those that wait (fleet/keymove.h). */
 #include <stdlib.h>
 #include <string.h>
 
@@ -14,117 +9,89 @@
 #include "node/localgate.h"
 #include "node/localtarget.h"
 
-/* Shorter than the time after which planners order moves again. */
-#define MOVE_WAIT_MAX_US (1200 * US_PER_MS)
-/* Longer than a grant can last after its call ended. */
-#define UNRESOLVED_WAIT_MAX_US (3500 * US_PER_MS)
 /* Keys with running requests that are handed over by themselves. */
 #define RUNNING_KEYS_MAX 16
 
-static const char *const decline_names[] = {
-    [KEYOWNER_NO_DECLINE] = "none",
-    [KEYOWNER_NO_TARGET] = "no-target",
-    [KEYOWNER_NOT_HELD] = "not-held",
-    [KEYOWNER_ALREADY_MOVING] = "already-moving",
-    [KEYOWNER_NO_LEASE] = "no-lease",
-    [KEYOWNER_STORE_UNAVAILABLE] = "store-unavailable",
-    [KEYOWNER_CLAIMING] = "claiming",
-    [KEYOWNER_MERGING] = "merging",
-    [KEYOWNER_GRANT_UNCONFIRMED] = "grant-unconfirmed",
-    [KEYOWNER_GRANT_UNCERTAIN] = "grant-uncertain",
-    [KEYOWNER_GRANT_IN_PROGRESS] = "grant-in-progress",
-    [KEYOWNER_GRANT_UNRESOLVED] = "grant-unresolved",
-    [KEYOWNER_FORMER_GRANTS] = "former-grants",
-};
-
-static enum keyowner_decline
+static enum keymove_decline
 check_grant(const struct key_grant *grant, int64_t now_us)
 {
     if (grant->releasing) {
-        return KEYOWNER_ALREADY_MOVING;
+        return KEYMOVE_ALREADY_MOVING;
     }
     if (!grant->confirmed) {
-        return KEYOWNER_GRANT_UNCONFIRMED;
+        return KEYMOVE_GRANT_UNCONFIRMED;
     }
     if (!keyownergrant_is_certain(grant)) {
-        return KEYOWNER_GRANT_UNCERTAIN;
+        return KEYMOVE_GRANT_UNCERTAIN;
     }
     if (grant->call != NULL) {
-        return KEYOWNER_GRANT_IN_PROGRESS;
+        return KEYMOVE_GRANT_IN_PROGRESS;
     }
-    return now_us < grant->unresolved_until_us ? KEYOWNER_GRANT_UNRESOLVED
-                                               : KEYOWNER_NO_DECLINE;
+    return now_us < grant->unresolved_until_us ? KEYMOVE_GRANT_UNRESOLVED
+                                               : KEYMOVE_NO_DECLINE;
 }
 
 /** The target must have confirmed grants of all keys, and no grant call may be
  * open or unresolved. A grant of a former process or of a former segment may
  * still be carried out until the target has seen the higher fence. */
-static enum keyowner_decline
+static enum keymove_decline
 check_grants(const struct keyowner *keyowner, uint32_t first, uint32_t last,
              int64_t now_us)
 {
     const struct key_grant *grant;
-    enum keyowner_decline unresolved = KEYOWNER_NO_DECLINE;
+    enum keymove_decline unresolved = KEYMOVE_NO_DECLINE;
     uint32_t covered = 0;
     TAILQ_FOREACH (grant, &keyowner->grants, link) {
         if (grant->last < first || grant->first > last) {
             continue;
         }
-        const enum keyowner_decline decline = check_grant(grant, now_us);
-        if (decline == KEYOWNER_GRANT_UNRESOLVED) {
+        const enum keymove_decline decline = check_grant(grant, now_us);
+        if (decline == KEYMOVE_GRANT_UNRESOLVED) {
             unresolved = decline;
         }
-        else if (decline != KEYOWNER_NO_DECLINE) {
+        else if (decline != KEYMOVE_NO_DECLINE) {
             return decline;
         }
         const uint32_t from = grant->first > first ? grant->first : first;
         const uint32_t to = grant->last < last ? grant->last : last;
         covered += to - from + 1;
     }
-    return covered == last - first + 1 ? unresolved : KEYOWNER_NOT_HELD;
+    return covered == last - first + 1 ? unresolved : KEYMOVE_NOT_HELD;
 }
 
-static enum keyowner_decline
+static enum keymove_decline
 check_move(const struct keyowner *keyowner, uint32_t first, uint32_t last)
 {
     const int64_t now_us = node_now_us(keyowner->node);
     if (!localtarget_is_present(keyowner->node->target)) {
-        return KEYOWNER_NO_TARGET;
+        return KEYMOVE_NO_TARGET;
     }
     if (keyowner->claiming) {
-        return KEYOWNER_CLAIMING;
+        return KEYMOVE_CLAIMING;
     }
     if (!keyowner_may_grant(keyowner)) {
-        return KEYOWNER_NO_LEASE;
+        return KEYMOVE_NO_LEASE;
     }
     if (!keyowner_store_available(keyowner)) {
-        return KEYOWNER_STORE_UNAVAILABLE;
+        return KEYMOVE_STORE_UNAVAILABLE;
     }
     if (keyowner->merging) {
-        return KEYOWNER_MERGING;
+        return KEYMOVE_MERGING;
     }
     if (now_us < keyowner->unresolved_until_us) {
-        return KEYOWNER_FORMER_GRANTS;
+        return KEYMOVE_FORMER_GRANTS;
     }
     return check_grants(keyowner, first, last, now_us);
 }
 
-/** Whether the reason may be over soon. */
-static bool
-may_wait(enum keyowner_decline decline)
-{
-    return decline != KEYOWNER_NO_TARGET && decline != KEYOWNER_NOT_HELD &&
-           decline != KEYOWNER_ALREADY_MOVING && decline != KEYOWNER_CLAIMING;
-}
-
 static void
 log_declined(struct keyowner *keyowner, uint32_t first, uint32_t last,
-             const struct keymap_holder *to, enum keyowner_decline decline)
+             const struct keymap_holder *to, enum keymove_decline decline)
 {
     keyowner->moves_declined->value++;
     LOG_INFO("move_declined", LOG_UINT("first", first), LOG_UINT("last", last),
              LOG_STR("to", to->instance),
-             LOG_STR("reason", decline_names[decline]));
+             LOG_STR("reason", keymove_decline_name(decline)));
 }
 
 /** Of the grants within the range. */
@@ -187,8 +154,7 @@
     move->first = first;
     move->last = last;
     move->to = *to;
-    move->may_pause = may_pause;
-    move->until_us = node_now_us(keyowner->node) + MOVE_WAIT_MAX_US;
+    keymove_wait_init(&move->wait, may_pause, node_now_us(keyowner->node));
     TAILQ_INSERT_TAIL(&keyowner->waiting_moves, move, link);
 }
 
@@ -205,25 +171,24 @@
     return false;
 }
 
-/** False if the keys must leave soon: a key may then be released while
- * requests run for it. */
+/** True if all keys must leave soon. */
 static bool
-may_wait_for_requests(const struct keyowner *keyowner)
+is_urgent(const struct keyowner *keyowner)
 {
     struct node *node = keyowner->node;
-    return localtarget_is_serving(node->target) &&
-           !node_zone_is_out(node, node->settings.zone);
+    return !localtarget_is_serving(node->target) ||
+           node_zone_is_out(node, node->settings.zone);
 }
 
 static void
 move_running_key(struct keyowner *keyowner, uint32_t key,
                  const struct keymap_holder *to)
 {
-    if (may_wait_for_requests(keyowner)) {
-        add_waiting(keyowner, key, key, to, true);
+    if (is_urgent(keyowner)) {
+        start_handover(keyowner, key, key, to);
     }
     else {
-        start_handover(keyowner, key, key, to);
+        add_waiting(keyowner, key, key, to, true);
     }
 }
 
@@ -258,15 +223,15 @@
 keyowner_begin_handover(struct keyowner *keyowner, uint32_t first,
                         uint32_t last, const struct keymap_holder *to)
 {
-    const enum keyowner_decline decline =
-        is_waiting(keyowner, first, last) ? KEYOWNER_ALREADY_MOVING
+    const enum keymove_decline decline =
+        is_waiting(keyowner, first, last) ? KEYMOVE_ALREADY_MOVING
                                           : check_move(keyowner, first, last);
-    if (decline == KEYOWNER_NO_DECLINE) {
+    if (decline == KEYMOVE_NO_DECLINE) {
         start_handovers(keyowner, first, last, to);
         localgate_keys_changed(keyowner->node->gate);
         return true;
     }
-    if (may_wait(decline)) {
+    if (keymove_may_wait(decline)) {
         add_waiting(keyowner, first, last, to, false);
         keyownermove_advance(keyowner);
         return true;
@@ -275,58 +240,55 @@
     return false;
 }
 
-/** Has the keys' grants end: no call is open, but one had no answer. */
-static void
-suspend_renewals(struct keyowner *keyowner, struct waiting_move *move,
-                 int64_t now_us)
-{
-    if (!move->renewals_suspended) {
-        move->renewals_suspended = true;
-        move->until_us = now_us + UNRESOLVED_WAIT_MAX_US;
-        split_grants(keyowner, move->first, move->last);
-    }
-}
-
 static bool
-has_running_requests(const struct keyowner *keyowner, uint32_t key)
+has_running_requests(const struct keyowner *keyowner, uint32_t first,
+                     uint32_t last)
 {
     uint32_t running;
-    return localgate_running_keys(keyowner->node->gate, key, key, &running,
+    return localgate_running_keys(keyowner->node->gate, first, last, &running,
                                   1) > 0;
 }
 
+static void
+begin_waiting(struct keyowner *keyowner, const struct waiting_move *order)
+{
+    if (order->wait.may_pause) {
+        start_handover(keyowner, order->first, order->last, &order->to);
+    }
+    else {
+        start_handovers(keyowner, order->first, order->last, &order->to);
+    }
+    localgate_keys_changed(keyowner->node->gate);
+}
+
 /** Begins the move, declines it, or leaves it waiting. */
 static void
 advance_waiting(struct keyowner *keyowner, struct waiting_move *move,
                 int64_t now_us)
 {
     const struct waiting_move order = *move;
-    const enum keyowner_decline decline =
-        check_move(keyowner, order.first, order.last);
-    const bool ended = now_us >= order.until_us;
-    if (decline != KEYOWNER_NO_DECLINE) {
-        if (ended || !may_wait(decline)) {
-            remove_waiting(keyowner, move);
-            log_declined(keyowner, order.first, order.last, &order.to,
-                         decline);
-        }
-        else if (decline == KEYOWNER_GRANT_UNRESOLVED) {
-            suspend_renewals(keyowner, move, now_us);
-        }
-        return;
-    }
-    if (order.may_pause && !ended && may_wait_for_requests(keyowner) &&
-        has_running_requests(keyowner, order.first)) {
-        return;
-    }
-    remove_waiting(keyowner, move);
-    if (order.may_pause) {
-        start_handover(keyowner, order.first, order.last, &order.to);
+    const struct keymove_state state = {
+        .decline = check_move(keyowner, order.first, order.last),
+        .running = has_running_requests(keyowner, order.first, order.last),
+        .urgent = is_urgent(keyowner),
+    };
+    switch (keymove_decide(&move->wait, &state, now_us)) {
+    case KEYMOVE_WAIT:
+        break;
+    case KEYMOVE_SUSPEND:
+        /* No call is open, so that the parts have none of their own. */
+        split_grants(keyowner, order.first, order.last);
+        break;
+    case KEYMOVE_DECLINE:
+        remove_waiting(keyowner, move);
+        log_declined(keyowner, order.first, order.last, &order.to,
+                     state.decline);
+        break;
+    case KEYMOVE_BEGIN:
+        remove_waiting(keyowner, move);
+        begin_waiting(keyowner, &order);
+        break;
     }
-    else {
-        start_handovers(keyowner, order.first, order.last, &order.to);
-    }
-    localgate_keys_changed(keyowner->node->gate);
 }
 
 void
@@ -358,7 +320,7 @@
 {
     const struct waiting_move *move;
     TAILQ_FOREACH (move, &grant->keyowner->waiting_moves, link) {
-        if (move->renewals_suspended && move->first <= grant->first &&
+        if (move->wait.renewals_suspended && move->first <= grant->first &&
             move->last >= grant->last) {
             return true;
         }
--- a/packages/node/planner.c
+++ b/packages/node/planner.c
@@ -151,9 +151,10 @@
     }
     keyweight_compute(known, count, targets);
     for (size_t i = 0; i < count; i++) {
-        if (planner_is_lost(planner, targets[i].holder.instance)) {
-            targets[i].can_receive = false;
-        }
+        struct keyplan_target *target = &targets[i];
+        target->answers_late =
+            planner_is_lost(planner, target->holder.instance);
+        target->can_receive = target->can_receive && !target->answers_late;
     }
     return count;
 }
--- a/packages/node/plannershed.c
+++ b/packages/node/plannershed.c
@@ -53,11 +53,38 @@
     return curve;
 }
 
+/** Writes moves of the keys that are not moving yet.
+ * @return their number */
+static size_t
+plan_moves(const struct planner *planner, const struct node_keymap *keys,
+           const struct keymap_holder *own,
+           struct keyplan_move moves[KEYPLAN_MOVES_MAX])
+{
+    static struct keymap_holder targets[PLANNER_TARGETS_MAX];
+    struct keymap map;
+    const size_t target_count = list_receivers(planner, targets);
+    if (!keyshed_has_excess(&keys->map, own, target_count)) {
+        return 0;
+    }
+    keymap_copy(&map, &keys->map);
+    keyowner_apply_handovers(planner->node->keyowner, &map);
+    const struct keyshed_input input = {
+        .map = &map,
+        .own = own,
+        .targets = targets,
+        .target_count = target_count,
+        .curve = make_own_curve(planner),
+    };
+    const size_t count = keyshed_compute(&input, moves);
+    keyload_curve_destroy(input.curve);
+    keymap_clear(&map);
+    return count;
+}
+
 void
 plannershed_advance(struct planner *planner, const struct node_keymap *keys,
                     int64_t now_us)
 {
-    static struct keymap_holder targets[PLANNER_TARGETS_MAX];
     static struct keyplan_move moves[KEYPLAN_MOVES_MAX];
     struct node *node = planner->node;
     if (now_us < planner->shed_at_us ||
@@ -67,19 +94,7 @@
     }
     planner->shed_at_us = now_us + SHED_INTERVAL_US;
     const struct keymap_holder own = localtarget_holder(node->target);
-    struct keymap map;
-    keymap_copy(&map, &keys->map);
-    keyowner_apply_handovers(node->keyowner, &map);
-    const struct keyshed_input input = {
-        .map = &map,
-        .own = &own,
-        .targets = targets,
-        .target_count = list_receivers(planner, targets),
-        .curve = make_own_curve(planner),
-    };
-    const size_t count = keyshed_compute(&input, moves);
-    keyload_curve_destroy(input.curve);
-    keymap_clear(&map);
+    const size_t count = plan_moves(planner, keys, &own, moves);
     for (size_t i = 0; i < count; i++) {
         keyowner_begin_handover(node->keyowner, moves[i].first, moves[i].last,
                                 &moves[i].to);
