--- a/packages/fleet/keymove.c
+++ b/packages/fleet/keymove.c
@@ -14,6 +14,7 @@
     [KEYMOVE_GRANT_IN_PROGRESS] = "grant-in-progress",
     [KEYMOVE_GRANT_UNRESOLVED] = "grant-unresolved",
     [KEYMOVE_FORMER_GRANTS] = "former-grants",
+    [KEYMOVE_TOO_MANY] = "too-many",
 };
 
 const char *
@@ -35,7 +36,8 @@
 keymove_may_wait(enum keymove_decline decline)
 {
     return decline != KEYMOVE_NO_TARGET && decline != KEYMOVE_NOT_HELD &&
-           decline != KEYMOVE_ALREADY_MOVING && decline != KEYMOVE_CLAIMING;
+           decline != KEYMOVE_ALREADY_MOVING && decline != KEYMOVE_CLAIMING &&
+           decline != KEYMOVE_TOO_MANY;
 }
 
 enum keymove_verdict
--- a/packages/fleet/keymove.h
+++ b/packages/fleet/keymove.h
@@ -18,6 +18,9 @@
 /** Longer than a grant can last after its call ended. */
 #define KEYMOVE_UNRESOLVED_WAIT_MAX_US (3500 * US_PER_MS)
 
+/** Moves of one owner that may wait. */
+#define KEYMOVE_WAITS_MAX 256
+
 /** Why a move can't begin. */
 enum keymove_decline {
     KEYMOVE_NO_DECLINE,
@@ -33,6 +36,7 @@
     KEYMOVE_GRANT_IN_PROGRESS, /**< a grant call has no answer yet */
     KEYMOVE_GRANT_UNRESOLVED,  /**< one ended without an answer */
     KEYMOVE_FORMER_GRANTS,     /**< one of a former incarnation did */
+    KEYMOVE_TOO_MANY,          /**< as many as may wait already do */
 };
 
 enum keymove_verdict {
--- a/packages/fleet/test/keymove_test.cc
+++ b/packages/fleet/test/keymove_test.cc
@@ -45,7 +45,7 @@
 {
     for (const enum keymove_decline decline :
          {KEYMOVE_NO_TARGET, KEYMOVE_NOT_HELD, KEYMOVE_ALREADY_MOVING,
-          KEYMOVE_CLAIMING}) {
+          KEYMOVE_CLAIMING, KEYMOVE_TOO_MANY}) {
         state.decline = decline;
         EXPECT_FALSE(keymove_may_wait(decline));
         EXPECT_EQ(KEYMOVE_DECLINE, DecideAt(0));
--- a/packages/node/keyowner_internal.h
+++ b/packages/node/keyowner_internal.h
@@ -87,6 +87,7 @@
     struct key_grant_list grants;
     struct handover_list handovers;
     struct waiting_move_list waiting_moves;
+    unsigned waiting_count;
     struct release_list releases;
     struct keyload *load;
     int64_t last_decay_us;
--- a/packages/node/keyownermove.c
+++ b/packages/node/keyownermove.c
@@ -143,6 +143,7 @@
 remove_waiting(struct keyowner *keyowner, struct waiting_move *move)
 {
     TAILQ_REMOVE(&keyowner->waiting_moves, move, link);
+    keyowner->waiting_count--;
     free(move);
 }
 
@@ -156,6 +157,7 @@
     move->to = *to;
     keymove_wait_init(&move->wait, may_pause, node_now_us(keyowner->node));
     TAILQ_INSERT_TAIL(&keyowner->waiting_moves, move, link);
+    keyowner->waiting_count++;
 }
 
 /** True if some of the keys already wait to be moved. */
@@ -184,7 +186,7 @@
 move_running_key(struct keyowner *keyowner, uint32_t key,
                  const struct keymap_holder *to)
 {
-    if (is_urgent(keyowner)) {
+    if (is_urgent(keyowner) || keyowner->waiting_count == KEYMOVE_WAITS_MAX) {
         start_handover(keyowner, key, key, to);
     }
     else {
@@ -219,13 +221,25 @@
     }
 }
 
+/** The same for a new order, with regard to the moves that wait. */
+static enum keymove_decline
+check_order(const struct keyowner *keyowner, uint32_t first, uint32_t last)
+{
+    if (is_waiting(keyowner, first, last)) {
+        return KEYMOVE_ALREADY_MOVING;
+    }
+    const enum keymove_decline decline = check_move(keyowner, first, last);
+    return keymove_may_wait(decline) && decline != KEYMOVE_NO_DECLINE &&
+                   keyowner->waiting_count == KEYMOVE_WAITS_MAX
+               ? KEYMOVE_TOO_MANY
+               : decline;
+}
+
 bool
 keyowner_begin_handover(struct keyowner *keyowner, uint32_t first,
                         uint32_t last, const struct keymap_holder *to)
 {
-    const enum keymove_decline decline =
-        is_waiting(keyowner, first, last) ? KEYMOVE_ALREADY_MOVING
-                                          : check_move(keyowner, first, last);
+    const enum keymove_decline decline = check_order(keyowner, first, last);
     if (decline == KEYMOVE_NO_DECLINE) {
         start_handovers(keyowner, first, last, to);
         localgate_keys_changed(keyowner->node->gate);
@@ -313,6 +327,7 @@
         move = next;
     }
     TAILQ_INIT(&keyowner->waiting_moves);
+    keyowner->waiting_count = 0;
 }
 
 bool
