A request that was never sent ends as not run at its deadline

Another instance's gate told only 100 ms after the deadline that it had not sent one.

Attempts are asked whether a byte was sent; any doubt counts as sent. A gate refuses a request without a connection 40 ms before its deadline, or after half of the time left. One that is cancelled before any byte was sent isn't sent later any more, also if it is not idempotent.

--- a/packages/node/gatesend.c
+++ b/packages/node/gatesend.c
@@ -11,6 +11,11 @@
 
 /* The target itself answers at its deadline; waits this much longer. */
 #define TARGET_ANSWER_GRACE_US (100 * US_PER_MS)
+/* A request without a connection to the target is refused so long before its
+ * deadline, but not in the first part of its time left: the sender has to
+ * learn from the reply, before its own deadline, that it has not run. */
+#define LATEST_SEND_MARGIN_US (40 * US_PER_MS)
+#define LATEST_SEND_MIN_PERCENT 50
 
 static void
 fill_fields(struct relay_field *fields, const struct http_headers *headers,
@@ -148,6 +153,16 @@
     return call->gate->node->wire->answer_matches_request(headers, call->id);
 }
 
+void
+gatesend_on_latest_send(struct localgate_call *call)
+{
+    struct localgate *gate = call->gate;
+    if (call->http != NULL && !http_call_is_sent(call->http)) {
+        localgate_fail(call, RELAY_NOT_RUN, RELAY_REASON_CONNECT, false);
+        gateadmit_run_queue(gate);
+    }
+}
+
 void
 gatesend_start(struct localgate_call *call)
 {
@@ -168,9 +183,12 @@
         });
     call->state = CALL_SENT;
     call->sent_us = localgate_now_us(gate);
+    const int64_t left_us = call->deadline_us - call->sent_us;
+    const int64_t least_us = left_us * LATEST_SEND_MIN_PERCENT / 100;
+    const int64_t send_us = left_us - LATEST_SEND_MARGIN_US;
     nodemetrics_record(node->nodemetrics, NODEMETRICS_QUEUE,
                        call->sent_us - call->arrived_us);
-    timer_stop(&call->timer);
+    timer_start(&call->timer, send_us > least_us ? send_us : least_us);
     gate->started->value++;
     call->http = http_call_start(
         localtarget_client(node->target),
--- a/packages/node/ingress.c
+++ b/packages/node/ingress.c
@@ -131,10 +131,12 @@
 void
 ingress_give_up(struct ingress_call *call)
 {
-    /* Attempts in progress may still run; their answers are dropped. */
+    /* Attempts that were sent may still run; their answers are dropped. */
     for (size_t i = 0; i < INGRESS_CONCURRENT_MAX; i++) {
+        const struct relay_call *relay_call = call->attempts[i].relay_call;
         call->may_have_run =
-            call->may_have_run || call->attempts[i].relay_call != NULL;
+            call->may_have_run ||
+            (relay_call != NULL && relaytask_may_have_run(relay_call));
         attempt_cancel(&call->attempts[i]);
     }
     ingressanswer_refuse(call);
--- a/packages/node/localgate.c
+++ b/packages/node/localgate.c
@@ -143,6 +143,10 @@
 on_call_timer(void *ctx)
 {
     struct localgate_call *call = ctx;
+    if (call->state == CALL_SENT) {
+        gatesend_on_latest_send(call);
+        return;
+    }
     const bool awaits_key = call->state == CALL_AWAITS_KEY;
     localgate_fail(call, RELAY_NOT_RUN,
                    awaits_key ? RELAY_REASON_MOVING : call->refusal, false);
@@ -186,12 +190,19 @@
     return call;
 }
 
+bool
+localgate_may_have_run(const struct localgate_call *call)
+{
+    return call->state == CALL_SENT &&
+           (call->http == NULL || http_call_is_sent(call->http));
+}
+
 void
 localgate_cancel(struct localgate_call *call)
 {
     struct localgate *gate = call->gate;
     const bool keeps_running =
-        call->state == CALL_SENT && !call->request->idempotent;
+        localgate_may_have_run(call) && !call->request->idempotent;
     if (call->state == CALL_SENT) {
         LOG_STEP("cancelled", LOG_STR("id", call->id),
                  LOG_BOOL("runs_on", keeps_running),
--- a/packages/node/localgate.h
+++ b/packages/node/localgate.h
@@ -31,6 +31,10 @@
                                         const struct relay_request *request,
                                         localgate_cb done, void *ctx);
 
+/** False if the target has not received the request, and won't once it is
+ * cancelled. */
+bool localgate_may_have_run(const struct localgate_call *call);
+
 /** The answer is no longer needed; the callback isn't called. A request that
  * is not idempotent and has been sent keeps running at the target. */
 void localgate_cancel(struct localgate_call *call);
--- a/packages/node/localgate_internal.h
+++ b/packages/node/localgate_internal.h
@@ -99,4 +99,7 @@
 
 void gatesend_start(struct localgate_call *call);
 
+/** Refuses the call if the target has not received any of it. */
+void gatesend_on_latest_send(struct localgate_call *call);
+
 #endif
--- a/packages/node/relaytask.c
+++ b/packages/node/relaytask.c
@@ -144,6 +144,13 @@
     return call;
 }
 
+bool
+relaytask_may_have_run(const struct relay_call *call)
+{
+    return call->local != NULL ? localgate_may_have_run(call->local)
+                               : rpc_call_may_be_sent(call->remote);
+}
+
 void
 relaytask_cancel(struct relay_call *call)
 {
--- a/packages/node/relaytask.h
+++ b/packages/node/relaytask.h
@@ -39,6 +39,9 @@
                const struct instancetable_instance *instance,
                const struct relay_request *request, int64_t timeout_us,
                relay_call_cb done, void *ctx);
+/** False if no target has received the request, and none will once the call is
+ * cancelled. */
+bool relaytask_may_have_run(const struct relay_call *call);
 void relaytask_cancel(struct relay_call *call);
 
 /** How an instance answered the request for a promise. */
--- a/packages/protocol/rpc.h
+++ b/packages/protocol/rpc.h
@@ -126,6 +126,10 @@
 struct rpc_call *rpc_call_start(struct rpc_node *node,
                                 const struct rpc_call_spec *spec);
 
+/** False if no byte of the call was sent and none will be once it is
+ * cancelled. */
+bool rpc_call_may_be_sent(const struct rpc_call *call);
+
 /** Ends a call without a callback and sends a TCP peer PROCEDURE_CANCEL. */
 void rpc_call_cancel(struct rpc_call *call);
 
--- a/packages/protocol/rpccall.c
+++ b/packages/protocol/rpccall.c
@@ -131,6 +131,16 @@
     rpc_call_end(call, RPC_TIMED_OUT, NULL);
 }
 
+bool
+rpc_call_may_be_sent(const struct rpc_call *call)
+{
+    if (call->queue == &call->node->failed) {
+        return call->failed_status != RPC_NOT_SENT &&
+               call->failed_status != RPC_REFUSED_BY_HOST;
+    }
+    return call->unsent == NULL;
+}
+
 void
 rpc_call_cancel(struct rpc_call *call)
 {
