Admission follows a target that slows down before it answers

The expected wait came from answered requests only: while the first slow requests ran, others were queued by the former speed and refused only at their latest start. The mean age of the running requests now counts where it exceeds the usual service time.

--- a/packages/fleet/targetqueue.c
+++ b/packages/fleet/targetqueue.c
@@ -25,6 +25,7 @@
     unsigned start_next;
     struct ratelimit rate;
     int64_t service_us;
+    int64_t started_sum_us; /* of the running requests */
 };
 
 struct targetqueue *
@@ -107,6 +108,7 @@
     request->state = TARGETQUEUE_STATE_RUNNING;
     request->started_us = now_us;
     queue->running++;
+    queue->started_sum_us += now_us;
     ratelimit_record_start(&queue->rate, now_us);
     queue->starts_us[queue->start_next] = now_us;
     queue->start_next = (queue->start_next + 1) % TARGETQUEUE_COLD_RATE_MAX;
@@ -147,12 +149,23 @@
     request->state = TARGETQUEUE_STATE_NONE;
 }
 
+/** Service time at the target's present speed. Answers tell of a slowdown only
+ * when the first slow requests end; until then, the running ones show it. */
+static int64_t
+present_service_us(const struct targetqueue *queue, int64_t now_us)
+{
+    const int64_t mean_age_us =
+        queue->running > 0 ? now_us - queue->started_sum_us / queue->running
+                           : 0;
+    return mean_age_us > queue->service_us ? mean_age_us : queue->service_us;
+}
+
 /** Expected wait of a request behind that many others, for a free slot. */
 static int64_t
-slot_wait_us(const struct targetqueue *queue, unsigned ahead)
+slot_wait_us(const struct targetqueue *queue, unsigned ahead, int64_t now_us)
 {
     return queue->running >= queue->limit
-               ? queue->service_us * (ahead + 1) / queue->limit
+               ? present_service_us(queue, now_us) * (ahead + 1) / queue->limit
                : 0;
 }
 
@@ -174,7 +187,7 @@
 {
     const int64_t waits_us[] = {
         [TARGETQUEUE_BOUND_NONE] = 0,
-        [TARGETQUEUE_BOUND_SLOTS] = slot_wait_us(queue, ahead),
+        [TARGETQUEUE_BOUND_SLOTS] = slot_wait_us(queue, ahead, now_us),
         [TARGETQUEUE_BOUND_COLD] = cold_wait_us(queue, ahead, now_us),
         [TARGETQUEUE_BOUND_RATE] =
             ratelimit_wait_us(&queue->rate, ahead, now_us),
@@ -315,6 +328,7 @@
     }
     request->state = TARGETQUEUE_STATE_NONE;
     queue->running--;
+    queue->started_sum_us -= request->started_us;
     if (answered) {
         const int64_t took_us = now_us - request->started_us;
         queue->service_us += (took_us - queue->service_us) / SERVICE_SMOOTHING;
--- a/packages/fleet/test/targetqueue_test.cc
+++ b/packages/fleet/test/targetqueue_test.cc
@@ -57,6 +57,49 @@
     }
 }
 
+/* Guards against: when a target slows down, requests are queued by its former
+ * speed and refused only at their latest start. */
+TEST_F(Slots, SlowdownIsKnownBeforeTheFirstSlowRequestEnds)
+{
+    constexpr int64_t WORK_US = 1000 * MS;
+    constexpr int64_t LATEST_START_US = 400 * MS;
+    constexpr int64_t PROMPT_US = 30 * MS;
+    std::vector<std::pair<int64_t, struct targetqueue_request *>> running;
+    std::vector<int64_t> waits_us;
+    for (int64_t now_us = 0; now_us < 3 * US_PER_SECOND; now_us += 5 * MS) {
+        enum targetqueue_verdict verdict;
+        while (!running.empty() && running[0].first <= now_us) {
+            targetqueue_release(queue, running[0].second, now_us, true);
+            running.erase(running.begin());
+        }
+        struct targetqueue_request *next;
+        while ((next = targetqueue_next(queue, now_us, &verdict)) != nullptr) {
+            if (verdict == TARGETQUEUE_START) {
+                running.emplace_back(now_us + WORK_US, next);
+            }
+            else {
+                waits_us.push_back(now_us + LATEST_START_US -
+                                   next->start_deadline_us);
+            }
+        }
+        struct targetqueue_request *request =
+            NewRequest(0, now_us + US_PER_SECOND, now_us + LATEST_START_US);
+        verdict = targetqueue_admit(queue, request, now_us);
+        if (verdict == TARGETQUEUE_START) {
+            running.emplace_back(now_us + WORK_US, request);
+        }
+        else if (verdict == TARGETQUEUE_REFUSE) {
+            waits_us.push_back(0);
+        }
+    }
+    const auto prompt =
+        std::count_if(waits_us.begin(), waits_us.end(),
+                      [](int64_t wait_us) { return wait_us < PROMPT_US; });
+    EXPECT_GT(static_cast<double>(prompt),
+              0.96 * static_cast<double>(waits_us.size()))
+        << prompt << " of " << waits_us.size();
+}
+
 TEST(WorkTimes, KeepsMeanPerRouteAndAdapts)
 {
     struct servicetimes times = {};
