One of six starts of an overloaded target goes to a less urgent request

More urgent requests were always first, so that they alone could fill a target and the others got what was left. One of six starts now goes to a waiting request of a lower priority that can still meet its objective, and admission counts on that turn. With a rate limit nothing changes: waits are promised there by position.

The test fails without the change.

--- a/packages/fleet/targetqueue.c
+++ b/packages/fleet/targetqueue.c
@@ -9,6 +9,9 @@
 #define COLD_WINDOW_US                                                        \
     (1100 * US_PER_MS) /* one second, and 10 % for clock differences */
 #define SERVICE_DEFAULT_US (100 * US_PER_MS)
+/* One of so many starts goes to a less urgent request, if one waits that can
+ * still meet its objective. */
+#define SHARE_STARTS 6
 #define SERVICE_SMOOTHING 16 /* a new answer has the weight 1/16 */
 
 TAILQ_HEAD(request_list, targetqueue_request);
@@ -25,6 +28,7 @@
     unsigned start_next;
     struct ratelimit rate;
     int64_t service_us;
+    unsigned urgent_starts; /* since the last of a less urgent request */
     int64_t started_sum_us; /* of the running requests */
 };
 
@@ -244,6 +248,62 @@
     return ahead;
 }
 
+/** True if starts are shared between priorities. The wait for a rate limit is
+ * promised by position in the queue. */
+static bool
+shares_starts(const struct targetqueue *queue)
+{
+    return ratelimit_ready_us(&queue->rate) == INT64_MIN;
+}
+
+/** Number of starts before that of the request. */
+static unsigned
+starts_before(const struct targetqueue *queue,
+              const struct targetqueue_request *request)
+{
+    const unsigned ahead = count_before(queue, request);
+    const struct targetqueue_request *other;
+    unsigned same = 0;
+    if (request->late || !shares_starts(queue)) {
+        return ahead;
+    }
+    TAILQ_FOREACH (other, &queue->requests, link) {
+        same +=
+            other->priority >= request->priority && is_before(other, request);
+    }
+    const unsigned shared = (same + 1) * SHARE_STARTS - 1;
+    return shared < ahead ? shared : ahead;
+}
+
+/** The waiting request whose turn it is, or NULL. */
+static struct targetqueue_request *
+next_in_turn(struct targetqueue *queue)
+{
+    struct targetqueue_request *first = TAILQ_FIRST(&queue->requests);
+    struct targetqueue_request *request;
+    if (queue->urgent_starts + 1 < SHARE_STARTS || !shares_starts(queue)) {
+        return first;
+    }
+    TAILQ_FOREACH (request, &queue->requests, link) {
+        if (request->priority > first->priority && !request->late) {
+            return request;
+        }
+    }
+    return first;
+}
+
+static void
+record_turn(struct targetqueue *queue,
+            const struct targetqueue_request *request)
+{
+    if (request != TAILQ_FIRST(&queue->requests)) {
+        queue->urgent_starts = 0;
+    }
+    else if (queue->urgent_starts + 1 < SHARE_STARTS) {
+        queue->urgent_starts++;
+    }
+}
+
 static bool
 is_late(const struct targetqueue_request *request, int64_t now_us)
 {
@@ -304,7 +364,7 @@
         return TARGETQUEUE_REFUSE;
     }
     demote_late(queue, now_us);
-    const unsigned ahead = count_before(queue, request);
+    const unsigned ahead = starts_before(queue, request);
     if (now_us + expected_wait_us(queue, ahead, now_us) >
             request->start_deadline_us ||
         is_starved(queue, request, now_us)) {
@@ -368,10 +428,11 @@
         return NULL;
     }
     demote_late(queue, now_us);
-    request = TAILQ_FIRST(&queue->requests);
+    request = next_in_turn(queue);
     if (request == NULL) {
         return NULL;
     }
+    record_turn(queue, request);
     dequeue(queue, request);
     start(queue, request, now_us);
     *verdict = TARGETQUEUE_START;
--- a/packages/fleet/targetqueue.h
+++ b/packages/fleet/targetqueue.h
@@ -2,7 +2,9 @@
  * @file
  * Admission control and queue of one target: limits concurrent requests, and
  * the rate of starts while the target is cold or names a rate limit. Waiting
- * requests are ordered by priority, then by objective deadline. Those that
+ * requests are ordered by priority, then by objective deadline; without a rate
+ * limit, one of some starts goes to a less urgent one, so that none starves
+ * while more urgent requests fill the target. Those that
  * have missed it come last within their priority: under overload, the target
  * would otherwise only run requests that are just too late. Under a rate limit
  * a request that another has overtaken is refused as soon as its turn comes
--- a/packages/fleet/test/targetqueue_test.cc
+++ b/packages/fleet/test/targetqueue_test.cc
@@ -100,6 +100,49 @@
         << prompt << " of " << waits_us.size();
 }
 
+/* Guards against: while more urgent requests alone fill the target, none of
+ * the others is served; with 0.95 of the slots they leave almost nothing. */
+TEST_F(Slots, LessUrgentRequestsGetAShareOfAnOverloadedTarget)
+{
+    constexpr int64_t WORK_US = 100 * MS; /* of 20 starts a second */
+    std::vector<std::pair<int64_t, struct targetqueue_request *>> running;
+    int sent[2] = {};
+    int served[2] = {};
+    struct random_state random;
+    random_seed(&random, 3);
+    for (int64_t now_us = 0; now_us < 120 * US_PER_SECOND; now_us += 5 * MS) {
+        enum targetqueue_verdict verdict;
+        for (size_t i = running.size(); i-- > 0;) {
+            if (running[i].first <= now_us) {
+                targetqueue_release(queue, running[i].second, now_us, true);
+                running.erase(running.begin() + static_cast<long>(i));
+            }
+        }
+        struct targetqueue_request *next;
+        while ((next = targetqueue_next(queue, now_us, &verdict)) != nullptr) {
+            if (verdict == TARGETQUEUE_START) {
+                served[next->priority]++;
+                running.emplace_back(now_us + WORK_US, next);
+            }
+        }
+        const double draw = random_unit(&random);
+        if (draw > (19.0 + 6.5) / 200) {
+            continue;
+        }
+        const unsigned priority = draw < 19.0 / 200 ? 0 : 1;
+        struct targetqueue_request *request =
+            NewRequest(priority, now_us + 500 * MS, now_us + 400 * MS);
+        request->expected_service_us = WORK_US;
+        sent[priority]++;
+        if (targetqueue_admit(queue, request, now_us) == TARGETQUEUE_START) {
+            served[priority]++;
+            running.emplace_back(now_us + WORK_US, request);
+        }
+    }
+    EXPECT_GT(served[1], 0.45 * sent[1]) << served[1] << " of " << sent[1];
+    EXPECT_GT(served[0], 0.80 * sent[0]) << served[0] << " of " << sent[0];
+}
+
 TEST(WorkTimes, KeepsMeanPerRouteAndAdapts)
 {
     struct servicetimes times = {};
