--- a/packages/fleet/targetqueue.c
+++ b/packages/fleet/targetqueue.c
@@ -10,6 +10,9 @@
 #define COLD_WINDOW_US                                                        \
     (1100 * US_PER_MS) /* one second, and 10 % for clock differences */
 #define SERVICE_DEFAULT_US (100 * US_PER_MS)
+/* One of so many starts goes to a less urgent request, if one waits that can
+ * still meet its objective. */
+#define SHARE_STARTS 6
 #define SERVICE_SMOOTHING 16 /* a new answer has the weight 1/16 */
 
 TAILQ_HEAD(request_list, targetqueue_request);
@@ -27,6 +30,8 @@
     struct ratelimit rate;
     struct fairshare *shares;
     int64_t service_us;
+    unsigned urgent_starts; /* since the last of a less urgent request */
+    int64_t started_sum_us; /* of the running requests */
 };
 
 struct targetqueue *
@@ -115,6 +120,7 @@
     request->started_us = now_us;
     queue->running++;
     fairshare_record_start(queue->shares, request->flow);
+    queue->started_sum_us += now_us;
     ratelimit_record_start(&queue->rate, now_us);
     queue->starts_us[queue->start_next] = now_us;
     queue->start_next = (queue->start_next + 1) % TARGETQUEUE_COLD_RATE_MAX;
@@ -157,12 +163,23 @@
     request->state = TARGETQUEUE_STATE_NONE;
 }
 
+/** Service time at the target's present speed. Answers tell of a slowdown only
+ * when the first slow requests end; until then, the running ones show it. */
+static int64_t
+present_service_us(const struct targetqueue *queue, int64_t now_us)
+{
+    const int64_t mean_age_us =
+        queue->running > 0 ? now_us - queue->started_sum_us / queue->running
+                           : 0;
+    return mean_age_us > queue->service_us ? mean_age_us : queue->service_us;
+}
+
 /** Expected wait of a request behind that many others, for a free slot. */
 static int64_t
-slot_wait_us(const struct targetqueue *queue, unsigned ahead)
+slot_wait_us(const struct targetqueue *queue, unsigned ahead, int64_t now_us)
 {
     return queue->running >= queue->limit
-               ? queue->service_us * (ahead + 1) / queue->limit
+               ? present_service_us(queue, now_us) * (ahead + 1) / queue->limit
                : 0;
 }
 
@@ -184,7 +201,7 @@
 {
     const int64_t waits_us[] = {
         [TARGETQUEUE_BOUND_NONE] = 0,
-        [TARGETQUEUE_BOUND_SLOTS] = slot_wait_us(queue, ahead),
+        [TARGETQUEUE_BOUND_SLOTS] = slot_wait_us(queue, ahead, now_us),
         [TARGETQUEUE_BOUND_COLD] = cold_wait_us(queue, ahead, now_us),
         [TARGETQUEUE_BOUND_RATE] =
             ratelimit_wait_us(&queue->rate, ahead, now_us),
@@ -280,20 +297,18 @@
     return ahead;
 }
 
-/** The request to start next: of the most urgent priority, of the workspace
- * that is furthest behind its share; NULL if none waits. */
+/** The request of that one's priority whose workspace is furthest behind its
+ * share, from that one on; NULL if it is NULL. */
 static struct targetqueue_request *
-first_by_share(const struct targetqueue *queue)
+best_by_share(const struct targetqueue *queue,
+              struct targetqueue_request *first)
 {
-    struct targetqueue_request *first = TAILQ_FIRST(&queue->requests);
     struct targetqueue_request *best = first;
     struct targetqueue_request *other;
     double best_tag = 0;
     fairshare_begin_pass(queue->shares);
-    TAILQ_FOREACH (other, &queue->requests, link) {
-        if (other->priority != first->priority) {
-            break;
-        }
+    for (other = first; other != NULL && other->priority == first->priority;
+         other = TAILQ_NEXT(other, link)) {
         const double tag = fairshare_next_tag(queue->shares, other->flow);
         if (other == first || tag < best_tag) {
             best = other;
@@ -303,6 +318,61 @@
     return best;
 }
 
+/** True if starts are shared between priorities. The wait for a rate limit is
+ * promised by position in the queue. */
+static bool
+shares_starts(const struct targetqueue *queue)
+{
+    return ratelimit_ready_us(&queue->rate) == INT64_MIN;
+}
+
+/** Number of starts before that of the request. */
+static unsigned
+starts_before(const struct targetqueue *queue,
+              const struct targetqueue_request *request)
+{
+    const unsigned ahead = count_before(queue, request);
+    const struct targetqueue_request *other;
+    unsigned urgent = 0;
+    if (request->late || !shares_starts(queue)) {
+        return ahead;
+    }
+    TAILQ_FOREACH (other, &queue->requests, link) {
+        urgent += other->priority < request->priority;
+    }
+    const unsigned shared = (ahead - urgent + 1) * SHARE_STARTS - 1;
+    return shared < ahead ? shared : ahead;
+}
+
+/** The first request of the priority whose turn it is, or NULL. */
+static struct targetqueue_request *
+first_in_turn(struct targetqueue *queue)
+{
+    struct targetqueue_request *first = TAILQ_FIRST(&queue->requests);
+    struct targetqueue_request *request;
+    if (queue->urgent_starts + 1 < SHARE_STARTS || !shares_starts(queue)) {
+        return first;
+    }
+    TAILQ_FOREACH (request, &queue->requests, link) {
+        if (request->priority > first->priority && !request->late) {
+            return request;
+        }
+    }
+    return first;
+}
+
+static void
+record_turn(struct targetqueue *queue,
+            const struct targetqueue_request *request)
+{
+    if (request->priority != TAILQ_FIRST(&queue->requests)->priority) {
+        queue->urgent_starts = 0;
+    }
+    else if (queue->urgent_starts + 1 < SHARE_STARTS) {
+        queue->urgent_starts++;
+    }
+}
+
 static bool
 is_late(const struct targetqueue_request *request, int64_t now_us)
 {
@@ -369,7 +439,7 @@
         return TARGETQUEUE_REFUSE;
     }
     demote_late(queue, now_us);
-    const unsigned ahead = count_before(queue, request);
+    const unsigned ahead = starts_before(queue, request);
     if (now_us + expected_wait_us(queue, ahead, now_us) >
             request->start_deadline_us ||
         is_starved(queue, request, now_us)) {
@@ -393,6 +463,7 @@
     }
     request->state = TARGETQUEUE_STATE_NONE;
     queue->running--;
+    queue->started_sum_us -= request->started_us;
     if (answered) {
         const int64_t took_us = now_us - request->started_us;
         queue->service_us += (took_us - queue->service_us) / SERVICE_SMOOTHING;
@@ -445,10 +516,11 @@
         return NULL;
     }
     demote_late(queue, now_us);
-    request = first_by_share(queue);
+    request = best_by_share(queue, first_in_turn(queue));
     if (request == NULL) {
         return NULL;
     }
+    record_turn(queue, request);
     dequeue(queue, request);
     start(queue, request, now_us);
     *verdict = TARGETQUEUE_START;
@@ -458,7 +530,7 @@
 struct targetqueue_request *
 targetqueue_first(struct targetqueue *queue)
 {
-    return first_by_share(queue);
+    return best_by_share(queue, TAILQ_FIRST(&queue->requests));
 }
 
 /** When the cold start and the rate limit allow the next start; INT64_MAX
--- a/packages/fleet/targetqueue.h
+++ b/packages/fleet/targetqueue.h
@@ -3,7 +3,9 @@
  * Admission control and queue of one target: limits concurrent requests, and
  * the rate of starts while the target is cold or names a rate limit. Waiting
  * requests are ordered by priority, then by fair shares between workspaces,
- * then by objective deadline. Those that have missed it come last within their
+ * then by objective deadline; without a rate limit, one of some starts goes to
+ * a less urgent priority, so that none starves while more urgent requests fill
+ * the target. Requests that have missed the objective come last within their
  * priority and workspace: under overload, the target would otherwise only run
  * requests that are just too late. Under a rate limit
  * a request that another has overtaken is refused as soon as its turn comes
--- a/packages/node/localgate.h
+++ b/packages/node/localgate.h
@@ -39,6 +39,10 @@
                                     const char *service, int64_t left_us,
                                     int64_t *retry_after_us);
 
+/** False if the target has not received the request, and won't once it is
+ * cancelled. */
+bool localgate_may_have_run(const struct localgate_call *call);
+
 /** The answer is no longer needed; the callback isn't called. A request that
  * is not idempotent and has been sent keeps running at the target. */
 void localgate_cancel(struct localgate_call *call);
