Tests of the running requests' age and of admission by shares

Two mutations survived: an age that keeps requests that have ended, and an admission that doesn't count on the share of less urgent requests. Each fails one of these tests now.

--- a/packages/fleet/test/targetqueue_test.cc
+++ b/packages/fleet/test/targetqueue_test.cc
@@ -143,6 +143,37 @@
     EXPECT_GT(served[0], 0.80 * sent[0]) << served[0] << " of " << sent[0];
 }
 
+/* Guards against: the ages of requests that have ended count as those of the
+ * running ones. */
+TEST_F(Slots, LaterSlowdownIsKnownFromTheRunningRequests)
+{
+    for (const int64_t start_us : {1000 * MS, 1100 * MS}) {
+        struct targetqueue_request *a = NewRequest(0, 9000 * MS, 9000 * MS);
+        struct targetqueue_request *b = NewRequest(0, 9000 * MS, 9000 * MS);
+        ASSERT_EQ(TARGETQUEUE_START, targetqueue_admit(queue, a, start_us));
+        ASSERT_EQ(TARGETQUEUE_START, targetqueue_admit(queue, b, start_us));
+        if (start_us == 1000 * MS) {
+            targetqueue_release(queue, a, 1100 * MS, true);
+            targetqueue_release(queue, b, 1100 * MS, true);
+        }
+    }
+    EXPECT_EQ(TARGETQUEUE_REFUSE,
+              targetqueue_admit(queue, NewRequest(0, 9000 * MS, 2500 * MS),
+                                2100 * MS));
+}
+
+/* Guards against: a less urgent request is refused on arrival for more urgent
+ * ones that will not all start before it. */
+TEST_F(Slots, AdmissionCountsOnTheShareOfLessUrgentRequests)
+{
+    targetqueue_set_limit(queue, 1);
+    for (int i = 0; i < 11; i++) {
+        targetqueue_admit(queue, NewRequest(0, 9000 * MS, 9000 * MS), 0);
+    }
+    EXPECT_EQ(TARGETQUEUE_WAIT,
+              targetqueue_admit(queue, NewRequest(1, 9000 * MS, 700 * MS), 0));
+}
+
 TEST(WorkTimes, KeepsMeanPerRouteAndAdapts)
 {
     struct servicetimes times = {};
