The test of prompt refusals asks for the stated share again

Cause: its bound had been set to 0.96 after a figure of 0.973 was seen; the stated target is 99 in 100 within 30 ms of arrival.

--- a/packages/fleet/test/targetqueue_test.cc
+++ b/packages/fleet/test/targetqueue_test.cc
@@ -96,7 +96,7 @@
         std::count_if(waits_us.begin(), waits_us.end(),
                       [](int64_t wait_us) { return wait_us < PROMPT_US; });
     EXPECT_GT(static_cast<double>(prompt),
-              0.96 * static_cast<double>(waits_us.size()))
+              0.99 * static_cast<double>(waits_us.size()))
         << prompt << " of " << waits_us.size();
 }
 
