--- a/packages/node/nodesettings.c
+++ b/packages/node/nodesettings.c
@@ -11,6 +11,10 @@
 #define LOG_SAMPLE_DEFAULT 16
 #define LOG_SAMPLE_MAX 1000000
 #define RETRY_RESERVE_MAX 1000000
+#define MEMORY_MIN_MB 64
+#define MEMORY_MAX_MB (1u << 20)
+#define FDS_MIN 128
+#define FDS_MAX (1u << 20)
 
 static const char *const level_names[] = {"debug", "info", "warning", "error",
                                           "off"};
@@ -118,6 +122,10 @@
                       LOG_LINES_MAX, &settings->log_lines_per_s);
     document_unsigned(&object, "log_sample", DOCUMENT_OPTIONAL, 0,
                       LOG_SAMPLE_MAX, &settings->log_sample);
+    document_unsigned(&object, "memory_mb", DOCUMENT_OPTIONAL, MEMORY_MIN_MB,
+                      MEMORY_MAX_MB, &settings->memory_mb);
+    document_unsigned(&object, "max_fds", DOCUMENT_OPTIONAL, FDS_MIN, FDS_MAX,
+                      &settings->max_fds);
     document_end(&object);
     return problems->count == before;
 }
--- a/packages/node/nodesettings.h
+++ b/packages/node/nodesettings.h
@@ -1,7 +1,7 @@
 /**
  * @file
  * Settings of a daemon that runs on a platform: addresses, time limits, the
- * retry budget and logging.
+ * retry budget, logging, memory and file descriptors.
  */
 #ifndef CHESTNUTGAP_NODE_NODESETTINGS_H
 #define CHESTNUTGAP_NODE_NODESETTINGS_H
@@ -41,6 +41,8 @@
     enum log_level log_level;
     unsigned log_lines_per_s; /**< warnings and errors: as many again */
     unsigned log_sample; /**< one in this many requests is logged in full */
+    unsigned memory_mb;  /**< of the process, in MiB; 0: no limit */
+    unsigned max_fds;    /**< file descriptors of the process; 0: no limit */
 };
 
 /** Reads and checks a document. False with at least one problem listed. */
