Callers' connections keep to the memory budget and to max_fds

With memory_mb in the settings, callers' connections charge bodies by what has arrived (twice, since a copy is sent to the target) and responses that wait to be read; requests that run keep their charge. A caller that has 256 KiB of responses unread gets no further request handled. When memory is short, the connection with the most bytes for the longest without progress is closed, unless a request of it runs; what was not yet received completely gets 503. Long buffers are returned to the system. With max_fds, callers get half of the descriptors, and an idle connection is closed for a new one.

--- a/packages/http/httpconnection.c
+++ b/packages/http/httpconnection.c
@@ -44,6 +44,10 @@
 {
     struct http_server *server = connection->server;
     connection_count_body(connection, 0);
+    http_memory_release(server, &connection->memory);
+    if (server->check_next == connection) {
+        server->check_next = LIST_NEXT(connection, link);
+    }
     LIST_REMOVE(connection, link);
     bufferevent_free(connection->bev);
     http_server_release_reader(server, connection->reader);
@@ -146,6 +150,14 @@
     connection_finish(connection);
 }
 
+/** Refuses a request that has not run. */
+static void
+connection_refuse_for_memory(struct http_connection *connection)
+{
+    connection->server->counters.memory_refused->value++;
+    connection_refuse(connection, 503);
+}
+
 static void
 connection_handle(struct http_connection *connection)
 {
@@ -155,6 +167,11 @@
         connection_refuse(connection, 503);
         return;
     }
+    if (!http_memory_charge_request(connection, request)) {
+        free(request);
+        connection_refuse_for_memory(connection);
+        return;
+    }
     request->server = server;
     request->connection = connection;
     request->reader = connection->reader;
@@ -170,6 +187,7 @@
     LIST_INSERT_HEAD(&server->requests, request, link);
     TAILQ_INSERT_TAIL(&connection->pipeline, request, pipeline);
     connection->pipeline_count++;
+    connection->running++;
     if (!request->message->keep_alive ||
         connection->pipeline_count >= server->config.pipeline_max) {
         connection->state = HTTP_CONNECTION_HANDLING;
@@ -215,8 +233,10 @@
         return;
     }
     connection->feeding = true;
+    http_memory_protect(connection);
     while (connection->state == HTTP_CONNECTION_READING &&
-           evbuffer_get_length(input) > 0) {
+           evbuffer_get_length(input) > 0 &&
+           !http_memory_is_backed_up(connection)) {
         if (connection->reader == NULL) {
             connection->reader =
                 http_server_acquire_reader(connection->server);
@@ -226,6 +246,12 @@
             connection_refuse(connection, 503);
             break;
         }
+        const size_t arrived = http_reader_message(reader)->body_size;
+        if (!http_memory_charge_body(connection,
+                                     arrived + evbuffer_get_length(input))) {
+            connection_refuse_for_memory(connection);
+            break;
+        }
         http_reader_feed(reader, input);
         connection_count_body(connection,
                               http_reader_message(reader)->body_capacity);
@@ -246,6 +272,7 @@
         }
     }
     connection->feeding = false;
+    http_memory_protect(connection);
 }
 
 /** Writes the answers that are next in order. @return false if the connection
@@ -260,6 +287,7 @@
         const bool close = request->close;
         TAILQ_REMOVE(&connection->pipeline, request, pipeline);
         connection->pipeline_count--;
+        connection->answer_bytes -= evbuffer_get_length(request->answer);
         evbuffer_add_buffer(output, request->answer);
         http_request_free(request);
         if (close) {
@@ -294,12 +322,35 @@
            connection_has_only(connection, request);
 }
 
+/** Drops the answer, for which there is no memory, and has the connection
+ * closed later, since its caller may be in use. */
+static void
+connection_doom(struct http_connection *connection,
+                struct http_request *request)
+{
+    if (!connection->doomed) {
+        connection->server->counters.memory_closed->value++;
+    }
+    connection->doomed = true;
+    connection->state = HTTP_CONNECTION_CLOSING;
+    TAILQ_REMOVE(&connection->pipeline, request, pipeline);
+    connection->pipeline_count--;
+    http_request_free(request);
+    http_memory_protect(connection);
+}
+
 void
 http_connection_reply(struct http_request *request,
                       const struct http_reply *reply)
 {
     struct http_connection *connection = request->connection;
     const struct http_message *message = request->message;
+    connection->running--;
+    if (connection->doomed ||
+        !http_memory_charge_answer(connection, reply->body_size)) {
+        connection_doom(connection, request);
+        return;
+    }
     request->close = connection_closes_after(connection, request);
     connection->answered =
         connection->answered || connection_has_only(connection, request);
@@ -319,6 +370,8 @@
                           .close = request->close,
                           .keep_alive = message->http_1_0,
                       });
+    connection->answer_bytes += evbuffer_get_length(request->answer);
+    http_memory_protect(connection);
     if (!connection_flush(connection)) {
         connection_finish(connection);
         return;
@@ -357,9 +410,16 @@
 {
     struct http_connection *connection = ctx;
     (void)bev;
+    if (connection->doomed) {
+        return;
+    }
     if (connection->state == HTTP_CONNECTION_CLOSING) {
         connection_linger(connection);
     }
+    else if (connection->server->config.memory != NULL) {
+        http_memory_settle(connection);
+        connection_feed(connection); /* it may have been backed up */
+    }
 }
 
 static void
@@ -401,6 +461,7 @@
     TAILQ_INIT(&connection->pipeline);
     connection_start_reading(connection, server->config.idle_timeout_us);
     LIST_INSERT_HEAD(&server->connections, connection, link);
+    http_memory_begin(connection);
     server->connection_count++;
     server->counters.connections->value++;
     server->counters.connections_open->value++;
@@ -412,6 +473,14 @@
     bufferevent_enable(bev, EV_READ | EV_WRITE);
 }
 
+bool
+http_connection_is_idle(const struct http_connection *connection)
+{
+    return connection->state == HTTP_CONNECTION_READING &&
+           connection->pipeline_count == 0 && !connection->receiving &&
+           connection_backlog(connection) == 0;
+}
+
 void
 http_connection_stop(struct http_connection *connection)
 {
@@ -428,6 +497,10 @@
 {
     struct http_server *server = connection->server;
     const size_t backlog = connection_backlog(connection);
+    if (connection->doomed) {
+        connection_drop(connection);
+        return;
+    }
     if (backlog > 0) {
         /* Extends the deadline as long as the caller reads. */
         const bool progress = backlog != connection->backlog;
--- a/packages/http/httpserver.c
+++ b/packages/http/httpserver.c
@@ -21,6 +21,27 @@
 #define TIMEOUT_CHECK_INTERVAL_US (1 * US_PER_SECOND)
 #define LISTEN_BACKLOG 1024
 
+/** Closes the connection that has been idle for the longest. */
+static bool
+server_close_idle(struct http_server *server)
+{
+    struct http_connection *oldest = NULL;
+    struct http_connection *connection;
+    LIST_FOREACH (connection, &server->connections, link) {
+        if (http_connection_is_idle(connection) &&
+            (oldest == NULL ||
+             connection->deadline_us <= oldest->deadline_us)) {
+            oldest = connection;
+        }
+    }
+    if (oldest == NULL) {
+        return false;
+    }
+    server->counters.idle_closed->value++;
+    http_connection_abort(oldest);
+    return true;
+}
+
 static void
 server_on_accept(struct evconnlistener *listener, evutil_socket_t fd,
                  struct sockaddr *peer, int peer_size, void *ctx)
@@ -28,6 +49,10 @@
     struct http_server *server = ctx;
     struct address address = {.length = (socklen_t)peer_size};
     memcpy(&address.storage, peer, (size_t)peer_size);
+    if (server->config.closes_idle &&
+        server->connection_count + 1 >= server->config.connections_max) {
+        server_close_idle(server);
+    }
     http_connection_accept(server, fd, &address);
     if (server->connection_count >= server->config.connections_max) {
         server->counters.accept_pauses->value++;
@@ -52,9 +77,10 @@
     const int64_t now_us = runtime_now_us(server->runtime);
     struct http_connection *connection = LIST_FIRST(&server->connections);
     while (connection != NULL) {
-        struct http_connection *next = LIST_NEXT(connection, link);
+        /* Moved on by http_connection_free() if that one is freed. */
+        server->check_next = LIST_NEXT(connection, link);
         http_connection_check_timeout(connection, now_us);
-        connection = next;
+        connection = server->check_next;
     }
     if (server->listener != NULL &&
         server->connection_count < server->config.connections_max) {
@@ -243,6 +269,7 @@
     if (request->answer != NULL) {
         evbuffer_free(request->answer);
     }
+    http_memory_release(server, &request->memory);
     LIST_REMOVE(request, link);
     http_server_release_reader(server, request->reader);
     free(request);
--- a/packages/http/httpserver.h
+++ b/packages/http/httpserver.h
@@ -15,6 +15,7 @@
 #include "http/httpheaders.h"
 
 struct counter_registry;
+struct memory_budget;
 struct runtime;
 
 struct http_server;
@@ -32,6 +33,10 @@
     int64_t receive_timeout_us; /**< for a complete request. Default 60 s */
     int64_t send_timeout_us;    /**< without progress. Default 30 s */
     int64_t idle_timeout_us;    /**< between requests. Default 120 s */
+    /** Bounds bodies and unread responses, and stops reading from callers that
+     * don't read their responses. NULL: no bound. */
+    struct memory_budget *memory;
+    bool closes_idle; /**< closes an idle connection for a new one when full */
     /** Must be answered with http_request_reply() once, now or later. */
     void (*handle)(void *ctx, struct http_request *request);
     /** The caller disconnected. May be NULL. The request must still be
--- a/packages/http/httpserver_internal.h
+++ b/packages/http/httpserver_internal.h
@@ -12,6 +12,7 @@
 #include <event2/util.h>
 
 #include "base/counter.h"
+#include "base/memorybudget.h"
 #include "base/runtime.h"
 #include "http/httpmessage.h"
 #include "http/httpserver.h"
@@ -28,7 +29,10 @@
     X(accept_pauses, "times that accepting stopped at the limit")             \
     X(accept_errors, "times that accepting a connection failed")              \
     X(receive_timeouts, "connections closed during a slow request")           \
-    X(send_timeouts, "connections closed because the caller did not read")
+    X(send_timeouts, "connections closed because the caller did not read")    \
+    X(memory_closed, "connections closed because memory was short")           \
+    X(memory_refused, "requests refused because memory was short")            \
+    X(idle_closed, "idle connections closed for a new one")
 /* clang-format on */
 
 struct http_server_counters {
@@ -49,7 +53,8 @@
     struct address address;
     struct evconnlistener *listener;
     struct http_connection_list connections;
-    struct http_request_list requests; /* not freed yet */
+    struct http_connection *check_next; /* of the timeout check's loop */
+    struct http_request_list requests;  /* not freed yet */
     struct http_reader *spare_readers[HTTP_SPARE_READERS_MAX];
     size_t spare_reader_count;
     unsigned connection_count;
@@ -86,8 +91,12 @@
     size_t body_bytes;             /* part of server->body_bytes */
     struct http_pipeline pipeline; /* answer not yet written, in order */
     unsigned pipeline_count;
-    int64_t deadline_us; /* of the state, 0: none */
-    size_t backlog;      /* output bytes at the last check */
+    int64_t deadline_us;         /* of the state, 0: none */
+    size_t backlog;              /* output bytes at the last check */
+    struct memory_holder memory; /* see httpmemory.c */
+    size_t answer_bytes;         /* of complete answers behind others */
+    unsigned running;            /* requests without an answer */
+    bool doomed;                 /* is closed at the next timeout check */
 };
 
 struct http_request {
@@ -100,6 +109,7 @@
     struct evbuffer *answer;            /* waits for the answers before it */
     bool close;        /* connection closes after the answer */
     size_t body_bytes; /* part of server->body_bytes */
+    struct memory_holder memory;
     struct http_reader *reader;
     const struct http_message *message;
     struct address peer;
@@ -110,6 +120,9 @@
                             const struct address *peer);
 void http_connection_free(struct http_connection *connection);
 
+/** True between requests. */
+bool http_connection_is_idle(const struct http_connection *connection);
+
 /** Closes the connection if its deadline has passed without progress. */
 void http_connection_check_timeout(struct http_connection *connection,
                                    int64_t now_us);
@@ -126,6 +139,39 @@
 void http_connection_reply(struct http_request *request,
                            const struct http_reply *reply);
 
+/* httpmemory.c. Without a budget these allow everything. */
+
+/** Starts to account for a connection. */
+void http_memory_begin(struct http_connection *connection);
+
+/** Protects the connection from eviction while it is in use or has a request
+ * that runs. */
+void http_memory_protect(struct http_connection *connection);
+
+/** Charges the connection for a body of which size bytes have arrived. @return
+ * false if memory is short */
+bool http_memory_charge_body(struct http_connection *connection, size_t size);
+
+/** Moves the charge of the body just read to the request. @return false if
+ * memory is short */
+bool http_memory_charge_request(struct http_connection *connection,
+                                struct http_request *request);
+
+/** Charges the connection for an answer before it is copied. @return false if
+ * memory is short */
+bool http_memory_charge_answer(struct http_connection *connection,
+                               size_t size);
+
+/** True while the caller has so much left to read that no further request of
+ * it is handled. */
+bool http_memory_is_backed_up(const struct http_connection *connection);
+
+/** Adjusts the charge to what the connection holds now. */
+void http_memory_settle(struct http_connection *connection);
+
+void http_memory_release(struct http_server *server,
+                         struct memory_holder *holder);
+
 /** Frees a request, answered or not. */
 void http_request_free(struct http_request *request);
 
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -1,5 +1,6 @@
 #include "node/node.h"
 
+#include <malloc.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -19,6 +20,8 @@
 #include "node/relaytask.h"
 #include "node/rowcommit.h"
 
+#define MMAP_THRESHOLD_BYTES (128 << 10)
+
 int64_t
 node_now_us(const struct node *node)
 {
@@ -460,6 +463,12 @@
     LIST_INIT(&node->instancetable.instances);
     node->nodemetrics = nodemetrics_create(node);
     zonetraffic_init(&node->zonetraffic, options->counters);
+    if (node->settings.memory_mb > 0) {
+        memory_budget_init(&node->memory, node->settings.memory_mb);
+        /* Long bodies return to the system when they are freed. */
+        mallopt(M_MMAP_THRESHOLD, MMAP_THRESHOLD_BYTES);
+        mallopt(M_TRIM_THRESHOLD, MMAP_THRESHOLD_BYTES);
+    }
     if (!nodeservers_open(node, err)) {
         node_destroy(node);
         return NULL;
--- a/packages/node/node_internal.h
+++ b/packages/node/node_internal.h
@@ -10,6 +10,7 @@
 
 #include "base/counter.h"
 #include "base/histogram.h"
+#include "base/memorybudget.h"
 #include "base/random.h"
 #include "base/runtime.h"
 #include "fleet/declared.h"
@@ -69,6 +70,7 @@
     int64_t started_ms; /**< Unix time */
     const struct wire *wire;
     struct random_state random;
+    struct memory_budget memory; /* used if the settings have memory_mb */
     struct rpc_node *rpc;
     struct http_server *callers;
     struct http_server *announcements;
--- a/packages/node/nodeservers.c
+++ b/packages/node/nodeservers.c
@@ -11,6 +11,7 @@
 #include "node/nodemetrics.h"
 
 #define PIPELINE_MAX 16
+#define CALLERS_FDS_PERCENT 50 /* the rest: peers, the target, the store */
 #define CALLERS_BODY_MAX_BYTES ((size_t)64 << 20)
 #define STATUS_OK 200
 #define STATUS_NOT_FOUND 404
@@ -74,7 +75,8 @@
             struct error *err)
 {
     const bool callers = handle == ingress_handle;
-    const struct http_server_config config = {
+    const struct nodesettings *settings = &node->settings;
+    struct http_server_config config = {
         .address = *address,
         .body_max_bytes = callers ? CALLERS_BODY_MAX_BYTES : 0,
         .pipeline_max = callers ? PIPELINE_MAX : 0,
@@ -82,6 +84,13 @@
         .cancelled = callers ? ingress_cancelled : NULL,
         .ctx = node,
     };
+    if (callers && settings->memory_mb > 0) {
+        config.memory = &node->memory;
+    }
+    if (callers && settings->max_fds > 0) {
+        config.connections_max = settings->max_fds * CALLERS_FDS_PERCENT / 100;
+        config.closes_idle = true;
+    }
     return http_server_create(node->runtime, &config, node->options.counters,
                               err);
 }
