Responses being received are counted, and bodies are written in pieces

libevent frees a piece of output once it is sent whole. A response of 1 MiB was one piece, so a slow caller's response stayed in memory after most of it had been counted as sent: 41 MiB for 40 callers, 55 MiB for 60. Pieces of 64 KiB bound that. Responses being received from the target are charged too.

--- a/packages/http/httpclient.h
+++ b/packages/http/httpclient.h
@@ -17,6 +17,7 @@
 #include "http/httpheaders.h"
 
 struct counter_registry;
+struct memory_budget;
 struct runtime;
 
 struct http_client;
@@ -43,6 +44,9 @@
     int64_t connect_timeout_us; /**< Default 1 s */
     int64_t idle_timeout_us;    /**< Default 30 s */
     bool body_may_end_at_close; /**< a body may end with its connection */
+    /** Bounds answers being received; above it a call ends as malformed. NULL:
+     * no bound. */
+    struct memory_budget *memory;
 };
 
 /** Result of a call, valid during the callback. */
--- a/packages/http/httpclient_internal.h
+++ b/packages/http/httpclient_internal.h
@@ -11,6 +11,7 @@
 #include <event2/event.h>
 
 #include "base/counter.h"
+#include "base/memorybudget.h"
 #include "base/runtime.h"
 #include "http/httpclient.h"
 #include "http/httpmessage.h"
@@ -28,7 +29,8 @@
     X(connects, "connections opened")                                         \
     X(abandoned, "connections closed because of an abandoned request")        \
     X(unexpected_bytes, "connections closed because of unexpected bytes")     \
-    X(stray_answers, "answers dropped that belong to no request")
+    X(stray_answers, "answers dropped that belong to no request")             \
+    X(memory_cut, "requests whose answer was cut because memory was short")
 /* clang-format on */
 
 struct http_client_counters {
@@ -62,8 +64,9 @@
     struct http_reader *reader;
     struct http_call *call; /* NULL while idle */
     bool connected;
-    unsigned stray_answers; /* to other calls: then it is not reused */
-    size_t body_bytes;      /* counted in the client's */
+    unsigned stray_answers;      /* to other calls: then it is not reused */
+    size_t body_bytes;           /* counted in the client's */
+    struct memory_holder memory; /* charged for the answer */
     int64_t connect_deadline_us;
     int64_t idle_since_us;
     int64_t idle_max_us; /* from the peer's Keep-Alive, 0: none */
--- a/packages/http/httpclientconnection.c
+++ b/packages/http/httpclientconnection.c
@@ -28,6 +28,17 @@
     connection->body_bytes = size;
 }
 
+/** Charges the budget for an answer of which size bytes have arrived. */
+static bool
+connection_charge(struct http_client_connection *connection, size_t size)
+{
+    const struct http_client *client = connection->client;
+    connection->memory.purpose = MEMORY_RESPONSES;
+    return client->config.memory == NULL ||
+           memory_budget_set(client->config.memory, &connection->memory, size,
+                             runtime_now_us(client->runtime));
+}
+
 void
 http_client_connection_close(struct http_client_connection *connection)
 {
@@ -35,6 +46,7 @@
     LIST_REMOVE(connection, link);
     client->connection_count--;
     connection_count_body(connection, 0);
+    connection_charge(connection, 0);
     bufferevent_free(connection->bev);
     http_reader_destroy(connection->reader);
     free(connection);
@@ -69,6 +81,7 @@
     }
     http_reader_reset(connection->reader);
     connection_count_body(connection, 0);
+    connection_charge(connection, 0);
     connection->idle_since_us = runtime_now_us(client->runtime);
     LIST_REMOVE(connection, link);
     LIST_INSERT_HEAD(&client->idle, connection, link);
@@ -170,6 +183,13 @@
         http_client_connection_close(connection);
         return;
     }
+    if (!connection_charge(
+            connection, http_reader_message(connection->reader)->body_size +
+                            evbuffer_get_length(bufferevent_get_input(bev)))) {
+        client->counters.memory_cut->value++;
+        http_client_connection_fail(connection, HTTP_MALFORMED);
+        return;
+    }
     http_reader_feed(connection->reader, bufferevent_get_input(bev));
     while (connection->stray_answers < STRAY_ANSWERS_MAX &&
            connection_drop_stray(connection)) {
--- a/packages/http/httpwriter.c
+++ b/packages/http/httpwriter.c
@@ -8,6 +8,7 @@
 
 #include "http/httpproblem.h"
 
+#define PIECE_MAX_BYTES (64u << 10)
 #define DATE_SIZE 40 /* bytes of a Date value, with the terminator */
 
 static void
@@ -82,6 +83,18 @@
     add_field(output, "Date", text);
 }
 
+/** Adds a body in pieces, each of which is freed once it is sent. */
+static void
+add_body(struct evbuffer *output, const char *body, size_t size)
+{
+    while (size > 0) {
+        const size_t piece = size < PIECE_MAX_BYTES ? size : PIECE_MAX_BYTES;
+        evbuffer_add(output, body, piece);
+        body += piece;
+        size -= piece;
+    }
+}
+
 static bool
 status_forbids_body(unsigned status)
 {
@@ -114,8 +127,8 @@
         add_text(output, "Connection: keep-alive\r\n");
     }
     evbuffer_add(output, "\r\n", 2);
-    if (!no_body && answer->body_size > 0) {
-        evbuffer_add(output, answer->body, answer->body_size);
+    if (!no_body) {
+        add_body(output, answer->body, answer->body_size);
     }
 }
 
@@ -142,7 +155,5 @@
         add_length(output, request->body_size);
     }
     evbuffer_add(output, "\r\n", 2);
-    if (request->body_size > 0) {
-        evbuffer_add(output, request->body, request->body_size);
-    }
+    add_body(output, request->body, request->body_size);
 }
--- a/packages/node/localtarget.c
+++ b/packages/node/localtarget.c
@@ -128,6 +128,8 @@
         .connect_timeout_us = CONNECT_TIMEOUT_US,
         .idle_timeout_us = IDLE_TIMEOUT_US,
         .body_may_end_at_close = true,
+        .memory = target->node->settings.memory_mb > 0 ? &target->node->memory
+                                                       : NULL,
     };
     target->present = true;
     target->present_since_us = localtarget_now_us(target);
