Requests of other instances are charged to the memory budget

What an instance runs for others was counted at the callers' side only. A request that finds no memory is refused as not run, and its sender may try elsewhere. The handler has a file of its own, relayserve.c.

--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -17,6 +17,7 @@
 #include "node/nodemetrics.h"
 #include "node/ownrow.h"
 #include "node/planner.h"
+#include "node/relayserve.h"
 #include "node/relaytask.h"
 #include "node/rowcommit.h"
 
@@ -477,6 +478,7 @@
     node->gate = localgate_create(node);
     node->keyowner = keyowner_create(node);
     node->relay = relaytask_create(node);
+    node->relayserve = relayserve_create(node);
     node->feeds = feedrelay_create(node);
     node->commits = rowcommit_create(node);
     node->planner = planner_create(node);
@@ -522,6 +524,7 @@
     rowcommit_destroy(node->commits);
     ingress_destroy(node->ingress);
     relaytask_destroy(node->relay);
+    relayserve_destroy(node->relayserve);
     http_server_destroy(node->callers);
     http_server_destroy(node->announcements);
     http_server_destroy(node->metrics);
--- a/packages/node/node_internal.h
+++ b/packages/node/node_internal.h
@@ -43,6 +43,7 @@
 struct nodemetrics;
 struct ownrow;
 struct planner;
+struct relayserve;
 struct relaytask;
 struct rowcommit;
 
@@ -89,6 +90,7 @@
     struct planner *planner;
     struct zonetraffic zonetraffic;
     struct relaytask *relay;
+    struct relayserve *relayserve;
     struct feedrelay *feeds;
     struct rowcommit *commits;
     struct ingress *ingress;
--- /dev/null
+++ b/packages/node/relayserve.c
@@ -0,0 +1,131 @@
+#include "node/relayserve.h"
+
+#include <stdlib.h>
+#include <sys/queue.h>
+
+#include "base/memory.h"
+#include "node/localgate.h"
+#include "node/node_internal.h"
+#include "protocol/procedures.h"
+
+#define BODY_COPIES 2 /* one is sent to the target */
+
+/** A request of another instance. */
+struct relayserve_request {
+    LIST_ENTRY(relayserve_request) link;
+    struct relayserve *relayserve;
+    struct rpc_request *rpc;
+    struct localgate_call *call;
+    struct memory_holder memory;
+};
+
+LIST_HEAD(relayserve_requests, relayserve_request);
+
+struct relayserve {
+    struct node *node;
+    struct relayserve_requests requests;
+    struct counter *memory_refused;
+};
+
+/** Charges the budget for a request. @return false if memory is short */
+static bool
+request_charge(struct relayserve_request *request,
+               const struct relay_request *args)
+{
+    struct node *node = request->relayserve->node;
+    request->memory.purpose = MEMORY_REQUESTS;
+    return node->settings.memory_mb == 0 ||
+           memory_budget_set(&node->memory, &request->memory,
+                             BODY_COPIES * (size_t)args->body.body_len,
+                             node_now_us(node));
+}
+
+static void
+request_free(struct relayserve_request *request)
+{
+    if (request->memory.bytes > 0) {
+        memory_budget_release(&request->relayserve->node->memory,
+                              &request->memory);
+    }
+    LIST_REMOVE(request, link);
+    free(request);
+}
+
+static void
+on_reply(void *ctx, const struct relay_reply *reply)
+{
+    struct relayserve_request *request = ctx;
+    rpc_request_reply(request->rpc, reply);
+    request_free(request);
+}
+
+static void
+on_request(void *ctx, struct rpc_request *rpc, const void *args)
+{
+    struct relayserve *relayserve = ctx;
+    struct localgate *gate = relayserve->node->gate;
+    struct relayserve_request *request = memory_calloc(1, sizeof(*request));
+    request->relayserve = relayserve;
+    request->rpc = rpc;
+    LIST_INSERT_HEAD(&relayserve->requests, request, link);
+    if (!request_charge(request, args)) {
+        relayserve->memory_refused->value++;
+        on_reply(request, &(struct relay_reply){
+                              .outcome = RELAY_NOT_RUN,
+                              .reason = RELAY_REASON_FULL,
+                              .owner = "",
+                              .load = localgate_load(gate),
+                          });
+        return;
+    }
+    rpc_request_set_data(rpc, request);
+    request->call = localgate_submit(gate, args, on_reply, request);
+}
+
+static void
+on_cancelled(void *ctx, struct rpc_request *rpc)
+{
+    struct relayserve_request *request = rpc_request_data(rpc);
+    (void)ctx;
+    localgate_cancel(request->call);
+    request_free(request);
+    rpc_request_drop(rpc);
+}
+
+struct relayserve *
+relayserve_create(struct node *node)
+{
+    struct relayserve *relayserve = memory_calloc(1, sizeof(*relayserve));
+    relayserve->node = node;
+    LIST_INIT(&relayserve->requests);
+    relayserve->memory_refused =
+        counter_add(node->options.counters, "relay_memory_refused",
+                    "requests of other instances refused because memory was "
+                    "short");
+    rpc_node_serve(node->rpc, &(struct rpc_procedure){
+                                  .number = PROCEDURE_RELAY,
+                                  .channel = RPC_TCP,
+                                  .decode_args = (xdrproc_t)xdr_relay_request,
+                                  .args_size = sizeof(struct relay_request),
+                                  .encode_result = (xdrproc_t)xdr_relay_reply,
+                                  .handle = on_request,
+                                  .cancelled = on_cancelled,
+                                  .ctx = relayserve,
+                              });
+    return relayserve;
+}
+
+void
+relayserve_destroy(struct relayserve *relayserve)
+{
+    if (relayserve == NULL) {
+        return;
+    }
+    struct relayserve_request *request = LIST_FIRST(&relayserve->requests);
+    while (request != NULL) {
+        struct relayserve_request *next = LIST_NEXT(request, link);
+        request_free(request);
+        request = next;
+    }
+    free(relayserve);
+}
--- a/packages/node/relaytask.c
+++ b/packages/node/relaytask.c
@@ -157,28 +157,6 @@
     free(call);
 }
 
-static void
-serve_reply(void *ctx, const struct relay_reply *reply)
-{
-    rpc_request_reply(ctx, reply);
-}
-
-static void
-serve_relay(void *ctx, struct rpc_request *request, const void *args)
-{
-    struct relaytask *relay = ctx;
-    rpc_request_set_data(request, localgate_submit(relay->node->gate, args,
-                                                   serve_reply, request));
-}
-
-static void
-serve_relay_cancelled(void *ctx, struct rpc_request *request)
-{
-    (void)ctx;
-    localgate_cancel(rpc_request_data(request));
-    rpc_request_drop(request);
-}
-
 /** Whether a call is for this instance: addresses are reused. */
 static bool
 is_addressed_to_self(const struct relaytask *relay, const char *to)
@@ -271,14 +249,6 @@
 register_procedures(struct relaytask *relay)
 {
     const struct rpc_procedure procedures[] = {
-        {
-            .number = PROCEDURE_RELAY,
-            .decode_args = (xdrproc_t)xdr_relay_request,
-            .args_size = sizeof(struct relay_request),
-            .encode_result = (xdrproc_t)xdr_relay_reply,
-            .handle = serve_relay,
-            .cancelled = serve_relay_cancelled,
-        },
         {
             .number = PROCEDURE_LOADS,
             .decode_args = (xdrproc_t)xdr_relay_question,
