--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -1,5 +1,6 @@
 #include "node/node.h"
 
+#include <malloc.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -18,12 +19,14 @@
 #include "node/planner.h"
 #include "node/quotagranter.h"
 #include "node/quotatask.h"
+#include "node/relayserve.h"
 #include "node/relaytask.h"
 #include "node/rowcommit.h"
 
 /* Of a read for changes, where declarations may not be older than a bound: a
  * short outage of the store must leave them newer than that. */
 #define DECLARED_WAIT_US (450 * US_PER_MS)
+#define MMAP_THRESHOLD_BYTES (128 << 10)
 
 int64_t
 node_now_us(const struct node *node)
@@ -482,6 +485,12 @@
     LIST_INIT(&node->instancetable.instances);
     node->nodemetrics = nodemetrics_create(node);
     zonetraffic_init(&node->zonetraffic, options->counters);
+    if (node->settings.memory_mb > 0) {
+        memory_budget_init(&node->memory, node->settings.memory_mb);
+        /* Long bodies return to the system when they are freed. */
+        mallopt(M_MMAP_THRESHOLD, MMAP_THRESHOLD_BYTES);
+        mallopt(M_TRIM_THRESHOLD, MMAP_THRESHOLD_BYTES);
+    }
     if (!nodeservers_open(node, err)) {
         node_destroy(node);
         return NULL;
@@ -490,6 +499,7 @@
     node->gate = localgate_create(node);
     node->keyowner = keyowner_create(node);
     node->relay = relaytask_create(node);
+    node->relayserve = relayserve_create(node);
     node->feeds = feedrelay_create(node);
     node->commits = rowcommit_create(node);
     node->planner = planner_create(node);
@@ -539,6 +549,7 @@
     quotatask_destroy(node->quotas);
     quotagranter_destroy(node->quotagranter);
     relaytask_destroy(node->relay);
+    relayserve_destroy(node->relayserve);
     http_server_destroy(node->callers);
     http_server_destroy(node->announcements);
     http_server_destroy(node->metrics);
--- a/packages/node/node_internal.h
+++ b/packages/node/node_internal.h
@@ -10,6 +10,7 @@
 
 #include "base/counter.h"
 #include "base/histogram.h"
+#include "base/memorybudget.h"
 #include "base/random.h"
 #include "base/runtime.h"
 #include "fleet/declared.h"
@@ -45,6 +46,7 @@
 struct planner;
 struct quotagranter;
 struct quotatask;
+struct relayserve;
 struct relaytask;
 struct rowcommit;
 
@@ -72,6 +74,7 @@
     int64_t started_ms; /**< Unix time */
     const struct wire *wire;
     struct random_state random;
+    struct memory_budget memory; /* used if the settings have memory_mb */
     struct rpc_node *rpc;
     struct http_server *callers;
     struct http_server *announcements;
@@ -92,6 +95,7 @@
     struct planner *planner;
     struct zonetraffic zonetraffic;
     struct relaytask *relay;
+    struct relayserve *relayserve;
     struct feedrelay *feeds;
     struct rowcommit *commits;
     struct quotagranter *quotagranter;
--- a/packages/node/relaytask.c
+++ b/packages/node/relaytask.c
@@ -10,7 +10,6 @@
 #include "base/log.h"
 #include "base/memory.h"
 #include "fleet/keyload.h"
-#include "fleet/transittime.h"
 #include "http/httpmessage.h"
 #include "node/bodyoffers.h"
 #include "node/keyowner.h"
@@ -52,9 +51,6 @@
 
 struct relaytask {
     struct node *node;
-    struct transittime *transit_times;
-    struct bodyoffers *offers;
-    struct counter *expired;
     struct relay_calls calls;
     struct relay_queries queries;
 };
@@ -262,40 +258,6 @@
     free(call);
 }
 
-static void
-serve_reply(void *ctx, const struct relay_reply *reply)
-{
-    rpc_request_reply(ctx, reply);
-}
-
-static void
-serve_relay(void *ctx, struct rpc_request *request, const void *args)
-{
-    struct relaytask *relay = ctx;
-    const struct relay_request *relayed = args;
-    struct node *node = relay->node;
-    const int64_t transit_us =
-        transittime_record(relay->transit_times, relayed->process,
-                           relayed->sent_us, node_now_us(node));
-    if (transit_us >= (int64_t)relayed->left_us) {
-        relay->expired->value++;
-    }
-    if (relayed->body.body_len >= BODYOFFERS_MIN_BYTES) {
-        bodyoffers_arrived(relay->offers, relayed->process, relayed->id);
-    }
-    rpc_request_set_data(request,
-                         localgate_submit(node->gate, relayed, transit_us,
-                                          serve_reply, request));
-}
-
-static void
-serve_relay_cancelled(void *ctx, struct rpc_request *request)
-{
-    (void)ctx;
-    localgate_cancel(rpc_request_data(request));
-    rpc_request_drop(request);
-}
-
 /** Whether a call is for this instance: addresses are reused. */
 static bool
 is_addressed_to_self(const struct relaytask *relay, const char *to)
@@ -388,14 +350,6 @@
 register_procedures(struct relaytask *relay)
 {
     const struct rpc_procedure procedures[] = {
-        {
-            .number = PROCEDURE_RELAY,
-            .decode_args = (xdrproc_t)xdr_relay_request,
-            .args_size = sizeof(struct relay_request),
-            .encode_result = (xdrproc_t)xdr_relay_reply,
-            .handle = serve_relay,
-            .cancelled = serve_relay_cancelled,
-        },
         {
             .number = PROCEDURE_LOADS,
             .decode_args = (xdrproc_t)xdr_relay_question,
@@ -438,11 +392,6 @@
 {
     struct relaytask *relay = memory_calloc(1, sizeof(*relay));
     relay->node = node;
-    relay->transit_times = transittime_create();
-    relay->offers = bodyoffers_create(node);
-    relay->expired =
-        counter_add(node->options.counters, "relay_expired",
-                    "relayed requests that had no time left on arrival");
     register_procedures(relay);
     return relay;
 }
@@ -466,8 +415,6 @@
         free(query);
         query = next;
     }
-    bodyoffers_destroy(relay->offers);
-    transittime_destroy(relay->transit_times);
     free(relay);
 }
 
