--- a/packages/fleet/targetqueue.c
+++ b/packages/fleet/targetqueue.c
@@ -6,13 +6,11 @@
 #include "base/timeunits.h"
 #include "fleet/fairshare.h"
 #include "fleet/ratelimit.h"
+#include "fleet/startturns.h"
 
 #define COLD_WINDOW_US                                                        \
     (1100 * US_PER_MS) /* one second, and 10 % for clock differences */
 #define SERVICE_DEFAULT_US (100 * US_PER_MS)
-/* One of so many starts goes to a less urgent request, if one waits that can
- * still meet its objective. */
-#define SHARE_STARTS 6
 #define SERVICE_SMOOTHING 16 /* a new answer has the weight 1/16 */
 
 TAILQ_HEAD(request_list, targetqueue_request);
@@ -30,7 +28,7 @@
     struct ratelimit rate;
     struct fairshare *shares;
     int64_t service_us;
-    unsigned urgent_starts; /* since the last of a less urgent request */
+    struct startturns turns;
     int64_t started_sum_us; /* of the running requests */
 };
 
@@ -340,7 +338,7 @@
     TAILQ_FOREACH (other, &queue->requests, link) {
         urgent += other->priority < request->priority;
     }
-    const unsigned shared = (ahead - urgent + 1) * SHARE_STARTS - 1;
+    const unsigned shared = startturns_before(ahead - urgent);
     return shared < ahead ? shared : ahead;
 }
 
@@ -350,7 +348,7 @@
 {
     struct targetqueue_request *first = TAILQ_FIRST(&queue->requests);
     struct targetqueue_request *request;
-    if (queue->urgent_starts + 1 < SHARE_STARTS || !shares_starts(queue)) {
+    if (!startturns_is_less_urgent(&queue->turns) || !shares_starts(queue)) {
         return first;
     }
     TAILQ_FOREACH (request, &queue->requests, link) {
@@ -361,18 +359,6 @@
     return first;
 }
 
-static void
-record_turn(struct targetqueue *queue,
-            const struct targetqueue_request *request)
-{
-    if (request->priority != TAILQ_FIRST(&queue->requests)->priority) {
-        queue->urgent_starts = 0;
-    }
-    else if (queue->urgent_starts + 1 < SHARE_STARTS) {
-        queue->urgent_starts++;
-    }
-}
-
 static bool
 is_late(const struct targetqueue_request *request, int64_t now_us)
 {
@@ -520,7 +506,9 @@
     if (request == NULL) {
         return NULL;
     }
-    record_turn(queue, request);
+    startturns_record(&queue->turns,
+                      request->priority !=
+                          TAILQ_FIRST(&queue->requests)->priority);
     dequeue(queue, request);
     start(queue, request, now_us);
     *verdict = TARGETQUEUE_START;
