--- a/packages/base/memorybudget.c
+++ b/packages/base/memorybudget.c
@@ -74,8 +74,13 @@
              holder_cost(victim->bytes, victim->progress_us, now_us) < cost)) {
             return false;
         }
+        const size_t held_before = budget->held_bytes;
         budget->evictions++;
         victim->evict(victim);
+        if (budget->held_bytes >= held_before) {
+            return false; /* it kept its memory: evicting it again is in vain
+                           */
+        }
     }
     return true;
 }
--- a/packages/base/test/memorybudget_test.cc
+++ b/packages/base/test/memorybudget_test.cc
@@ -65,6 +65,17 @@
 }
 
 /* What runs at a target isn't aborted for a new body. */
+/* An owner that frees nothing must not hang the process. */
+TEST_F(MemoryBudgetTest, EvictionThatFreesNothingEndsTheAttempt)
+{
+    Holder keeps;
+    Holder next;
+    EXPECT_TRUE(Set(keeps, 100 * MIB, 0, true));
+    keeps.base.evict = [](struct memory_holder *holder) { (void)holder; };
+    EXPECT_FALSE(Set(next, 60 * MIB, 10, true));
+    EXPECT_EQ(100 * MIB, budget_.held_bytes);
+}
+
 TEST_F(MemoryBudgetTest, ProtectedHoldersStay)
 {
     Holder running, next;
