A request whose body was only offered has not run

Cause: at the caller's deadline an outstanding offer counted as a request that may have run: 504 in place of 503. Change: only the request itself counts. Result: BodyOffers.RequestWhoseOfferHasNoAnswerHasNotRun fails without the change (504).

--- a/packages/node/relaytask.c
+++ b/packages/node/relaytask.c
@@ -26,6 +26,7 @@
     struct relaytask *relay;
     struct localgate_call *local; /* NULL if another instance runs it */
     struct rpc_call *remote;      /* the request, or before it the offer */
+    bool offering;                /* remote is the offer */
     const struct relay_request *request;
     struct address peer;
     int64_t until_us;      /* the end of its time */
@@ -139,6 +140,7 @@
     struct relay_call *call = ctx;
     const struct relay_offered *offered = result;
     call->remote = NULL;
+    call->offering = false;
     if (status == RPC_OK && !offered->accepted) {
         end_refused(call, offered);
     }
@@ -180,6 +182,7 @@
         .done = on_offered,
         .ctx = call,
     };
+    call->offering = true;
     call->remote = rpc_call_start(node->rpc, &spec);
 }
 
@@ -217,8 +220,10 @@
 bool
 relaytask_may_have_run(const struct relay_call *call)
 {
-    return call->local != NULL ? localgate_may_have_run(call->local)
-                               : rpc_call_may_be_sent(call->remote);
+    if (call->local != NULL) {
+        return localgate_may_have_run(call->local);
+    }
+    return !call->offering && rpc_call_may_be_sent(call->remote);
 }
 
 void
