A refused request doesn't overtake the answers before it

Cause: the refusal of a request that can't be read, or for which there is no memory, was written at once, also while requests before it on the connection had no answer yet; the caller read it as the answer to the first of them, so a 503 could name a running request as not run. Change: behind unanswered requests the refused one gets no answer; the connection closes after the answers before it. Result: Pipeline.RefusedRequestDoesNotOvertakeTheAnswersBeforeIt fails without the change; Pipeline.* pass.

--- a/packages/http/httpconnection.c
+++ b/packages/http/httpconnection.c
@@ -122,10 +122,18 @@
     }
 }
 
+/** Answers a request that can't be read, and closes the connection. Behind
+ * requests without an answer it is not answered: the connection closes after
+ * their answers. */
 static void
 connection_refuse(struct http_connection *connection, unsigned status)
 {
     connection->server->counters.refused->value++;
+    if (!TAILQ_EMPTY(&connection->pipeline)) {
+        connection->closes_after_pipeline = true;
+        connection->state = HTTP_CONNECTION_HANDLING;
+        return;
+    }
     const struct http_problem problem = {
         .status = status,
         .detail = "the request could not be read",
@@ -315,7 +323,9 @@
 connection_closes_after(const struct http_connection *connection,
                         const struct http_request *request)
 {
-    if (!request->message->keep_alive) {
+    if (!request->message->keep_alive ||
+        (connection->closes_after_pipeline &&
+         TAILQ_NEXT(request, pipeline) == NULL)) {
         return true;
     }
     return (connection->server->stopping || connection->server->retiring) &&
@@ -376,7 +386,12 @@
         connection_finish(connection);
         return;
     }
-    if (connection->pipeline_count >=
+    if (connection->closes_after_pipeline && connection->pipeline_count == 0) {
+        connection_finish(connection); /* answered before the refusal */
+        return;
+    }
+    if (connection->closes_after_pipeline ||
+        connection->pipeline_count >=
             connection->server->config.pipeline_max ||
         (connection->pipeline_count > 0 &&
          !TAILQ_LAST(&connection->pipeline, http_pipeline)
--- a/packages/http/httpserver_internal.h
+++ b/packages/http/httpserver_internal.h
@@ -87,6 +87,7 @@
     bool feeding;   /* in connection_feed(), which must not nest */
     bool receiving; /* part of a request was read */
     bool continue_sent;
+    bool closes_after_pipeline;    /* a request behind it was refused */
     bool answered;                 /* a request that had no other behind it */
     size_t body_bytes;             /* part of server->body_bytes */
     struct http_pipeline pipeline; /* answer not yet written, in order */
--- a/packages/http/test/httppipeline_test.cc
+++ b/packages/http/test/httppipeline_test.cc
@@ -87,6 +87,43 @@
     EXPECT_NE(std::string::npos, ReadRaw(next, "X-Path").find("200"));
 }
 
+/* A refusal that overtakes the answers before it would be read as the answer
+ * to a request that runs. */
+TEST_F(Pipeline, RefusedRequestDoesNotOvertakeTheAnswersBeforeIt)
+{
+    const std::string proper = "GET /hold HTTP/1.1\r\nHost: a\r\n\r\n";
+    const int fd = ConnectRaw(proper + proper + "no request\r\n\r\n" + proper);
+    ASSERT_TRUE(Until([&] { return held.size() == 2; }));
+    char early;
+    Until([] { return false; }, 20);
+    EXPECT_EQ(-1, recv(fd, &early, 1, MSG_DONTWAIT));
+    Reply(1, "second");
+    Until([] { return false; }, 20);
+    EXPECT_EQ(-1, recv(fd, &early, 1, MSG_DONTWAIT));
+    Reply(0, "first");
+    const std::string received = ReadRaw(fd, "second");
+    EXPECT_EQ(0U, received.find("HTTP/1.1 200"));
+    EXPECT_LT(received.find("first"), received.find("second"));
+    EXPECT_NE(std::string::npos, received.find("Connection: close"));
+    EXPECT_EQ(std::string::npos, received.find("HTTP/1.1 4"));
+    EXPECT_EQ(2U, held.size());
+}
+
+TEST_F(Pipeline, RefusalAfterTheLastAnswerIsReadyAlsoClosesTheConnection)
+{
+    const std::string proper = "GET /hold HTTP/1.1\r\nHost: a\r\n\r\n";
+    const int fd = ConnectRaw(proper + proper);
+    ASSERT_TRUE(Until([&] { return held.size() == 2; }));
+    Reply(1, "second");
+    send(fd, "no request\r\n\r\n", 14, MSG_NOSIGNAL);
+    Until([] { return false; }, 20);
+    Reply(0, "first");
+    const std::string received = ReadRaw(fd, "second");
+    EXPECT_LT(received.find("first"), received.find("second"));
+    char more;
+    ASSERT_TRUE(Until([&] { return recv(fd, &more, 1, MSG_DONTWAIT) == 0; }));
+}
+
 /* Guards against: a request that was sent ahead counts as sent after an
  * answer. */
 TEST_F(Pipeline, OnlyARequestSentAfterAnAnswerFollowsIt)
