--- a/packages/base/memorybudget.c
+++ b/packages/base/memorybudget.c
@@ -78,8 +78,8 @@
         budget->evictions++;
         victim->evict(victim);
         if (budget->held_bytes >= held_before) {
-            return false; /* it kept its memory: evicting it again is in vain
-                           */
+            /* The callback freed nothing. */
+            return false;
         }
     }
     return true;
--- a/packages/base/test/memorybudget_test.cc
+++ b/packages/base/test/memorybudget_test.cc
@@ -64,7 +64,6 @@
     EXPECT_EQ(budget_.held_bytes, 100 * MIB);
 }
 
-/* What runs at a target isn't aborted for a new body. */
 /* An owner that frees nothing must not hang the process. */
 TEST_F(MemoryBudgetTest, EvictionThatFreesNothingEndsTheAttempt)
 {
@@ -76,6 +75,7 @@
     EXPECT_EQ(100 * MIB, budget_.held_bytes);
 }
 
+/* What runs at a target isn't aborted for a new body. */
 TEST_F(MemoryBudgetTest, ProtectedHoldersStay)
 {
     Holder running, next;
--- a/packages/fleet/test/transferqueue_test.cc
+++ b/packages/fleet/test/transferqueue_test.cc
@@ -91,6 +91,24 @@
     EXPECT_EQ(0U, queue.waiting_bytes);
 }
 
+/* Senders that die after they were accepted must not make all others look too
+ * late for good. */
+TEST_F(TransferQueue, SpeedIsLearntAgainAfterTransfersThatNeverArrived)
+{
+    auto first = Body(kLimit, US_PER_SECOND);
+    transferqueue_offer(&queue, &first, 0);
+    transferqueue_arrived(&queue, &first, 50 * US_PER_MS);
+    int64_t now_us = US_PER_SECOND;
+    for (int i = 0; i < 10; i++) {
+        auto lost = Body(kLimit, now_us + 9 * US_PER_SECOND);
+        transferqueue_offer(&queue, &lost, now_us);
+        now_us += 2 * US_PER_SECOND;
+        transferqueue_abandon(&queue, &lost, now_us);
+    }
+    auto next = Body(kLimit, now_us + US_PER_SECOND);
+    EXPECT_EQ(TRANSFERQUEUE_START, transferqueue_offer(&queue, &next, now_us));
+}
+
 /** Bodies that a link of 1.25 MB/s transfers one after the other. */
 struct Link {
     struct transferqueue *queue;
--- a/packages/fleet/transferqueue.c
+++ b/packages/fleet/transferqueue.c
@@ -8,6 +8,7 @@
 #define DECAY_US (2.0 * US_PER_SECOND)
 /* The speed is not judged by less. */
 #define KNOWN_FROM_US (20.0 * US_PER_MS)
+#define TIME_MAX_US (3600.0 * US_PER_SECOND)
 
 void
 transferqueue_init(struct transferqueue *queue, size_t limit_bytes)
@@ -62,7 +63,8 @@
     if (queue->busy_us < KNOWN_FROM_US || queue->arrived <= 0) {
         return 0;
     }
-    return (int64_t)((double)bytes * queue->busy_us / queue->arrived);
+    const double time_us = (double)bytes * queue->busy_us / queue->arrived;
+    return time_us < TIME_MAX_US ? (int64_t)time_us : (int64_t)TIME_MAX_US;
 }
 
 int64_t
@@ -72,14 +74,23 @@
                                        queue->waiting_bytes + size);
 }
 
+/** The same, but 0 for the only one: the speed is learnt from transfers, so
+ * that one must be tried however low it was. */
+static int64_t
+expected_us(const struct transferqueue *queue, size_t size)
+{
+    const bool alone =
+        queue->running_bytes == 0 && TAILQ_EMPTY(&queue->waiting);
+    return alone ? 0 : transferqueue_expected_us(queue, size);
+}
+
 enum transferqueue_verdict
 transferqueue_offer(struct transferqueue *queue,
                     struct transferqueue_transfer *transfer, int64_t now_us)
 {
     count_time(queue, now_us);
     transfer->state = TRANSFERQUEUE_STATE_NONE;
-    if (now_us + transferqueue_expected_us(queue, transfer->size) >=
-        transfer->deadline_us) {
+    if (now_us + expected_us(queue, transfer->size) >= transfer->deadline_us) {
         return TRANSFERQUEUE_REFUSE;
     }
     if (TAILQ_EMPTY(&queue->waiting) && has_room(queue, transfer->size)) {
--- a/packages/http/httpconnection.c
+++ b/packages/http/httpconnection.c
@@ -132,6 +132,12 @@
     if (!TAILQ_EMPTY(&connection->pipeline)) {
         connection->closes_after_pipeline = true;
         connection->state = HTTP_CONNECTION_HANDLING;
+        connection->receiving = false;
+        connection->deadline_us = 0;
+        http_server_release_reader(connection->server, connection->reader);
+        connection->reader = NULL;
+        connection_count_body(connection, 0);
+        http_memory_update(connection);
         return;
     }
     const struct http_problem problem = {
@@ -244,7 +250,7 @@
     http_memory_protect(connection);
     while (connection->state == HTTP_CONNECTION_READING &&
            evbuffer_get_length(input) > 0 &&
-           !http_memory_is_backed_up(connection)) {
+           !http_memory_output_is_full(connection)) {
         if (connection->reader == NULL) {
             connection->reader =
                 http_server_acquire_reader(connection->server);
@@ -335,13 +341,13 @@
 /** Drops the answer, for which there is no memory, and has the connection
  * closed later, since its caller may be in use. */
 static void
-connection_doom(struct http_connection *connection,
-                struct http_request *request)
+connection_close_later(struct http_connection *connection,
+                       struct http_request *request)
 {
-    if (!connection->doomed) {
+    if (!connection->close_pending) {
         connection->server->counters.memory_closed->value++;
     }
-    connection->doomed = true;
+    connection->close_pending = true;
     connection->state = HTTP_CONNECTION_CLOSING;
     TAILQ_REMOVE(&connection->pipeline, request, pipeline);
     connection->pipeline_count--;
@@ -356,9 +362,9 @@
     struct http_connection *connection = request->connection;
     const struct http_message *message = request->message;
     connection->running--;
-    if (connection->doomed ||
+    if (connection->close_pending ||
         !http_memory_charge_answer(connection, reply->body_size)) {
-        connection_doom(connection, request);
+        connection_close_later(connection, request);
         return;
     }
     request->close = connection_closes_after(connection, request);
@@ -425,14 +431,14 @@
 {
     struct http_connection *connection = ctx;
     (void)bev;
-    if (connection->doomed) {
+    if (connection->close_pending) {
         return;
     }
     if (connection->state == HTTP_CONNECTION_CLOSING) {
         connection_linger(connection);
     }
     else if (connection->server->config.memory != NULL) {
-        http_memory_settle(connection);
+        http_memory_update(connection);
         connection_feed(connection); /* it may have been backed up */
     }
 }
@@ -512,7 +518,7 @@
 {
     struct http_server *server = connection->server;
     const size_t backlog = connection_backlog(connection);
-    if (connection->doomed) {
+    if (connection->close_pending) {
         connection_drop(connection);
         return;
     }
--- a/packages/http/httpmemory.c
+++ b/packages/http/httpmemory.c
@@ -140,14 +140,14 @@
 }
 
 bool
-http_memory_is_backed_up(const struct http_connection *connection)
+http_memory_output_is_full(const struct http_connection *connection)
 {
     return connection->server->config.memory != NULL &&
            unread_bytes(connection) > ANSWERS_HIGH_BYTES;
 }
 
 void
-http_memory_settle(struct http_connection *connection)
+http_memory_update(struct http_connection *connection)
 {
     connection_set(connection, received_bytes(connection), 0);
 }
--- a/packages/http/httpserver_internal.h
+++ b/packages/http/httpserver_internal.h
@@ -97,7 +97,7 @@
     struct memory_holder memory; /* see httpmemory.c */
     size_t answer_bytes;         /* of complete answers behind others */
     unsigned running;            /* requests without an answer */
-    bool doomed;                 /* is closed at the next timeout check */
+    bool close_pending;          /* is closed at the next timeout check */
 };
 
 struct http_request {
@@ -165,10 +165,10 @@
 
 /** True while the caller has so much left to read that no further request of
  * it is handled. */
-bool http_memory_is_backed_up(const struct http_connection *connection);
+bool http_memory_output_is_full(const struct http_connection *connection);
 
 /** Adjusts the charge to what the connection holds now. */
-void http_memory_settle(struct http_connection *connection);
+void http_memory_update(struct http_connection *connection);
 
 void http_memory_release(struct http_server *server,
                          struct memory_holder *holder);
--- a/packages/node/bodyoffers.c
+++ b/packages/node/bodyoffers.c
@@ -136,7 +136,7 @@
 {
     return strcmp(asked->to, offers->node->settings.instance) == 0 &&
            asked->size <= RELAY_BODY_MAX &&
-           asked->left_us < (u_quad_t)INT64_MAX / 2;
+           asked->left_us <= RELAY_TIME_MAX_US;
 }
 
 static void
--- a/packages/node/feedrelay.c
+++ b/packages/node/feedrelay.c
@@ -168,7 +168,8 @@
 {
     struct relayrows rows;
     const struct freshness_read read = {
-        .ok = true,
+        /* One that knows less proves nothing. */
+        .ok = feed->store_version >= call->after,
         .begun_us = call->asked_us,
         .ended_us = node_now_us(call->table->relay->node),
         .held_us = (int64_t)feed->held_us,
--- a/packages/node/ingressquota.c
+++ b/packages/node/ingressquota.c
@@ -32,7 +32,8 @@
         LOG_INFO("quota_refused", LOG_STR("id", call->id),
                  LOG_STR("workspace", call->workspace),
                  LOG_STR("reason", refusal.reason),
-                 LOG_INT("rate_per_s", call->quota.rate_per_s),
+                 LOG_INT("rate_per_1000_s",
+                         (int64_t)(call->quota.rate_per_s * 1000)),
                  LOG_STR("granter", granter_name(call, 0)),
                  LOG_STR("other_granter", granter_name(call, 1)),
                  LOG_INT("retry_ms", call->quota.retry_us / US_PER_MS));
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -575,7 +575,9 @@
     const bool moved =
         !address_equal(&settings->callers, &node->settings.callers) ||
         !address_equal(&settings->rpc, &node->settings.rpc) ||
-        !address_equal(&settings->store, &node->settings.store);
+        !address_equal(&settings->store, &node->settings.store) ||
+        settings->memory_mb != node->settings.memory_mb ||
+        settings->max_fds != node->settings.max_fds;
     if (moved) {
         LOG_WARN("settings_need_restart");
         return;
--- a/packages/node/relayserve.c
+++ b/packages/node/relayserve.c
@@ -18,6 +18,7 @@
     struct relayserve *relayserve;
     struct rpc_request *rpc;
     struct localgate_call *call;
+    struct relay_request relayed; /* with times that are in range */
     struct memory_holder memory;
 };
 
@@ -80,13 +81,31 @@
     return transit_us;
 }
 
+/** Copies a request; times that no sender means become the nearest that one
+ * may. */
+static void
+copy_in_range(struct relay_request *to, const struct relay_request *from)
+{
+    *to = *from;
+    if (to->left_us > RELAY_TIME_MAX_US) {
+        to->left_us = RELAY_TIME_MAX_US;
+    }
+    if (to->due_us > (quad_t)RELAY_TIME_MAX_US) {
+        to->due_us = (quad_t)RELAY_TIME_MAX_US;
+    }
+    if (to->due_us < -(quad_t)RELAY_TIME_MAX_US) {
+        to->due_us = -(quad_t)RELAY_TIME_MAX_US;
+    }
+}
+
 static void
 on_request(void *ctx, struct rpc_request *rpc, const void *args)
 {
     struct relayserve *relayserve = ctx;
     struct localgate *gate = relayserve->node->gate;
     struct relayserve_request *request = memory_calloc(1, sizeof(*request));
-    const int64_t transit_us = record_arrival(relayserve, args);
+    copy_in_range(&request->relayed, args);
+    const int64_t transit_us = record_arrival(relayserve, &request->relayed);
     request->relayserve = relayserve;
     request->rpc = rpc;
     LIST_INSERT_HEAD(&relayserve->requests, request, link);
@@ -101,8 +120,8 @@
         return;
     }
     rpc_request_set_data(rpc, request);
-    request->call =
-        localgate_submit(gate, args, transit_us, on_reply, request);
+    request->call = localgate_submit(gate, &request->relayed, transit_us,
+                                     on_reply, request);
 }
 
 static void
--- a/packages/node/relaytask.c
+++ b/packages/node/relaytask.c
@@ -27,7 +27,8 @@
     struct localgate_call *local; /* NULL if another instance runs it */
     struct rpc_call *remote;      /* the request, or before it the offer */
     bool offering;                /* remote is the offer */
-    const struct relay_request *request;
+    struct relay_request request; /* other attempts change the sender's */
+    struct relay_limit limit;     /* of the request, if it has one */
     struct address peer;
     int64_t until_us;      /* the end of its time */
     struct counter *bytes; /* NULL within the zone, as the next */
@@ -107,7 +108,7 @@
         .channel = RPC_TCP,
         .procedure = PROCEDURE_RELAY,
         .encode_args = (xdrproc_t)xdr_relay_request,
-        .args = call->request,
+        .args = &call->request,
         .decode_result = (xdrproc_t)xdr_relay_reply,
         .result_size = sizeof(struct relay_reply),
         .timeout_us = left_us > 0 ? left_us : 0,
@@ -115,7 +116,7 @@
         .done = on_remote,
         .ctx = call,
     };
-    count_body(call, call->request->body.body_len);
+    count_body(call, call->request.body.body_len);
     call->remote = rpc_call_start(node->rpc, &spec);
 }
 
@@ -160,7 +161,7 @@
 send_offer(struct relay_call *call)
 {
     struct node *node = call->relay->node;
-    const struct relay_request *request = call->request;
+    const struct relay_request *request = &call->request;
     const struct relay_offer offer = {
         .to = request->to,
         .service = request->service,
@@ -203,7 +204,11 @@
         call->local = localgate_submit(node->gate, request, 0, on_local, call);
         return call;
     }
-    call->request = request;
+    call->request = *request;
+    if (request->limit != NULL) {
+        call->limit = *request->limit;
+        call->request.limit = &call->limit;
+    }
     call->peer = instance->instance_row.address;
     call->until_us = node_now_us(node) + timeout_us;
     call->bytes = zonetraffic_counter(node, ZONETRAFFIC_REQUESTS, instance);
--- a/packages/protocol/relay.x
+++ b/packages/protocol/relay.x
@@ -13,6 +13,7 @@
 const RELAY_ROW_MAX = 8388608;
 const RELAY_ROWS_MAX = 65536;
 const RELAY_PARTS_MAX = 64;
+const RELAY_TIME_MAX_US = 3600000000;   /* longer times count as this */
 
 enum relay_outcome {
     RELAY_ANSWERED = 0,
