--- a/packages/fleet/firstplan.h
+++ b/packages/fleet/firstplan.h
@@ -14,8 +14,8 @@
 
 #include "base/runtime.h"
 
-/** No instance must have appeared for this long. A row of another instance is
- * known about 1.1 s after it is written, 2.2 s at the latest. */
+/** No instance must have appeared for this long. Rows
+ * of other instances arrive with reads of the store that wait up to 1 s. */
 #define FIRSTPLAN_QUIET_US (2 * US_PER_SECOND)
 /** Longest wait. */
 #define FIRSTPLAN_WAIT_MAX_US (5 * US_PER_SECOND)
--- a/packages/fleet/quotagrants.c
+++ b/packages/fleet/quotagrants.c
@@ -7,8 +7,8 @@
 
 #define SIZE_FIRST 64
 #define PROBES_MAX 8 /* places where a bucket can be */
-/* Between two askers in vain: bounds the calls for a workspace that all
- * instances ask for. */
+/* Between two callers that got no token: bounds the calls for a workspace that
+ * all instances ask for. */
 #define RETURN_INTERVAL_US (5 * US_PER_MS)
 #define RATE_MIN_PER_S 0.001
 /* Longer than the windows in which a quota counts. */
@@ -19,7 +19,7 @@
     struct quotagrants_tenure tenure;
     double tokens;
     int64_t filled_us; /* when tokens was computed */
-    int64_t return_us; /* of the latest asker in vain */
+    int64_t return_us; /* of the latest caller without a token */
     float rate_per_s;
     float capacity;
 };
@@ -187,7 +187,7 @@
     bucket->rate_per_s = rate_per_s;
 }
 
-/** Wait for a whole token, and for the turn among the askers in vain. */
+/** Wait for a whole token, and for the turn among callers without one. */
 static int64_t
 assign_return_us(struct bucket *bucket, int64_t now_us)
 {
--- a/packages/fleet/quotagrants.h
+++ b/packages/fleet/quotagrants.h
@@ -16,7 +16,8 @@
 #define QUOTAGRANTS_MAX 65536 /* buckets of a table */
 /* Tokens above the burst: whole tokens are granted, also at low rates. */
 #define QUOTAGRANTS_RESERVE 2.0
-/* Askers in vain may return one after the other within this time. */
+/* Callers that got no token may return one after the other within this time.
+ */
 #define QUOTAGRANTS_RETURN_SPREAD_US INT64_C(1000000)
 
 struct quotagrants;
@@ -42,7 +43,7 @@
 
 struct quotagrants_reply {
     unsigned granted; /**< at most as many as wanted */
-    /** When to ask again, if fewer were granted; later for each asker in vain,
+    /** When to ask again, if fewer were granted; later for each that got none,
      * so that they don't return together. */
     int64_t wait_us;
     bool table_full; /**< nothing is known of the bucket */
--- a/packages/fleet/test/instancechoice_test.cc
+++ b/packages/fleet/test/instancechoice_test.cc
@@ -61,7 +61,7 @@
     EXPECT_GT(result.in_zone, 0.97);
 }
 
-/* A fleet with three targets in each zone, lightly loaded. */
+/* Guards small fleets, which behaved so before loads were weighed by age. */
 TEST_F(Choice, SmallFleetStaysInItsZone)
 {
     choicemodel_init_fleet(&options, 0.2, 3, 9, 1);
--- a/packages/node/keyownermove.c
+++ b/packages/node/keyownermove.c
@@ -221,7 +221,7 @@
     }
 }
 
-/** The same for a new order, with regard to the moves that wait. */
+/** Like check_move(), but also declines keys that already wait to move. */
 static enum keymove_decline
 check_order(const struct keyowner *keyowner, uint32_t first, uint32_t last)
 {
