--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,4 +1,4 @@
-"""A heartbeat of another writer, and then an upstream that leaves."""
+"""Upstreams that are now and then full, and hand out second answers."""
 
 import asyncio
 import os
@@ -9,89 +9,86 @@
                                 "..", "standin2"))
 import standins as s  # noqa: E402
 
-DRAIN_S = 2  # drain_s of the site
-PER_S = 60
-SERVES_ON_S = 7  # after the acknowledgement; "at times many seconds"
+SECONDS = 90
+PER_S = 180
+FULL_SHARE = 0.1  # of the requests, which an upstream can't queue
+# The second answers: garble "extra late", for 5 s in every 7.
+GARBLE_S = 5
+GARBLE_PERIOD_S = 7
+GARBLE_UPSTREAMS = 0.6  # its share
+GARBLE_ANSWERS = 0.03  # its x
+LATE_S = 0.03  # the second answer comes so long after the first
 
 
-class Load:
-    def __init__(self, clients, rng):
-        self.clients = clients
-        self.rng = rng
-        self.stopped = False
-        self.task = asyncio.ensure_future(self.run())
+def make_full(rng):
+    async def full(upstream, message, stream):
+        if rng.random() >= FULL_SHARE:
+            return False
+        upstream.reject(stream, message, 503)
+        return True
+    return full
 
-    async def run(self):
-        tasks = []
-        n = 0
-        while not self.stopped:
-            n += 1
-            tasks.append(asyncio.ensure_future(self.rng.choice(
-                self.clients).send("POST", "orders.example", "/order/%d" % n,
-                                   "r%06x" % n, 1200, body=b"x" * 400)))
-            await asyncio.sleep(1 / PER_S)
-        await asyncio.gather(*tasks)
+
+def make_garble(rng, begin):
+    def answered(upstream, message, stream, data):
+        garbles = (s.now() - begin) % GARBLE_PERIOD_S < GARBLE_S
+        if not garbles or rng.random() >= GARBLE_ANSWERS:
+            return
+
+        async def second():
+            await asyncio.sleep(LATE_S)
+            if not stream.closed:
+                upstream.record("second answer to",
+                                message.get("X-Chestnutgap-Request-Id"))
+                stream.write(data)
+        asyncio.ensure_future(second())
+    return answered
 
 
 async def case(folder, record, trouble):
-    d = s.Deployment(folder, record, {"drain_s": DRAIN_S})
+    rng = random.Random(6)
+    d = s.Deployment(folder, record, {"drain_s": 2.5})
     for i, zone in enumerate(("llanidloes", "rhayader", "machynlleth")):
-        d.add("side-%d" % i, zone, "orders", False, work_s=0.16)
-    d.config(1, {"orders": False},
-             [("orders.example", "/order/", "unsafe", "orders", 1.2)])
+        d.add("side-%d" % i, zone, "booking", True, work_s=0.15)
+    d.config(1, {"booking": True},
+             [("book.example", "/book/", "unsafe", "booking", 3)])
     try:
         await d.start()
         if not await d.wait_ready():
             record.say("the deployment didn't start")
             return None
-        load = Load(d.clients, random.Random(7))
-        upstream = d.upstreams[0]
-        await asyncio.sleep(4)
-        if trouble:
-            # One heartbeat that the upstream didn't send: the field "born"
-            # is missing, the others are its own but for the writer's count.
-            beat = upstream.beat_body(seq=100000)
-            upstream.seq -= 1
-            del beat["born"]
-            status = await upstream.say("PUT", beat)
-            record.say("the other writer's heartbeat is answered", status)
-        await asyncio.sleep(3)
-        upstream.state = "draining"
-        until = s.now() + 4
-        while s.now() < until and not acked(upstream):
-            await asyncio.sleep(0.05)
-        if not acked(upstream):
-            record.say("the departure wasn't acknowledged")
-            return None
-        at = acked(upstream)
-        await asyncio.sleep(at + SERVES_ON_S - s.now())
-        await upstream.say("DELETE", {"born": upstream.born})
-        ends = s.now()
-        running = [token[0] for token in upstream.running]
-        upstream.crash()  # it exits
-        load.stopped = True
-        await load.task
+        garbled = d.upstreams[:round(GARBLE_UPSTREAMS * len(d.upstreams))]
+        begin = s.now()
+        for u in d.upstreams:
+            u.fault = make_full(rng)
+            if trouble and u in garbled:
+                u.answered = make_garble(rng, begin)
+        tasks = []
+        for n in range(SECONDS * PER_S):
+            client = d.clients[rng.randrange(3)]
+            tasks.append(asyncio.ensure_future(client.send(
+                "POST", "book.example", "/book/%d" % n, "r%06x" % n, 3000,
+                key=rng.randrange(s.KEYS), body=b"x" * 200)))
+            await asyncio.sleep(1 / PER_S)
+        await asyncio.gather(*tasks)
+        await asyncio.sleep(0.5)
     finally:
         d.end()
-    late = [a for a in upstream.arrivals if a[0] > at + DRAIN_S]
-    lost = [r["id"] for c in d.clients for r in c.results
-            if r["id"] in running and r["status"] != 200]
-    record.say(len(late), "requests reached the upstream later than drain_s",
-               "after its departure was acknowledged, the last",
-               "%.1f" % ((late[-1][0] if late else at) - at), "s after it;",
-               len(running), "ran when it exited,", len(lost),
-               "of them got no answer of it")
-    for at_s, ident, _ in late[:3]:
-        record.say("for example", ident, "%.1f" % (at_s - at), "s after it")
-    if ends - at < DRAIN_S + 1:
+    runs = s.runs_of(d.upstreams)
+    results = [r for c in d.clients for r in c.results]
+    twice = [i for i, r in runs.items() if len(r) > 1]
+    refused = [r["id"] for r in results
+               if r["status"] in (408, 421, 429, 503) and r["id"] in runs]
+    served = sum(r["status"] == 200 for r in results)
+    record.say(len(results), "requests,", served, "served,",
+               sum(r["status"] == 503 for r in results), "answered 503;",
+               len(twice), "ran twice,", len(refused),
+               "answered as not run although they ran")
+    for ident in (twice + refused)[:5]:
+        record.say("for example", ident)
+    if served == 0:
         return None
-    return not late
-
-
-def acked(upstream):
-    """When the departure was acknowledged, or None."""
-    times = [at for at, state, _ in upstream.acks if state == "draining"]
-    return times[0] if times else None
+    return not twice and not refused
 
 
 s.main(case)
