--- a/review/standin2/standins.py
+++ b/review/standin2/standins.py
@@ -721,7 +721,7 @@
 
     def config(self, version, services, routes):
         """services: name -> keyed; routes: (host, prefix, kind, service,
-        timeout_s)"""
+        timeout_s[, priority])"""
         document = {
             "version": "%08x" % version,
             "services": [dict({"name": n, "health_path": "/health",
@@ -737,9 +737,10 @@
             "virtual_hosts": [{"host": host, "paths": [
                 {"name": "r-" + prefix.strip("/"), "path_prefix": prefix,
                  "kind": kind, "timeout_s": timeout,
-                 "target_latency_s": timeout / 2, "priority": 1,
+                 "target_latency_s": timeout / 2,
+                 "priority": rank[0] if rank else 1,
                  "service": service, "max_attempts": 2}]}
-                for host, prefix, kind, service, timeout in routes]}
+                for host, prefix, kind, service, timeout, *rank in routes]}
         self.store.put("op", "config", json.dumps(document))
         self.record("the operator writes configuration", version)
 
