Scripts of the review end whatever their tasks do, and with 2 if they can't run

One run of case 8 told its result and then waited for a task of the stand-in that had swallowed its cancellation. The process leaves by itself now, after ending the daemons. An error of the stand-ins gives 2, not 1.

--- a/review/standin2/standins.py
+++ b/review/standin2/standins.py
@@ -7,6 +7,7 @@
 import base64
 import json
 import os
+import shutil
 import signal
 import socket
 import subprocess
@@ -39,6 +40,7 @@
 
 
 _held = []
+_processes = []  # all that were started
 
 
 def free_port():
@@ -668,6 +670,7 @@
                                         env=env, stdout=log,
                                         stderr=subprocess.STDOUT)
         log.close()
+        _processes.append(self.process)
         record("node", self.name, "starts, process", self.process.pid)
 
     def signal(self, number):
@@ -781,24 +784,32 @@
 
 
 def main(case):
-    """Runs the coroutine case(folder, record, trouble) within 115 s; it
+    """Runs the coroutine case(folder, record, trouble) within 110 s; it
     returns True if the rule held, False if not, and None if it couldn't
-    run."""
+    run. Ends all processes that were started."""
     folder = os.path.dirname(os.path.abspath(sys.argv[0]))
     record = Record(folder)
     trouble = os.environ.get("TROUBLE", "1") != "0"
     result = None
     with tempfile.TemporaryDirectory() as temporary:
+        loop = asyncio.new_event_loop()
         try:
-            result = asyncio.run(asyncio.wait_for(
+            result = loop.run_until_complete(asyncio.wait_for(
                 case(temporary, record, trouble), 110))
         except asyncio.TimeoutError:
             record.say("the case took too long")
+        except Exception as error:  # of the stand-ins, or no daemon to start
+            record.say("the case failed:", repr(error))
         finally:
+            for process in _processes:
+                if process.poll() is None:
+                    process.kill()
+                    process.wait()
             if os.environ.get("KEEP_LOGS"):
-                import shutil
                 shutil.copytree(temporary, os.environ["KEEP_LOGS"],
                                 dirs_exist_ok=True)
     record.say({True: "the rule held", False: "the rule is broken",
                 None: "the case couldn't run"}[result])
-    sys.exit({True: 0, False: 1, None: 2}[result])
+    # Not by way of the loop's end: tasks that go on would be waited for.
+    sys.stdout.flush()
+    os._exit({True: 0, False: 1, None: 2}[result])
