--- a/review/6/case.py
+++ b/review/6/case.py
@@ -16,7 +16,9 @@
 SUBMITS_PER_S = 56  # for 3 x 4 slots, which run 48 a second
 ROUNDS = 3
 UPLOADS = 40  # of a round, at the machine that stops
-UPLOADS_S = (1.0, 2.2)  # after its SIGTERM; it is out after two missed asks
+# After its SIGTERM. Its clients leave it after two missed asks, one a second:
+# between 1 and 2 s after it.
+UPLOADS_S = (0.7, 1.9)
 
 
 class Load:
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,4 +1,4 @@
-"""Upstreams that are now and then full, and hand out second answers."""
+"""Upstreams that shed some requests, and hand out second answers."""
 
 import asyncio
 import os
@@ -11,7 +11,10 @@
 
 SECONDS = 90
 PER_S = 180
-FULL_SHARE = 0.1  # of the requests, which an upstream can't queue
+# srv_grey "shed all", for 8.5 s in every 10: at most x 0.55 at the site.
+SHED_S = 8.5
+SHED_PERIOD_S = 10
+SHED_SHARE = 0.1  # of the requests
 # The second answers: garble "extra late", for 5 s in every 7.
 GARBLE_S = 5
 GARBLE_PERIOD_S = 7
@@ -20,13 +23,14 @@
 LATE_S = 0.03  # the second answer comes so long after the first
 
 
-def make_full(rng):
-    async def full(upstream, message, stream):
-        if rng.random() >= FULL_SHARE:
+def make_shed(rng, begin):
+    async def shed(upstream, message, stream):
+        sheds = (s.now() - begin) % SHED_PERIOD_S < SHED_S
+        if not sheds or rng.random() >= SHED_SHARE:
             return False
         upstream.reject(stream, message, 503)
         return True
-    return full
+    return shed
 
 
 def make_garble(rng, begin):
@@ -60,7 +64,7 @@
         garbled = d.upstreams[:round(GARBLE_UPSTREAMS * len(d.upstreams))]
         begin = s.now()
         for u in d.upstreams:
-            u.fault = make_full(rng)
+            u.fault = make_shed(rng, begin)
             if trouble and u in garbled:
                 u.answered = make_garble(rng, begin)
         tasks = []
