A planned stop answers each request before the process ends

Cause: a stop ended when its time was over, whatever still waited, and took it that time limits are shorter. A request may wait for 60 % of its time at a gate, and a large body until its deadline for its turn.

Change: the last steps of a stop refuse what waits for the own target, then what has not begun to run anywhere, and then answer the rest. Other instances are asked to give back what waits there (PROCEDURE_WITHDRAW); the call's own reply tells, so that "not run" is true. A call of which only a part was sent ends as not sent. A stop also waits for relayed requests that wait for a key or whose body is on its way, and for their replies to be written.

--- a/packages/node/bodyoffers.c
+++ b/packages/node/bodyoffers.c
@@ -4,6 +4,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#define LOG_MODULE "relay"
+#include "base/log.h"
 #include "base/memory.h"
 #include "fleet/transferqueue.h"
 #include "node/localgate.h"
@@ -22,8 +24,10 @@
     struct bodyoffers *offers;
     struct rpc_request *request; /* NULL once it is answered */
     struct timer timer;
+    int64_t arrived_us;
     uint64_t process;
     char id[RELAY_TEXT_MAX + 1];
+    char service[DECLARED_NAME_MAX + 1];
 };
 
 LIST_HEAD(offer_list, offer);
@@ -122,10 +126,12 @@
     struct offer *offer = memory_calloc(1, sizeof(*offer));
     offer->offers = offers;
     offer->process = asked->process;
+    offer->arrived_us = node_now_us(offers->node);
     offer->transfer.size = (size_t)asked->size;
     offer->transfer.deadline_us =
         node_now_us(offers->node) + (int64_t)asked->left_us;
     snprintf(offer->id, sizeof(offer->id), "%s", asked->id);
+    snprintf(offer->service, sizeof(offer->service), "%s", asked->service);
     timer_init(&offer->timer, offers->node->runtime, on_timer, offer);
     LIST_INSERT_HEAD(&offers->list, offer, link);
     return offer;
@@ -174,15 +180,57 @@
     }
 }
 
+/** Ends an offer that waits. @return its request, to be answered */
+static struct rpc_request *
+offer_take_request(struct offer *offer)
+{
+    struct bodyoffers *offers = offer->offers;
+    struct rpc_request *request = offer->request;
+    transferqueue_abandon(&offers->queue, &offer->transfer,
+                          node_now_us(offers->node));
+    offer_free(offer);
+    return request;
+}
+
+void
+bodyoffers_readmit(struct bodyoffers *offers)
+{
+    struct offer *offer = LIST_FIRST(&offers->list);
+    while (offer != NULL) {
+        struct offer *next = LIST_NEXT(offer, link);
+        int64_t retry_after_us = 0;
+        const enum relay_reason refusal =
+            offer->request == NULL
+                ? RELAY_REASON_NONE
+                : localgate_preview(offers->node->gate, offer->service,
+                                    offer->transfer.deadline_us -
+                                        node_now_us(offers->node),
+                                    &retry_after_us);
+        if (refusal != RELAY_REASON_NONE) {
+            reply(offers, offer_take_request(offer), refusal, retry_after_us);
+        }
+        offer = next;
+    }
+    run_queue(offers);
+}
+
+bool
+bodyoffers_is_idle(const struct bodyoffers *offers)
+{
+    return LIST_EMPTY(&offers->list);
+}
+
 /** The sender has withdrawn a waiting offer. */
 static void
 serve_offer_cancelled(void *ctx, struct rpc_request *request)
 {
     struct bodyoffers *offers = ctx;
     struct offer *offer = rpc_request_data(request);
-    transferqueue_abandon(&offers->queue, &offer->transfer,
-                          node_now_us(offers->node));
-    offer_free(offer);
+    LOG_STEP(
+        "offer_withdrawn", LOG_STR("id", offer->id),
+        LOG_INT("after_ms",
+                (node_now_us(offers->node) - offer->arrived_us) / US_PER_MS));
+    offer_take_request(offer);
     rpc_request_drop(request);
     run_queue(offers);
 }
--- a/packages/node/bodyoffers.h
+++ b/packages/node/bodyoffers.h
@@ -7,6 +7,7 @@
 #ifndef CHESTNUTGAP_NODE_BODYOFFERS_H
 #define CHESTNUTGAP_NODE_BODYOFFERS_H
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -20,6 +21,13 @@
 struct bodyoffers *bodyoffers_create(struct node *node);
 void bodyoffers_destroy(struct bodyoffers *offers);
 
+/** Refuses the bodies that wait, if the gate no longer allows their requests.
+ */
+void bodyoffers_readmit(struct bodyoffers *offers);
+
+/** True if no body waits or is on its way. */
+bool bodyoffers_is_idle(const struct bodyoffers *offers);
+
 /** The request with that id has arrived with its body. process: of its sender.
  */
 void bodyoffers_arrived(struct bodyoffers *offers, uint64_t process,
--- a/packages/node/ingress.c
+++ b/packages/node/ingress.c
@@ -137,21 +137,92 @@
     return ingress->count;
 }
 
+/** What the request waits for, as one word. */
+static const char *
+call_stage(const struct ingress_call *call)
+{
+    if (call->quota.waiting_for != NULL) {
+        return "quota";
+    }
+    for (size_t i = 0; i < INGRESS_CONCURRENT_MAX; i++) {
+        if (call->attempts[i].relay_call != NULL) {
+            return relaytask_stage(call->attempts[i].relay_call);
+        }
+    }
+    return "instance";
+}
+
+static bool
+may_have_run(const struct ingress_call *call)
+{
+    for (size_t i = 0; i < INGRESS_CONCURRENT_MAX; i++) {
+        const struct relay_call *relay_call = call->attempts[i].relay_call;
+        if (relay_call != NULL && relaytask_may_have_run(relay_call)) {
+            return true;
+        }
+    }
+    return call->may_have_run;
+}
+
 void
 ingress_give_up(struct ingress_call *call)
 {
     /* Attempts that were sent may still run; their answers are dropped. */
+    call->may_have_run = may_have_run(call);
     for (size_t i = 0; i < INGRESS_CONCURRENT_MAX; i++) {
-        const struct relay_call *relay_call = call->attempts[i].relay_call;
-        call->may_have_run =
-            call->may_have_run ||
-            (relay_call != NULL && relaytask_may_have_run(relay_call));
         attempt_cancel(&call->attempts[i]);
     }
     ingressanswer_refuse(call);
     ingress_free_call(call);
 }
 
+static void
+call_withdraw(struct ingress_call *call)
+{
+    LOG_INFO("withdrawn", LOG_STR("id", call->id),
+             LOG_STR("service", call->service),
+             LOG_STR("at", call_stage(call)),
+             LOG_STR("to", call->instance != NULL ? call->instance : ""),
+             LOG_UINT("tries", call->attempt_count),
+             LOG_INT("after_ms",
+                     (ingress_now_us(call) - call->started_us) / US_PER_MS));
+    if (!may_have_run(call)) {
+        call->reason = RELAY_REASON_WITHDRAWN;
+        ingress_give_up(call);
+        return;
+    }
+    for (size_t i = 0; i < INGRESS_CONCURRENT_MAX; i++) {
+        if (call->attempts[i].relay_call != NULL) {
+            relaytask_withdraw(call->attempts[i].relay_call);
+        }
+    }
+}
+
+void
+ingress_withdraw(struct ingress *ingress)
+{
+    ingress->withdrawing = true;
+    struct ingress_call *call = LIST_FIRST(&ingress->calls);
+    while (call != NULL) {
+        struct ingress_call *next = LIST_NEXT(call, link);
+        call_withdraw(call);
+        call = next;
+    }
+}
+
+void
+ingress_answer_all(struct ingress *ingress)
+{
+    struct ingress_call *call;
+    while ((call = LIST_FIRST(&ingress->calls)) != NULL) {
+        LOG_WARN("ended_by_stop", LOG_STR("id", call->id),
+                 LOG_STR("service", call->service),
+                 LOG_STR("at", call_stage(call)),
+                 LOG_STR("to", call->instance != NULL ? call->instance : ""));
+        ingress_give_up(call);
+    }
+}
+
 static void
 on_deadline(void *ctx)
 {
--- a/packages/node/ingress.h
+++ b/packages/node/ingress.h
@@ -26,4 +26,11 @@
 
 size_t ingress_unanswered_count(const struct ingress *ingress);
 
+/** Refuses the requests that have not begun to run, and from now on sends none
+ * to a target. Those that wait at other instances are asked back. */
+void ingress_withdraw(struct ingress *ingress);
+
+/** Answers all requests: as not run, where that is certain. */
+void ingress_answer_all(struct ingress *ingress);
+
 #endif
--- a/packages/node/ingress_internal.h
+++ b/packages/node/ingress_internal.h
@@ -93,6 +93,7 @@
     struct node *node;
     struct ingress_calls calls;
     size_t count;
+    bool withdrawing; /* see ingress_withdraw() */
     struct ingress_retry_budgets budgets;
     uint64_t cleared[INGRESS_CLEARED_MAX]; /* suspects since answered */
     size_t cleared_next;
--- a/packages/node/ingressattempt.c
+++ b/packages/node/ingressattempt.c
@@ -195,7 +195,8 @@
 void
 ingressattempt_start(struct ingress_call *call)
 {
-    if (call->attempt_count >= INGRESS_ATTEMPTS_MAX) {
+    if (call->ingress->withdrawing ||
+        call->attempt_count >= INGRESS_ATTEMPTS_MAX) {
         ingress_give_up(call);
         return;
     }
@@ -225,8 +226,8 @@
         instance != NULL && !instance->notice.limited &&
         instance->reported_load + instance->sent_since_report <
             instance->instance_row.slots;
-    if (!attemptlimit_allows(&call->limit) || !has_free_slot ||
-        left_us < total_us * HEDGE_LEFT_PERCENT / 100 ||
+    if (ingress->withdrawing || !attemptlimit_allows(&call->limit) ||
+        !has_free_slot || left_us < total_us * HEDGE_LEFT_PERCENT / 100 ||
         !retrybudget_withdraw(call->budget)) {
         return;
     }
@@ -275,6 +276,10 @@
     if (ingressattempt_is_pending(call)) {
         return;
     }
+    if (call->ingress->withdrawing) {
+        ingress_give_up(call);
+        return;
+    }
     const bool owner_changes =
         call->message.keyed && (call->reason == RELAY_REASON_NOT_OWNER ||
                                 call->reason == RELAY_REASON_MOVING ||
--- a/packages/node/localgate.c
+++ b/packages/node/localgate.c
@@ -197,19 +197,55 @@
            (call->http == NULL || http_call_is_sent(call->http));
 }
 
+const char *
+localgate_stage(const struct localgate_call *call)
+{
+    switch (call->state) {
+    case CALL_REFUSED:
+        return "refusal";
+    case CALL_AWAITS_KEY:
+        return "key";
+    case CALL_QUEUED:
+        return "slot";
+    case CALL_SENT:
+        break;
+    }
+    return localgate_may_have_run(call) ? "target" : "target-connection";
+}
+
+void
+localgate_withdraw(struct localgate_call *call)
+{
+    struct localgate *gate = call->gate;
+    if (!localgate_may_have_run(call)) {
+        localgate_fail(call, RELAY_NOT_RUN, RELAY_REASON_WITHDRAWN, false);
+        gateadmit_run_queue(gate);
+    }
+}
+
+void
+localgate_readmit(struct localgate *gate)
+{
+    gateadmit_readmit_waiting(gate);
+}
+
+bool
+localgate_is_idle(const struct localgate *gate)
+{
+    return TAILQ_EMPTY(&gate->calls);
+}
+
 void
 localgate_cancel(struct localgate_call *call)
 {
     struct localgate *gate = call->gate;
     const bool keeps_running =
         localgate_may_have_run(call) && !call->request->idempotent;
-    if (call->state == CALL_SENT) {
-        LOG_STEP("cancelled", LOG_STR("id", call->id),
-                 LOG_BOOL("runs_on", keeps_running),
-                 LOG_INT("ran_ms", (localgate_now_us(gate) -
-                                    call->queue_request.started_us) /
-                                       US_PER_MS));
-    }
+    LOG_STEP("cancelled", LOG_STR("id", call->id),
+             LOG_STR("at", localgate_stage(call)),
+             LOG_BOOL("runs_on", keeps_running),
+             LOG_INT("after_ms",
+                     (localgate_now_us(gate) - call->arrived_us) / US_PER_MS));
     call->request = NULL;
     if (!keeps_running) {
         call_free(call);
--- a/packages/node/localgate.h
+++ b/packages/node/localgate.h
@@ -43,6 +43,19 @@
  * cancelled. */
 bool localgate_may_have_run(const struct localgate_call *call);
 
+/** What the request waits for, as one word, for logs. */
+const char *localgate_stage(const struct localgate_call *call);
+
+/** Refuses the request if the target has not received it. */
+void localgate_withdraw(struct localgate_call *call);
+
+/** Refuses waiting requests that the conditions of the gate no longer allow,
+ * and starts those that they do. */
+void localgate_readmit(struct localgate *gate);
+
+/** True if no request waits or runs. */
+bool localgate_is_idle(const struct localgate *gate);
+
 /** The answer is no longer needed; the callback isn't called. A request that
  * is not idempotent and has been sent keeps running at the target. */
 void localgate_cancel(struct localgate_call *call);
--- a/packages/node/node_internal.h
+++ b/packages/node/node_internal.h
@@ -67,6 +67,14 @@
 
 LIST_HEAD(node_zone_list, node_zone);
 
+/** Steps of a stop, in their order. */
+enum node_stop_step {
+    NODE_STOP_BEGUN,
+    NODE_STOP_REFUSED,   /**< what waits here for the own target */
+    NODE_STOP_WITHDRAWN, /**< what has not begun to run anywhere */
+    NODE_STOP_ANSWERED,  /**< all requests of callers */
+};
+
 struct node {
     struct node_options options;
     struct nodesettings settings;
@@ -105,6 +113,7 @@
     struct nodemetrics *nodemetrics;
     bool own_row_known; /* the rows of instances have been read */
     bool stopping;
+    enum node_stop_step stop_step; /* the latest one */
     int64_t stop_started_us;
     int64_t flushed_at_us; /* answers count as delivered from then on */
     struct timer stop_timer;
--- a/packages/node/relayreason.c
+++ b/packages/node/relayreason.c
@@ -18,6 +18,7 @@
     [RELAY_REASON_INVALID] = "invalid-answer",
     [RELAY_REASON_SUSPECT] = "suspect",
     [RELAY_REASON_LIMITED] = "rate-limited",
+    [RELAY_REASON_WITHDRAWN] = "withdrawn",
 };
 
 const char *
--- a/packages/node/relayserve.c
+++ b/packages/node/relayserve.c
@@ -134,6 +134,27 @@
     rpc_request_drop(rpc);
 }
 
+static void
+on_withdrawn(void *ctx, struct rpc_request *rpc)
+{
+    struct relayserve_request *request = rpc_request_data(rpc);
+    (void)ctx;
+    localgate_withdraw(request->call);
+}
+
+void
+relayserve_readmit(struct relayserve *relayserve)
+{
+    bodyoffers_readmit(relayserve->offers);
+}
+
+bool
+relayserve_is_idle(const struct relayserve *relayserve)
+{
+    return LIST_EMPTY(&relayserve->requests) &&
+           bodyoffers_is_idle(relayserve->offers);
+}
+
 struct relayserve *
 relayserve_create(struct node *node)
 {
@@ -157,6 +178,7 @@
                                   .encode_result = (xdrproc_t)xdr_relay_reply,
                                   .handle = on_request,
                                   .cancelled = on_cancelled,
+                                  .withdrawn = on_withdrawn,
                                   .ctx = relayserve,
                               });
     return relayserve;
--- a/packages/node/relaytask.c
+++ b/packages/node/relaytask.c
@@ -231,6 +231,27 @@
     return !call->offering && rpc_call_may_be_sent(call->remote);
 }
 
+void
+relaytask_withdraw(struct relay_call *call)
+{
+    if (call->remote != NULL) {
+        rpc_call_withdraw(call->remote);
+    }
+}
+
+const char *
+relaytask_stage(const struct relay_call *call)
+{
+    if (call->local != NULL) {
+        return localgate_stage(call->local);
+    }
+    if (call->offering) {
+        return "offer";
+    }
+    return rpc_call_may_be_sent(call->remote) ? "other-instance"
+                                              : "other-connection";
+}
+
 void
 relaytask_cancel(struct relay_call *call)
 {
--- a/packages/node/relaytask.h
+++ b/packages/node/relaytask.h
@@ -44,6 +44,13 @@
 bool relaytask_may_have_run(const struct relay_call *call);
 void relaytask_cancel(struct relay_call *call);
 
+/** Has the request refused where it waits, if it has not begun to run; the
+ * callback tells. Only for requests that may have run. */
+void relaytask_withdraw(struct relay_call *call);
+
+/** What the request waits for, as one word, for logs. */
+const char *relaytask_stage(const struct relay_call *call);
+
 /** How an instance answered the request for a promise. */
 enum relay_promise {
     RELAY_PROMISE_GIVEN,
--- a/packages/placement/placerpc.c
+++ b/packages/placement/placerpc.c
@@ -287,18 +287,42 @@
 placerpc_serve(struct placetask *task)
 {
     const struct rpc_procedure procedures[] = {
-        {PROCEDURE_RESERVE, RPC_TCP, (xdrproc_t)xdr_move_reserve,
-         sizeof(struct move_reserve), (xdrproc_t)xdr_move_answer,
-         handle_reserve, NULL, task},
-        {PROCEDURE_HANDOVER, RPC_TCP, (xdrproc_t)xdr_move_handover,
-         sizeof(struct move_handover), (xdrproc_t)xdr_move_answer,
-         handle_handover, NULL, task},
-        {PROCEDURE_ASSIGN, RPC_TCP, (xdrproc_t)xdr_move_assign,
-         sizeof(struct move_assign), (xdrproc_t)xdr_move_answer, handle_assign,
-         NULL, task},
-        {PROCEDURE_PROBE, RPC_UDP, (xdrproc_t)xdr_move_load,
-         sizeof(struct move_load), (xdrproc_t)xdr_move_load, handle_probe,
-         NULL, task},
+        {
+            .number = PROCEDURE_RESERVE,
+            .channel = RPC_TCP,
+            .decode_args = (xdrproc_t)xdr_move_reserve,
+            .args_size = sizeof(struct move_reserve),
+            .encode_result = (xdrproc_t)xdr_move_answer,
+            .handle = handle_reserve,
+            .ctx = task,
+        },
+        {
+            .number = PROCEDURE_HANDOVER,
+            .channel = RPC_TCP,
+            .decode_args = (xdrproc_t)xdr_move_handover,
+            .args_size = sizeof(struct move_handover),
+            .encode_result = (xdrproc_t)xdr_move_answer,
+            .handle = handle_handover,
+            .ctx = task,
+        },
+        {
+            .number = PROCEDURE_ASSIGN,
+            .channel = RPC_TCP,
+            .decode_args = (xdrproc_t)xdr_move_assign,
+            .args_size = sizeof(struct move_assign),
+            .encode_result = (xdrproc_t)xdr_move_answer,
+            .handle = handle_assign,
+            .ctx = task,
+        },
+        {
+            .number = PROCEDURE_PROBE,
+            .channel = RPC_UDP,
+            .decode_args = (xdrproc_t)xdr_move_load,
+            .args_size = sizeof(struct move_load),
+            .encode_result = (xdrproc_t)xdr_move_load,
+            .handle = handle_probe,
+            .ctx = task,
+        },
     };
     const size_t count = sizeof(procedures) / sizeof(procedures[0]);
     for (size_t i = 0; i < count; i++) {
--- a/packages/protocol/relay.x
+++ b/packages/protocol/relay.x
@@ -36,7 +36,8 @@
     RELAY_REASON_CUT = 10,      /* connection closed during the request */
     RELAY_REASON_INVALID = 11,  /* the target's answer was malformed */
     RELAY_REASON_SUSPECT = 12,  /* suspected of crashing targets */
-    RELAY_REASON_LIMITED = 13   /* the target's rate limit */
+    RELAY_REASON_LIMITED = 13,  /* the target's rate limit */
+    RELAY_REASON_WITHDRAWN = 14 /* the sender asked for it back */
 };
 
 struct relay_field {
--- a/packages/protocol/rpc.h
+++ b/packages/protocol/rpc.h
@@ -33,7 +33,7 @@
 /** How a call ended. */
 enum rpc_status {
     RPC_OK,
-    RPC_NOT_SENT,        /**< no byte of the call was sent */
+    RPC_NOT_SENT,        /**< the peer can't have received the whole call */
     RPC_REFUSED_BY_HOST, /**< connection refused: no process listens */
     RPC_TIMED_OUT,       /**< the peer may have received the call */
     RPC_CLOSED,          /**< connection closed; the peer may have the call */
@@ -65,6 +65,9 @@
     /** The peer cancelled the call or its connection closed. May be NULL.
      * The request must still be answered or dropped. */
     void (*cancelled)(void *ctx, struct rpc_request *request);
+    /** The peer asks to end the call now if it only waits; see
+     * rpc_call_withdraw(). May be NULL. */
+    void (*withdrawn)(void *ctx, struct rpc_request *request);
     void *ctx;
 };
 
@@ -133,4 +136,16 @@
 /** Ends a call without a callback and sends a TCP peer PROCEDURE_CANCEL. */
 void rpc_call_cancel(struct rpc_call *call);
 
+/** Asks the peer to reply at once if it has not begun to carry out the call,
+ * and then never to begin. The call goes on. Does nothing to a call that is
+ * not sent yet, or if the peer doesn't know PROCEDURE_WITHDRAW. */
+void rpc_call_withdraw(const struct rpc_call *call);
+
+/** Closes the connections to all peers and ends their calls. Further calls
+ * open new ones. */
+void rpc_node_close_outgoing(struct rpc_node *node);
+
+/** True if the kernel has all replies. */
+bool rpc_node_is_flushed(const struct rpc_node *node);
+
 #endif
--- a/packages/protocol/rpc_internal.h
+++ b/packages/protocol/rpc_internal.h
@@ -44,7 +44,7 @@
     X(calls_ok, "calls answered")                                             \
     X(calls_timed_out, "calls without an answer in time")                     \
     X(calls_closed, "calls whose connection closed")                          \
-    X(calls_not_sent, "calls that failed before a byte was sent")             \
+    X(calls_not_sent, "calls that failed before they were sent whole")             \
     X(calls_refused_by_host, "calls to a host that refused the connection")   \
     X(calls_rejected, "calls that the peer rejected as malformed or unknown") \
     X(calls_garbage, "calls whose reply could not be decoded")                \
@@ -126,7 +126,7 @@
     struct rpc_connection *connection; /* NULL for a datagram */
     struct address peer;
     struct evbuffer *unsent;       /* the message until it is sent */
-    uint64_t start_offset;         /* of the message in the output stream */
+    uint64_t end_offset;           /* of the message in the output stream */
     enum rpc_status failed_status; /* while in node->failed */
     xdrproc_t decode_result;
     size_t result_size;
--- a/packages/protocol/rpccall.c
+++ b/packages/protocol/rpccall.c
@@ -95,9 +95,9 @@
     }
 }
 
-/** Tells the peer that the reply is no longer needed. */
+/** Sends the peer a procedure whose argument is the earlier call. */
 static void
-call_send_cancel(const struct rpc_call *call)
+call_send_about(const struct rpc_call *call, uint32_t procedure)
 {
     struct rpc_connection *connection = call->connection;
     if (connection == NULL || call->unsent != NULL) {
@@ -110,7 +110,7 @@
     const uint32_t xid = call->entry.xid;
     record.mark = htonl(RPC_LAST_FRAGMENT | sizeof(record.message));
     if (!rpc_call_encode(record.message, sizeof(record.message),
-                         call->node->next_xid++, PROCEDURE_CANCEL,
+                         call->node->next_xid++, procedure,
                          (xdrproc_t)xdr_uint32_t, &xid)) {
         return;
     }
@@ -119,6 +119,19 @@
     rpc_connection_record_output(connection, sizeof(record));
 }
 
+/** Tells the peer that the reply is no longer needed. */
+static void
+call_send_cancel(const struct rpc_call *call)
+{
+    call_send_about(call, PROCEDURE_CANCEL);
+}
+
+void
+rpc_call_withdraw(const struct rpc_call *call)
+{
+    call_send_about(call, PROCEDURE_WITHDRAW);
+}
+
 static void
 call_on_timeout(void *ctx)
 {
@@ -207,7 +220,6 @@
 call_write(struct rpc_call *call, struct rpc_connection *connection,
            const struct rpc_call_spec *spec, size_t size)
 {
-    call->start_offset = connection->appended_bytes;
     if (rpc_connection_backlog_bytes(connection) + size >
         RPC_OUTPUT_MAX_BYTES) {
         call->node->counters.slow_readers->value++;
@@ -220,6 +232,7 @@
     call->connection = connection;
     call_enqueue(call, &connection->sent);
     rpc_connection_record_output(connection, RPC_RECORD_MARK_SIZE + size);
+    call->end_offset = connection->appended_bytes;
     return true;
 }
 
@@ -289,13 +302,13 @@
     while ((call = TAILQ_FIRST(&connection->waiting)) != NULL) {
         TAILQ_REMOVE(&connection->waiting, call, link);
         call_enqueue(call, &connection->sent);
-        call->start_offset = connection->appended_bytes;
         const size_t size = evbuffer_get_length(call->unsent);
         connection->waiting_call_bytes -= size;
         evbuffer_add_buffer(output, call->unsent);
         evbuffer_free(call->unsent);
         call->unsent = NULL;
         rpc_connection_record_output(connection, size);
+        call->end_offset = connection->appended_bytes;
     }
 }
 
--- a/packages/protocol/rpcconnection.c
+++ b/packages/protocol/rpcconnection.c
@@ -334,8 +334,8 @@
 {
     struct rpc_call *call;
     while ((call = TAILQ_FIRST(queue)) != NULL) {
-        const bool unsent =
-            call->unsent != NULL || call->start_offset >= written;
+        /* The peer drops a message whose end doesn't arrive. */
+        const bool unsent = call->unsent != NULL || call->end_offset > written;
         call->connection = NULL;
         rpc_call_end(call,
                      unsent && status == RPC_CLOSED ? RPC_NOT_SENT : status,
--- a/packages/protocol/rpcnode.c
+++ b/packages/protocol/rpcnode.c
@@ -215,6 +215,38 @@
     free(node);
 }
 
+void
+rpc_node_close_outgoing(struct rpc_node *node)
+{
+    for (size_t i = 0; i < RPC_PEER_BUCKETS; i++) {
+        struct rpc_connection *connection = LIST_FIRST(&node->outgoing[i]);
+        while (connection != NULL) {
+            /* Callbacks may open connections, which come before this one. */
+            struct rpc_connection *next = LIST_NEXT(connection, link);
+            rpc_connection_close(connection, RPC_CLOSED);
+            connection = next;
+        }
+    }
+}
+
+static bool
+connections_are_flushed(const struct rpc_connection_list *list)
+{
+    const struct rpc_connection *connection;
+    LIST_FOREACH (connection, list, link) {
+        if (rpc_connection_backlog_bytes(connection) > 0) {
+            return false;
+        }
+    }
+    return true;
+}
+
+bool
+rpc_node_is_flushed(const struct rpc_node *node)
+{
+    return connections_are_flushed(&node->accepted);
+}
+
 const struct address *
 rpc_node_address(const struct rpc_node *node)
 {
--- a/packages/protocol/rpcrequest.c
+++ b/packages/protocol/rpcrequest.c
@@ -51,16 +51,32 @@
     }
 }
 
-static void
-request_receive_cancel(struct rpc_connection *connection, XDR *xdr)
+/** The earlier call that a message of the peer is about, or NULL. */
+static struct rpc_request *
+request_find(struct rpc_connection *connection, XDR *xdr)
 {
     uint32_t xid;
     if (connection == NULL || !xdr_uint32_t(xdr, &xid)) {
-        return;
+        return NULL;
+    }
+    return (struct rpc_request *)xid_table_find(&connection->requests, xid);
+}
+
+static void
+request_receive_cancel(struct rpc_connection *connection, XDR *xdr)
+{
+    struct rpc_request *request = request_find(connection, xdr);
+    if (request != NULL) {
+        rpc_request_cancel(request);
     }
-    struct xid_entry *entry = xid_table_find(&connection->requests, xid);
-    if (entry != NULL) {
-        rpc_request_cancel((struct rpc_request *)entry);
+}
+
+static void
+request_receive_withdrawal(struct rpc_connection *connection, XDR *xdr)
+{
+    struct rpc_request *request = request_find(connection, xdr);
+    if (request != NULL && request->procedure->withdrawn != NULL) {
+        request->procedure->withdrawn(request->procedure->ctx, request);
     }
 }
 
@@ -111,6 +127,10 @@
         request_receive_cancel(connection, xdr);
         return;
     }
+    if (status == RPC_MESSAGE_OK && header->procedure == PROCEDURE_WITHDRAW) {
+        request_receive_withdrawal(connection, xdr);
+        return;
+    }
     status = request_check(node, connection, header);
     void *args = NULL;
     if (status == RPC_MESSAGE_OK) {
--- a/packages/protocol/test/rpc_fixture.h
+++ b/packages/protocol/test/rpc_fixture.h
@@ -40,6 +40,7 @@
         forward.encode_result = reinterpret_cast<xdrproc_t>(xdr_forward_reply);
         forward.handle = OnForward;
         forward.cancelled = OnCancelled;
+        forward.withdrawn = OnWithdrawn;
         forward.ctx = this;
         rpc_node_serve(server, &forward);
         struct rpc_procedure echo = {};
@@ -90,6 +91,11 @@
         (void)request;
     }
 
+    static void OnWithdrawn(void *ctx, struct rpc_request *request)
+    {
+        static_cast<RpcTest *>(ctx)->withdrawn.push_back(request);
+    }
+
     static void OnEcho(void *ctx, struct rpc_request *request,
                        const void *args)
     {
@@ -189,6 +195,7 @@
     struct rpc_node *server = nullptr;
     struct rpc_node *client = nullptr;
     std::vector<struct rpc_request *> held;
+    std::vector<struct rpc_request *> withdrawn;
     std::vector<enum rpc_status> statuses;
     std::vector<std::string> bodies;
     std::vector<uint64_t> echoes;
--- a/packages/protocol/test/rpc_test.cc
+++ b/packages/protocol/test/rpc_test.cc
@@ -88,6 +88,45 @@
     EXPECT_EQ(RPC_CLOSED, statuses[0]);
 }
 
+/* Guards against: a message of which only a part was sent counts as received,
+ * and its request as one that may have run. */
+TEST_F(RpcTest, CallThatWasNotSentWholeEndsAsNotSent)
+{
+    Call("k", std::string(100 << 10, 'x'), rpc_node_address(server));
+    ASSERT_TRUE(Until([&] { return statuses.size() == 1; }));
+    const int64_t requests = Count("rpc_requests");
+    Call("k", std::string(8 << 20, 'x'), rpc_node_address(server));
+    Until([] { return false; }, 1);
+    ASSERT_EQ(1U, statuses.size());
+    rpc_node_close_outgoing(client);
+    ASSERT_EQ(2U, statuses.size());
+    EXPECT_EQ(RPC_NOT_SENT, statuses[1]);
+    ASSERT_TRUE(Until([&] { return Count("rpc_cut_messages") == 1; }));
+    EXPECT_EQ(requests, Count("rpc_requests"));
+}
+
+/* Guards against: a process that ends can't learn of its calls whether they
+ * were begun. */
+TEST_F(RpcTest, WithdrawnCallIsStillAnswered)
+{
+    struct rpc_call *call = Call("hold", "", rpc_node_address(server));
+    Call("hold", "", rpc_node_address(server));
+    ASSERT_TRUE(Until([&] { return held.size() == 2; }));
+    rpc_call_withdraw(call);
+    ASSERT_TRUE(Until([&] { return withdrawn.size() == 1; }));
+    EXPECT_EQ(held[0], withdrawn[0]);
+    EXPECT_TRUE(statuses.empty());
+    const forward_request in = {};
+    Answer(held[0], &in);
+    ASSERT_TRUE(Until([&] { return statuses.size() == 1; }));
+    EXPECT_EQ(RPC_OK, statuses[0]);
+    /* The answer may cross the withdrawal. */
+    call = Call("k", "", rpc_node_address(server));
+    rpc_call_withdraw(call);
+    ASSERT_TRUE(Until([&] { return statuses.size() == 2; }));
+    EXPECT_EQ(0, Count("rpc_unknown_procedures"));
+}
+
 TEST_F(RpcTest, DatagramIsAnsweredAndOversizeCallIsNotSent)
 {
     Echo(UINT64_C(0x0123456789abcdef), US_PER_SECOND);
