No connection to a target goes on after an answer whose copy could be mistaken

Cause: a rejected request is sent again with the same id, often on the same connection. The copy of the rejection bears the awaited id and was taken for the answer to the second send. Answers to grants and probes, and to requests without an id, bear none and were taken for the answer to whatever came next.

Change: after an answer that is not that of a run with its id and signature the connection is closed; grants and probes have a connection of their own each, as releases had.

Evidence: all four tests Copies.* failed before and pass now; the stand-in repeats answers where the next one on the connection is due.

--- a/packages/http/httpcall.c
+++ b/packages/http/httpcall.c
@@ -109,6 +109,7 @@
     call->client = client;
     call->may_send = spec->may_send;
     call->answer_matches = spec->answer_matches;
+    call->keeps_connection = spec->keeps_connection;
     call->needs_own_connection = spec->needs_own_connection;
     call->done = spec->done;
     call->ctx = spec->ctx;
--- a/packages/http/httpclient.h
+++ b/packages/http/httpclient.h
@@ -74,6 +74,9 @@
 typedef bool (*http_answer_match_cb)(void *ctx,
                                      const struct http_headers *headers);
 
+/** Whether the connection may carry other calls after that answer. */
+typedef bool (*http_keep_cb)(void *ctx, const struct http_result *result);
+
 /** A request, copied by http_call_start(). */
 struct http_call_spec {
     const char *method;
@@ -85,6 +88,9 @@
     int64_t deadline_us;                 /**< of the runtime's clock */
     http_may_send_cb may_send;           /**< may be NULL */
     http_answer_match_cb answer_matches; /**< may be NULL */
+    /** NULL: after each answer. A late copy of an answer can only be told from
+     * the answers to later calls by answer_matches. */
+    http_keep_cb keeps_connection;
     /** The connection is opened for this call and carries no other, so that
      * no late answer to another can arrive on it. */
     bool needs_own_connection;
--- a/packages/http/httpclient_internal.h
+++ b/packages/http/httpclient_internal.h
@@ -85,6 +85,7 @@
     struct timer deadline;
     http_may_send_cb may_send;
     http_answer_match_cb answer_matches;
+    http_keep_cb keeps_connection;
     http_done_cb done;
     void *ctx;
 };
--- a/packages/http/httpclientconnection.c
+++ b/packages/http/httpclientconnection.c
@@ -114,20 +114,23 @@
     if (excess_input) {
         client->counters.unexpected_bytes->value++;
     }
+    const struct http_result result = {
+        .outcome = HTTP_ANSWERED,
+        .status = message->status,
+        .headers = &message->headers,
+        .body = message->body,
+        .body_size = message->body_size,
+    };
     const bool reusable =
         message->keep_alive && !excess_input && !call->needs_own_connection &&
-        connection->stray_answers == 0 && evbuffer_get_length(output) == 0;
+        connection->stray_answers == 0 && evbuffer_get_length(output) == 0 &&
+        (call->keeps_connection == NULL ||
+         call->keeps_connection(call->ctx, &result));
     connection_record_idle_timeout(connection, &message->headers);
     call->connection = NULL;
     /* The callback may start or cancel other calls of this client. */
     connection->call = NULL;
-    http_call_end(call, &(struct http_result){
-                            .outcome = HTTP_ANSWERED,
-                            .status = message->status,
-                            .headers = &message->headers,
-                            .body = message->body,
-                            .body_size = message->body_size,
-                        });
+    http_call_end(call, &result);
     connection_release(connection, reusable);
     http_client_assign_connections(client);
 }
--- a/packages/http/httpfault.c
+++ b/packages/http/httpfault.c
@@ -53,3 +53,13 @@
     }
     http_request_reply(request, reply);
 }
+
+void
+http_request_send_ahead(struct http_request *request, const void *data,
+                        size_t size)
+{
+    const struct http_connection *connection = request->connection;
+    if (connection != NULL) {
+        evbuffer_add(bufferevent_get_output(connection->bev), data, size);
+    }
+}
--- a/packages/http/httpfault.h
+++ b/packages/http/httpfault.h
@@ -18,4 +18,8 @@
                                   const struct http_reply *reply,
                                   size_t missing_bytes);
 
+/** Sends bytes ahead of the answer. */
+void http_request_send_ahead(struct http_request *request, const void *data,
+                             size_t size);
+
 #endif
--- a/packages/node/gatesend.c
+++ b/packages/node/gatesend.c
@@ -153,6 +153,18 @@
     return call->gate->node->wire->answer_matches_request(headers, call->id);
 }
 
+/** A rejected request may come again with the same id, and an answer without
+ * an id could be taken for that to any later one: no copy of such an answer
+ * may meet another request. */
+static bool
+keeps_connection(void *ctx, const struct http_result *result)
+{
+    const struct localgate_call *call = ctx;
+    struct wire_answer answer;
+    call->gate->node->wire->read_answer(result, &answer);
+    return answer.kind == WIRE_ANSWER_RUN;
+}
+
 /** Adds the fields that the caller sent. The instance that received the
  * request may have an older configuration, without workspaces. */
 static void
@@ -216,6 +228,7 @@
             .body_size = request->body.body_len,
             .deadline_us = call->deadline_us + TARGET_ANSWER_GRACE_US,
             .answer_matches = is_own_answer,
+            .keeps_connection = keeps_connection,
             .done = on_http_result,
             .ctx = call,
         });
--- a/packages/node/keyownergrant.c
+++ b/packages/node/keyownergrant.c
@@ -86,13 +86,15 @@
     return keyownergrant_was_certain(grant, &grant->keyowner->node->keyera);
 }
 
-/** Sends an order to the present incarnation. */
+/** Sends an order to the present incarnation. Answers to orders bear no id: a
+ * late one to an earlier order would look like its own. */
 static struct http_call *
 send_order(struct node *node, struct http_call_spec *spec, int64_t timeout_us)
 {
     spec->method = "POST";
     spec->headers = order_headers;
     spec->header_count = 1;
+    spec->needs_own_connection = true;
     spec->deadline_us = node_now_us(node) + timeout_us;
     return http_call_start(localtarget_client(node->target), spec);
 }
@@ -334,13 +336,11 @@
     call->handover = handover;
     LIST_INSERT_HEAD(&handover->keyowner->releases, call, link);
     handover->calls++;
-    /* A late answer to an earlier release would look like its own. */
     struct http_call_spec spec = {
         .target = node->wire->release_path,
         .body = body,
         .body_size = node->wire->write_release(&order, body),
         .answer_matches = is_release_answer,
-        .needs_own_connection = true,
         .done = on_released,
         .ctx = call,
     };
--- a/packages/node/targetliveness.c
+++ b/packages/node/targetliveness.c
@@ -72,6 +72,7 @@
             .target = service->health_path,
             .deadline_us = localtarget_now_us(target) + PROBE_TIMEOUT_US,
             .answer_matches = is_health_answer,
+            .needs_own_connection = true, /* its answer bears no id */
             .done = on_probed,
             .ctx = target,
         });
