A target's next process gets its keys with higher fences

Cause: renewals go to the target's address, and the 200 of whoever listens there confirms them.

Change: an order goes to the known process only if a connection from before the latest order is still open after the new one is established; each order's connection stays open, unused, until the next for that. Else all keys are granted anew with a fence above all that were sent, that of the lease's latest version. A handover token is used only if the release reached the known process.

--- a/packages/http/httpcall.c
+++ b/packages/http/httpcall.c
@@ -111,6 +111,7 @@
     call->answer_matches = spec->answer_matches;
     call->keeps_connection = spec->keeps_connection;
     call->needs_own_connection = spec->needs_own_connection;
+    call->stays_open = spec->stays_open;
     call->done = spec->done;
     call->ctx = spec->ctx;
     call->is_head = strcmp(spec->method, "HEAD") == 0;
--- a/packages/http/httpclient.c
+++ b/packages/http/httpclient.c
@@ -20,11 +20,17 @@
     return peer_us > 0 && peer_us < configured_us ? peer_us : configured_us;
 }
 
+unsigned
+http_client_limited_count(const struct http_client *client)
+{
+    return client->connection_count - (LIST_EMPTY(&client->unused) ? 0 : 1);
+}
+
 /** Opens a connection in place of an idle one if there are too many. */
 static struct http_client_connection *
 client_open_connection(struct http_client *client)
 {
-    if (client->connection_count >= client->config.connections_max &&
+    if (http_client_limited_count(client) >= client->config.connections_max &&
         !LIST_EMPTY(&client->idle)) {
         http_client_connection_close(LIST_FIRST(&client->idle));
     }
@@ -54,8 +60,8 @@
 {
     struct http_call *call;
     while ((call = TAILQ_FIRST(&client->waiting)) != NULL) {
-        if (LIST_EMPTY(&client->idle) &&
-            client->connection_count >= client->config.connections_max) {
+        if (LIST_EMPTY(&client->idle) && http_client_limited_count(client) >=
+                                             client->config.connections_max) {
             return;
         }
         TAILQ_REMOVE(&client->waiting, call, link);
@@ -72,11 +78,9 @@
 }
 
 static void
-client_on_timeout_check(void *ctx)
+close_rested(struct http_client_connection_list *list, int64_t now_us)
 {
-    struct http_client *client = ctx;
-    const int64_t now_us = runtime_now_us(client->runtime);
-    struct http_client_connection *connection = LIST_FIRST(&client->idle);
+    struct http_client_connection *connection = LIST_FIRST(list);
     while (connection != NULL) {
         struct http_client_connection *next = LIST_NEXT(connection, link);
         if (now_us - connection->idle_since_us >= idle_max_us(connection)) {
@@ -84,7 +88,16 @@
         }
         connection = next;
     }
-    connection = LIST_FIRST(&client->busy);
+}
+
+static void
+client_on_timeout_check(void *ctx)
+{
+    struct http_client *client = ctx;
+    const int64_t now_us = runtime_now_us(client->runtime);
+    close_rested(&client->idle, now_us);
+    close_rested(&client->unused, now_us);
+    struct http_client_connection *connection = LIST_FIRST(&client->busy);
     while (connection != NULL) {
         struct http_client_connection *next = LIST_NEXT(connection, link);
         if (!connection->connected &&
@@ -185,6 +198,7 @@
     free_queue(&client->failed);
     free_connections(&client->idle);
     free_connections(&client->busy);
+    free_connections(&client->unused);
     event_free(client->failed_event);
     free(client);
 }
@@ -194,8 +208,8 @@
 {
     client->config.connections_max = max > 0 ? max : 1;
     struct http_client_connection *connection = LIST_FIRST(&client->idle);
-    while (connection != NULL &&
-           client->connection_count > client->config.connections_max) {
+    while (connection != NULL && http_client_limited_count(client) >
+                                     client->config.connections_max) {
         struct http_client_connection *next = LIST_NEXT(connection, link);
         http_client_connection_close(connection);
         connection = next;
@@ -203,6 +217,28 @@
     http_client_assign_connections(client);
 }
 
+static bool
+any_open_since(const struct http_client_connection_list *list,
+               int64_t since_us)
+{
+    const struct http_client_connection *connection;
+    LIST_FOREACH (connection, list, link) {
+        if (connection->connected && connection->connected_us <= since_us &&
+            http_client_connection_is_open(connection)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool
+http_client_has_open_since(const struct http_client *client, int64_t since_us)
+{
+    return any_open_since(&client->unused, since_us) ||
+           any_open_since(&client->busy, since_us) ||
+           any_open_since(&client->idle, since_us);
+}
+
 size_t
 http_client_body_bytes(const struct http_client *client)
 {
--- a/packages/http/httpclient.h
+++ b/packages/http/httpclient.h
@@ -37,10 +37,11 @@
 
 struct http_client_config {
     struct address address;
-    unsigned connections_max; /**< Default 64 */
-    size_t body_max_bytes;    /**< bytes of an answer's body. Default 16 MiB */
-    size_t bodies_max_bytes;  /**< bytes of all bodies in progress. Default 64
-                                 MiB */
+    /** Without the one that stays open unused. Default 64 */
+    unsigned connections_max;
+    size_t body_max_bytes;   /**< bytes of an answer's body. Default 16 MiB */
+    size_t bodies_max_bytes; /**< bytes of all bodies in progress. Default 64
+                                MiB */
     int64_t connect_timeout_us; /**< Default 1 s */
     int64_t idle_timeout_us;    /**< Default 30 s */
     bool body_may_end_at_close; /**< a body may end with its connection */
@@ -94,6 +95,9 @@
     /** The connection is opened for this call and carries no other, so that
      * no late answer to another can arrive on it. */
     bool needs_own_connection;
+    /** After the answer such a connection stays open, unused, until the next
+     * one does: see http_client_has_open_since(). */
+    bool stays_open;
     http_done_cb done; /**< called once, never within http_call_start() */
     void *ctx;
 };
@@ -112,6 +116,12 @@
 /** Number of open connections and connection attempts. */
 unsigned http_client_connections(const struct http_client *client);
 
+/** True if a connection that was established by since_us is still open: then
+ * the process that the address led to at since_us is still the one there, as
+ * far as its host tells. */
+bool http_client_has_open_since(const struct http_client *client,
+                                int64_t since_us);
+
 /** Bytes that the bodies of answers in progress hold. */
 size_t http_client_body_bytes(const struct http_client *client);
 
--- a/packages/http/httpclient_internal.h
+++ b/packages/http/httpclient_internal.h
@@ -50,6 +50,7 @@
     struct http_call_queue failed;  /* to end in the next loop iteration */
     struct http_client_connection_list idle;
     struct http_client_connection_list busy;
+    struct http_client_connection_list unused; /* see stays_open */
     unsigned connection_count;
     size_t body_bytes; /* of the answers in progress */
     struct event *failed_event;
@@ -68,6 +69,7 @@
     size_t body_bytes;           /* counted in the client's */
     struct memory_holder memory; /* charged for the answer */
     int64_t connect_deadline_us;
+    int64_t connected_us; /* once connected */
     int64_t idle_since_us;
     int64_t idle_max_us; /* from the peer's Keep-Alive, 0: none */
 };
@@ -81,6 +83,7 @@
     size_t message_size;
     bool is_head;
     bool needs_own_connection;
+    bool stays_open;
     enum http_outcome failed_outcome; /* while in client->failed */
     struct timer deadline;
     http_may_send_cb may_send;
@@ -119,8 +122,15 @@
 void http_client_connection_fail(struct http_client_connection *connection,
                                  enum http_outcome outcome);
 
+/** True unless the peer has closed the connection, be it unnoticed so far. */
+bool http_client_connection_is_open(
+    const struct http_client_connection *connection);
+
 /* httpclient.c */
 
+/** Number of connections that count towards the limit: all but the unused. */
+unsigned http_client_limited_count(const struct http_client *client);
+
 /** Assigns connections to the waiting calls. */
 void http_client_assign_connections(struct http_client *client);
 
--- a/packages/http/httpclientconnection.c
+++ b/packages/http/httpclientconnection.c
@@ -1,6 +1,7 @@
 #include "http/httpclient_internal.h"
 
 #include <errno.h>
+#include <poll.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -68,6 +69,33 @@
     http_client_assign_connections(client);
 }
 
+bool
+http_client_connection_is_open(const struct http_client_connection *connection)
+{
+    struct pollfd state = {
+        .fd = bufferevent_getfd(connection->bev),
+        .events = POLLRDHUP,
+    };
+    return connection->connected && poll(&state, 1, 0) == 0;
+}
+
+/** Keeps a connection open that carries no further call, in place of the
+ * former one. */
+static void
+connection_keep_unused(struct http_client_connection *connection)
+{
+    struct http_client *client = connection->client;
+    if (!LIST_EMPTY(&client->unused)) {
+        http_client_connection_close(LIST_FIRST(&client->unused));
+    }
+    connection->call = NULL;
+    connection_count_body(connection, 0);
+    connection_charge(connection, 0);
+    connection->idle_since_us = runtime_now_us(client->runtime);
+    LIST_REMOVE(connection, link);
+    LIST_INSERT_HEAD(&client->unused, connection, link);
+}
+
 /** Returns a connection to the pool, or closes it. */
 static void
 connection_release(struct http_client_connection *connection, bool reusable)
@@ -75,7 +103,7 @@
     struct http_client *client = connection->client;
     connection->call = NULL;
     if (!reusable ||
-        client->connection_count > client->config.connections_max) {
+        http_client_limited_count(client) > client->config.connections_max) {
         http_client_connection_close(connection);
         return;
     }
@@ -126,12 +154,18 @@
         connection->stray_answers == 0 && evbuffer_get_length(output) == 0 &&
         (call->keeps_connection == NULL ||
          call->keeps_connection(call->ctx, &result));
+    const bool stays_open = call->needs_own_connection && call->stays_open;
     connection_record_idle_timeout(connection, &message->headers);
     call->connection = NULL;
     /* The callback may start or cancel other calls of this client. */
     connection->call = NULL;
     http_call_end(call, &result);
-    connection_release(connection, reusable);
+    if (stays_open) {
+        connection_keep_unused(connection);
+    }
+    else {
+        connection_release(connection, reusable);
+    }
     http_client_assign_connections(client);
 }
 
@@ -183,6 +217,11 @@
     struct http_client *client = connection->client;
     if (connection->call == NULL) {
         client->counters.unexpected_bytes->value++;
+        if (connection == LIST_FIRST(&client->unused)) {
+            struct evbuffer *input = bufferevent_get_input(bev);
+            evbuffer_drain(input, evbuffer_get_length(input));
+            return;
+        }
         http_client_connection_close(connection);
         return;
     }
@@ -241,6 +280,7 @@
     if ((what & BEV_EVENT_CONNECTED) != 0) {
         keepalive_set(bufferevent_getfd(bev), &client_keepalive);
         connection->connected = true;
+        connection->connected_us = runtime_now_us(client->runtime);
         if (connection->call != NULL) {
             connection_write(connection);
             http_client_assign_connections(client);
--- a/packages/http/test/http_test.cc
+++ b/packages/http/test/http_test.cc
@@ -228,6 +228,42 @@
     EXPECT_EQ(2, Count("http_client_connects"));
 }
 
+/* Guards against: the connection that shows which process listens is used for
+ * another call, counts towards the limit, or is closed by a late copy; and
+ * against a peer that has ended counting as open until the loop runs. */
+TEST_F(HttpTest, ConnectionThatStaysOpenShowsThePeerUntilItEnds)
+{
+    StartClient(Listen(), 1);
+    const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    struct http_call_spec spec = {};
+    spec.method = "GET";
+    spec.target = "/own";
+    spec.deadline_us = runtime_now_us(runtime) + 5 * US_PER_SECOND;
+    spec.needs_own_connection = true;
+    spec.stays_open = true;
+    spec.done = OnDone;
+    spec.ctx = this;
+    http_call_start(client, &spec);
+    const int fd = AcceptRequest();
+    send(fd, answer.data(), answer.size(), MSG_NOSIGNAL);
+    ASSERT_TRUE(Results(1));
+    const int64_t since_us = runtime_now_us(runtime);
+    EXPECT_TRUE(http_client_has_open_since(client, since_us));
+    EXPECT_FALSE(http_client_has_open_since(client, since_us - US_PER_SECOND));
+    send(fd, answer.data(), answer.size(), MSG_NOSIGNAL);
+    Call("GET", "/next");
+    const int next = AcceptRequest();
+    EXPECT_NE(fd, next);
+    send(next, answer.data(), answer.size(), MSG_NOSIGNAL);
+    ASSERT_TRUE(Results(2));
+    EXPECT_EQ(2U, http_client_connections(client));
+    close(next);
+    Until([&] { return http_client_connections(client) == 1; }, 200);
+    EXPECT_TRUE(http_client_has_open_since(client, since_us));
+    close(fd);
+    EXPECT_FALSE(http_client_has_open_since(client, since_us));
+}
+
 TEST_F(HttpTest, DuplicateAnswerIsNotGivenToTheNextRequest)
 {
     const struct address address = Listen();
--- a/packages/node/keyowner.c
+++ b/packages/node/keyowner.c
@@ -40,6 +40,9 @@
     keyowner->grants_failed =
         counter_add(counters, "keeper_grants_failed",
                     "grants that the target did not confirm");
+    keyowner->process_unknown =
+        counter_add(counters, "keeper_process_unknown",
+                    "times that another process may have answered orders");
     keyowner->moves_declined =
         counter_add(counters, "keeper_moves_declined",
                     "moves of keys that could not be begun");
@@ -385,6 +388,7 @@
         keyownergrant_forget(grant);
     }
     keyowner->fence_min = 0;
+    keyownerprocess_ended(keyowner);
     if (proven_dead) {
         keyowner->former_grants_end_us = 0;
         keyowner->unresolved_until_us = 0;
--- a/packages/node/keyowner_internal.h
+++ b/packages/node/keyowner_internal.h
@@ -38,6 +38,7 @@
     int64_t unresolved_until_us; /**< end of grants without an answer */
     int64_t renew_at_us;
     int64_t sent_us;           /**< when the latest call was sent */
+    uint64_t sent_fence;       /**< of the latest call */
     int64_t requested_hold_us; /**< duration that it asked for */
     struct http_call *call;
 };
@@ -78,6 +79,7 @@
     LIST_ENTRY(release_call) link;
     struct handover *handover;
     struct http_call *http;
+    bool same_process; /**< it was sent to the one that holds the keys */
 };
 
 LIST_HEAD(release_list, release_call);
@@ -97,6 +99,13 @@
      * incarnation of the target was first heard of; 0: none yet. Grants have
      * at least this fence, which is above those of former incarnations. */
     uint64_t fence_min;
+    /** When an order was last sent to the target; 0: none to its present
+     * process. One that starts at the same address holds nothing, and must get
+     * keys with higher fences: keyownerprocess.c. */
+    int64_t order_sent_us;
+    uint64_t sent_fence_max;    /**< of all grants */
+    uint64_t former_fence_max;  /**< of those to former processes */
+    uint64_t process_fence_min; /**< above that one; 0: not needed */
     struct rowcommit_call *lease_call;
     int64_t lease_write_started_us;
     char lease_key[KEYMAP_NAME_MAX + 1];
@@ -123,6 +132,7 @@
                                      arrive until then */
     struct counter *grants_sent;
     struct counter *grants_failed;
+    struct counter *process_unknown;
     struct counter *moves;
     struct counter *moves_declined;
     struct counter *lease_lost;
@@ -171,6 +181,26 @@
 /** Removes a handover, done or not; keys left here are granted again. */
 void keyownergrant_drop_handover(struct handover *handover);
 
+/* keyownerprocess.c: which process of the target an order reaches. */
+
+/** True if the process that listens now is the one that got the latest order,
+ * or if none has got one. */
+bool keyownerprocess_is_same(const struct keyowner *keyowner);
+
+/** Called just before a grant is sent on an open connection. @return false if
+ * it would reach a process whose fences must be higher than the grant's */
+bool keyownerprocess_may_grant(struct key_grant *grant);
+
+/** The target's incarnation has ended: the next order goes to another. */
+void keyownerprocess_ended(struct keyowner *keyowner);
+
+/** Chooses the fence for a new process, if one is needed and known: that of
+ * the latest version of the lease. */
+void keyownerprocess_choose_fence(struct keyowner *keyowner);
+
+/** True if grants wait for a version of the lease above former fences. */
+bool keyownerprocess_needs_fence(const struct keyowner *keyowner);
+
 /* keyownerlease.c */
 
 /** Renews the lease when due; asks for promises if the store is late. */
--- a/packages/node/keyownergrant.c
+++ b/packages/node/keyownergrant.c
@@ -95,6 +95,9 @@
     spec->headers = order_headers;
     spec->header_count = 1;
     spec->needs_own_connection = true;
+    /* Nothing else fits beside the only connection of a target. */
+    const struct declared_service *service = node_own_service(node);
+    spec->stays_open = service != NULL && service->connections > 1;
     spec->deadline_us = node_now_us(node) + timeout_us;
     return http_call_start(localtarget_client(node->target), spec);
 }
@@ -160,6 +163,11 @@
         keyownermove_advance(keyowner);
         return;
     }
+    if (result->outcome == HTTP_NOT_SENT &&
+        grant->sent_fence <= keyowner->former_fence_max) {
+        keyownergrant_send_due(keyowner);
+        return;
+    }
     keyowner->grants_failed->value++;
     grant->renew_at_us = node_now_us(keyowner->node) + RETRY_DELAY_US;
     LOG_WARN("grant_failed", LOG_UINT("first", grant->first),
@@ -180,18 +188,22 @@
 static uint64_t
 target_fence(const struct key_grant *grant)
 {
-    const uint64_t fence_min = grant->keyowner->fence_min;
-    return grant->fence > fence_min ? grant->fence : fence_min;
+    const struct keyowner *keyowner = grant->keyowner;
+    const uint64_t least = keyowner->fence_min > keyowner->process_fence_min
+                               ? keyowner->fence_min
+                               : keyowner->process_fence_min;
+    return grant->fence > least ? grant->fence : least;
 }
 
 /** False once the grant would last longer than was reckoned, as it has waited
- * for a connection. */
+ * for a connection, or if it would reach another process. */
 static bool
 may_send_grant(void *ctx)
 {
-    const struct key_grant *grant = ctx;
+    struct key_grant *grant = ctx;
     return node_now_us(grant->keyowner->node) <=
-           grant->sent_us + SEND_DELAY_MAX_US;
+               grant->sent_us + SEND_DELAY_MAX_US &&
+           keyownerprocess_may_grant(grant);
 }
 
 static bool
@@ -227,6 +239,7 @@
     };
     const size_t size = node->wire->write_grant(&order, body);
     grant->sent_us = now_us;
+    grant->sent_fence = order.fence;
     grant->requested_hold_us = hold_us;
     const int64_t latest_end_us = sent_grant_end_us(grant);
     grant->latest_end_us = latest_end_us > grant->latest_end_us
@@ -250,6 +263,7 @@
 {
     const int64_t now_us = node_now_us(keyowner->node);
     if (!keyowner_may_grant(keyowner) || keyowner->claiming ||
+        keyownerprocess_needs_fence(keyowner) ||
         localtarget_client(keyowner->node->target) == NULL) {
         return;
     }
@@ -295,12 +309,13 @@
     struct release_call *call = ctx;
     struct handover *handover = call->handover;
     struct keyowner *keyowner = handover->keyowner;
+    const bool same_process = call->same_process;
     LIST_REMOVE(call, link);
     free(call);
     handover->calls--;
     if (result->outcome == HTTP_ANSWERED && result->status == STATUS_OK) {
         const char *token = keyowner->node->wire->read_token(result->headers);
-        if (token != NULL) {
+        if (token != NULL && same_process) {
             snprintf(handover->token, sizeof(handover->token), "%s", token);
         }
     }
@@ -322,6 +337,21 @@
     keyownermap_write_changes(keyowner);
 }
 
+/** A release is sent in any case: a process that has ended holds no keys. */
+static bool
+before_release(void *ctx)
+{
+    struct release_call *call = ctx;
+    const struct keyowner *keyowner = call->handover->keyowner;
+    call->same_process = keyownerprocess_is_same(keyowner);
+    if (!call->same_process) {
+        LOG_INFO("release_to_unknown",
+                 LOG_UINT("first", call->handover->first),
+                 LOG_UINT("last", call->handover->last));
+    }
+    return true;
+}
+
 static void
 send_release(struct handover *handover, const struct key_grant *grant)
 {
@@ -340,6 +370,7 @@
         .target = node->wire->release_path,
         .body = body,
         .body_size = node->wire->write_release(&order, body),
+        .may_send = before_release,
         .answer_matches = is_release_answer,
         .done = on_released,
         .ctx = call,
--- a/packages/node/keyownerlease.c
+++ b/packages/node/keyownerlease.c
@@ -120,6 +120,7 @@
         localtarget_is_present(keyowner->node->target)) {
         keyowner->lease.renew_us = 0;
     }
+    keyownerprocess_choose_fence(keyowner);
     if (acquired) {
         LOG_INFO("lease_acquired", LOG_UINT("version", version));
     }
--- a/packages/node/localtarget.c
+++ b/packages/node/localtarget.c
@@ -112,9 +112,11 @@
 {
     const struct declared_service *service = node_own_service(target->node);
     const unsigned needed = target->announced.slots + SPARE_CONNECTIONS;
-    return service != NULL && service->connections < needed
-               ? service->connections
-               : needed;
+    if (service == NULL || service->connections > needed) {
+        return needed;
+    }
+    /* One more stays open, unused, after orders. */
+    return service->connections > 1 ? service->connections - 1 : 1;
 }
 
 void
