The own interface answers what is left at the end of drain_max_ms

Callers saw: a request that outlasts the stop of an instance of the product's own interface got no answer; its connection was closed with the process.

Cause: the stop ended at drain_max_ms whatever ran.

Change: the entry ends what is left as at its deadline: not run where that is certain, else unknown.

Evidence: PlannedStop.RequestsThatOutlastItAreAnswered failed before.

--- a/packages/daemon/entrytask.c
+++ b/packages/daemon/entrytask.c
@@ -405,6 +405,19 @@
     entry_request_free_if_done(er);
 }
 
+void
+entrytask_answer_all(struct entrytask *entry)
+{
+    const int64_t now_us = runtime_now_us(entry->options.runtime);
+    struct entry_request *er = LIST_FIRST(&entry->requests);
+    while (er != NULL) {
+        struct entry_request *next = LIST_NEXT(er, link);
+        request_end(er->request, now_us);
+        entry_request_free_if_done(er);
+        er = next;
+    }
+}
+
 static bool
 entry_zone_is_out(const struct entrytask *entry, const char *name)
 {
--- a/packages/daemon/entrytask.h
+++ b/packages/daemon/entrytask.h
@@ -66,6 +66,10 @@
 struct entryservice *entrytask_service(const struct entrytask *entry,
                                        const char *name);
 
+/** Answers all requests, as unknown unless it is certain that they have not
+ * run. */
+void entrytask_answer_all(struct entrytask *entry);
+
 /** Number of requests in progress. */
 size_t entrytask_count(const struct entrytask *entry);
 
--- a/packages/daemon/shutdown.c
+++ b/packages/daemon/shutdown.c
@@ -94,6 +94,7 @@
     else if (daemon->phase == DAEMON_DRAINING && late) {
         invariant_check(INVARIANT_GRACEFUL_STOP, !has_requests(daemon),
                         "requests still run at the end of drain_max_ms");
+        entrytask_answer_all(daemon->entry);
         finish(daemon);
     }
     else if (daemon->phase == DAEMON_FINISHING && late) {
--- a/packages/daemon/test/daemon_test.cc
+++ b/packages/daemon/test/daemon_test.cc
@@ -322,6 +322,36 @@
     return count;
 }
 
+/* Guards against: requests that outlast the stop are closed without an answer.
+ */
+TEST(PlannedStop, RequestsThatOutlastItAreAnswered)
+{
+    Deployment deployment;
+    deployment.latency_us = 4 * US_PER_SECOND;
+    deployment.drain_max_ms = 500;
+    TestInstance &instance = deployment.Add("one", "llanidloes", "orders");
+    deployment.Apply(1, DurableOrders(8000));
+    ASSERT_TRUE(deployment.RunUntil([&] {
+        return placetask_owned_count(instance.daemon->placement) == 16;
+    }));
+    Answer answers[3];
+    for (Answer &answer : answers) {
+        deployment.Start(*http_server_address(instance.daemon->http), "GET",
+                         "/orders/1", "", "", &answer);
+    }
+    ASSERT_TRUE(deployment.RunUntil(
+        [&] { return entrytask_count(instance.daemon->entry) == 3; }));
+    daemon_shut_down(instance.daemon);
+    ASSERT_TRUE(deployment.RunUntil(
+        [&] { return answers[0].done && answers[1].done && answers[2].done; },
+        3000));
+    for (const Answer &answer : answers) {
+        EXPECT_EQ(HTTP_ANSWERED, answer.outcome);
+        EXPECT_GE(answer.status, 500U);
+    }
+    invariant_reset(); /* the stop is not a graceful one */
+}
+
 /* Guards against: a shard is handed over while the store still says that an
  * order began which its caller was told has not run. */
 TEST(Drain, ShardIsBusyUntilTheRowsOfItsRefusedOrdersAreReleased)
--- a/packages/daemon/test/deployment.h
+++ b/packages/daemon/test/deployment.h
@@ -81,7 +81,8 @@
                 "store": {"address": "127.0.0.1:)" +
             std::to_string(store_server_port(store)) + R"("},
                 "limits": {"memory_mb": 64, "body_max_bytes": 16777216,
-                           "drain_max_ms": 5000},
+                           "drain_max_ms": )" +
+            std::to_string(drain_max_ms) + R"(},
                 "intervals": {"config_poll_ms": 100, "members_poll_ms": 100}
             })";
         json_t *document = document_parse(text.data(), text.size(), &problems);
@@ -248,6 +249,7 @@
     std::vector<struct http_client *> clients;
     unsigned announced = 0;
     int64_t latency_us = 500; /* of targets started from now on */
+    int drain_max_ms = 5000;
     int next_id = 0;
 
   private:
--- a/packages/entry/request.c
+++ b/packages/entry/request.c
@@ -401,6 +401,14 @@
     }
 }
 
+void
+request_end(struct request *request, int64_t now_us)
+{
+    if (request->state != REQUEST_DONE) {
+        request_give_up(request, FORWARD_REASON_DRAINING, 0, now_us);
+    }
+}
+
 void
 request_caller_gone(struct request *request, int64_t now_us)
 {
--- a/packages/entry/request.h
+++ b/packages/entry/request.h
@@ -156,6 +156,9 @@
 /** Call when the latest timer expires. */
 void request_timer_expired(struct request *request, int64_t now_us);
 
+/** Ends the request with an answer, as at its deadline. */
+void request_end(struct request *request, int64_t now_us);
+
 /** Call when the caller has closed its connection. */
 void request_caller_gone(struct request *request, int64_t now_us);
 
