--- a/packages/protocol/rpc_internal.h
+++ b/packages/protocol/rpc_internal.h
@@ -44,7 +44,7 @@
     X(calls_ok, "calls answered")                                             \
     X(calls_timed_out, "calls without an answer in time")                     \
     X(calls_closed, "calls whose connection closed")                          \
-    X(calls_not_sent, "calls that failed before they were sent whole")             \
+    X(calls_not_sent, "calls that failed before they were sent whole")        \
     X(calls_refused_by_host, "calls to a host that refused the connection")   \
     X(calls_rejected, "calls that the peer rejected as malformed or unknown") \
     X(calls_garbage, "calls whose reply could not be decoded")                \
