A heartbeat without a start doesn't replace what a target has stated

Cause: an announcement without a start counts as one of the latest incarnation; it replaced the known start and sequence, and the target's own announcements were older from then on.

Change: of a target whose start is known, an announcement without one is refused; the first one with a start isn't older than one without.

Evidence: Departures.HeartbeatOfAnotherWriterHidesNoDeparture failed before in both of its cases and passes now.

--- a/packages/node/targetannouncement.c
+++ b/packages/node/targetannouncement.c
@@ -70,6 +70,9 @@
          const struct wire_announcement *announced)
 {
     const struct wire_announcement *known = &target->announced;
+    if (known->started_ms == 0 && announced->started_ms > 0) {
+        return false; /* another writer may have sent what is known */
+    }
     if (is_known_incarnation(target, announced)) {
         /* Without a start time, a target that comes back may be a new
          * incarnation whose sequence starts again. */
@@ -79,6 +82,15 @@
     return known->started_ms > 0 && announced->started_ms <= known->started_ms;
 }
 
+/** Targets that state their start state it always: an announcement without it
+ * is another writer's. */
+static bool
+lacks_start(const struct localtarget *target,
+            const struct wire_announcement *announced)
+{
+    return announced->started_ms == 0 && target->announced.started_ms > 0;
+}
+
 /** recent: it was sent after this process began. */
 static void
 apply_announcement(struct localtarget *target,
@@ -258,7 +270,7 @@
         acknowledge(target, request, &announced);
         return;
     }
-    if (!is_own(target, &announced)) {
+    if (!is_own(target, &announced) || lacks_start(target, &announced)) {
         LOG_WARN("announcement_foreign", LOG_STR("target", announced.target),
                  LOG_STR("service", announced.service),
                  LOG_STR("zone", announced.zone));
