Only connections that have carried an answer show which process listens

Change: a connection counts once it has carried an answer, and an order whose answer comes after all older connections have closed doesn't count: the keys are granted anew with a higher fence.

--- a/packages/http/httpclient.c
+++ b/packages/http/httpclient.c
@@ -223,7 +223,7 @@
 {
     const struct http_client_connection *connection;
     LIST_FOREACH (connection, list, link) {
-        if (connection->connected && connection->connected_us <= since_us &&
+        if (connection->answered && connection->connected_us <= since_us &&
             http_client_connection_is_open(connection)) {
             return true;
         }
--- a/packages/http/httpclient.h
+++ b/packages/http/httpclient.h
@@ -116,9 +116,10 @@
 /** Number of open connections and connection attempts. */
 unsigned http_client_connections(const struct http_client *client);
 
-/** True if a connection that was established by since_us is still open: then
- * the process that the address led to at since_us is still the one there, as
- * far as its host tells. */
+/** True if a connection that was established by since_us, and has carried an
+ * answer since, is still open: then the process that the address led to at
+ * since_us is still the one there, as far as its host tells. In a callback the
+ * answer that it reports doesn't count. */
 bool http_client_has_open_since(const struct http_client *client,
                                 int64_t since_us);
 
--- a/packages/http/httpclient_internal.h
+++ b/packages/http/httpclient_internal.h
@@ -65,6 +65,7 @@
     struct http_reader *reader;
     struct http_call *call; /* NULL while idle */
     bool connected;
+    bool answered;               /* a call before the present one */
     unsigned stray_answers;      /* to other calls: then it is not reused */
     size_t body_bytes;           /* counted in the client's */
     struct memory_holder memory; /* charged for the answer */
--- a/packages/http/httpclientconnection.c
+++ b/packages/http/httpclientconnection.c
@@ -160,6 +160,7 @@
     /* The callback may start or cancel other calls of this client. */
     connection->call = NULL;
     http_call_end(call, &result);
+    connection->answered = true;
     if (stays_open) {
         connection_keep_unused(connection);
     }
--- a/packages/http/test/http_test.cc
+++ b/packages/http/test/http_test.cc
@@ -229,8 +229,9 @@
 }
 
 /* Guards against: the connection that shows which process listens is used for
- * another call, counts towards the limit, or is closed by a late copy; and
- * against a peer that has ended counting as open until the loop runs. */
+ * another call, counts towards the limit, is closed by a late copy, or counts
+ * before it has carried an answer; and against a peer that has ended counting
+ * as open until the loop runs. */
 TEST_F(HttpTest, ConnectionThatStaysOpenShowsThePeerUntilItEnds)
 {
     StartClient(Listen(), 1);
@@ -245,6 +246,7 @@
     spec.ctx = this;
     http_call_start(client, &spec);
     const int fd = AcceptRequest();
+    EXPECT_FALSE(http_client_has_open_since(client, runtime_now_us(runtime)));
     send(fd, answer.data(), answer.size(), MSG_NOSIGNAL);
     ASSERT_TRUE(Results(1));
     const int64_t since_us = runtime_now_us(runtime);
--- a/packages/node/ingress.c
+++ b/packages/node/ingress.c
@@ -213,13 +213,15 @@
 void
 ingress_answer_all(struct ingress *ingress)
 {
-    struct ingress_call *call;
-    while ((call = LIST_FIRST(&ingress->calls)) != NULL) {
+    struct ingress_call *call = LIST_FIRST(&ingress->calls);
+    while (call != NULL) {
+        struct ingress_call *next = LIST_NEXT(call, link);
         LOG_WARN("ended_by_stop", LOG_STR("id", call->id),
                  LOG_STR("service", call->service),
                  LOG_STR("at", call_stage(call)),
                  LOG_STR("to", call->instance != NULL ? call->instance : ""));
         ingress_give_up(call);
+        call = next;
     }
 }
 
--- a/packages/node/keyowner_internal.h
+++ b/packages/node/keyowner_internal.h
@@ -39,6 +39,7 @@
     int64_t renew_at_us;
     int64_t sent_us;           /**< when the latest call was sent */
     uint64_t sent_fence;       /**< of the latest call */
+    int64_t former_order_us;   /**< the order before it; 0: none */
     int64_t requested_hold_us; /**< duration that it asked for */
     struct http_call *call;
 };
@@ -103,7 +104,8 @@
      * process. One that starts at the same address holds nothing, and must get
      * keys with higher fences: keyownerprocess.c. */
     int64_t order_sent_us;
-    uint64_t sent_fence_max;    /**< of all grants */
+    int64_t same_process_us; /**< when an answer showed that it is the same */
+    uint64_t sent_fence_max; /**< of all grants */
     uint64_t former_fence_max;  /**< of those to former processes */
     uint64_t process_fence_min; /**< above that one; 0: not needed */
     struct rowcommit_call *lease_call;
@@ -191,6 +193,10 @@
  * it would reach a process whose fences must be higher than the grant's */
 bool keyownerprocess_may_grant(struct key_grant *grant);
 
+/** A grant was answered: checks once more, since a process that ended
+ * meanwhile may have left the new connection to the next. */
+void keyownerprocess_answered(const struct key_grant *grant);
+
 /** The target's incarnation has ended: the next order goes to another. */
 void keyownerprocess_ended(struct keyowner *keyowner);
 
--- a/packages/node/keyownergrant.c
+++ b/packages/node/keyownergrant.c
@@ -160,6 +160,7 @@
     grant->call = NULL;
     if (result->outcome == HTTP_ANSWERED && result->status == STATUS_OK) {
         grant_confirmed(grant);
+        keyownerprocess_answered(grant);
         keyownermove_advance(keyowner);
         return;
     }
--- a/packages/node/keyownerprocess.c
+++ b/packages/node/keyownerprocess.c
@@ -71,6 +71,7 @@
         grant->sent_fence < keyowner->process_fence_min) {
         return false;
     }
+    grant->former_order_us = keyowner->order_sent_us;
     keyowner->order_sent_us = node_now_us(keyowner->node);
     if (grant->sent_fence > keyowner->sent_fence_max) {
         keyowner->sent_fence_max = grant->sent_fence;
@@ -78,6 +79,28 @@
     return true;
 }
 
+void
+keyownerprocess_answered(const struct key_grant *grant)
+{
+    struct keyowner *keyowner = grant->keyowner;
+    const struct http_client *client =
+        localtarget_client(keyowner->node->target);
+    int64_t since_us = grant->former_order_us;
+    if (since_us == 0 || grant->sent_fence <= keyowner->former_fence_max) {
+        return;
+    }
+    /* That order's connection was closed for one that has been checked. */
+    if (keyowner->same_process_us > since_us) {
+        since_us = keyowner->same_process_us;
+    }
+    if (client != NULL && http_client_has_open_since(client, since_us)) {
+        keyowner->same_process_us = node_now_us(keyowner->node);
+    }
+    else {
+        process_unknown(keyowner);
+    }
+}
+
 void
 keyownerprocess_ended(struct keyowner *keyowner)
 {
