A token of a release counts only if an order reached that process before

What was seen: nothing; found by reading. Cause: right after the process became unknown no order had been sent to the next one, which the check of a release took for the same process. Change: the token is used only after an order. Result: TargetRestart, SessionKeys and SessionLeases pass as before (the known red one aside).

--- a/packages/node/keyownergrant.c
+++ b/packages/node/keyownergrant.c
@@ -344,7 +344,8 @@
 {
     struct release_call *call = ctx;
     const struct keyowner *keyowner = call->handover->keyowner;
-    call->same_process = keyownerprocess_is_same(keyowner);
+    call->same_process =
+        keyowner->order_sent_us > 0 && keyownerprocess_is_same(keyowner);
     if (!call->same_process) {
         LOG_INFO("release_to_unknown",
                  LOG_UINT("first", call->handover->first),
