--- a/demo/faults.py
+++ b/demo/faults.py
@@ -77,7 +77,6 @@
     """Checks that only orders of durable services need the store."""
     patterns, orders = results
     failed = f.outcomes([patterns])
-    reasons = patterns.get("reasons", {})
     ends = orders.get("gets_end", {})
     run.verdicts.add(
         "An outage of the store alone makes nothing unavailable but "
@@ -85,9 +84,9 @@
         patterns["requests"] > 0 and not failed
         and set(ends) == {"answered"},
         f"8 s; {patterns['requests']} requests to a service that is "
-        f"not durable, not answered: {failed or 'none'} {reasons or ''}; "
-        f"reads of the durable one: {ends}; reasons of the service's "
-        f"refusals: {orders.get('reasons', {})}")
+        f"not durable, not answered: {failed or 'none'}; reads of "
+        f"the durable one: {ends}; reasons of refusals: "
+        f"{patterns.get('reasons', {})} and {orders.get('reasons', {})}")
     ends = orders.get("orders_end", {})
     run.verdicts.add(
         "Orders of a durable service are refused as not run while "
