--- /dev/null
+++ b/review/standin3/fence.cc
@@ -0,0 +1,92 @@
+/*
+ * Upstreams that hold keys drop idle connections without notice. One after
+ * the other crashes and is soon back, as another upstream at the same
+ * address. Usage: fence DAEMON RECORD TROUBLE. Exits with 1 if an upstream
+ * got a key with a fencing token that isn't above those with which others had
+ * it (OWNER).
+ */
+#include "scene.h"
+
+extern "C" {
+#include "base/random.h"
+}
+
+using namespace scene;
+
+namespace {
+
+constexpr size_t MACHINES = 4;
+constexpr int ROUNDS = 12;
+constexpr int64_t IDLE_MS = 300;  /* idle for so long, it is dropped */
+constexpr int64_t ROUND_MS = 7500;
+constexpr int64_t DOWN_MS = 200;  /* from a crash to the next start */
+constexpr int64_t PAUSE_MS = 250; /* between requests */
+constexpr int64_t BEAT_MS = 870;  /* heartbeat_s */
+
+} // namespace
+
+int
+main(int argc, char **argv)
+{
+    if (argc != 4) {
+        return 2;
+    }
+    const bool trouble = std::string(argv[3]) != "0";
+    Scene scene(argv[1], argv[2]);
+    struct random_state random;
+    random_seed(&random, static_cast<uint64_t>(getpid()));
+    for (size_t i = 0; i < MACHINES; i++) {
+        scene.AddMachine("keyed", "z" + std::to_string(i % 3), Scene::TARGET);
+        scene.machines[i]->upstream->work_ms = 60;
+    }
+    scene.store.Put("op", "config", Config(2));
+    scene.Advance(8000);
+
+    std::vector<std::shared_ptr<Answer>> answers;
+    int broken = 0;
+    for (int round = 0; round < ROUNDS; round++) {
+        const size_t i = static_cast<size_t>(round) % MACHINES;
+        const int64_t end_us = scene.Now() + ROUND_MS * MS;
+        const int64_t crash_us =
+            scene.Now() + random_range(&random, 4000, 4900) * MS;
+        bool crashed = false;
+        while (scene.Now() < end_us) {
+            const std::string id = "r" + std::to_string(answers.size());
+            const size_t at = answers.size() % MACHINES;
+            answers.push_back(
+                scene.Send(at, "GET", "/k/" + id, id,
+                           static_cast<int>(random_below(&random, 65536))));
+            scene.Advance(PAUSE_MS);
+            for (const auto &each : scene.machines) {
+                if (trouble) {
+                    each->target_link->Forget(IDLE_MS);
+                }
+            }
+            if (trouble && !crashed && scene.Now() >= crash_us) {
+                crashed = true;
+                scene.first_beat_ms =
+                    static_cast<int64_t>(random_below(&random, BEAT_MS));
+                scene.Crash(i, DOWN_MS);
+            }
+        }
+        if (!scene.grant_history.violation.empty()) {
+            scene.Record("OWNER is broken: %s",
+                         scene.grant_history.violation.c_str());
+            scene.grant_history.violation.clear();
+            broken++;
+        }
+    }
+    int served = 0;
+    for (const auto &answer : answers) {
+        served += answer->status == 200;
+    }
+    scene.Record("OWNER broken after %d of %d crashes; %d of %zu requests "
+                 "served",
+                 broken, trouble ? ROUNDS : 0, served, answers.size());
+    printf("OWNER broken after %d of %d crashes; %d of %zu requests served\n",
+           broken, trouble ? ROUNDS : 0, served, answers.size());
+    if (served == 0) {
+        return 2;
+    }
+    return broken > 0 ? 1 : 0;
+}
