--- a/review/standin3/fence.cc
+++ b/review/standin3/fence.cc
@@ -16,11 +16,12 @@
 namespace {
 
 constexpr size_t MACHINES = 4;
-constexpr int ROUNDS = 12;
-constexpr int64_t IDLE_MS = 300;  /* idle for so long, it is dropped */
-constexpr int64_t ROUND_MS = 7500;
-constexpr int64_t DOWN_MS = 200;  /* from a crash to the next start */
-constexpr int64_t PAUSE_MS = 250; /* between requests */
+constexpr int ROUNDS = 16;
+constexpr int64_t IDLE_MS = 1000; /* idle for so long, it is dropped */
+constexpr int64_t ROUND_MS = 6000;
+constexpr int64_t DOWN_MS = 200; /* from a crash to the next start */
+constexpr int BURST = 16;        /* requests that come together */
+constexpr int64_t PAUSE_MS = 6000; /* until the next ones */
 constexpr int64_t BEAT_MS = 870;  /* heartbeat_s */
 
 } // namespace
@@ -43,20 +44,25 @@
     scene.Advance(8000);
 
     std::vector<std::shared_ptr<Answer>> answers;
+    int64_t burst_us = scene.Now();
     int broken = 0;
     for (int round = 0; round < ROUNDS; round++) {
         const size_t i = static_cast<size_t>(round) % MACHINES;
         const int64_t end_us = scene.Now() + ROUND_MS * MS;
         const int64_t crash_us =
-            scene.Now() + random_range(&random, 4000, 4900) * MS;
+            scene.Now() + random_range(&random, 2000, 4000) * MS;
         bool crashed = false;
         while (scene.Now() < end_us) {
-            const std::string id = "r" + std::to_string(answers.size());
-            const size_t at = answers.size() % MACHINES;
-            answers.push_back(
-                scene.Send(at, "GET", "/k/" + id, id,
-                           static_cast<int>(random_below(&random, 65536))));
-            scene.Advance(PAUSE_MS);
+            for (int k = 0; k < BURST && scene.Now() >= burst_us; k++) {
+                const std::string id = "r" + std::to_string(answers.size());
+                answers.push_back(scene.Send(
+                    answers.size() % MACHINES, "GET", "/k/" + id, id,
+                    static_cast<int>(random_below(&random, 65536))));
+            }
+            if (scene.Now() >= burst_us) {
+                burst_us = scene.Now() + PAUSE_MS * MS;
+            }
+            scene.Advance(20);
             for (const auto &each : scene.machines) {
                 if (trouble) {
                     each->target_link->Forget(IDLE_MS);
