review: case 13, the cold upstream crashes past its bound

The stand-in crashes when it gets more than FAILBACK allows, as PROTOCOL.md has it. The sources of the stand-ins are formatted.

--- a/review/standin3/cold.cc
+++ b/review/standin3/cold.cc
@@ -1,8 +1,9 @@
 /*
  * Upstreams under their usual load become cold again, one after the other, at
- * random moments; their heartbeats and health answers tell so. Usage: cold
- * DAEMON RECORD TROUBLE. Exits with 1 if a cold upstream got more requests in
- * a second than it may (FAILBACK).
+ * random moments; their heartbeats and health answers tell so. One that gets
+ * more requests in a second than FAILBACK allows crashes, and is back after
+ * some seconds. Usage: cold DAEMON RECORD TROUBLE. Exits with 1 if a cold
+ * upstream got more requests in a second than it may.
  */
 #include <algorithm>
 #include <map>
@@ -24,6 +25,7 @@
 constexpr int64_t COLD_US = 3 * US_PER_SECOND; /* warmup_s */
 /* warmup_per_s x cold_over + cold_slack */
 constexpr double MOST_IN_A_SECOND = 25 * 1.5 + 5;
+constexpr int64_t BACK_MS = 2000; /* an upstream is back after that */
 
 struct Arrival {
     int64_t sent_us;
@@ -61,6 +63,9 @@
     std::map<std::string, int64_t> sent_us;
     std::vector<std::shared_ptr<Answer>> answers;
     std::vector<Arrival> arrivals; /* while it was cold */
+    int64_t cold_since_us = 0;
+    bool crashes = false;
+    int crashed = 0;
     random_seed(&random, static_cast<uint64_t>(getpid()));
     for (size_t i = 0; i < MACHINES; i++) {
         scene.AddMachine("keyed", "z" + std::to_string(i % 3));
@@ -83,11 +88,14 @@
                     http_request_reply(request, &reply);
                     return true;
                 }
-                if (left_us > 0) {
+                if (left_us > 0 && cold_since_us > 0) {
                     arrivals.push_back(
                         {sent_us[http_request_header(
                              request, "X-Chestnutgap-Request-Id")],
                          scene.Now()});
+                    crashes = crashes ||
+                              static_cast<double>(MostInASecond(
+                                  arrivals, cold_since_us)) > MOST_IN_A_SECOND;
                 }
                 return false;
             };
@@ -105,6 +113,7 @@
         int64_t due = 0;
         int64_t done = 0;
         bool turned = false;
+        int64_t turned_us = 0;
         arrivals.clear();
         while (scene.Now() < begun_us + ROUND_MS * MS) {
             due = (scene.Now() - begun_us) * REQUESTS_PER_S / US_PER_SECOND;
@@ -117,15 +126,23 @@
             }
             if (trouble && !turned && scene.Now() >= cold_us) {
                 turned = true;
+                turned_us = cold_since_us = scene.Now();
                 machine.warm_at_us = scene.Now() + COLD_US;
                 scene.Record("%s is cold, its next heartbeat comes in %lld ms",
                              machine.upstream->id.c_str(),
                              static_cast<long long>(
                                  (machine.beat_at_us - scene.Now()) / MS));
             }
+            if (crashes) {
+                crashes = false;
+                crashed++;
+                cold_since_us = 0;
+                scene.Crash(i, BACK_MS);
+            }
             scene.Advance(5);
         }
-        const size_t most = MostInASecond(arrivals, cold_us);
+        const size_t most = MostInASecond(arrivals, turned_us);
+        cold_since_us = 0;
         if (turned) {
             scene.Record("%zu requests in a second, %.1f are allowed%s", most,
                          MOST_IN_A_SECOND,
@@ -139,11 +156,13 @@
     for (const auto &answer : answers) {
         served += answer->status == 200;
     }
-    scene.Record("FAILBACK broken in %d of %d colds; %d of %zu requests "
-                 "served",
-                 broken, trouble ? ROUNDS : 0, served, answers.size());
-    printf("FAILBACK broken in %d of %d colds; %d of %zu requests served\n",
-           broken, trouble ? ROUNDS : 0, served, answers.size());
+    scene.Record("FAILBACK broken in %d of %d colds, %d upstreams crashed; "
+                 "%d of %zu requests served",
+                 broken, trouble ? ROUNDS : 0, crashed, served,
+                 answers.size());
+    printf("FAILBACK broken in %d of %d colds, %d upstreams crashed; %d of "
+           "%zu requests served\n",
+           broken, trouble ? ROUNDS : 0, crashed, served, answers.size());
     if (served == 0) {
         return 2;
     }
--- a/review/standin3/fence.cc
+++ b/review/standin3/fence.cc
@@ -19,10 +19,10 @@
 constexpr int ROUNDS = 16;
 constexpr int64_t IDLE_MS = 1000; /* idle for so long, it is dropped */
 constexpr int64_t ROUND_MS = 6000;
-constexpr int64_t DOWN_MS = 200; /* from a crash to the next start */
-constexpr int BURST = 16;        /* requests that come together */
+constexpr int64_t DOWN_MS = 200;   /* from a crash to the next start */
+constexpr int BURST = 16;          /* requests that come together */
 constexpr int64_t PAUSE_MS = 6000; /* until the next ones */
-constexpr int64_t BEAT_MS = 870;  /* heartbeat_s */
+constexpr int64_t BEAT_MS = 870;   /* heartbeat_s */
 
 } // namespace
 
--- a/review/standin3/link.h
+++ b/review/standin3/link.h
@@ -58,7 +58,8 @@
      * @return their number */
     size_t Forget(int64_t idle_ms)
     {
-        const int64_t before_us = runtime_now_us(loop_.runtime) - idle_ms * standin::MS;
+        const int64_t before_us =
+            runtime_now_us(loop_.runtime) - idle_ms * standin::MS;
         size_t count = 0;
         for (const auto &pair : pairs_) {
             if (pair->ends[0] != nullptr && pair->ends[1] != nullptr &&
--- a/review/standin3/poison.cc
+++ b/review/standin3/poison.cc
@@ -45,11 +45,10 @@
                 if (std::string(http_request_path(request)) != PATH) {
                     return false;
                 }
-                const std::string id = http_request_header(
-                    request, "X-Chestnutgap-Request-Id");
-                const bool late =
-                    crashes_us.size() >= 3 &&
-                    scene.Now() > crashes_us[2] + CONTACT_US;
+                const std::string id =
+                    http_request_header(request, "X-Chestnutgap-Request-Id");
+                const bool late = crashes_us.size() >= 3 &&
+                                  scene.Now() > crashes_us[2] + CONTACT_US;
                 const bool counts = late && sent[id].in_touch &&
                                     scene.InTouch(i) && !sent[id].reached;
                 sent[id].reached = sent[id].reached || counts;
--- a/review/standin3/scene.h
+++ b/review/standin3/scene.h
@@ -33,10 +33,10 @@
     std::unique_ptr<Link> target_link; /* likewise, to the upstream */
     struct address listens = {};       /* the upstream itself */
     int64_t beat_at_us = 0;            /* next heartbeat */
-    bool stopping = false;     /* SIGTERM or SIGKILL was sent */
-    int64_t disturbed_us = 0;  /* latest signal or start of its daemon */
-    int64_t back_at_us = 0;    /* when its upstream starts again; 0: it runs */
-    int64_t warm_at_us = 0;    /* when its upstream is warm */
+    bool stopping = false;             /* SIGTERM or SIGKILL was sent */
+    int64_t disturbed_us = 0; /* latest signal or start of its daemon */
+    int64_t back_at_us = 0;   /* when its upstream starts again; 0: it runs */
+    int64_t warm_at_us = 0;   /* when its upstream is warm */
 };
 
 class Scene {
@@ -69,8 +69,7 @@
         return runtime_now_us(loop.runtime);
     }
 
-    __attribute__((format(printf, 2, 3))) void
-    Record(const char *format, ...)
+    __attribute__((format(printf, 2, 3))) void Record(const char *format, ...)
     {
         va_list arguments;
         va_start(arguments, format);
@@ -111,8 +110,8 @@
                 std::make_unique<Link>(loop, machine->settings.store);
             machine->settings.store = machine->store_link->address;
         }
-        machine->daemon = std::make_unique<Daemon>(program_, directory_,
-                                                   machine->settings);
+        machine->daemon =
+            std::make_unique<Daemon>(program_, directory_, machine->settings);
         machine->disturbed_us = Now();
         machines.push_back(std::move(machine));
     }
