--- a/review/standin3/fence.cc
+++ b/review/standin3/fence.cc
@@ -1,9 +1,9 @@
 /*
- * Upstreams that hold keys drop idle connections without notice. One after
- * the other crashes and is soon back, as another upstream at the same
- * address. Usage: fence DAEMON RECORD TROUBLE. Exits with 1 if an upstream
- * got a key with a fencing token that isn't above those with which others had
- * it (OWNER).
+ * Half of the upstreams, which hold keys, drop idle connections without
+ * notice, for 6 s of every 7. One of them crashes meanwhile and is soon
+ * back, as another upstream at the same address. Usage: fence DAEMON RECORD
+ * TROUBLE. Exits with 1 if an upstream got a key with a fencing token that
+ * isn't above those with which others had it (OWNER).
  */
 #include "scene.h"
 
@@ -15,13 +15,15 @@
 
 namespace {
 
-constexpr size_t MACHINES = 4;
-constexpr int ROUNDS = 16;
-constexpr int64_t IDLE_MS = 1000; /* idle for so long, it is dropped */
-constexpr int64_t ROUND_MS = 6000;
-constexpr int64_t DOWN_MS = 200;   /* from a crash to the next start */
-constexpr int BURST = 16;          /* requests that come together */
-constexpr int64_t PAUSE_MS = 6000; /* until the next ones */
+constexpr size_t MACHINES = 8;
+constexpr int ROUNDS = 13;
+constexpr int64_t IDLE_MS = 1000;  /* idle for so long, it is dropped */
+constexpr int64_t DROPS_MS = 6000; /* of each round */
+constexpr size_t DROPPING = 4;     /* upstreams that do so at a time */
+constexpr int64_t ROUND_MS = 7000;
+constexpr int64_t DOWN_MS = 400;   /* from a crash to the next start */
+constexpr int BURST = 32;          /* requests that come together */
+constexpr int64_t PAUSE_MS = 7000; /* until the next ones */
 constexpr int64_t BEAT_MS = 870;   /* heartbeat_s */
 
 } // namespace
@@ -63,10 +65,11 @@
                 burst_us = scene.Now() + PAUSE_MS * MS;
             }
             scene.Advance(20);
-            for (const auto &each : scene.machines) {
-                if (trouble) {
-                    each->target_link->Forget(IDLE_MS);
-                }
+            const bool drops =
+                trouble && scene.Now() < end_us - (ROUND_MS - DROPS_MS) * MS;
+            for (size_t k = 0; drops && k < DROPPING; k++) {
+                scene.machines[(i + k) % MACHINES]->target_link->Forget(
+                    IDLE_MS);
             }
             if (trouble && !crashed && scene.Now() >= crash_us) {
                 crashed = true;
