--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -16,7 +16,7 @@
         -D_GNU_SOURCE -DCHESTNUTGAP_VERSION='"review"' \
         -I. -Ipackages -Iplatform/test \
         $(pkg-config --cflags libevent libtirpc jansson libxxhash) \
-        "$source" platform/test/daemon.cc \
+        "$source" \
         -Wl,--start-group $libs -Wl,--end-group \
         $(pkg-config --libs libevent libevent_pthreads libtirpc jansson \
             libxxhash) -levhtp -lssl -lcrypto -lgtest -lpthread -lm \
--- a/review/standin3/fence.cc
+++ b/review/standin3/fence.cc
@@ -2,8 +2,9 @@
  * Half of the upstreams, which hold keys, drop idle connections without
  * notice, for 6 s of every 7. One of them crashes meanwhile and is soon
  * back, as another upstream at the same address. Usage: fence DAEMON RECORD
- * TROUBLE. Exits with 1 if an upstream got a key with a fencing token that
- * isn't above those with which others had it (OWNER).
+ * TROUBLE (0: neither; crashes: these alone). Exits with 1 if an upstream got
+ * a key with a fencing token that isn't above those with which others had it
+ * (OWNER).
  */
 #include "scene.h"
 
@@ -35,6 +36,7 @@
         return 2;
     }
     const bool trouble = std::string(argv[3]) != "0";
+    const bool forgets = std::string(argv[3]) != "crashes";
     Scene scene(argv[1], argv[2]);
     struct random_state random;
     random_seed(&random, static_cast<uint64_t>(getpid()));
@@ -66,7 +68,8 @@
             }
             scene.Advance(20);
             const bool drops =
-                trouble && scene.Now() < end_us - (ROUND_MS - DROPS_MS) * MS;
+                trouble && forgets &&
+                scene.Now() < end_us - (ROUND_MS - DROPS_MS) * MS;
             for (size_t k = 0; drops && k < DROPPING; k++) {
                 scene.machines[(i + k) % MACHINES]->target_link->Forget(
                     IDLE_MS);
--- a/review/standin3/scene.h
+++ b/review/standin3/scene.h
@@ -11,12 +11,13 @@
 #include <cstdio>
 #include <cstdlib>
 
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
 
-#include "daemon.h"
 #include "link.h"
+#include "process.h"
 
 namespace scene {
 
@@ -28,7 +29,7 @@
 struct Machine {
     std::unique_ptr<Upstream> upstream;
     struct nodesettings settings;
-    std::unique_ptr<Daemon> daemon;
+    std::unique_ptr<Process> daemon;
     std::unique_ptr<Link> store_link;  /* if its connections pass a proxy */
     std::unique_ptr<Link> target_link; /* likewise, to the upstream */
     struct address listens = {};       /* the upstream itself */
@@ -57,6 +58,7 @@
 
     ~Scene()
     {
+        RecordRequests();
         callers_.clear();
         for (const auto &machine : machines) {
             machine->daemon.reset();
@@ -78,7 +80,6 @@
         vfprintf(record_, format, arguments);
         fputc('\n', record_);
         va_end(arguments);
-        fflush(record_);
     }
 
     enum Linked {
@@ -103,15 +104,26 @@
                 std::make_unique<Link>(loop, machine->listens);
             machine->upstream->address = machine->target_link->address;
         }
-        machine->settings = Router::Settings(store, "sidecar-" + number, zone,
-                                             *machine->upstream);
+        const std::string name = "sidecar-" + number;
+        Upstream *upstream = machine->upstream.get();
+        upstream->order_fault = [this, upstream,
+                                 name](struct http_request *request) {
+            size_t size;
+            const void *body = http_request_body(request, &size);
+            Record("%s beside %s gets %s %.*s", upstream->id.c_str(),
+                   name.c_str(), http_request_path(request),
+                   static_cast<int>(size), static_cast<const char *>(body));
+            return false;
+        };
+        machine->settings =
+            Router::Settings(store, name, zone, *machine->upstream);
         if (linked == STORE) {
             machine->store_link =
                 std::make_unique<Link>(loop, machine->settings.store);
             machine->settings.store = machine->store_link->address;
         }
         machine->daemon =
-            std::make_unique<Daemon>(program_, directory_, machine->settings);
+            std::make_unique<Process>(program_, directory_, machine->settings);
         machine->disturbed_us = Now();
         machines.push_back(std::move(machine));
     }
@@ -145,7 +157,10 @@
     {
         callers_.push_back(
             std::make_unique<Caller>(loop, machines[i]->settings.callers));
-        return callers_.back()->Send(method, path, id, key, deadline_ms);
+        sent_.push_back(
+            {Now(), i, method + " " + path, id,
+             callers_.back()->Send(method, path, id, key, deadline_ms)});
+        return sent_.back().answer;
     }
 
     /** An upstream crashes, and is back, cold, after back_ms. */
@@ -183,6 +198,34 @@
     GrantHistory grant_history;
 
   private:
+    struct Sent {
+        int64_t at_us;
+        size_t to;
+        std::string what;
+        std::string id;
+        std::shared_ptr<Answer> answer;
+    };
+
+    /** What was sent, answered and run. */
+    void RecordRequests()
+    {
+        std::map<std::string, std::string> ran;
+        for (const auto &machine : machines) {
+            for (const std::string &id : machine->upstream->ran) {
+                ran[id] += std::string(" ") + machine->settings.instance;
+            }
+        }
+        for (const Sent &sent : sent_) {
+            fprintf(record_,
+                    "%8.3f  request %s, %s, sent to %s; answer %u; began to "
+                    "run beside:%s\n",
+                    static_cast<double>(sent.at_us - begun_us_) / 1e6,
+                    sent.id.c_str(), sent.what.c_str(),
+                    machines[sent.to]->settings.instance, sent.answer->status,
+                    ran.count(sent.id) > 0 ? ran[sent.id].c_str() : " none");
+        }
+    }
+
     void Step(Machine &machine)
     {
         if (machine.stopping && machine.daemon->Reap(false)) {
@@ -225,6 +268,7 @@
     FILE *record_;
     int64_t begun_us_ = 0;
     int next_instance_ = 0;
+    std::vector<Sent> sent_;
     std::vector<std::unique_ptr<Caller>> callers_;
 };
 
